--- /dev/null
+++ b/src/anvil/client.cc
@@ -0,0 +1,137 @@
+#include "anvil/client.h"
+
+#include <algorithm>
+
+namespace stonemount {
+
+namespace {
+constexpr Us kTryUs = 700 * kMilliUs;
+constexpr Us kAgainUs = 60 * kMilliUs;
+constexpr Us kViewUs = 250 * kMilliUs;
+
+class ViewPoll : public Poll {
+ public:
+  ViewPoll(Desk& desk, const absl::btree_set<Address>& members)
+      : Poll(desk, ViewAsk::kKind, pack(ViewAsk{}), kViewUs) {
+    for (const Address& member : members) add(member);
+    needed_ = members.size() / 2 + 1;
+  }
+  View newest;
+
+ protected:
+  void heard(std::size_t, const Bytes& body) override {
+    auto read = unpack<ViewVerdict>(body);
+    auto* verdict = std::get_if<ViewVerdict>(&read);
+    if (verdict == nullptr) return;
+    ++answered_;
+    if (verdict->view.revision > newest.revision) newest = std::move(verdict->view);
+  }
+  bool enough() const override { return answered_ >= needed_; }
+
+ private:
+  std::size_t needed_ = 0;
+  std::size_t answered_ = 0;
+};
+}  // namespace
+
+const char* troubleText(ChainTrouble trouble) {
+  switch (trouble) {
+    case ChainTrouble::kUnreachable: return "unreachable";
+    case ChainTrouble::kTooFewCopies: return "too_few_copies";
+    case ChainTrouble::kBusy: return "busy";
+    case ChainTrouble::kRingFull: return "ring_full";
+  }
+  return "unknown";
+}
+
+ChainClient::ChainClient(Ports& ports, Desk& desk, std::vector<Address> members)
+    : ports_(ports), desk_(desk), members_(members.begin(), members.end()), clientId_(ports.chance.next()) {}
+
+Job<Done> ChainClient::refresh() {
+  if (!refreshing_) {
+    refreshing_ = true;
+    ViewPoll poll(desk_, members_);
+    co_await poll;
+    refreshing_ = false;
+    if (poll.newest.revision > view_.revision) {
+      view_ = poll.newest;
+      for (const Seat& voter : view_.voters) members_.insert(voter.address);
+    }
+  } else {
+    Pause pause(ports_.alarms, kAgainUs);
+    co_await pause;
+  }
+  co_return Done{};
+}
+
+Job<ChainAnswer> ChainClient::submit(Bytes command, Us limitUs) {
+  Submit submit;
+  submit.id = {clientId_, ++lastNumber_};
+  submit.command = std::move(command);
+  const Us untilUs = ports_.clock.monoUs() + limitUs;
+  ChainTrouble trouble = ChainTrouble::kUnreachable;
+  while (true) {
+    if (!view_.chain.empty()) {
+      submit.revision = view_.revision;
+      const Us leftUs = untilUs - ports_.clock.monoUs();
+      if (leftUs <= 0) break;
+      Job<std::variant<ChainVerdict, PartnerSilent>> job =
+          ask<ChainVerdict>(desk_, view_.chain.front().address, submit, std::min(leftUs, kTryUs));
+      std::variant<ChainVerdict, PartnerSilent> verdict = co_await job;
+      auto* answered = std::get_if<ChainVerdict>(&verdict);
+      trouble = ChainTrouble::kUnreachable;
+      if (answered != nullptr) {
+        if (answered->outcome == ChainOutcome::kDone) co_return std::move(answered->body);
+        if (answered->outcome == ChainOutcome::kTooFewCopies) trouble = ChainTrouble::kTooFewCopies;
+        if (answered->outcome == ChainOutcome::kBusy) trouble = ChainTrouble::kBusy;
+        if (answered->outcome == ChainOutcome::kRingFull) trouble = ChainTrouble::kRingFull;
+      }
+    }
+    if (ports_.clock.monoUs() + kAgainUs >= untilUs) break;
+    Job<Done> refreshing = refresh();
+    co_await refreshing;
+    Pause pause(ports_.alarms, kAgainUs);
+    co_await pause;
+  }
+  co_return ChainFailure{trouble};
+}
+
+Job<ChainAnswer> ChainClient::read(Bytes query, Us holdUs, Us limitUs) {
+  Read read;
+  read.query = std::move(query);
+  read.holdUs = holdUs;
+  const Us untilUs = ports_.clock.monoUs() + limitUs;
+  while (true) {
+    if (!view_.chain.empty()) {
+      read.revision = view_.revision;
+      const Us leftUs = untilUs - ports_.clock.monoUs();
+      if (leftUs <= 0) break;
+      Job<std::variant<ChainVerdict, PartnerSilent>> job =
+          ask<ChainVerdict>(desk_, view_.chain.back().address, read, std::min(leftUs, kTryUs + holdUs));
+      std::variant<ChainVerdict, PartnerSilent> verdict = co_await job;
+      auto* answered = std::get_if<ChainVerdict>(&verdict);
+      if (answered != nullptr && answered->outcome == ChainOutcome::kDone)
+        co_return std::move(answered->body);
+    }
+    if (ports_.clock.monoUs() + kAgainUs >= untilUs) break;
+    Job<Done> refreshing = refresh();
+    co_await refreshing;
+    Pause pause(ports_.alarms, kAgainUs);
+    co_await pause;
+  }
+  co_return ChainFailure{ChainTrouble::kUnreachable};
+}
+
+Job<std::variant<ChangeVerdict, PartnerSilent>> ChainClient::changeVoters(ChangeVoters wish, Us limitUs) {
+  Job<Done> refreshing = refresh();
+  co_await refreshing;
+  for (const Seat& seat : std::vector<Seat>(view_.chain)) {
+    if (seat.address == wish.remove) continue;
+    Job<std::variant<ChangeVerdict, PartnerSilent>> job = ask<ChangeVerdict>(desk_, seat.address, wish, limitUs);
+    std::variant<ChangeVerdict, PartnerSilent> verdict = co_await job;
+    if (std::holds_alternative<ChangeVerdict>(verdict)) co_return verdict;
+  }
+  co_return PartnerSilent{};
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/anvil/client.h
@@ -0,0 +1,42 @@
+// How everyone else talks to a chain: commands to the head, reads to the tail (design.md 6.8).
+#pragma once
+
+#include "anvil/messages.h"
+#include "vise/desk.h"
+
+namespace stonemount {
+
+enum class ChainTrouble : std::uint8_t {
+  kUnreachable,    // no answer in time; a command may or may not have been taken
+  kTooFewCopies,   // refused: it could not have been kept in two zones
+  kBusy,
+  kRingFull,
+};
+const char* troubleText(ChainTrouble trouble);
+struct ChainFailure {
+  ChainTrouble trouble = ChainTrouble::kUnreachable;
+};
+using ChainAnswer = std::variant<Bytes, ChainFailure>;
+
+class ChainClient {
+ public:
+  ChainClient(Ports& ports, Desk& desk, std::vector<Address> members);
+  // The same command is sent again until it is known to be applied, and is applied once.
+  Job<ChainAnswer> submit(Bytes command, Us limitUs);
+  Job<ChainAnswer> read(Bytes query, Us holdUs, Us limitUs);
+  Job<std::variant<ChangeVerdict, PartnerSilent>> changeVoters(ChangeVoters wish, Us limitUs);
+  const View& view() const { return view_; }
+  void learnMember(const Address& member) { members_.insert(member); }
+  Job<Done> refresh();
+
+ private:
+  Ports& ports_;
+  Desk& desk_;
+  absl::btree_set<Address> members_;
+  View view_;
+  std::uint64_t clientId_;
+  std::uint64_t lastNumber_ = 0;
+  bool refreshing_ = false;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/anvil/found.cc
@@ -0,0 +1,48 @@
+// The first view: only when every founder is present and empty (design.md 6.5).
+#include <absl/strings/str_cat.h>
+
+#include "anvil/member.h"
+
+namespace stonemount {
+
+Task Member::found() {
+  while (standing_ == Standing::kFounding) {
+    Pause pause(ports_.alarms, plan_.pingUs);
+    co_await pause;
+    Address lowest = self_;
+    View first;
+    first.revision = 1;
+    bool allEmpty = !plan_.founders.empty();
+    const Us nowUs = ports_.clock.monoUs();
+    for (const Address& founder : plan_.founders) {
+      Seat seat{founder, memory_.incarnation, plan_.zone};
+      if (founder != self_) {
+        const PartnerSight& sight = partners_[founder];
+        allEmpty &= sight.heardUs >= 0 && nowUs - sight.heardUs < plan_.suspectUs &&
+                    sight.pong.revision == 0 && sight.pong.standing == Standing::kFounding;
+        seat.incarnation = sight.pong.incarnation;
+        seat.zone = sight.pong.zone;
+      }
+      if (founder < lowest) lowest = founder;
+      first.voters.push_back(seat);
+    }
+    if (!allEmpty || lowest != self_) continue;
+    if (findSeat(first.voters, self_) == nullptr) continue;
+    first.chain = first.voters;
+    logEvent("founding", {{"members", absl::StrCat(first.voters.size())}});
+    Job<bool> taken = takeView(first);
+    const bool durable = co_await taken;
+    if (!durable) co_return;
+    Found message{first};
+    for (const Seat& seat : first.voters)
+      if (seat.address != self_) desk_.tell(seat.address, message);
+  }
+}
+
+void Member::onFound(const Asked& asked) {
+  auto message = unpack<Found>(asked.body);
+  if (!std::holds_alternative<Found>(message) || standing_ != Standing::kFounding) return;
+  room_.start(takeViewTask(std::get<Found>(message).view));
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/anvil/machine.h
@@ -0,0 +1,36 @@
+// The port between a chain and the state it keeps (design.md 6.2).
+#pragma once
+
+#include "stonemount.h"
+
+namespace stonemount {
+
+struct Hold {};  // nothing new yet for this query
+using QueryVerdict = std::variant<Bytes, Hold>;
+
+// What the head has seen itself; it stamps commands with it, so that applying stays deterministic.
+struct HeadSight {
+  Us monoUs = 0;
+  Us wallUs = 0;
+  std::uint64_t incarnation = 0;
+  Revision viewRevision = 0;
+};
+struct Stamped {
+  Bytes command;
+};
+struct StampRefused {
+  Bytes verdict;  // answered at once; nothing is written
+};
+using StampVerdict = std::variant<Stamped, StampRefused>;
+
+class Machine {
+ public:
+  virtual ~Machine() = default;
+  virtual Bytes apply(const Bytes& command) = 0;
+  virtual StampVerdict stamp(const Bytes& command, const HeadSight& sight) = 0;
+  virtual QueryVerdict answer(const Bytes& query, bool mustAnswer) = 0;
+  virtual Bytes save() const = 0;
+  virtual bool load(const Bytes& state) = 0;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/anvil/member.cc
@@ -0,0 +1,232 @@
+// Life of a member: opening its disk, founding the first view, moving between views (design.md 6.1).
+#include "anvil/member.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace stonemount {
+
+namespace {
+constexpr std::uint8_t kImageFormat = 1;
+struct Image {
+  std::uint8_t format = kImageFormat;
+  VoterMemory memory;
+  std::uint64_t end = 0;
+  Revision endRevision = 0;
+  std::vector<std::pair<CommandId, Bytes>> verdicts;
+  Bytes state;
+  STONEMOUNT_PACK(format, memory, end, endRevision, verdicts, state)
+};
+struct MetaRecord {
+  std::uint8_t format = kImageFormat;
+  VoterMemory memory;
+  STONEMOUNT_PACK(format, memory)
+};
+}  // namespace
+
+const char* standingText(Standing standing) {
+  switch (standing) {
+    case Standing::kOpening: return "opening";
+    case Standing::kFounding: return "founding";
+    case Standing::kOutside: return "outside";
+    case Standing::kSealed: return "sealed";
+    case Standing::kActive: return "active";
+    case Standing::kBroken: return "broken";
+  }
+  return "unknown";
+}
+
+Member::Member(Ports& ports, Desk& desk, TaskRoom& room, Machine& machine, MemberPlan plan)
+    : ports_(ports), desk_(desk), room_(room), machine_(machine), plan_(std::move(plan)),
+      self_(desk.self()), drawer_(*ports.disk, ports.alarms, ports.clock),
+      press_(drawer_, ports.alarms, room) {}
+
+Member::~Member() = default;
+
+void Member::begin() {
+  desk_.serve(Ping::kKind, sigc::mem_fun(*this, &Member::onPing));
+  desk_.serve(Peek::kKind, sigc::mem_fun(*this, &Member::onPeek));
+  desk_.serve(ViewAsk::kKind, sigc::mem_fun(*this, &Member::onViewAsk));
+  desk_.serve(Found::kKind, sigc::mem_fun(*this, &Member::onFound));
+  desk_.serve(Seal::kKind, sigc::mem_fun(*this, &Member::onSeal));
+  desk_.serve(Prepare::kKind, sigc::mem_fun(*this, &Member::onPrepare));
+  desk_.serve(Accept::kKind, sigc::mem_fun(*this, &Member::onAccept));
+  desk_.serve(Confirm::kKind, sigc::mem_fun(*this, &Member::onConfirm));
+  desk_.serve(Decided::kKind, sigc::mem_fun(*this, &Member::onDecided));
+  desk_.serve(Append::kKind, sigc::mem_fun(*this, &Member::onAppend));
+  desk_.serve(FetchState::kKind, sigc::mem_fun(*this, &Member::onFetchState));
+  desk_.serve(FetchLog::kKind, sigc::mem_fun(*this, &Member::onFetchLog));
+  desk_.serve(CatchUp::kKind, sigc::mem_fun(*this, &Member::onCatchUp));
+  desk_.serve(ChangeVoters::kKind, sigc::mem_fun(*this, &Member::onChangeVoters));
+  desk_.serve(Submit::kKind, sigc::mem_fun(*this, &Member::onSubmit));
+  desk_.serve(Read::kKind, sigc::mem_fun(*this, &Member::onRead));
+  room_.start(open());
+}
+
+HeadSight Member::sight() const {
+  return {ports_.clock.monoUs(), ports_.clock.wallUs(), memory_.incarnation, memory_.view.revision};
+}
+
+void Member::changeStanding(Standing next) {
+  if (next == standing_ || standing_ == Standing::kBroken) return;
+  logEvent("standing", {{"from", standingText(standing_)}, {"to", standingText(next)},
+                        {"view", absl::StrCat(memory_.view.revision)}, {"end", absl::StrCat(end_)}});
+  standing_ = next;
+  inbox_.clear();
+  inboxBytes_ = 0;
+  for (const Asked& asked : appendsWaiting_) answerAppend(asked, false);
+  appendsWaiting_.clear();
+  successorEnd_.reset();
+  if (next != Standing::kActive) wakeHeld();
+  passBell_.ring();
+  readBell_.ring();
+  mendBell_.ring();
+  viewMoved.emit();
+}
+
+Task Member::open() {
+  OpenVerdict opened = drawer_.open();
+  if (std::holds_alternative<DiskFailure>(opened)) {
+    changeStanding(Standing::kBroken);
+    co_return;
+  }
+  if (std::holds_alternative<DrawerDamaged>(opened)) {
+    // What it had sworn to is gone: as good as wiped (design.md 5.5).
+    logDoubt("drawer_damaged", {{"sequence", absl::StrCat(std::get<DrawerDamaged>(opened).atSequence)}});
+    drawer_.wipe();
+  }
+  if (auto* content = std::get_if<DrawerContent>(&opened)) {
+    bool sound = !content->hasCheckpoint || loadImage(content->checkpoint, true);
+    for (const Record& record : content->records) {
+      if (!sound) break;
+      if (record.kind == RecordKind::kMeta) {
+        auto meta = unpack<MetaRecord>(record.body);
+        sound = std::holds_alternative<MetaRecord>(meta) && std::get<MetaRecord>(meta).format == kImageFormat;
+        if (sound) memory_ = std::get<MetaRecord>(meta).memory;
+      } else {
+        auto entry = unpack<Entry>(record.body);
+        sound = std::holds_alternative<Entry>(entry);
+        if (sound && std::get<Entry>(entry).index == end_ + 1) applyEntry(std::get<Entry>(entry), false);
+      }
+    }
+    if (!sound) {
+      logDoubt("records_unreadable", {});
+      changeStanding(Standing::kBroken);  // an unknown format is refused, not guessed at
+      co_return;
+    }
+  }
+  if (memory_.incarnation == 0) {
+    memory_.incarnation = ports_.chance.next() | 1;
+    Job<bool> kept = keepMemory();
+    const bool durable = co_await kept;
+    if (!durable) co_return;
+  }
+  logEvent("opened", {{"incarnation", hexText(memory_.incarnation)},
+                      {"view", absl::StrCat(memory_.view.revision)}, {"end", absl::StrCat(end_)}});
+  if (memory_.view.revision == 0) {
+    changeStanding(Standing::kFounding);
+    room_.start(found());
+  } else {
+    // A restart always waits for a new view: what it did last in this one is not known to it.
+    const bool mine = holdsSeat(memory_.view.chain, self_, memory_.incarnation);
+    changeStanding(mine ? Standing::kSealed : Standing::kOutside);
+  }
+  room_.start(write());
+  room_.start(passOn());
+  room_.start(readBatches());
+  room_.start(pingAll());
+  room_.start(mend());
+  room_.start(refill());
+}
+
+void Member::onDecided(const Asked& asked) {
+  auto message = unpack<Decided>(asked.body);
+  if (std::holds_alternative<Decided>(message)) room_.start(takeViewTask(std::get<Decided>(message).view));
+}
+
+Task Member::takeViewTask(View next) {
+  Job<bool> taken = takeView(std::move(next));
+  co_await taken;
+}
+
+void Member::onViewAsk(const Asked& asked) { desk_.reply(asked, ViewVerdict{memory_.view}); }
+
+Job<bool> Member::keepMemory() {
+  AppendVerdict appended = drawer_.append(RecordKind::kMeta, pack(MetaRecord{kImageFormat, memory_}));
+  if (!std::holds_alternative<std::uint64_t>(appended)) {
+    diskBroke();
+    co_return false;
+  }
+  Press::Wait wait(press_);
+  const bool durable = co_await wait;
+  if (!durable) diskBroke();
+  co_return durable;
+}
+
+// The one way into a later view. Nothing is done in it before it is durable here.
+Job<bool> Member::takeView(View next) {
+  if (next.revision <= memory_.view.revision || standing_ == Standing::kBroken) co_return true;
+  if (standing_ == Standing::kActive) changeStanding(Standing::kSealed);
+  memory_.view = next;
+  memory_.promised = Ballot();
+  memory_.acceptedBallot = Ballot();
+  memory_.accepted.reset();
+  needSinceUs_ = -1;
+  ++counts_.viewChanges;
+  Job<bool> kept = keepMemory();
+  const bool durable = co_await kept;
+  if (!durable) co_return false;
+  if (memory_.view.revision == next.revision) standingFromView();
+  co_return true;
+}
+
+void Member::standingFromView() {
+  const bool mine = holdsSeat(memory_.view.chain, self_, memory_.incarnation);
+  refilled_ = mine;
+  changeStanding(mine ? Standing::kActive : Standing::kOutside);
+  std::string chain;
+  for (const Seat& seat : memory_.view.chain) absl::StrAppend(&chain, chain.empty() ? "" : ",", addressText(seat.address));
+  logEvent("view", {{"revision", absl::StrCat(memory_.view.revision)}, {"chain", chain},
+                    {"voters", absl::StrCat(memory_.view.voters.size())}});
+}
+
+Bytes Member::image() const {
+  Image image;
+  image.memory = memory_;
+  image.end = end_;
+  image.endRevision = endRevision_;
+  for (const CommandId& id : verdictOrder_) image.verdicts.emplace_back(id, verdicts_.at(id));
+  image.state = machine_.save();
+  return pack(image);
+}
+
+bool Member::loadImage(const Bytes& bytes, bool own) {
+  auto read = unpack<Image>(bytes);
+  Image* image = std::get_if<Image>(&read);
+  if (image == nullptr || image->format != kImageFormat || !machine_.load(image->state)) return false;
+  if (own) memory_ = image->memory;  // another's votes are not mine
+  end_ = image->end;
+  endRevision_ = image->endRevision;
+  appended_ = image->end;
+  recent_.clear();
+  recentBytes_ = 0;
+  verdicts_.clear();
+  verdictOrder_.clear();
+  for (auto& [id, verdict] : image->verdicts) {
+    verdictOrder_.push_back(id);
+    verdicts_[id] = verdict;
+  }
+  return true;
+}
+
+void Member::maybeCheckpoint() {
+  if (!drawer_.checkpointing() && drawer_.bytesSinceCheckpoint() > drawer_.ringBytes() / 4)
+    drawer_.beginCheckpoint(image());
+  if (drawer_.checkpointing() && !drawer_.pumpCheckpoint(8)) diskBroke();
+}
+
+void Member::diskBroke() {
+  logDoubt("disk_broke", {});
+  changeStanding(Standing::kBroken);
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/anvil/member.h
@@ -0,0 +1,165 @@
+// One member of a chain: the same module keeps control state and store (design.md 6).
+#pragma once
+
+#include "anvil/machine.h"
+#include "anvil/messages.h"
+#include "drawer/press.h"
+#include "vise/desk.h"
+
+namespace stonemount {
+
+struct MemberPlan {
+  std::string zone;
+  std::vector<Address> founders;  // all must be empty and present for the first view
+  std::vector<Address> seeds;     // other members that may be asked for the view
+  Us pingUs = 100 * kMilliUs;
+  Us suspectUs = 700 * kMilliUs;
+  Us slowDiskUs = 800 * kMilliUs;
+};
+
+// What is known of another member from its last pong.
+struct PartnerSight {
+  Us heardUs = -1;
+  Pong pong;
+};
+
+struct MemberCounts {
+  std::uint64_t applied = 0, viewChanges = 0, ballots = 0, refusedOld = 0, reads = 0, confirms = 0;
+};
+
+class Member {
+ public:
+  Member(Ports& ports, Desk& desk, TaskRoom& room, Machine& machine, MemberPlan plan);
+  ~Member();
+  void begin();
+  void meet(const Address& partner);  // another process of this chain
+
+  const View& view() const { return memory_.view; }
+  Standing standing() const { return standing_; }
+  std::uint64_t incarnation() const { return memory_.incarnation; }
+  std::uint64_t end() const { return end_; }
+  bool active() const { return standing_ == Standing::kActive; }
+  bool head() const { return active() && memory_.view.chain.front().address == self_; }
+  bool tail() const { return active() && memory_.view.chain.back().address == self_; }
+  HeadSight sight() const;
+  const MemberCounts& counts() const { return counts_; }
+  const absl::btree_map<Address, PartnerSight>& partners() const { return partners_; }
+  const Drawer& drawer() const { return drawer_; }
+  sigc::signal<void()> viewMoved;
+
+ private:
+  struct Waiting {  // a read at the tail
+    Asked asked;
+    Bytes query;
+    Us untilUs = 0;
+  };
+  // member.cc, found.cc: life, disk, view
+  Task open();
+  Task found();
+  void changeStanding(Standing next);
+  Job<bool> keepMemory();
+  Job<bool> takeView(View next);
+  void standingFromView();
+  Bytes image() const;
+  bool loadImage(const Bytes& image, bool own);
+  void maybeCheckpoint();
+  void diskBroke();
+  void onViewAsk(const Asked& asked);
+  void onFound(const Asked& asked);
+  void onDecided(const Asked& asked);
+  Task takeViewTask(View next);
+  // relay.cc: commands
+  void onSubmit(const Asked& asked);
+  void onAppend(const Asked& asked);
+  void refuse(const Asked& asked, ChainOutcome outcome);
+  Task write();
+  Task passOn();
+  void applyEntry(const Entry& entry, bool release);
+  void answerAppend(const Asked& asked, bool granted);
+  // reader.cc: reads at the tail
+  void onRead(const Asked& asked);
+  Task readBatches();
+  void releaseReads(std::vector<Waiting> batch);
+  void wakeHeld();
+  // voter.cc: ballots
+  Pong pong() const;
+  void onPing(const Asked& asked);
+  void onPeek(const Asked& asked);
+  void onSeal(const Asked& asked);
+  void onPrepare(const Asked& asked);
+  void onAccept(const Asked& asked);
+  void onConfirm(const Asked& asked);
+  Task answerDurably(Asked asked, VoterVerdict verdict);
+  bool votes(Revision revision) const;
+  // mender.cc: detection and proposals
+  Task ping(Address partner);
+  Task pingAll();
+  Task mend();
+  bool aliveSeat(const Seat& seat) const;
+  bool healthySeat(const Seat& seat) const;
+  std::optional<View> wantedView() const;
+  bool addReadyPartner(View& wanted) const;
+  std::size_t turn() const;
+  void onChangeVoters(const Asked& asked);
+  Task changeVoters(Asked asked);
+  // propose.cc
+  Job<ChangeOutcome> propose(View target);
+  Job<bool> sealChain(View& target);
+  Job<bool> ballot(View target);
+  // refill.cc
+  Task refill();
+  Job<bool> fetchState(Address source);
+  Job<bool> fetchLog(Address source, std::uint64_t upTo);
+  void onFetchState(const Asked& asked);
+  void onFetchLog(const Asked& asked);
+  void onCatchUp(const Asked& asked);
+  Task catchUp(Asked asked, CatchUp wish);
+
+  Ports& ports_;
+  Desk& desk_;
+  TaskRoom& room_;
+  Machine& machine_;
+  MemberPlan plan_;
+  Address self_;
+  Drawer drawer_;
+  Press press_;
+  Standing standing_ = Standing::kOpening;
+  VoterMemory memory_;
+  MemberCounts counts_;
+  // the log
+  std::uint64_t end_ = 0;        // last entry that is durable here and applied
+  std::uint64_t committed_ = 0;  // last entry known to be durable at the tail
+  std::deque<Entry> recent_;     // entries that a successor may still need
+  std::size_t recentBytes_ = 0;
+  std::deque<Entry> inbox_;      // received in this view, not yet durable
+  std::size_t inboxBytes_ = 0;
+  std::vector<Asked> appendsWaiting_;
+  std::uint64_t appended_ = 0;   // last entry handed to the disk, durable or not
+  Revision endRevision_ = 0;     // of the entry at end_
+  std::uint64_t received() const;
+  Bell inboxBell_, passBell_, readBell_, mendBell_;
+  std::optional<std::uint64_t> successorEnd_;
+  std::map<CommandId, Bytes> verdicts_;  // of commands applied lately; a retry finds its own
+  std::deque<CommandId> verdictOrder_;
+  // reads
+  std::deque<Waiting> reads_;
+  std::vector<Waiting> held_;
+  // partners
+  absl::btree_map<Address, PartnerSight> partners_;
+  absl::btree_set<Address> pinged_;
+  std::uint64_t highestRound_ = 0;
+  Us needSinceUs_ = -1;
+  bool proposing_ = false;
+  bool takingView_ = false;
+  std::optional<ChangeVoters> wish_;
+  Address tooFarBehind_;  // a successor that needs more than is kept in memory
+  // refill
+  bool refilled_ = false;
+  bool fetching_ = false;
+  bool fetchRefused_ = false;
+  std::uint64_t pictureToken_ = 0;
+  std::uint64_t pictureEnd_ = 0;
+  Bytes picture_;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/anvil/mender.cc
@@ -0,0 +1,210 @@
+// Mending: who is alive, what the next view should be, and whose turn it is to propose (design.md 6.5).
+#include <absl/strings/str_cat.h>
+
+#include "anvil/member.h"
+
+namespace stonemount {
+
+namespace {
+constexpr Us kTurnUs = 350 * kMilliUs;
+constexpr Us kWishLimitUs = 6 * kSecondUs;
+}  // namespace
+
+Task Member::pingAll() {
+  absl::btree_set<Address> known(plan_.founders.begin(), plan_.founders.end());
+  known.insert(plan_.seeds.begin(), plan_.seeds.end());
+  known.insert(self_);
+  while (standing_ != Standing::kBroken) {
+    for (const Seat& seat : memory_.view.voters) known.insert(seat.address);
+    for (const Address& partner : known)
+      if (pinged_.insert(partner).second) room_.start(ping(partner));
+    Pause pause(ports_.alarms, plan_.pingUs);
+    co_await pause;
+  }
+}
+
+void Member::meet(const Address& partner) {
+  if (standing_ != Standing::kOpening && pinged_.insert(partner).second) room_.start(ping(partner));
+}
+
+Task Member::ping(Address partner) {
+  while (standing_ != Standing::kBroken) {
+    Ping message{memory_.view.revision, memory_.incarnation};
+    Call call(desk_, partner, Ping::kKind, pack(message), plan_.suspectUs);
+    auto raw = co_await call;
+    if (auto* body = std::get_if<Bytes>(&raw)) {
+      auto read = unpack<Pong>(*body);
+      if (auto* pong = std::get_if<Pong>(&read)) {
+        PartnerSight& sight = partners_[partner];
+        sight.heardUs = ports_.clock.monoUs();
+        sight.pong = std::move(*pong);
+        if (sight.pong.revision > memory_.view.revision && standing_ != Standing::kOpening) {
+          Job<std::variant<ViewVerdict, PartnerSilent>> job =
+              ask<ViewVerdict>(desk_, partner, ViewAsk{}, plan_.suspectUs);
+          std::variant<ViewVerdict, PartnerSilent> verdict = co_await job;
+          if (auto* found = std::get_if<ViewVerdict>(&verdict)) {
+            Job<bool> taken = takeView(found->view);
+            co_await taken;
+          }
+        }
+      }
+    }
+    Pause pause(ports_.alarms, plan_.pingUs);
+    co_await pause;
+  }
+}
+
+bool Member::aliveSeat(const Seat& seat) const {
+  auto found = partners_.find(seat.address);
+  return found != partners_.end() && found->second.heardUs >= 0 &&
+         ports_.clock.monoUs() - found->second.heardUs < plan_.suspectUs &&
+         found->second.pong.incarnation == seat.incarnation &&
+         found->second.pong.standing != Standing::kBroken;
+}
+
+bool Member::healthySeat(const Seat& seat) const {
+  if (!aliveSeat(seat)) return false;
+  const Pong& pong = partners_.at(seat.address).pong;
+  return pong.stalledUs < plan_.slowDiskUs && pong.worstSyncUs < plan_.slowDiskUs;
+}
+
+// A voter's place that is empty in the chain, and a refilled member to take it; or an operator's wish.
+bool Member::addReadyPartner(View& wanted) const {
+  for (const auto& [address, sight] : partners_) {
+    const Seat seat{address, sight.pong.incarnation, sight.pong.zone};
+    if (findSeat(wanted.chain, address) != nullptr || !healthySeat(seat)) continue;
+    if (!sight.pong.refilled || sight.pong.revision != memory_.view.revision) continue;
+    if (sight.pong.standing != Standing::kOutside) continue;
+    bool allowed = false;
+    for (Seat& voter : wanted.voters) {
+      if (voter.address != address) continue;
+      allowed = true;
+      voter = seat;
+    }
+    if (!allowed && wish_ && wish_->add == address) {
+      wanted.voters.push_back(seat);
+      allowed = true;
+    }
+    if (!allowed) continue;
+    wanted.chain.push_back(seat);
+    return true;
+  }
+  return false;
+}
+
+std::optional<View> Member::wantedView() const {
+  const View& now = memory_.view;
+  View wanted;
+  wanted.revision = now.revision + 1;
+  wanted.voters = now.voters;
+  bool needed = false;
+  std::vector<Seat> alive;
+  absl::btree_set<Address> suspects;
+  for (const Seat& seat : now.chain) {
+    if (!aliveSeat(seat)) continue;
+    alive.push_back(seat);
+    const Pong& pong = partners_.at(seat.address).pong;
+    needed |= pong.revision == now.revision && pong.standing == Standing::kSealed;
+    suspects.insert(pong.suspects.begin(), pong.suspects.end());
+  }
+  for (const Seat& voter : now.voters)
+    needed |= aliveSeat(voter) && partners_.at(voter.address).pong.ballotOpen &&
+              partners_.at(voter.address).pong.revision == now.revision;
+  std::vector<Seat> healthy;
+  for (const Seat& seat : alive)
+    if (healthySeat(seat) && !suspects.contains(seat.address)) healthy.push_back(seat);
+  // A slow disk is mended out only where two zones remain without it.
+  wanted.chain = !healthy.empty() && spansZones(healthy) ? healthy : alive;
+  if (wanted.chain.empty()) return std::nullopt;  // nobody left who holds what was acknowledged
+  needed |= wanted.chain.size() != now.chain.size();
+  const bool removing = wish_ && wish_->remove.set();
+  if (removing) {
+    std::erase_if(wanted.chain, SeatAt{wish_->remove});
+    std::erase_if(wanted.voters, SeatAt{wish_->remove});
+    if (wanted.chain.empty()) return std::nullopt;
+  }
+  const bool added = addReadyPartner(wanted);
+  if (wish_ && wish_->add.set() && findSeat(wanted.voters, wish_->add) == nullptr) {
+    if (removing) return std::nullopt;  // a replacement waits until the new machine is refilled
+  } else if (removing) {
+    needed = true;
+  }
+  needed |= added;
+  if (!needed) return std::nullopt;
+  return wanted;
+}
+
+// Voters propose in turn, so that two seldom do so at once. Safety does not hang on it.
+std::size_t Member::turn() const {
+  std::size_t before = 0;
+  for (const Seat& voter : memory_.view.voters) {
+    if (voter.address == self_) return before;
+    before += aliveSeat(voter) ? 1 : 0;
+  }
+  return before;
+}
+
+Task Member::mend() {
+  Us lastUs = ports_.clock.monoUs();
+  Us blindUntilUs = lastUs + plan_.suspectUs;
+  while (standing_ != Standing::kBroken) {
+    Hear hear(ports_.alarms, mendBell_, plan_.pingUs);
+    co_await hear;
+    const Us nowUs = ports_.clock.monoUs();
+    // After a freeze everyone looks dead; hear from them again first.
+    if (nowUs - lastUs > plan_.suspectUs / 2) blindUntilUs = nowUs + plan_.suspectUs;
+    lastUs = nowUs;
+    if (nowUs < blindUntilUs || proposing_ || !votes(memory_.view.revision)) continue;
+    std::optional<View> wanted = wantedView();
+    if (!wanted) {
+      needSinceUs_ = -1;
+      continue;
+    }
+    if (needSinceUs_ < 0) needSinceUs_ = nowUs;
+    if (nowUs - needSinceUs_ < static_cast<Us>(turn()) * kTurnUs) continue;
+    proposing_ = true;
+    Job<ChangeOutcome> job = propose(*wanted);
+    const ChangeOutcome outcome = co_await job;
+    proposing_ = false;
+    lastUs = ports_.clock.monoUs();
+    if (outcome == ChangeOutcome::kDone) continue;
+    Pause pause(ports_.alarms, 50 * kMilliUs + static_cast<Us>(ports_.chance.below(200 * kMilliUs)));
+    co_await pause;
+    lastUs = ports_.clock.monoUs();
+  }
+}
+
+void Member::onChangeVoters(const Asked& asked) { room_.start(changeVoters(asked)); }
+
+Task Member::changeVoters(Asked asked) {
+  auto message = unpack<ChangeVoters>(asked.body);
+  if (!std::holds_alternative<ChangeVoters>(message)) co_return;
+  const ChangeVoters wish = std::get<ChangeVoters>(message);
+  ChangeVerdict verdict;
+  const bool knows = !wish.remove.set() || findSeat(memory_.view.voters, wish.remove) != nullptr;
+  std::vector<Seat> rest = memory_.view.chain;
+  std::erase_if(rest, SeatAt{wish.remove});
+  if (wish_ || !votes(memory_.view.revision)) verdict.outcome = ChangeOutcome::kBusy;
+  else if (!knows || (!wish.add.set() && !wish.remove.set())) verdict.outcome = ChangeOutcome::kUnknown;
+  else if (!wish.add.set() && (rest.empty() || !spansZones(rest))) verdict.outcome = ChangeOutcome::kTooFew;
+  else {
+    wish_ = wish;
+    if (wish.add.set() && pinged_.insert(wish.add).second) room_.start(ping(wish.add));
+    const Us untilUs = ports_.clock.monoUs() + kWishLimitUs;
+    verdict.outcome = ChangeOutcome::kNotReady;
+    while (ports_.clock.monoUs() < untilUs) {
+      const bool added = !wish.add.set() || findSeat(memory_.view.chain, wish.add) != nullptr;
+      const bool removed = !wish.remove.set() || findSeat(memory_.view.voters, wish.remove) == nullptr;
+      if (added && removed) {
+        verdict.outcome = ChangeOutcome::kDone;
+        break;
+      }
+      Pause pause(ports_.alarms, plan_.pingUs);
+      co_await pause;
+    }
+    wish_.reset();
+  }
+  desk_.reply(asked, verdict);
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/anvil/messages.h
@@ -0,0 +1,169 @@
+// What chain members say to each other and to clients (design.md 6). Every one names its view revision.
+#pragma once
+
+#include "anvil/view.h"
+
+namespace stonemount {
+
+struct Ping {
+  static constexpr std::uint16_t kKind = 1;
+  Revision revision = 0;
+  std::uint64_t incarnation = 0;
+  STONEMOUNT_PACK(revision, incarnation)
+};
+struct Peek {  // the same question from someone who is no member and need not be pinged
+  static constexpr std::uint16_t kKind = 16;
+  std::uint8_t unused = 0;
+  STONEMOUNT_PACK(unused)
+};
+struct Pong {
+  std::uint64_t incarnation = 0;
+  Revision revision = 0;
+  Standing standing = Standing::kOpening;
+  std::string zone;
+  std::uint64_t end = 0;
+  bool refilled = false;
+  bool ballotOpen = false;  // has accepted a next view that it does not know to be decided
+  Us stalledUs = 0;
+  Us worstSyncUs = 0;
+  std::vector<Address> suspects;
+  STONEMOUNT_PACK(incarnation, revision, standing, zone, end, refilled, ballotOpen, stalledUs, worstSyncUs, suspects)
+};
+struct ViewAsk {
+  static constexpr std::uint16_t kKind = 2;
+  std::uint8_t unused = 0;
+  STONEMOUNT_PACK(unused)
+};
+struct ViewVerdict {
+  View view;
+  STONEMOUNT_PACK(view)
+};
+struct Found {  // the first view, proposed once every founder is empty
+  static constexpr std::uint16_t kKind = 3;
+  View view;
+  STONEMOUNT_PACK(view)
+};
+struct Seal {
+  static constexpr std::uint16_t kKind = 4;
+  Revision revision = 0;
+  STONEMOUNT_PACK(revision)
+};
+struct SealVerdict {
+  bool granted = false;
+  std::uint64_t incarnation = 0;
+  std::uint64_t end = 0;
+  STONEMOUNT_PACK(granted, incarnation, end)
+};
+struct Prepare {
+  static constexpr std::uint16_t kKind = 5;
+  Revision revision = 0;  // the view that is current; the ballot is for the next
+  Ballot ballot;
+  STONEMOUNT_PACK(revision, ballot)
+};
+struct Accept {
+  static constexpr std::uint16_t kKind = 6;
+  Revision revision = 0;
+  Ballot ballot;
+  View view;
+  STONEMOUNT_PACK(revision, ballot, view)
+};
+struct Confirm {
+  static constexpr std::uint16_t kKind = 7;
+  Revision revision = 0;
+  STONEMOUNT_PACK(revision)
+};
+struct VoterVerdict {
+  bool granted = false;
+  std::uint64_t incarnation = 0;
+  Ballot promised;
+  Ballot acceptedBallot;
+  std::optional<View> accepted;
+  STONEMOUNT_PACK(granted, incarnation, promised, acceptedBallot, accepted)
+};
+struct Decided {
+  static constexpr std::uint16_t kKind = 8;
+  View view;
+  STONEMOUNT_PACK(view)
+};
+struct Append {
+  static constexpr std::uint16_t kKind = 9;
+  Revision revision = 0;
+  std::uint64_t after = 0;  // the successor must hold all up to here
+  std::vector<Entry> entries;
+  STONEMOUNT_PACK(revision, after, entries)
+};
+struct PassedOn {
+  bool granted = false;
+  bool sameView = false;
+  std::uint64_t end = 0;
+  std::uint64_t committed = 0;
+  STONEMOUNT_PACK(granted, sameView, end, committed)
+};
+struct FetchState {
+  static constexpr std::uint16_t kKind = 10;
+  std::uint64_t token = 0;  // 0: take a new picture
+  std::uint64_t offset = 0;
+  STONEMOUNT_PACK(token, offset)
+};
+struct StatePart {
+  std::uint64_t token = 0;
+  std::uint64_t total = 0;
+  std::uint64_t end = 0;
+  Bytes bytes;
+  STONEMOUNT_PACK(token, total, end, bytes)
+};
+struct FetchLog {
+  static constexpr std::uint16_t kKind = 11;
+  Revision revision = 0;
+  std::uint64_t after = 0;
+  Revision afterRevision = 0;  // must match the source's own entry, or the logs have parted
+  STONEMOUNT_PACK(revision, after, afterRevision)
+};
+struct LogPart {
+  bool granted = false;
+  bool parted = false;  // the logs differ, or the source no longer keeps what is missing
+  std::vector<Entry> entries;
+  std::uint64_t end = 0;
+  STONEMOUNT_PACK(granted, parted, entries, end)
+};
+struct CatchUp {
+  static constexpr std::uint16_t kKind = 12;
+  Revision revision = 0;
+  Address source;
+  std::uint64_t end = 0;
+  STONEMOUNT_PACK(revision, source, end)
+};
+struct ChangeVoters {  // an operator's wish; add without remove joins, remove without add retires
+  static constexpr std::uint16_t kKind = 13;
+  Address add;
+  Address remove;
+  STONEMOUNT_PACK(add, remove)
+};
+enum class ChangeOutcome : std::uint8_t { kDone, kNotReady, kUnknown, kTooFew, kBusy, kNoMajority };
+struct ChangeVerdict {
+  ChangeOutcome outcome = ChangeOutcome::kBusy;
+  STONEMOUNT_PACK(outcome)
+};
+struct Submit {
+  static constexpr std::uint16_t kKind = 14;
+  Revision revision = 0;
+  CommandId id;
+  Bytes command;
+  STONEMOUNT_PACK(revision, id, command)
+};
+struct Read {
+  static constexpr std::uint16_t kKind = 15;
+  Revision revision = 0;
+  Bytes query;
+  Us holdUs = 0;
+  STONEMOUNT_PACK(revision, query, holdUs)
+};
+enum class ChainOutcome : std::uint8_t { kDone, kNotMine, kTooFewCopies, kBusy, kRingFull, kHeld };
+struct ChainVerdict {
+  ChainOutcome outcome = ChainOutcome::kNotMine;
+  Revision revision = 0;
+  Bytes body;
+  STONEMOUNT_PACK(outcome, revision, body)
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/anvil/propose.cc
@@ -0,0 +1,99 @@
+// Proposals: seal who stays, let a joiner catch up, then a ballot among the voters (design.md 6.5).
+#include <absl/strings/str_cat.h>
+
+#include "anvil/member.h"
+#include "anvil/polls.h"
+
+namespace stonemount {
+
+namespace {
+constexpr Us kSealLimitUs = 400 * kMilliUs;
+constexpr Us kCatchUpLimitUs = 1500 * kMilliUs;
+constexpr Us kBallotLimitUs = 500 * kMilliUs;
+}  // namespace
+
+// Every member that stays has stopped acknowledging in the old view before the new one is chosen.
+Job<bool> Member::sealChain(View& target) {
+  std::vector<Seat> stays;
+  std::optional<Seat> joiner;
+  for (const Seat& seat : target.chain) {
+    if (holdsSeat(memory_.view.chain, seat.address, seat.incarnation)) stays.push_back(seat);
+    else joiner = seat;
+  }
+  SeatPoll<SealVerdict> poll(desk_, Seal{memory_.view.revision}, stays, stays.size(), kSealLimitUs);
+  co_await poll;
+  if (!poll.enough()) co_return false;
+  // Who holds less than one after it in the chain has lost something; it leaves and is refilled.
+  std::vector<Seat> sound;
+  std::uint64_t lastEnd = 0;
+  for (std::size_t i = stays.size(); i-- > 0;) {
+    const std::uint64_t end = poll.verdicts()[i]->end;
+    if (!sound.empty() && end < lastEnd) {
+      logDoubt("member_lost_entries", {{"partner", addressText(stays[i].address)}});
+      continue;
+    }
+    lastEnd = end;
+    sound.insert(sound.begin(), stays[i]);
+  }
+  target.chain = sound;
+  if (!joiner) co_return true;
+  const Seat last = sound.back();
+  std::uint64_t tailEnd = 0;
+  for (std::size_t i = 0; i < stays.size(); ++i)
+    if (stays[i] == last) tailEnd = poll.verdicts()[i]->end;
+  CatchUp wish{memory_.view.revision, last.address, tailEnd};
+  Job<std::variant<SealVerdict, PartnerSilent>> job =
+      ask<SealVerdict>(desk_, joiner->address, wish, kCatchUpLimitUs);
+  std::variant<SealVerdict, PartnerSilent> verdict = co_await job;
+  auto* caught = std::get_if<SealVerdict>(&verdict);
+  if (caught != nullptr && caught->granted && caught->incarnation == joiner->incarnation) {
+    target.chain.push_back(*joiner);
+    co_return true;
+  }
+  // Without the joiner the sealed members still need a view; the voters stay as they were.
+  logDoubt("joiner_not_caught_up", {{"partner", addressText(joiner->address)}});
+  if (!wish_ || !wish_->remove.set()) target.voters = memory_.view.voters;
+  else co_return false;
+  co_return true;
+}
+
+Job<bool> Member::ballot(View target) {
+  const View now = memory_.view;
+  ++counts_.ballots;
+  Ballot mine{++highestRound_, self_};
+  SeatPoll<VoterVerdict> prepared(desk_, Prepare{now.revision, mine}, now.voters, now.majority(), kBallotLimitUs);
+  co_await prepared;
+  Ballot best;
+  for (const std::optional<VoterVerdict>& verdict : prepared.verdicts()) {
+    if (!verdict) continue;
+    highestRound_ = std::max(highestRound_, verdict->promised.round);
+    if (!verdict->granted || !verdict->accepted || verdict->acceptedBallot < best) continue;
+    best = verdict->acceptedBallot;
+    target = *verdict->accepted;
+  }
+  if (!prepared.enough() || memory_.view.revision != now.revision) co_return false;
+  SeatPoll<VoterVerdict> accepted(desk_, Accept{now.revision, mine, target}, now.voters, now.majority(), kBallotLimitUs);
+  co_await accepted;
+  if (!accepted.enough()) co_return false;
+  absl::btree_set<Address> listeners;
+  for (const Seat& seat : now.voters) listeners.insert(seat.address);
+  for (const Seat& seat : target.voters) listeners.insert(seat.address);
+  for (const Seat& seat : target.chain) listeners.insert(seat.address);
+  for (const Address& listener : listeners)
+    if (listener != self_) desk_.tell(listener, Decided{target});
+  Job<bool> taken = takeView(target);
+  const bool durable = co_await taken;
+  co_return durable;
+}
+
+Job<ChangeOutcome> Member::propose(View target) {
+  logEvent("propose", {{"revision", absl::StrCat(target.revision)}, {"chain", absl::StrCat(target.chain.size())}});
+  Job<bool> sealing = sealChain(target);
+  const bool sealed = co_await sealing;
+  if (!sealed || target.revision != memory_.view.revision + 1) co_return ChangeOutcome::kNotReady;
+  Job<bool> voting = ballot(target);
+  const bool decided = co_await voting;
+  co_return decided ? ChangeOutcome::kDone : ChangeOutcome::kNoMajority;
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/anvil/reader.cc
@@ -0,0 +1,79 @@
+// Reads: answered at the tail, after a majority of voters has confirmed its view (design.md 6.6).
+#include "anvil/member.h"
+#include "anvil/polls.h"
+
+namespace stonemount {
+
+namespace {
+constexpr std::size_t kReadBound = 8192;
+constexpr Us kConfirmLimitUs = 300 * kMilliUs;
+}  // namespace
+
+void Member::onRead(const Asked& asked) {
+  auto message = unpack<Read>(asked.body);
+  if (!std::holds_alternative<Read>(message)) return;
+  Read& read = std::get<Read>(message);
+  if (!tail() || read.revision != memory_.view.revision) return refuse(asked, ChainOutcome::kNotMine);
+  if (reads_.size() >= kReadBound) return refuse(asked, ChainOutcome::kBusy);
+  ++counts_.reads;
+  reads_.push_back({asked, std::move(read.query), ports_.clock.monoUs() + read.holdUs});
+  readBell_.ring();
+}
+
+Task Member::readBatches() {
+  while (standing_ != Standing::kBroken) {
+    Hear hear(ports_.alarms, readBell_, 100 * kMilliUs);
+    co_await hear;
+    std::vector<Waiting> batch(std::make_move_iterator(reads_.begin()), std::make_move_iterator(reads_.end()));
+    reads_.clear();
+    const Us nowUs = ports_.clock.monoUs();
+    std::vector<Waiting> stillHeld;
+    for (Waiting& waiting : held_) {
+      if (waiting.untilUs <= nowUs || !tail()) batch.push_back(std::move(waiting));
+      else stillHeld.push_back(std::move(waiting));
+    }
+    held_ = std::move(stillHeld);
+    if (batch.empty()) continue;
+    const View view = memory_.view;
+    bool confirmed = false;
+    if (tail()) {
+      ++counts_.confirms;
+      SeatPoll<VoterVerdict> poll(desk_, Confirm{view.revision}, view.voters, view.majority(), kConfirmLimitUs);
+      co_await poll;
+      confirmed = poll.enough();
+    }
+    if (!confirmed || !tail() || memory_.view.revision != view.revision) {
+      for (const Waiting& waiting : batch) refuse(waiting.asked, ChainOutcome::kNotMine);
+      continue;
+    }
+    releaseReads(std::move(batch));
+  }
+}
+
+void Member::releaseReads(std::vector<Waiting> batch) {
+  const Us nowUs = ports_.clock.monoUs();
+  for (Waiting& waiting : batch) {
+    QueryVerdict verdict = machine_.answer(waiting.query, waiting.untilUs <= nowUs);
+    if (std::holds_alternative<Hold>(verdict)) {
+      held_.push_back(std::move(waiting));
+      continue;
+    }
+    desk_.reply(waiting.asked,
+                ChainVerdict{ChainOutcome::kDone, memory_.view.revision, std::get<Bytes>(std::move(verdict))});
+  }
+}
+
+// Something was applied: whoever waits for news is asked again, in one confirmed batch.
+void Member::wakeHeld() {
+  std::vector<Waiting> stillHeld;
+  for (Waiting& waiting : held_) {
+    if (tail() && std::holds_alternative<Hold>(machine_.answer(waiting.query, false)))
+      stillHeld.push_back(std::move(waiting));
+    else
+      reads_.push_back(std::move(waiting));
+  }
+  held_ = std::move(stillHeld);
+  if (!reads_.empty()) readBell_.ring();
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/anvil/relay.cc
@@ -0,0 +1,192 @@
+// Commands: in at the head, durable at each member in turn, answered from the tail (design.md 6.3).
+#include <absl/strings/str_cat.h>
+
+#include "anvil/member.h"
+
+namespace stonemount {
+
+namespace {
+constexpr std::size_t kInboxBound = 4096;
+constexpr std::size_t kInboxBytesBound = 8 << 20;
+constexpr std::size_t kBatchEntries = 512;
+constexpr std::size_t kBatchBytes = 256 << 10;
+constexpr std::size_t kRecentEntries = 20000;
+constexpr std::size_t kRecentBytes = 8 << 20;
+constexpr std::size_t kVerdictsKept = 16384;
+constexpr Us kPassLimitUs = 500 * kMilliUs;
+constexpr Us kPassAgainUs = 30 * kMilliUs;
+}  // namespace
+
+std::uint64_t Member::received() const {
+  if (!inbox_.empty()) return inbox_.back().index;
+  return std::max(appended_, end_);
+}
+
+void Member::refuse(const Asked& asked, ChainOutcome outcome) {
+  desk_.reply(asked, ChainVerdict{outcome, memory_.view.revision, Bytes()});
+}
+
+void Member::onSubmit(const Asked& asked) {
+  auto message = unpack<Submit>(asked.body);
+  if (!std::holds_alternative<Submit>(message)) return;
+  Submit& submit = std::get<Submit>(message);
+  if (!head() || submit.revision != memory_.view.revision) return refuse(asked, ChainOutcome::kNotMine);
+  if (!spansZones(memory_.view.chain)) return refuse(asked, ChainOutcome::kTooFewCopies);
+  if (inbox_.size() >= kInboxBound || inboxBytes_ >= kInboxBytesBound)
+    return refuse(asked, ChainOutcome::kBusy);
+  if (drawer_.freeBytes() < drawer_.ringBytes() / 16) return refuse(asked, ChainOutcome::kRingFull);
+  StampVerdict stamped = machine_.stamp(submit.command, sight());
+  if (auto* refused = std::get_if<StampRefused>(&stamped)) {
+    desk_.reply(asked, ChainVerdict{ChainOutcome::kDone, memory_.view.revision, refused->verdict});
+    return;
+  }
+  Entry entry;
+  entry.index = received() + 1;
+  entry.revision = memory_.view.revision;
+  entry.id = submit.id;
+  entry.client = asked.partner;
+  entry.exchange = asked.exchange;
+  entry.command = std::move(std::get<Stamped>(stamped).command);
+  inboxBytes_ += entry.command.size();
+  inbox_.push_back(std::move(entry));
+  inboxBell_.ring();
+}
+
+void Member::answerAppend(const Asked& asked, bool granted) {
+  desk_.reply(asked, PassedOn{granted, active(), end_, tail() ? end_ : committed_});
+}
+
+void Member::onAppend(const Asked& asked) {
+  auto message = unpack<Append>(asked.body);
+  if (!std::holds_alternative<Append>(message)) return;
+  Append& append = std::get<Append>(message);
+  if (!active() || append.revision != memory_.view.revision) {
+    ++counts_.refusedOld;
+    desk_.reply(asked, PassedOn{false, false, end_, committed_});
+    return;
+  }
+  if (append.after > received()) return answerAppend(asked, false);
+  for (Entry& entry : append.entries) {
+    if (entry.index <= received()) continue;
+    STONEMOUNT_INVARIANT(entry.index == received() + 1);
+    inboxBytes_ += entry.command.size();
+    inbox_.push_back(std::move(entry));
+  }
+  if (received() == end_) return answerAppend(asked, true);
+  appendsWaiting_.push_back(asked);
+  inboxBell_.ring();
+}
+
+Task Member::write() {
+  while (standing_ != Standing::kBroken) {
+    Hear hear(ports_.alarms, inboxBell_, 200 * kMilliUs);
+    co_await hear;
+    do {
+      std::vector<Entry> batch;
+      while (!inbox_.empty() && batch.size() < kBatchEntries) {
+        batch.push_back(std::move(inbox_.front()));
+        inbox_.pop_front();
+        inboxBytes_ -= batch.back().command.size();
+      }
+      std::vector<Asked> appends;
+      if (inbox_.empty()) appends.swap(appendsWaiting_);
+      const Revision revision = memory_.view.revision;
+      if (!fetching_) maybeCheckpoint();
+      if (batch.empty() && appends.empty() && !drawer_.checkpointing()) break;
+      if (!batch.empty()) appended_ = batch.back().index;
+      for (const Entry& entry : batch) {
+        AppendVerdict appended = drawer_.append(RecordKind::kEntry, pack(entry));
+        if (std::holds_alternative<std::uint64_t>(appended)) continue;
+        diskBroke();
+        co_return;
+      }
+      Press::Wait wait(press_);
+      const bool durable = co_await wait;
+      if (!durable) {
+        diskBroke();
+        co_return;
+      }
+      // Acknowledged only in the view in which it was received (design.md 6.4).
+      const bool release = tail() && memory_.view.revision == revision;
+      for (const Entry& entry : batch) applyEntry(entry, release);
+      const bool same = active() && memory_.view.revision == revision;
+      for (const Asked& asked : appends) answerAppend(asked, same);
+      if (!batch.empty()) passBell_.ring();
+    } while (!inbox_.empty() || drawer_.checkpointing());
+  }
+}
+
+void Member::applyEntry(const Entry& entry, bool release) {
+  STONEMOUNT_INVARIANT(entry.index == end_ + 1);
+  auto known = verdicts_.find(entry.id);
+  if (known == verdicts_.end()) {  // a retry of what was applied finds its verdict and changes nothing
+    known = verdicts_.emplace(entry.id, machine_.apply(entry.command)).first;
+    verdictOrder_.push_back(entry.id);
+    if (verdictOrder_.size() > kVerdictsKept) {
+      verdicts_.erase(verdictOrder_.front());
+      verdictOrder_.pop_front();
+    }
+  }
+  end_ = entry.index;
+  endRevision_ = entry.revision;
+  ++counts_.applied;
+  recentBytes_ += entry.command.size();
+  recent_.push_back(entry);
+  while (recent_.size() > kRecentEntries || recentBytes_ > kRecentBytes) {
+    recentBytes_ -= recent_.front().command.size();
+    recent_.pop_front();
+  }
+  if (release) {
+    committed_ = end_;
+    desk_.replyTo(entry.client, Submit::kKind, entry.exchange,
+                  pack(ChainVerdict{ChainOutcome::kDone, memory_.view.revision, known->second}));
+    wakeHeld();
+  }
+}
+
+Task Member::passOn() {
+  while (standing_ != Standing::kBroken) {
+    Hear hear(ports_.alarms, passBell_, 250 * kMilliUs);
+    co_await hear;
+    while (active() && !tail()) {
+      if (successorEnd_ && *successorEnd_ >= end_) break;
+      const std::vector<Seat>& chain = memory_.view.chain;
+      std::size_t place = 0;
+      while (chain[place].address != self_) ++place;
+      const Address successor = chain[place + 1].address;
+      Append append;
+      append.revision = memory_.view.revision;
+      append.after = successorEnd_.value_or(end_);
+      if (successorEnd_) {
+        if (recent_.empty() || recent_.front().index > *successorEnd_ + 1) {
+          logDoubt("successor_too_far_behind", {{"partner", addressText(successor)}});
+          changeStanding(Standing::kSealed);  // a new view will have it refilled
+          tooFarBehind_ = successor;
+          break;
+        }
+        std::size_t bytes = 0;
+        for (std::size_t i = *successorEnd_ + 1 - recent_.front().index; i < recent_.size(); ++i) {
+          if (append.entries.size() >= kBatchEntries || bytes > kBatchBytes) break;
+          bytes += recent_[i].command.size();
+          append.entries.push_back(recent_[i]);
+        }
+      }
+      Call call(desk_, successor, Append::kKind, pack(append), kPassLimitUs);
+      auto raw = co_await call;
+      if (memory_.view.revision != append.revision || !active()) continue;
+      auto read = std::holds_alternative<Bytes>(raw) ? unpack<PassedOn>(std::get<Bytes>(raw))
+                                                     : std::variant<PassedOn, BadBytes>(BadBytes{});
+      auto* passed = std::get_if<PassedOn>(&read);
+      if (passed == nullptr || !passed->sameView) {
+        successorEnd_.reset();
+        Pause pause(ports_.alarms, kPassAgainUs);
+        co_await pause;
+        continue;
+      }
+      successorEnd_ = passed->end;
+      committed_ = std::max(committed_, passed->committed);
+    }
+  }
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/anvil/view.h
@@ -0,0 +1,91 @@
+// The view of a chain: who votes, and who passes commands on, in order (design.md 6.1).
+#pragma once
+
+#include "vise/pack.h"
+
+namespace stonemount {
+
+struct Seat {
+  Address address;
+  std::uint64_t incarnation = 0;  // a wiped disk is a new incarnation
+  std::string zone;
+  friend bool operator==(const Seat&, const Seat&) = default;
+  STONEMOUNT_PACK(address, incarnation, zone)
+};
+
+struct View {
+  Revision revision = 0;
+  std::vector<Seat> voters;
+  std::vector<Seat> chain;  // head first, tail last
+  friend bool operator==(const View&, const View&) = default;
+  STONEMOUNT_PACK(revision, voters, chain)
+  std::size_t majority() const { return voters.size() / 2 + 1; }
+};
+
+struct SeatAt {
+  Address address;
+  bool operator()(const Seat& seat) const { return seat.address == address; }
+};
+inline const Seat* findSeat(const std::vector<Seat>& seats, const Address& address) {
+  for (const Seat& seat : seats)
+    if (seat.address == address) return &seat;
+  return nullptr;
+}
+inline bool holdsSeat(const std::vector<Seat>& seats, const Address& address, std::uint64_t incarnation) {
+  const Seat* seat = findSeat(seats, address);
+  return seat != nullptr && seat->incarnation == incarnation;
+}
+// Two copies in two zones, or nothing is acknowledged (design.md 6.4).
+inline bool spansZones(const std::vector<Seat>& chain) {
+  for (const Seat& seat : chain)
+    if (seat.zone != chain.front().zone) return true;
+  return false;
+}
+
+struct Ballot {
+  std::uint64_t round = 0;
+  Address proposer;
+  friend bool operator==(const Ballot&, const Ballot&) = default;
+  friend auto operator<=>(const Ballot&, const Ballot&) = default;
+  STONEMOUNT_PACK(round, proposer)
+};
+
+// What a voter must not forget.
+struct VoterMemory {
+  std::uint64_t incarnation = 0;
+  View view;
+  Ballot promised;               // for the view that would follow
+  Ballot acceptedBallot;
+  std::optional<View> accepted;
+  STONEMOUNT_PACK(incarnation, view, promised, acceptedBallot, accepted)
+};
+
+struct CommandId {
+  std::uint64_t client = 0;
+  std::uint64_t number = 0;
+  friend bool operator==(const CommandId&, const CommandId&) = default;
+  friend auto operator<=>(const CommandId&, const CommandId&) = default;
+  STONEMOUNT_PACK(client, number)
+};
+
+struct Entry {
+  std::uint64_t index = 0;
+  Revision revision = 0;  // of the view whose head took it; with the index it names one command
+  CommandId id;
+  Address client;
+  std::uint64_t exchange = 0;
+  Bytes command;
+  STONEMOUNT_PACK(index, revision, id, client, exchange, command)
+};
+
+enum class Standing : std::uint8_t {
+  kOpening,    // reading its disk
+  kFounding,   // no view known yet
+  kOutside,    // a view is known; this incarnation is not in its chain
+  kSealed,     // in the chain, but must not pass on or acknowledge until a later view
+  kActive,     // serves in the current view
+  kBroken,     // its disk failed; takes part in nothing
+};
+const char* standingText(Standing standing);
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/anvil/voter.cc
@@ -0,0 +1,100 @@
+// Voters: pings, seals, and the ballots for the next view (design.md 6.5).
+#include "anvil/member.h"
+
+namespace stonemount {
+
+Pong Member::pong() const {
+  Pong pong;
+  pong.incarnation = memory_.incarnation;
+  pong.revision = memory_.view.revision;
+  pong.standing = standing_;
+  pong.zone = plan_.zone;
+  pong.end = end_;
+  pong.refilled = refilled_ && standing_ != Standing::kBroken;
+  pong.ballotOpen = memory_.accepted.has_value();
+  pong.stalledUs = drawer_.stalledUs();
+  pong.worstSyncUs = drawer_.worstSyncUs();
+  if (tooFarBehind_.set()) pong.suspects.push_back(tooFarBehind_);
+  return pong;
+}
+
+void Member::onPeek(const Asked& asked) { desk_.reply(asked, pong()); }
+
+void Member::onPing(const Asked& asked) {
+  auto message = unpack<Ping>(asked.body);
+  if (!std::holds_alternative<Ping>(message)) return;
+  desk_.reply(asked, pong());
+  if (pinged_.insert(asked.partner).second) room_.start(ping(asked.partner));
+}
+
+// May this incarnation vote on what follows the given view?
+bool Member::votes(Revision revision) const {
+  return memory_.view.revision == revision && standing_ != Standing::kBroken &&
+         standing_ != Standing::kOpening &&
+         holdsSeat(memory_.view.voters, self_, memory_.incarnation);
+}
+
+void Member::onSeal(const Asked& asked) {
+  auto message = unpack<Seal>(asked.body);
+  if (!std::holds_alternative<Seal>(message)) return;
+  SealVerdict verdict;
+  verdict.incarnation = memory_.incarnation;
+  const bool mine = memory_.view.revision == std::get<Seal>(message).revision &&
+                    holdsSeat(memory_.view.chain, self_, memory_.incarnation);
+  if (mine && standing_ == Standing::kActive) changeStanding(Standing::kSealed);
+  verdict.granted = mine && standing_ == Standing::kSealed;
+  verdict.end = end_;
+  desk_.reply(asked, verdict);
+}
+
+Task Member::answerDurably(Asked asked, VoterVerdict verdict) {
+  Job<bool> kept = keepMemory();
+  const bool durable = co_await kept;
+  if (durable) desk_.reply(asked, verdict);
+}
+
+void Member::onPrepare(const Asked& asked) {
+  auto message = unpack<Prepare>(asked.body);
+  if (!std::holds_alternative<Prepare>(message)) return;
+  const Prepare& prepare = std::get<Prepare>(message);
+  highestRound_ = std::max(highestRound_, prepare.ballot.round);
+  VoterVerdict verdict;
+  verdict.incarnation = memory_.incarnation;
+  verdict.granted = votes(prepare.revision) && prepare.ballot > memory_.promised;
+  if (verdict.granted) memory_.promised = prepare.ballot;
+  verdict.promised = memory_.promised;
+  verdict.acceptedBallot = memory_.acceptedBallot;
+  verdict.accepted = memory_.accepted;
+  if (verdict.granted) room_.start(answerDurably(asked, verdict));
+  else desk_.reply(asked, verdict);
+}
+
+void Member::onAccept(const Asked& asked) {
+  auto message = unpack<Accept>(asked.body);
+  if (!std::holds_alternative<Accept>(message)) return;
+  const Accept& accept = std::get<Accept>(message);
+  highestRound_ = std::max(highestRound_, accept.ballot.round);
+  VoterVerdict verdict;
+  verdict.incarnation = memory_.incarnation;
+  verdict.granted = votes(accept.revision) && accept.ballot >= memory_.promised;
+  if (verdict.granted) {
+    memory_.promised = accept.ballot;
+    memory_.acceptedBallot = accept.ballot;
+    memory_.accepted = accept.view;
+  }
+  verdict.promised = memory_.promised;
+  if (verdict.granted) room_.start(answerDurably(asked, verdict));
+  else desk_.reply(asked, verdict);
+}
+
+// "Yes" only while no later view can have been decided with this voter's vote.
+void Member::onConfirm(const Asked& asked) {
+  auto message = unpack<Confirm>(asked.body);
+  if (!std::holds_alternative<Confirm>(message)) return;
+  VoterVerdict verdict;
+  verdict.incarnation = memory_.incarnation;
+  verdict.granted = votes(std::get<Confirm>(message).revision) && !memory_.accepted;
+  desk_.reply(asked, verdict);
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/bellows/disk_file.cc
@@ -0,0 +1,125 @@
+#include "bellows/disk_file.h"
+
+#include <absl/strings/str_cat.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace stonemount {
+
+DiskFile::DiskFile(Loop& loop, std::string folder, std::size_t files, std::size_t bytes)
+    : loop_(loop), folder_(std::move(folder)), files_(files), bytes_(bytes) {}
+
+DiskFile::~DiskFile() {
+  if (thread_.joinable()) {
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      stopping_ = true;
+    }
+    news_.notify_all();
+    thread_.join();
+  }
+  if (done_ != nullptr) event_free(done_);
+  for (const int handle : handles_) close(handle);
+}
+
+bool DiskFile::open() {
+  mkdir(folder_.c_str(), 0755);
+  for (std::size_t i = 0; i < files_; ++i) {
+    const std::string path = absl::StrCat(folder_, "/ring-", i);
+    const int handle = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
+    if (handle < 0) return false;
+    handles_.push_back(handle);
+    struct stat about{};
+    fstat(handle, &about);
+    if (static_cast<std::size_t>(about.st_size) < bytes_) {
+      if (posix_fallocate(handle, 0, static_cast<off_t>(bytes_)) != 0) return false;
+      if (fsync(handle) != 0) return false;
+    }
+  }
+  const int folder = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (folder < 0 || fsync(folder) != 0) return false;
+  close(folder);
+  done_ = event_new(loop_.base(), -1, EV_PERSIST, &DiskFile::onDone, this);
+  event_add(done_, nullptr);
+  thread_ = std::thread(&DiskFile::work, this);
+  return true;
+}
+
+std::variant<Bytes, DiskFailure> DiskFile::read(std::size_t file) {
+  Bytes bytes(bytes_, '\0');
+  std::size_t at = 0;
+  while (at < bytes_) {
+    const ssize_t got = pread(handles_[file], bytes.data() + at, bytes_ - at, static_cast<off_t>(at));
+    if (got < 0) return DiskFailure{};
+    if (got == 0) break;
+    at += static_cast<std::size_t>(got);
+  }
+  return bytes;
+}
+
+void DiskFile::write(std::size_t file, std::size_t offset, Bytes bytes) {
+  gathered_.push_back({file, offset, std::move(bytes)});
+}
+
+void DiskFile::sync(SyncDone& done) {
+  STONEMOUNT_INVARIANT(waiting_ == nullptr);
+  waiting_ = &done;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    handed_ = std::exchange(gathered_, {});
+    asked_ = true;
+  }
+  news_.notify_all();
+}
+
+void DiskFile::forget(SyncDone& done) {
+  if (waiting_ == &done) waiting_ = nullptr;
+}
+
+bool DiskFile::carryOut(const std::vector<Piece>& pieces) {
+  absl::btree_set<std::size_t> touched;
+  for (const Piece& piece : pieces) {
+    std::size_t at = 0;
+    while (at < piece.bytes.size()) {
+      const ssize_t put = pwrite(handles_[piece.file], piece.bytes.data() + at, piece.bytes.size() - at,
+                                 static_cast<off_t>(piece.offset + at));
+      if (put <= 0) return false;
+      at += static_cast<std::size_t>(put);
+    }
+    touched.insert(piece.file);
+  }
+  for (const std::size_t file : touched)
+    if (fdatasync(handles_[file]) != 0) return false;
+  return true;
+}
+
+void DiskFile::work() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  while (true) {
+    while (!asked_ && !stopping_) news_.wait(lock);
+    if (stopping_) return;
+    asked_ = false;
+    const std::vector<Piece> pieces = std::exchange(handed_, {});
+    lock.unlock();
+    const bool well = carryOut(pieces);
+    lock.lock();
+    finished_ = true;
+    failed_ = failed_ || !well;
+    event_active(done_, EV_READ, 0);
+  }
+}
+
+void DiskFile::onDone(evutil_socket_t, short, void* given) {
+  DiskFile& self = *static_cast<DiskFile*>(given);
+  {
+    std::lock_guard<std::mutex> lock(self.mutex_);
+    if (!std::exchange(self.finished_, false)) return;
+  }
+  SyncDone* done = std::exchange(self.waiting_, nullptr);
+  if (done == nullptr) return;
+  done->failed = self.failed_;
+  done->proceed();
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/bellows/loop.h
@@ -0,0 +1,35 @@
+// libevent behind the clock and alarm ports (design.md 3.2).
+#pragma once
+
+#include <event2/event.h>
+
+#include "stonemount.h"
+
+namespace stonemount {
+
+class Loop : public Clock, public Alarms {
+ public:
+  Loop();
+  ~Loop() override;
+  Us monoUs() const override;
+  Us wallUs() const override;
+  void arm(Us delayUs, Continuation& continuation) override;
+  void disarm(Continuation& continuation) override;
+  event_base* base() { return base_; }
+  void run();   // until stop() or a polite signal
+  void stop();
+  sigc::signal<void()> stopping;
+
+ private:
+  static void onAlarm(evutil_socket_t, short, void* self);
+  static void onSignal(evutil_socket_t, short, void* self);
+  void fire();
+  void rearm();
+  event_base* base_;
+  event* timer_;
+  std::vector<event*> signals_;
+  std::uint64_t lastKey_ = 0;
+  absl::btree_map<std::pair<Us, std::uint64_t>, Continuation*> queue_;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/bellows/wire_tcp.h
@@ -0,0 +1,52 @@
+// The wire port over TCP: one task for each partner written to, one for each channel read (design.md 3.2).
+#pragma once
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include "bellows/loop.h"
+#include "vise/await.h"
+
+namespace stonemount {
+
+class WireTcp : public Wire {
+ public:
+  WireTcp(Loop& loop, const Address& self);
+  ~WireTcp() override;
+  bool listen();
+  Address self() const override { return self_; }
+  void post(const Address& partner, Bytes frame) override;
+
+ private:
+  struct Partner {
+    std::deque<Bytes> queue;
+    std::size_t queuedBytes = 0;
+    Bell bell;
+    bufferevent* channel = nullptr;
+    bool connected = false;
+    bool broken = false;
+  };
+  struct Incoming {
+    bufferevent* channel = nullptr;
+    Bell bell;
+    bool broken = false;
+    ~Incoming();
+  };
+  Task writeTo(Address address, Partner& partner);
+  Task readFrom(int socket);
+  Task loopBack();
+  static void onAccept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self);
+  static void onReadable(bufferevent*, void* incoming);
+  static void onIncomingEvent(bufferevent*, short what, void* incoming);
+  static void onPartnerEvent(bufferevent*, short what, void* partner);
+  static void onPartnerReadable(bufferevent* channel, void*);
+  Loop& loop_;
+  Address self_;
+  evconnlistener* listener_ = nullptr;
+  absl::btree_map<Address, std::unique_ptr<Partner>> partners_;
+  std::deque<Bytes> ownFrames_;
+  Bell ownBell_;
+  TaskRoom room_;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/chisel/process.cc
@@ -0,0 +1,120 @@
+// The long-lived roles on the real ports (design.md 2).
+#include <absl/flags/flag.h>
+#include <absl/strings/str_cat.h>
+#include <sys/file.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <random>
+
+#include "bellows/disk_file.h"
+#include "bellows/http.h"
+#include "bellows/log.h"
+#include "bellows/wire_tcp.h"
+#include "chisel/flags.h"
+#include "core/core.h"
+#include "node/node.h"
+#include "store/store.h"
+
+ABSL_FLAG(std::string, wire, "", "own address between processes, as 127.0.0.1:7001");
+ABSL_FLAG(std::string, http, "", "own HTTP address");
+ABSL_FLAG(std::string, zone, "", "the zone of this machine");
+ABSL_FLAG(std::string, seeds, "", "three addresses of other processes, with commas");
+ABSL_FLAG(std::string, founders, "", "core, store: the members that found the chain, with commas");
+ABSL_FLAG(std::string, data, "", "core, store: the folder on the disk");
+ABSL_FLAG(std::string, platform, "", "core, rehearse worker: HTTP address of the platform");
+ABSL_FLAG(std::string, ringFiles, "", "core, store: files in the ring");
+ABSL_FLAG(std::string, ringFileBytes, "", "core, store: bytes of each file in the ring");
+
+namespace stonemount {
+
+namespace {
+HeaderMap givenFlags() {
+  HeaderMap given;
+  const std::pair<const char*, std::string> all[] = {
+      {"wire", absl::GetFlag(FLAGS_wire)},         {"http", absl::GetFlag(FLAGS_http)},
+      {"zone", absl::GetFlag(FLAGS_zone)},         {"seeds", absl::GetFlag(FLAGS_seeds)},
+      {"founders", absl::GetFlag(FLAGS_founders)}, {"data", absl::GetFlag(FLAGS_data)},
+      {"platform", absl::GetFlag(FLAGS_platform)}, {"ringFiles", absl::GetFlag(FLAGS_ringFiles)},
+      {"ringFileBytes", absl::GetFlag(FLAGS_ringFileBytes)}};
+  for (const auto& [key, value] : all)
+    if (!value.empty()) given[key] = value;
+  return given;
+}
+
+// Two processes on one data folder would be two members with one incarnation.
+bool lockFolder(const std::string& folder) {
+  mkdir(folder.c_str(), 0755);
+  const int handle = open(absl::StrCat(folder, "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
+  return handle >= 0 && flock(handle, LOCK_EX | LOCK_NB) == 0;
+}
+
+std::uint64_t freshSeed() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32) ^ device();
+}
+
+template <class Running>
+void serve(Loop& loop, Running& running) {
+  running.begin();
+  loop.run();
+  logEvent("stopped", {});
+}
+}  // namespace
+
+int runProcess(const std::string& role) {
+  std::string fileText;
+  const std::string path = absl::GetFlag(FLAGS_settings);
+  if (!path.empty()) {
+    std::optional<std::string> text = readWholeFile(path);
+    if (!text) return say(Exit::kUsage, "settings: cannot read " + path);
+    fileText = *text;
+  }
+  const SettingsFor kind = role == "core" ? SettingsFor::kCore : role == "store" ? SettingsFor::kStore : SettingsFor::kNode;
+  SettingsVerdict read = readSettings(fileText, givenFlags(), kind);
+  if (auto* fault = std::get_if<SettingsFault>(&read))
+    return say(Exit::kUsage, "settings: key " + fault->key + " " + fault->why);
+  const Settings settings = std::get<Settings>(read);
+
+  Log4cxxSink log(role + "@" + addressText(settings.wire));
+  setLogSink(&log);
+  Loop loop;
+  WireTcp wire(loop, settings.wire);
+  HttpInEv httpIn(loop, settings.http);
+  HttpOutEv httpOut(loop);
+  Chance chance(freshSeed());
+  std::unique_ptr<DiskFile> disk;
+  if (kind != SettingsFor::kNode) {
+    if (!lockFolder(settings.data)) return say(Exit::kUsage, "settings: key data: another process uses " + settings.data);
+    disk = std::make_unique<DiskFile>(loop, settings.data, static_cast<std::size_t>(settings.ringFiles),
+                                      static_cast<std::size_t>(settings.ringFileBytes));
+    if (!disk->open()) return say(Exit::kUsage, "settings: key data: cannot preallocate the ring in " + settings.data);
+  }
+  if (!wire.listen()) return say(Exit::kUsage, "settings: key wire: cannot listen on " + addressText(settings.wire));
+  if (!httpIn.listen()) return say(Exit::kUsage, "settings: key http: cannot listen on " + addressText(settings.http));
+  Ports ports{loop, loop, wire, httpIn, httpOut, disk.get(), chance};
+  logEvent("starting", {{"role", role}, {"zone", settings.zone}, {"http", addressText(settings.http)}});
+  ShimPlan shim;
+  shim.seeds = settings.seeds;
+  for (const Address& founder : settings.founders)
+    if (founder != settings.wire) shim.seeds.push_back(founder);
+  if (kind == SettingsFor::kCore) {
+    CorePlan plan;
+    plan.shim = shim;
+    Core core(ports, settings, plan);
+    serve(loop, core);
+  } else if (kind == SettingsFor::kStore) {
+    Store store(ports, settings, shim, StorePlan());
+    serve(loop, store);
+  } else {
+    NodePlan plan;
+    plan.shim = shim;
+    Node node(ports, settings, plan);
+    serve(loop, node);
+  }
+  setLogSink(nullptr);
+  return 0;
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/chisel/rehearsal.cc
@@ -0,0 +1,132 @@
+// The stand-ins on the real ports: workers, the platform, callers.
+#include <absl/flags/flag.h>
+#include <absl/strings/str_cat.h>
+
+#include <random>
+
+#include "bellows/http.h"
+#include "bellows/log.h"
+#include "bellows/wire_tcp.h"
+#include "chisel/flags.h"
+#include "sawhorse/caller.h"
+#include "sawhorse/platform.h"
+#include "sawhorse/worker.h"
+
+ABSL_FLAG(std::string, pool, "models", "rehearse worker: its pool");
+ABSL_FLAG(int, slots, 4, "rehearse worker: exchanges at once when warm");
+ABSL_FLAG(int, oddsTruncate, 0, "rehearse worker: one answer in so many lacks its end");
+ABSL_FLAG(int, oddsSwap, 0, "rehearse worker: one answer in so many names another exchange");
+ABSL_FLAG(int, oddsSilent, 0, "rehearse worker: one answer in so many is silent for long first");
+ABSL_FLAG(int, seconds, 10, "rehearse caller: how long to call");
+ABSL_FLAG(int, lookupEveryUs, 20000, "rehearse caller: mean time between lookups");
+ABSL_FLAG(int, streamEveryUs, 100000, "rehearse caller: mean time between streams");
+ABSL_FLAG(int, wholeEveryUs, 100000, "rehearse caller: mean time between whole answers");
+ABSL_FLAG(std::string, event, "", "rehearse caller: hand in lots under this event");
+ABSL_FLAG(int, lots, 0, "rehearse caller: how many lots");
+ABSL_FLAG(int, lotItems, 40, "rehearse caller: items in a lot");
+
+namespace stonemount {
+
+namespace {
+// A rehearsal needs no wire to other processes.
+class NoWire : public Wire {
+ public:
+  Address self() const override { return {}; }
+  void post(const Address&, Bytes) override {}
+};
+
+struct Stage {
+  Loop loop;
+  NoWire wire;
+  HttpOutEv httpOut{loop};
+  Chance chance{std::random_device()()};
+};
+
+int report(const CallerLedger& ledger) {
+  std::size_t complete = 0;
+  for (const auto& [key, lot] : ledger.lots) complete += lot.complete ? 1 : 0;
+  JsonOut out;
+  out.object().field("asked", ledger.asked).field("served", ledger.served).field("turnedAway", ledger.turnedAway);
+  out.field("notWhole", ledger.notWhole).field("silent", ledger.silent).field("lotsOffered", ledger.lotsOffered);
+  out.field("lotsAccepted", ledger.lots.size()).field("lotsComplete", complete).key("faults").array();
+  for (const std::string& fault : ledger.faults) out.text(fault);
+  out.closeArray().closeObject();
+  return say(ledger.faults.empty() ? Exit::kDone : Exit::kFindings, out.take());
+}
+
+class Ending : public Continuation {
+ public:
+  Ending(Loop& loop, RehearseCaller& caller, Us callingUs) : loop_(loop), caller_(caller) { loop_.arm(callingUs, *this); }
+  ~Ending() override { loop_.disarm(*this); }
+  void proceed() override {
+    caller_.stop();
+    if (caller_.open() == 0) loop_.stop();
+    else loop_.arm(100 * kMilliUs, *this);
+  }
+
+ private:
+  Loop& loop_;
+  RehearseCaller& caller_;
+};
+
+int rehearseCaller(Stage& stage, Ports& ports) {
+  CallerPlan plan;
+  plan.name = absl::StrCat("caller", stage.chance.below(1000000));
+  for (const std::string& text : absl::GetFlag(FLAGS_node)) {
+    auto address = parseAddress(text);
+    if (!std::holds_alternative<Address>(address)) return say(Exit::kUsage, "node: '" + text + "' is not IP:PORT");
+    plan.nodes.push_back(std::get<Address>(address));
+  }
+  if (plan.nodes.empty()) return say(Exit::kUsage, "node: is missing");
+  plan.lookupEveryUs = absl::GetFlag(FLAGS_lookupEveryUs);
+  plan.streamEveryUs = absl::GetFlag(FLAGS_streamEveryUs);
+  plan.wholeEveryUs = absl::GetFlag(FLAGS_wholeEveryUs);
+  plan.event = absl::GetFlag(FLAGS_event);
+  plan.lots = static_cast<std::uint32_t>(absl::GetFlag(FLAGS_lots));
+  plan.lotItems = static_cast<std::uint32_t>(absl::GetFlag(FLAGS_lotItems));
+  plan.lotEveryUs = 300 * kMilliUs;
+  CallerLedger ledger;
+  RehearseCaller caller(ports, plan, ledger);
+  Ending ending(stage.loop, caller, absl::GetFlag(FLAGS_seconds) * kSecondUs);
+  caller.begin();
+  stage.loop.run();
+  return report(ledger);
+}
+}  // namespace
+
+int runRehearsal(const std::vector<std::string>& words) {
+  const std::string what = words.size() > 1 ? words[1] : "";
+  Log4cxxSink log("rehearse-" + what);
+  setLogSink(&log);
+  Stage stage;
+  auto self = parseAddress(absl::GetFlag(FLAGS_http));
+  const bool serves = what == "worker" || what == "platform";
+  if (!serves && what != "caller") return say(Exit::kUsage, "rehearse worker|platform|caller");
+  if (serves && !std::holds_alternative<Address>(self)) return say(Exit::kUsage, "http: is not IP:PORT");
+  HttpInEv httpIn(stage.loop, serves ? std::get<Address>(self) : Address());
+  Ports ports{stage.loop, stage.loop, stage.wire, httpIn, stage.httpOut, nullptr, stage.chance};
+  if (!serves) return rehearseCaller(stage, ports);
+  if (!httpIn.listen()) return say(Exit::kUsage, "http: cannot listen there");
+  if (what == "platform") {
+    RehearsePlatform platform(ports);
+    platform.begin();
+    stage.loop.run();
+    return 0;
+  }
+  WorkerPlan plan;
+  plan.pool = absl::GetFlag(FLAGS_pool);
+  plan.zone = absl::GetFlag(FLAGS_zone);
+  plan.slots = static_cast<std::uint32_t>(std::max(1, absl::GetFlag(FLAGS_slots)));
+  plan.oddsTruncate = static_cast<std::uint64_t>(absl::GetFlag(FLAGS_oddsTruncate));
+  plan.oddsSwap = static_cast<std::uint64_t>(absl::GetFlag(FLAGS_oddsSwap));
+  plan.oddsSilent = static_cast<std::uint64_t>(absl::GetFlag(FLAGS_oddsSilent));
+  auto platform = parseAddress(absl::GetFlag(FLAGS_platform));
+  if (auto* address = std::get_if<Address>(&platform)) plan.platform = *address;
+  WorkerLedger ledger;
+  RehearseWorker worker(ports, std::get<Address>(self), plan, ledger);
+  worker.begin();
+  stage.loop.run();
+  return 0;
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/core/control_machine.h
@@ -0,0 +1,31 @@
+// The state behind the control chain (design.md 7.1).
+#pragma once
+
+#include "anvil/machine.h"
+#include "core/commands.h"
+
+namespace stonemount {
+
+class ControlMachine : public Machine {
+ public:
+  Bytes apply(const Bytes& command) override;
+  StampVerdict stamp(const Bytes& command, const HeadSight& sight) override;
+  QueryVerdict answer(const Bytes& query, bool mustAnswer) override;
+  Bytes save() const override;
+  bool load(const Bytes& state) override;
+  const ControlState& state() const { return state_; }
+
+ private:
+  ControlVerdict put(const PutConfig& command);
+  ControlVerdict put(const SetZone& command);
+  ControlVerdict put(const PutWorkers& command);
+  ControlVerdict put(const ReturnConfig& command);
+  ControlVerdict changeRoutes(const std::string& note, std::vector<RouteChange> changes);
+  ControlVerdict verdict(ControlOutcome outcome) const;
+  ControlState state_;
+  std::uint64_t platformVersion_ = 0;
+  std::deque<ConfigStep> history_;
+  mutable std::map<Revision, Bytes> packedNews_;  // many nodes ask from the same revision
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/core/core.cc
@@ -0,0 +1,136 @@
+#include "core/core.h"
+
+#include <absl/strings/str_cat.h>
+
+#include "vise/http_call.h"
+
+namespace stonemount {
+
+namespace {
+MemberPlan memberPlan(const Settings& settings) {
+  MemberPlan plan;
+  plan.zone = settings.zone;
+  plan.founders = settings.founders;
+  plan.seeds = settings.founders;
+  return plan;
+}
+
+std::optional<PutWorkers> readList(const Bytes& body) {
+  JsonVerdict read = parseJson(body);
+  auto* document = std::get_if<JsonDocument>(&read);
+  if (document == nullptr || !document->IsObject() || !document->HasMember("workers") ||
+      !(*document)["workers"].IsArray())
+    return std::nullopt;
+  PutWorkers command;
+  command.platformVersion = static_cast<std::uint64_t>(jsonNumber(*document, "version"));
+  for (const JsonValue& given : (*document)["workers"].GetArray()) {
+    auto address = parseAddress(jsonString(given, "address"));
+    if (!std::holds_alternative<Address>(address)) continue;
+    ListedWorker worker;
+    worker.address = std::get<Address>(address);
+    worker.pool = jsonString(given, "pool");
+    worker.zone = jsonString(given, "zone");
+    worker.slots = static_cast<std::uint32_t>(std::max<std::int64_t>(1, jsonNumber(given, "slots", 1)));
+    worker.leaving = jsonFlag(given, "leaving");
+    command.workers.push_back(worker);
+  }
+  return command;
+}
+}  // namespace
+
+Core::Core(Ports& ports, Settings settings, CorePlan plan)
+    : ports_(ports), settings_(std::move(settings)), plan_(plan), desk_(ports.alarms, ports.wire, ports.chance),
+      shim_(ports, desk_, room_, plan.shim), member_(ports, desk_, room_, machine_, memberPlan(settings_)),
+      core_(ports, desk_, settings_.founders), store_(ports, desk_, {}), mallet_(ports, desk_, room_, plan.mallet),
+      sampler_(ports, desk_, room_, mallet_, store_, plan.gauge) {}
+
+Core::~Core() {
+  asked_.disconnect();
+  room_.clear();
+}
+
+void Core::begin() {
+  Card card;
+  card.http = settings_.http;
+  card.role = Role::kCore;
+  card.zone = settings_.zone;
+  shim_.met.connect(sigc::mem_fun(*this, &Core::onMet));
+  member_.viewMoved.connect(sigc::mem_fun(*this, &Core::onView));
+  asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Core::onAsked));
+  shim_.begin(card);
+  core_.learnMember(settings_.wire);
+  mallet_.begin({Sampler::kDuty, kLister});
+  member_.begin();
+  sampler_.begin();
+  room_.start(list());
+  room_.start(watchZone());
+}
+
+void Core::onMet(const Card& card) {
+  if (card.role == Role::kCore) {
+    core_.learnMember(card.wire);
+    member_.meet(card.wire);
+  }
+  if (card.role == Role::kStore) store_.learnMember(card.wire);
+}
+
+void Core::onView() { mallet_.setElectors(member_.view().voters, member_.incarnation()); }
+
+// In an evacuated zone a core leaves its duties to others where there are any.
+Task Core::watchZone() {
+  while (true) {
+    mallet_.setReluctant(machine_.state().evacuated(settings_.zone));
+    Pause pause(ports_.alarms, kSecondUs);
+    co_await pause;
+  }
+}
+
+// The lister carries the platform's list into the control chain.
+Task Core::list() {
+  while (true) {
+    if (mallet_.holds(kLister) && settings_.platform.set()) {
+      Job<Done> carrying = carryList();
+      co_await carrying;
+    } else {
+      listedVersion_ = 0;
+    }
+    Pause pause(ports_.alarms, plan_.listUs);
+    co_await pause;
+  }
+}
+
+Job<Done> Core::carryList() {
+  HttpAsk ask;
+  ask.method = "GET";
+  ask.path = "/platform/workers";
+  HttpCall call(ports_, settings_.platform, ask, kSecondUs);
+  const HttpVerdict verdict = co_await call;
+  auto* whole = std::get_if<HttpWhole>(&verdict);
+  if (whole == nullptr || whole->status != 200) co_return Done{};
+  std::optional<PutWorkers> command = readList(whole->body);
+  if (!command || command->platformVersion == listedVersion_) co_return Done{};
+  const std::uint64_t version = command->platformVersion;
+  Job<ChainAnswer> sending = core_.submit(pack(ControlCommand(std::move(*command))), 2 * kSecondUs);
+  ChainAnswer answer = co_await sending;
+  if (std::holds_alternative<Bytes>(answer)) listedVersion_ = version;
+  co_return Done{};
+}
+
+void Core::onAsked(const HttpAsk& ask, ReplyPtr reply) {
+  JsonOut out;
+  if (ask.path != "/metrics") {
+    out.object().field("verdict", "unknown_path").closeObject();
+    reply->whole(404, {}, out.take() + "\n");
+    return;
+  }
+  const MemberCounts& counts = member_.counts();
+  out.object().field("role", "core").field("standing", standingText(member_.standing()));
+  out.field("view", member_.view().revision).field("end", member_.end()).field("applied", counts.applied);
+  out.field("reads", counts.reads).field("confirms", counts.confirms).field("ballots", counts.ballots);
+  out.field("refusedOld", counts.refusedOld).field("syncs", member_.drawer().syncs);
+  out.field("sampler", mallet_.holds(Sampler::kDuty)).field("lister", mallet_.holds(kLister));
+  out.field("frames", desk_.sentFrames).field("frameBytes", desk_.sentBytes).closeObject();
+  reply->whole(200, {}, out.take() + "\n");
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/core/core.h
@@ -0,0 +1,52 @@
+// A core process: a member of the control chain, and the duties of sampler and lister (design.md 2).
+#pragma once
+
+#include "anvil/member.h"
+#include "core/control_machine.h"
+#include "gauge/sampler.h"
+#include "jig/settings.h"
+#include "shim/shim.h"
+
+namespace stonemount {
+
+struct CorePlan {
+  ShimPlan shim;
+  MalletPlan mallet;
+  GaugePlan gauge;
+  Us listUs = 300 * kMilliUs;
+};
+
+class Core {
+ public:
+  Core(Ports& ports, Settings settings, CorePlan plan);
+  ~Core();
+  void begin();
+  const Member& member() const { return member_; }
+  const ControlMachine& machine() const { return machine_; }
+  const Mallet& mallet() const { return mallet_; }
+  static constexpr const char* kLister = "lister";
+
+ private:
+  Task list();
+  Job<Done> carryList();
+  Task watchZone();
+  void onMet(const Card& card);
+  void onView();
+  void onAsked(const HttpAsk& ask, ReplyPtr reply);
+  Ports& ports_;
+  Settings settings_;
+  CorePlan plan_;
+  TaskRoom room_;
+  Desk desk_;
+  Shim shim_;
+  ControlMachine machine_;
+  Member member_;
+  ChainClient core_;
+  ChainClient store_;
+  Mallet mallet_;
+  Sampler sampler_;
+  std::uint64_t listedVersion_ = 0;
+  sigc::connection asked_;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/drawer/ring.h
@@ -0,0 +1,84 @@
+// The drawer: records in a ring of preallocated files (design.md 5).
+#pragma once
+
+#include "vise/await.h"
+#include "vise/pack.h"
+
+namespace stonemount {
+
+enum class RecordKind : std::uint8_t { kEntry = 1, kMeta = 2, kCheckpointPart = 3, kCheckpointEnd = 4 };
+
+struct Record {
+  RecordKind kind = RecordKind::kEntry;
+  std::uint64_t sequence = 0;
+  Bytes body;
+};
+
+struct RingFull {};
+struct RecordTooLong {};
+using AppendVerdict = std::variant<std::uint64_t, RingFull, RecordTooLong>;
+
+struct DrawerEmpty {};                 // a fresh or wiped disk
+struct DrawerDamaged { std::uint64_t atSequence = 0; };  // synced records are missing or altered
+struct DrawerContent {
+  Bytes checkpoint;  // empty: none yet
+  bool hasCheckpoint = false;
+  std::vector<Record> records;  // entries and metas after the checkpoint began
+};
+using OpenVerdict = std::variant<DrawerContent, DrawerEmpty, DrawerDamaged, DiskFailure>;
+
+struct Synced {};
+using SyncVerdict = std::variant<Synced, DiskFailure>;
+
+class Drawer {
+ public:
+  Drawer(Disk& disk, Alarms& alarms, Clock& clock);
+  OpenVerdict open();
+  void wipe();  // starts anew after damage; what was there is gone
+  AppendVerdict append(RecordKind kind, const Bytes& body);
+  // All that was appended before the call is durable when it returns.
+  Job<SyncVerdict> sync();
+  // Writes state in parts; what lies before it may be written over once it is synced.
+  void beginCheckpoint(Bytes state);
+  bool pumpCheckpoint(std::size_t parts);  // false: the ring is too small for the state
+  void dropCheckpoint() { checkpointOpen_ = false; }
+  bool checkpointing() const { return checkpointOpen_; }
+  std::size_t bytesSinceCheckpoint() const { return sinceCheckpoint_; }
+  std::size_t freeBytes() const;
+  std::size_t ringBytes() const { return disk_.fileCount() * disk_.fileBytes(); }
+  // How long the sync now under way has taken: a stalled disk shows here (design.md 5.4).
+  Us stalledUs() const;
+  Us worstSyncUs() const { return slowUs_; }
+  std::uint64_t syncs = 0;
+
+ private:
+  struct FileSpan {
+    std::uint64_t first = 0;  // 0: nothing needed in it
+    std::uint64_t last = 0;
+  };
+  std::vector<Record> scanFile(const Bytes& bytes) const;
+  std::variant<Done, RingFull> turnFile();
+  Disk& disk_;
+  Alarms& alarms_;
+  Clock& clock_;
+  std::vector<FileSpan> spans_;
+  std::size_t file_ = 0;
+  std::size_t offset_ = 0;
+  std::uint64_t nextSequence_ = 1;
+  std::uint64_t keepFrom_ = 1;  // oldest sequence still needed
+  bool checkpointOpen_ = false;
+  bool checkpointEnded_ = false;
+  std::uint64_t checkpointFrom_ = 0;
+  std::uint64_t checkpointLast_ = 0;
+  Bytes checkpointRest_;
+  std::size_t checkpointAt_ = 0;
+  std::size_t sinceCheckpoint_ = 0;
+  std::uint64_t syncedSequence_ = 0;
+  bool syncing_ = false;
+  bool failed_ = false;
+  Us syncBeganUs_ = 0;
+  Us slowUs_ = 0;
+  Bell syncedBell_;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/gauge/sampler.cc
@@ -0,0 +1,95 @@
+#include "gauge/sampler.h"
+
+#include <absl/strings/str_cat.h>
+
+#include "store/commands.h"
+
+namespace stonemount {
+
+namespace {
+constexpr Us kStoreLimitUs = 1500 * kMilliUs;
+constexpr Us kAgainUs = 200 * kMilliUs;
+}  // namespace
+
+Sampler::Sampler(Ports& ports, Desk& desk, TaskRoom& room, Mallet& mallet, ChainClient& store, GaugePlan plan)
+    : ports_(ports), desk_(desk), room_(room), mallet_(mallet), store_(store), plan_(plan) {}
+
+Task Sampler::run() {
+  while (true) {
+    if (!mallet_.holds(kDuty)) {
+      Pause pause(ports_.alarms, kAgainUs);
+      co_await pause;
+      continue;
+    }
+    Job<bool> pinning = pin();
+    bool leading = co_await pinning;
+    while (leading && mallet_.holds(kDuty)) {
+      Pause pause(ports_.alarms, plan_.sampleUs);
+      co_await pause;
+      Job<bool> sampling = round();
+      leading = co_await sampling;
+      if (!leading) break;
+      Job<Done> sweeping = sweep();
+      co_await sweeping;
+    }
+    if (session_ != 0) logEvent("sampler_ended", {{"epoch", absl::StrCat(epoch_)}});
+    session_ = 0;
+    Pause pause(ports_.alarms, kAgainUs);
+    co_await pause;
+  }
+}
+
+Job<bool> Sampler::pin() {
+  Job<Done> refreshing = store_.refresh();
+  co_await refreshing;
+  if (store_.view().chain.empty()) co_return false;
+  const Address head = store_.view().chain.front().address;
+  Job<std::variant<SessionVerdict, PartnerSilent>> opening =
+      ask<SessionVerdict>(desk_, head, SessionAsk{desk_.self()}, kStoreLimitUs);
+  std::variant<SessionVerdict, PartnerSilent> opened = co_await opening;
+  auto* session = std::get_if<SessionVerdict>(&opened);
+  if (session == nullptr || !session->granted) co_return false;
+  session_ = session->session;
+  lastMonoUs_ = ports_.clock.monoUs();
+  lastWallUs_ = ports_.clock.wallUs();
+  round_ = 0;
+  Bytes command = pack(StoreCommand(LockWish{desk_.self(), session_, 0}));
+  Job<ChainAnswer> locking = store_.submit(std::move(command), kStoreLimitUs);
+  ChainAnswer answer = co_await locking;
+  if (!std::holds_alternative<Bytes>(answer)) co_return false;
+  auto read = unpack<StoreVerdict>(std::get<Bytes>(answer));
+  auto* verdict = std::get_if<StoreVerdict>(&read);
+  if (verdict == nullptr || verdict->outcome != StoreOutcome::kDone) co_return false;
+  epoch_ = verdict->epoch;
+  logEvent("sampler_leads", {{"epoch", absl::StrCat(epoch_)}, {"head", addressText(head)}});
+  co_return true;
+}
+
+Job<bool> Sampler::round() {
+  CutProposal proposal;
+  proposal.epoch = epoch_;
+  proposal.session = session_;
+  proposal.round = ++round_;
+  const Us monoUs = ports_.clock.monoUs();
+  const Us wallUs = ports_.clock.wallUs();
+  proposal.samplerElapsedUs = monoUs - lastMonoUs_;
+  proposal.samplerStepUs = (wallUs - lastWallUs_) - proposal.samplerElapsedUs;
+  proposal.samplerWallUs = wallUs;
+  lastMonoUs_ = monoUs;
+  lastWallUs_ = wallUs;
+  Job<ChainAnswer> sending = store_.submit(pack(StoreCommand(proposal)), kStoreLimitUs);
+  ChainAnswer answer = co_await sending;
+  if (!std::holds_alternative<Bytes>(answer)) co_return false;
+  auto read = unpack<StoreVerdict>(std::get<Bytes>(answer));
+  auto* verdict = std::get_if<StoreVerdict>(&read);
+  // Each round shows whether session, lock and epoch are still its own; any doubt ends it.
+  co_return verdict != nullptr && verdict->outcome == StoreOutcome::kDone && verdict->epoch == epoch_;
+}
+
+Job<Done> Sampler::sweep() {
+  Job<ChainAnswer> sending = store_.submit(pack(StoreCommand(Sweep{})), kStoreLimitUs);
+  co_await sending;
+  co_return Done{};
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/gauge/sampler.h
@@ -0,0 +1,35 @@
+// The sampler: one core's duty, pinned to one session at the store's head (design.md 8.2).
+#pragma once
+
+#include "anvil/client.h"
+#include "gauge/session.h"
+#include "mallet/mallet.h"
+
+namespace stonemount {
+
+class Sampler {
+ public:
+  Sampler(Ports& ports, Desk& desk, TaskRoom& room, Mallet& mallet, ChainClient& store, GaugePlan plan);
+  void begin() { room_.start(run()); }
+  static constexpr const char* kDuty = "sampler";
+  std::uint64_t epoch() const { return epoch_; }
+
+ private:
+  Task run();
+  Job<bool> pin();        // a session and the lock; advances the epoch
+  Job<bool> round();      // false: the leadership is over
+  Job<Done> sweep();
+  Ports& ports_;
+  Desk& desk_;
+  TaskRoom& room_;
+  Mallet& mallet_;
+  ChainClient& store_;
+  GaugePlan plan_;
+  std::uint64_t session_ = 0;
+  std::uint64_t epoch_ = 0;
+  std::uint64_t round_ = 0;
+  Us lastMonoUs_ = 0;
+  Us lastWallUs_ = 0;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/gauge/session.h
@@ -0,0 +1,43 @@
+// The sampler's session, pinned to the store's head and kept in its memory only (design.md 8.2).
+#pragma once
+
+#include "anvil/machine.h"
+#include "gauge/cut.h"
+
+namespace stonemount {
+
+struct SessionAsk {
+  static constexpr std::uint16_t kKind = 40;
+  Address holder;
+  STONEMOUNT_PACK(holder)
+};
+struct SessionVerdict {
+  bool granted = false;
+  std::uint64_t session = 0;
+  STONEMOUNT_PACK(granted, session)
+};
+
+class SessionKeeper {
+ public:
+  SessionKeeper(Chance& chance, GaugePlan plan) : chance_(chance), plan_(plan) {}
+  // Granted unless another sampler's session is alive: a healthy leader is never displaced.
+  SessionVerdict open(const Address& holder, const HeadSight& sight);
+  bool stampLock(LockWish& wish, const HeadSight& sight);
+  bool stampProposal(CutProposal& proposal, const HeadSight& sight);
+  // True while the session that the chain's state names has been heard of here within the gap.
+  bool live(std::uint64_t session, const HeadSight& sight) const;
+
+ private:
+  bool mine(std::uint64_t session, const HeadSight& sight) const;
+  Chance& chance_;
+  GaugePlan plan_;
+  std::uint64_t session_ = 0;
+  Address holder_;
+  Revision viewRevision_ = 0;
+  std::uint64_t incarnation_ = 0;
+  Us lastMonoUs_ = 0;
+  Us lastWallUs_ = 0;
+  std::uint64_t lastRound_ = 0;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/jig/almanac.cc
@@ -0,0 +1,73 @@
+#include "jig/almanac.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace stonemount {
+
+namespace {
+constexpr Us kHoldUs = kSecondUs;
+constexpr Us kLimitUs = 2 * kSecondUs;
+constexpr Us kPartnerUs = 400 * kMilliUs;
+}  // namespace
+
+Almanac::Almanac(Ports& ports, Desk& desk, TaskRoom& room, ChainClient& core, Shim& shim)
+    : ports_(ports), desk_(desk), room_(room), core_(core), shim_(shim) {}
+
+void Almanac::begin() {
+  desk_.serve(AlmanacAsk::kKind, sigc::mem_fun(*this, &Almanac::onAlmanacAsk));
+  shim_.met.connect(sigc::mem_fun(*this, &Almanac::onMet));
+  room_.start(follow());
+}
+
+void Almanac::take(const ControlNews& given) {
+  const Revision before = state_.revision();
+  if (!state_.absorb(given) || state_.revision() == before) return;
+  STONEMOUNT_INVARIANT(state_.revision() > before);
+  shim_.self().control = state_.revision();
+  logEvent("control_news", {{"revision", absl::StrCat(state_.revision())},
+                            {"config", absl::StrCat(state_.configRevision())}});
+  news.emit();
+}
+
+Task Almanac::follow() {
+  while (true) {
+    ++asks;
+    // Asks are spread, so that the return of the core brings no herd.
+    const Us holdUs = kHoldUs + static_cast<Us>(ports_.chance.below(250)) * kMilliUs;
+    Bytes query = pack(ControlQuery(NewsAsk{state_.revision()}));
+    Job<ChainAnswer> asking = core_.read(std::move(query), holdUs, kLimitUs);
+    ChainAnswer answer = co_await asking;
+    if (std::holds_alternative<Bytes>(answer)) {
+      auto read = unpack<ControlNews>(std::get<Bytes>(answer));
+      if (auto* given = std::get_if<ControlNews>(&read)) {
+        freshUs_ = ports_.clock.monoUs();
+        take(*given);
+      }
+    }
+    Pause pause(ports_.alarms, static_cast<Us>(5 + ports_.chance.below(20)) * kMilliUs);
+    co_await pause;
+  }
+}
+
+// A partner's card tells of newer news than ours: ask it, whatever became of the core.
+void Almanac::onMet(const Card& card) {
+  if (card.role != Role::kNode || card.control <= state_.revision() || asking_) return;
+  asking_ = true;
+  room_.start(catchUpFromPartner(card.wire));
+}
+
+Task Almanac::catchUpFromPartner(Address partner) {
+  Job<std::variant<ControlNews, PartnerSilent>> job =
+      ask<ControlNews>(desk_, partner, AlmanacAsk{state_.revision()}, kPartnerUs);
+  std::variant<ControlNews, PartnerSilent> verdict = co_await job;
+  if (auto* given = std::get_if<ControlNews>(&verdict)) take(*given);
+  asking_ = false;
+}
+
+void Almanac::onAlmanacAsk(const Asked& asked) {
+  auto message = unpack<AlmanacAsk>(asked.body);
+  if (!std::holds_alternative<AlmanacAsk>(message) || !ready()) return;
+  desk_.reply(asked, state_.newsSince(std::get<AlmanacAsk>(message).since));
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/jig/almanac.h
@@ -0,0 +1,43 @@
+// A data-plane node's own copy of what control says, kept up by asking with its version
+// (design.md 7.6). It goes on serving from it when control is lost.
+#pragma once
+
+#include "anvil/client.h"
+#include "core/commands.h"
+#include "shim/shim.h"
+
+namespace stonemount {
+
+struct AlmanacAsk {  // from one node to another, when control itself is out of reach
+  static constexpr std::uint16_t kKind = 70;
+  Revision since = 0;
+  STONEMOUNT_PACK(since)
+};
+
+class Almanac {
+ public:
+  Almanac(Ports& ports, Desk& desk, TaskRoom& room, ChainClient& core, Shim& shim);
+  void begin();
+  const ControlState& state() const { return state_; }
+  bool ready() const { return state_.revision() != 0; }
+  Us freshUs() const { return freshUs_; }  // when control itself last answered
+  std::uint64_t asks = 0;
+  sigc::signal<void()> news;
+
+ private:
+  Task follow();
+  Task catchUpFromPartner(Address partner);
+  void take(const ControlNews& given);
+  void onAlmanacAsk(const Asked& asked);
+  void onMet(const Card& card);
+  Ports& ports_;
+  Desk& desk_;
+  TaskRoom& room_;
+  ChainClient& core_;
+  Shim& shim_;
+  ControlState state_;
+  Us freshUs_ = -1;
+  bool asking_ = false;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/jig/control_state.cc
@@ -0,0 +1,103 @@
+#include "jig/control_state.h"
+
+namespace stonemount {
+
+namespace {
+constexpr std::size_t kGoneKept = 4096;
+}
+
+bool ControlState::evacuated(const std::string& zone) const {
+  auto found = zones_.find(zone);
+  return found != zones_.end() && found->second.evacuated;
+}
+
+ControlNews ControlState::newsSince(Revision since) const {
+  ControlNews news;
+  news.whole = since < forgotten_ || since == 0 || since > revision_;
+  news.from = news.whole ? 0 : since;
+  news.to = revision_;
+  news.configRevision = configRevision_;
+  for (const auto& [name, route] : routes_)
+    if (news.whole || route.changed > since) news.routes.push_back(route);
+  for (const auto& [address, worker] : workers_)
+    if (news.whole || worker.changed > since) news.workers.push_back(worker);
+  for (const auto& [zone, state] : zones_)
+    if (news.whole || state.changed > since) news.zones.emplace_back(zone, state);
+  if (news.whole) return news;
+  for (const auto& [name, changed] : goneRoutes_)
+    if (changed > since) news.removedRoutes.push_back(name);
+  for (const auto& [address, changed] : goneWorkers_)
+    if (changed > since) news.removedWorkers.push_back(address);
+  return news;
+}
+
+bool ControlState::absorb(const ControlNews& news) {
+  if (news.to <= revision_) return true;  // nothing newer in it
+  if (!news.whole && news.from > revision_) return false;
+  if (news.whole) {
+    routes_.clear();
+    workers_.clear();
+    zones_.clear();
+    goneRoutes_.clear();
+    goneWorkers_.clear();
+    forgotten_ = news.to;
+  }
+  for (const std::string& name : news.removedRoutes) {
+    routes_.erase(name);
+    goneRoutes_[name] = news.to;
+  }
+  for (const Address& address : news.removedWorkers) {
+    workers_.erase(address);
+    goneWorkers_[address] = news.to;
+  }
+  for (const Route& route : news.routes) {
+    goneRoutes_.erase(route.name);
+    routes_[route.name] = route;
+  }
+  for (const ListedWorker& worker : news.workers) {
+    goneWorkers_.erase(worker.address);
+    workers_[worker.address] = worker;
+  }
+  for (const auto& [zone, state] : news.zones) zones_[zone] = state;
+  revision_ = news.to;
+  configRevision_ = news.configRevision;
+  forgetOld();
+  return true;
+}
+
+void ControlState::putRoute(Route route) {
+  route.changed = revision_;
+  goneRoutes_.erase(route.name);
+  routes_[route.name] = std::move(route);
+}
+
+void ControlState::removeRoute(const std::string& name) {
+  if (routes_.erase(name) != 0) goneRoutes_[name] = revision_;
+  forgetOld();
+}
+
+void ControlState::setZone(const std::string& zone, bool evacuated) { zones_[zone] = {evacuated, revision_}; }
+
+void ControlState::putWorker(ListedWorker worker) {
+  worker.changed = revision_;
+  goneWorkers_.erase(worker.address);
+  workers_[worker.address] = std::move(worker);
+}
+
+void ControlState::removeWorker(const Address& address) {
+  if (workers_.erase(address) != 0) goneWorkers_[address] = revision_;
+  forgetOld();
+}
+
+void ControlState::forgetOld() {
+  while (goneRoutes_.size() > kGoneKept) {
+    forgotten_ = revision_;
+    goneRoutes_.clear();
+  }
+  while (goneWorkers_.size() > kGoneKept) {
+    forgotten_ = revision_;
+    goneWorkers_.clear();
+  }
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/lathe/lathe.cc
@@ -0,0 +1,244 @@
+#include "lathe/lathe.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+#include "jig/json.h"
+
+namespace stonemount {
+
+struct Lathe::Caller : public PartSink, public sigc::trackable {
+  Caller(Lathe& given) : lathe(given) {}
+  void part(const Bytes& data) override {
+    if (order.route.kind != RouteKind::kStream) {
+      gathered += data;
+      ++parts;
+      return;
+    }
+    if (!begun) {
+      begun = true;
+      reply->begin(200, {{"content-type", "application/x-ndjson"}, {"x-exchange", order.exchange}});
+    }
+    JsonOut out;
+    out.object().field("n", parts++).field("data", data).closeObject();
+    reply->chunk(out.take() + "\n");
+  }
+  bool left() const override { return gone || reply->backlogBytes() > kBacklogBound; }
+  Bell& bell() override { return knock; }
+  void onGone() {
+    gone = true;
+    knock.ring();
+    lathe.waitingBell_.ring();
+  }
+  static constexpr std::size_t kBacklogBound = 4 << 20;  // a caller that does not read is as good as gone
+  Lathe& lathe;
+  WorkOrder order;
+  NominateWish wish;
+  ReplyPtr reply;
+  Bell knock;
+  Us limitAtUs = 0;
+  Us waitUntilUs = 0;
+  bool gone = false;
+  bool begun = false;
+  bool waiting = false;
+  std::optional<Address> worker;
+  Bytes gathered;
+  std::uint32_t parts = 0;
+};
+
+void sendVerdict(HttpReply& reply, int status, const std::string& verdict, std::initializer_list<LogPair> pairs,
+                 int retryAfter) {
+  JsonOut out;
+  out.object().field("verdict", verdict);
+  for (const LogPair& pair : pairs) out.field(std::string(pair.key), pair.value);
+  HeaderMap headers;
+  if (retryAfter > 0) {
+    headers["retry-after"] = absl::StrCat(retryAfter);
+    out.field("retryAfter", retryAfter);
+  }
+  out.closeObject();
+  reply.whole(status, headers, out.take() + "\n");
+}
+
+Lathe::Lathe(Ports& ports, TaskRoom& room, WorkerBoard& board, const ControlState& control, LathePlan plan,
+             std::string exchangePrefix)
+    : ports_(ports), room_(room), board_(board), control_(control), plan_(plan),
+      exchangePrefix_(std::move(exchangePrefix)) {
+  roomMade_ = board_.roomMade.connect(sigc::mem_fun(waitingBell_, &Bell::ring));
+}
+
+Lathe::~Lathe() { roomMade_.disconnect(); }
+
+std::string Lathe::freshExchange() { return absl::StrCat(exchangePrefix_, "-", ++lastExchange_); }
+
+// How long until those who wait now have been served, at the pace of late.
+int Lathe::retryAfterSeconds() const {
+  const Us aheadUs = static_cast<Us>(waiting_.size() + 1) * paceUs_;
+  return static_cast<int>(std::clamp<Us>(1 + aheadUs / kSecondUs, 1, 10));
+}
+
+void Lathe::enter(const Route& route, const HttpAsk& ask, Bytes prompt, ReplyPtr reply) {
+  auto caller = std::make_shared<Caller>(*this);
+  caller->order.exchange = freshExchange();
+  caller->order.route = route;
+  caller->order.prompt = std::move(prompt);
+  caller->reply = std::move(reply);
+  caller->wish.pool = route.pool;
+  caller->wish.adapter = route.adapter;
+  if (route.kind == RouteKind::kLookup) {
+    caller->order.lookupKey = ask.query.contains("key") ? ask.query.at("key") : "";
+    caller->wish.spot = spread(caller->order.lookupKey);
+  } else {
+    caller->wish.spot = spread(caller->order.prompt.substr(0, route.prefixBytes));
+  }
+  Us limitUs = route.limitUs;
+  std::int64_t wished = 0;
+  if (ask.headers.contains("x-limit-us") && absl::SimpleAtoi(ask.headers.at("x-limit-us"), &wished) && wished > 0)
+    limitUs = std::min<Us>(limitUs, wished);
+  const Us nowUs = ports_.clock.monoUs();
+  caller->limitAtUs = nowUs + limitUs;
+  caller->waitUntilUs = nowUs + std::min(limitUs, plan_.waitUs);
+  if (draining_) return turnAway(*caller, 503, "draining", "no");
+  if (waiting_.size() >= plan_.waitingBound || relaying_ >= plan_.relayBound)
+    return turnAway(*caller, 429, "full", "no");
+  caller->reply->gone.connect(sigc::mem_fun(*caller, &Caller::onGone));
+  ++counts_.taken;
+  room_.start(serve(std::move(caller)));
+}
+
+void Lathe::turnAway(Caller& caller, int status, const char* verdict, const char* ran) {
+  ++counts_.turnedAway;
+  if (caller.gone) return;
+  sendVerdict(*caller.reply, status, verdict, {{"exchange", caller.order.exchange}, {"ran", ran}}, retryAfterSeconds());
+}
+
+Job<bool> Lathe::waitForWorker(std::shared_ptr<Caller> caller) {
+  caller->worker.reset();
+  caller->waiting = true;
+  waiting_.push_back(caller);
+  waitingBell_.ring();
+  while (caller->waiting && !caller->gone && ports_.clock.monoUs() < caller->waitUntilUs) {
+    Hear hear(ports_.alarms, caller->knock, caller->waitUntilUs - ports_.clock.monoUs());
+    co_await hear;
+  }
+  if (caller->waiting) {
+    caller->waiting = false;
+    std::erase(waiting_, caller);
+  } else if (caller->gone) {
+    board_.giveBack(*caller->worker, false, WorkerBoard::Ending::kLeft);
+    caller->worker.reset();
+  }
+  co_return caller->worker.has_value();
+}
+
+Task Lathe::nominateWaiting() {
+  while (true) {
+    Hear hear(ports_.alarms, waitingBell_, 100 * kMilliUs);
+    co_await hear;
+    absl::flat_hash_set<std::string> fullPools;  // do not ask the same full pool for each
+    std::deque<std::shared_ptr<Caller>> still;
+    for (std::shared_ptr<Caller>& caller : waiting_) {
+      const bool plain = caller->wish.passedOver.empty();
+      std::optional<Address> chosenWorker;
+      if (!plain || !fullPools.contains(caller->wish.pool)) chosenWorker = board_.nominate(caller->wish);
+      if (!chosenWorker) {
+        if (plain) fullPools.insert(caller->wish.pool);
+        still.push_back(std::move(caller));
+        continue;
+      }
+      board_.take(*chosenWorker, false);
+      caller->worker = chosenWorker;
+      caller->waiting = false;
+      caller->knock.ring();
+    }
+    waiting_ = std::move(still);
+  }
+}
+
+Task Lathe::serve(std::shared_ptr<Caller> caller) {
+  int unsent = 0;
+  int broken = 0;
+  while (true) {
+    Job<bool> waiting = waitForWorker(caller);
+    const bool nominated = co_await waiting;
+    if (caller->gone) {
+      ++counts_.left;
+      co_return;
+    }
+    if (!nominated) {
+      const bool maybe = broken > 0;
+      turnAway(*caller, 503, "no_capacity", maybe ? "maybe" : "no");
+      co_return;
+    }
+    const Address worker = *caller->worker;
+    ++relaying_;
+    Exchange exchange(ports_, board_);
+    Job<WorkEnding> running = exchange.run(caller->order, worker, caller->limitAtUs, *caller);
+    const WorkEnding ending = co_await running;
+    --relaying_;
+    board_.giveBack(worker, false, boardEnding(ending));
+    const bool unrun = std::holds_alternative<WorkUnsent>(ending) || std::holds_alternative<WorkRefused>(ending);
+    const bool lookup = caller->order.route.kind == RouteKind::kLookup;
+    const bool inTime = ports_.clock.monoUs() < caller->waitUntilUs;
+    const bool again = (unrun && ++unsent < plan_.triesUnsent) ||
+                       (lookup && std::holds_alternative<WorkBroken>(ending) && ++broken < plan_.triesLookup);
+    if (!again || !inTime || caller->gone) {
+      finish(*caller, ending);
+      co_return;
+    }
+    ++counts_.retried;
+    caller->wish.passedOver.insert(worker);
+    caller->gathered.clear();
+    caller->parts = 0;
+    caller->order.exchange = freshExchange();
+  }
+}
+
+void Lathe::finish(Caller& caller, const WorkEnding& ending) {
+  if (auto* sealed = std::get_if<WorkSealed>(&ending)) {
+    ++counts_.sealed;
+    const Us nowUs = ports_.clock.monoUs();
+    paceUs_ = (paceUs_ * 7 + std::min<Us>(nowUs - lastSealedUs_, kSecondUs)) / 8;
+    lastSealedUs_ = nowUs;
+    JsonOut out;
+    out.object().field("exchange", caller.order.exchange);
+    if (caller.order.route.kind != RouteKind::kStream) out.field("answer", caller.gathered);
+    out.key("seal").object().field("count", sealed->count).field("digest", hexText(sealed->digest)).closeObject();
+    out.closeObject();
+    if (caller.order.route.kind != RouteKind::kStream) {
+      caller.reply->whole(200, {{"x-exchange", caller.order.exchange}}, out.take() + "\n");
+      return;
+    }
+    if (!caller.begun) caller.reply->begin(200, {{"content-type", "application/x-ndjson"}, {"x-exchange", caller.order.exchange}});
+    caller.reply->chunk(out.take() + "\n");
+    caller.reply->end();
+    return;
+  }
+  if (std::holds_alternative<WorkLeft>(ending)) {
+    ++counts_.left;
+    if (caller.begun) caller.reply->end();
+    return;
+  }
+  const bool unrun = std::holds_alternative<WorkUnsent>(ending) || std::holds_alternative<WorkRefused>(ending);
+  const bool lapsed = std::holds_alternative<WorkLapsed>(ending);
+  const char* verdict = unrun ? "no_capacity" : lapsed ? "limit_passed" : "not_whole";
+  ++(lapsed ? counts_.lapsed : counts_.broken);
+  if (caller.begun) {
+    JsonOut out;
+    out.object().field("verdict", verdict).field("exchange", caller.order.exchange).field("ran", "maybe");
+    out.field("retryAfter", retryAfterSeconds()).closeObject();
+    caller.reply->chunk(out.take() + "\n");
+    caller.reply->end();  // without a seal: the caller must not take it for whole
+    return;
+  }
+  if (auto* declined = std::get_if<WorkDeclined>(&ending)) {
+    ++counts_.declined;
+    sendVerdict(*caller.reply, 422, "declined", {{"exchange", caller.order.exchange}, {"worker", declined->verdict}});
+    return;
+  }
+  turnAway(caller, lapsed ? 504 : 503, verdict, unrun ? "no" : "maybe");
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/lathe/worker_board.cc
@@ -0,0 +1,130 @@
+#include "lathe/worker_board.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace stonemount {
+
+void WorkerBoard::relist() {
+  for (const auto& [address, worker] : control_.workers()) {
+    WorkerSight& sight = sights_[address];
+    if (sight.listed.pool != worker.pool) {
+      rings_[sight.listed.pool].remove(address);
+      rings_[worker.pool].put(address);
+    }
+    sight.listed = worker;
+  }
+  for (auto& [address, sight] : sights_) {
+    if (control_.workers().contains(address)) continue;
+    rings_[sight.listed.pool].remove(address);
+    sight.listed.pool.clear();
+  }
+  for (auto sight = sights_.begin(); sight != sights_.end();) {
+    const bool gone = sight->second.listed.pool.empty() && sight->second.inFlight() == 0;
+    if (gone) sight = sights_.erase(sight);
+    else ++sight;
+  }
+  roomMade.emit();
+}
+
+void WorkerBoard::setNodes(std::vector<Address> nodes) { nodes_ = std::move(nodes); }
+
+bool WorkerBoard::listed(const Address& worker) const { return control_.workers().contains(worker); }
+
+void WorkerBoard::report(const Address& worker, FitnessReport report) {
+  auto found = sights_.find(worker);
+  if (found == sights_.end()) return;
+  found->second.report = std::move(report);
+  found->second.reportedUs = clock_.monoUs();
+  found->second.inFlightAtReport = found->second.inFlight();
+  roomMade.emit();
+}
+
+bool WorkerBoard::usable(const WorkerSight& sight) const {
+  const Us nowUs = clock_.monoUs();
+  const bool fresh = sight.reportedUs >= 0 && nowUs - sight.reportedUs <= plan_.staleUs;
+  return fresh && !sight.listed.pool.empty() && !sight.listed.leaving && !sight.report.leaving &&
+         nowUs >= sight.mutedUntilUs && !control_.evacuated(sight.listed.zone);
+}
+
+// A cold worker's few places are shared out among the nodes by rank, so that all together they
+// send no more than it can bear. A warm one is found by each node's own window.
+std::uint32_t WorkerBoard::allowance(const WorkerSight& sight) const {
+  const std::uint32_t slots = std::max<std::uint32_t>(1, std::min(sight.report.slots, sight.listed.slots));
+  if (!sight.cold()) return std::min(slots, sight.window);
+  const std::uint64_t mine = spread(addressText(plan_.self) + addressText(sight.listed.address));
+  std::uint32_t rank = 0;
+  for (const Address& node : nodes_)
+    if (node != plan_.self && spread(addressText(node) + addressText(sight.listed.address)) < mine) ++rank;
+  const std::uint32_t nodes = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(nodes_.size()));
+  return sight.report.bear / nodes + (rank < sight.report.bear % nodes ? 1 : 0);
+}
+
+bool WorkerBoard::hasRoom(const WorkerSight& sight, bool lot) const {
+  if (sight.inFlight() >= allowance(sight)) return false;
+  // Others' share of the reported load, and ours as it is now, must fit in what it can bear.
+  const std::uint32_t others = sight.report.load > sight.inFlightAtReport ? sight.report.load - sight.inFlightAtReport : 0;
+  const std::uint32_t bear = std::min(sight.report.bear, sight.listed.slots);
+  if (others + sight.inFlight() >= bear) return false;
+  if (!lot) return true;
+  return sight.lotInFlight < std::max<std::uint32_t>(1, sight.listed.slots / 2);
+}
+
+std::optional<Address> WorkerBoard::nominate(const NominateWish& wish) const {
+  auto ring = rings_.find(wish.pool);
+  if (ring == rings_.end()) return std::nullopt;
+  std::optional<Address> chosen;
+  int chosenRank = 0;
+  for (const Address& address : ring->second.heirs(wish.spot, ring->second.size())) {
+    const WorkerSight& sight = sights_.at(address);
+    if (wish.passedOver.contains(address) || !usable(sight) || !hasRoom(sight, wish.lot)) continue;
+    const bool own = sight.listed.zone == plan_.zone && !control_.evacuated(plan_.zone);
+    const std::vector<std::string>& adapters = sight.report.adapters;
+    const bool fits = wish.adapter.empty() || std::find(adapters.begin(), adapters.end(), wish.adapter) != adapters.end();
+    const int rank = (own ? 2 : 0) + (fits ? 1 : 0);
+    if (chosen && rank <= chosenRank) continue;
+    chosen = address;
+    chosenRank = rank;
+    if (rank == 3) break;
+  }
+  return chosen;
+}
+
+void WorkerBoard::take(const Address& worker, bool lot) {
+  WorkerSight& sight = sights_.at(worker);
+  ++sight.sent;
+  if (lot) ++sight.lotInFlight;
+  else ++sight.liveInFlight;
+}
+
+void WorkerBoard::giveBack(const Address& worker, bool lot, Ending ending) {
+  auto found = sights_.find(worker);
+  STONEMOUNT_INVARIANT(found != sights_.end());
+  WorkerSight& sight = found->second;
+  std::uint32_t& held = lot ? sight.lotInFlight : sight.liveInFlight;
+  STONEMOUNT_INVARIANT(held > 0);
+  --held;
+  sight.inFlightAtReport = std::min(sight.inFlightAtReport, sight.inFlight());
+  switch (ending) {
+    case Ending::kSealed:
+      ++sight.answered;
+      sight.window = std::min<std::uint32_t>(sight.window + 1, std::max<std::uint32_t>(1, sight.listed.slots));
+      break;
+    case Ending::kRefused:
+      ++sight.refused;
+      sight.window = std::max<std::uint32_t>(1, sight.window / 2);
+      sight.mutedUntilUs = clock_.monoUs() + plan_.muteUs / 5;
+      break;
+    case Ending::kBroken:
+    case Ending::kUnsent:
+      ++sight.broken;
+      sight.window = 1;
+      sight.mutedUntilUs = clock_.monoUs() + plan_.muteUs;
+      break;
+    case Ending::kLeft: break;
+  }
+  roomMade.emit();
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/lathe/worker_board.h
@@ -0,0 +1,74 @@
+// What this node knows of each worker, and how much it may send there (design.md 9.3).
+#pragma once
+
+#include "compass/ring.h"
+#include "jig/control_state.h"
+#include "vise/await.h"
+
+namespace stonemount {
+
+struct FitnessReport {
+  std::uint32_t load = 0;   // exchanges that the worker is at now, from anyone
+  std::uint32_t slots = 1;  // that it has when warm
+  std::uint32_t bear = 1;   // that it can bear now; less than slots while cold
+  bool leaving = false;
+  std::vector<std::string> adapters;
+};
+
+struct WorkerSight {
+  ListedWorker listed;
+  FitnessReport report;
+  Us reportedUs = -1;
+  std::uint32_t liveInFlight = 0;
+  std::uint32_t lotInFlight = 0;
+  std::uint32_t inFlightAtReport = 0;
+  std::uint32_t window = 1;  // grows as it answers, halves when it refuses
+  Us mutedUntilUs = 0;       // after a failed channel
+  std::uint64_t answered = 0, refused = 0, broken = 0, sent = 0;
+  std::uint32_t inFlight() const { return liveInFlight + lotInFlight; }
+  bool cold() const { return report.bear < report.slots; }
+};
+
+struct NominateWish {
+  std::string pool;
+  std::string adapter;
+  std::uint64_t spot = 0;
+  bool lot = false;
+  absl::flat_hash_set<Address> passedOver;
+};
+
+struct BoardPlan {
+  std::string zone;
+  Address self;
+  Us staleUs = 1500 * kMilliUs;  // a worker that has not reported for so long gets nothing new
+  Us muteUs = 500 * kMilliUs;
+};
+
+class WorkerBoard {
+ public:
+  WorkerBoard(const Clock& clock, const ControlState& control, BoardPlan plan)
+      : clock_(clock), control_(control), plan_(std::move(plan)) {}
+  void relist();  // after news from control
+  void report(const Address& worker, FitnessReport report);
+  void setNodes(std::vector<Address> nodes);
+  std::optional<Address> nominate(const NominateWish& wish) const;
+  bool usable(const WorkerSight& sight) const;
+  bool hasRoom(const WorkerSight& sight, bool lot) const;
+  bool listed(const Address& worker) const;
+  void take(const Address& worker, bool lot);
+  enum class Ending : std::uint8_t { kSealed, kRefused, kBroken, kUnsent, kLeft };
+  void giveBack(const Address& worker, bool lot, Ending ending);
+  const absl::btree_map<Address, WorkerSight>& sights() const { return sights_; }
+  sigc::signal<void()> roomMade;
+
+ private:
+  std::uint32_t allowance(const WorkerSight& sight) const;
+  const Clock& clock_;
+  const ControlState& control_;
+  BoardPlan plan_;
+  absl::btree_map<Address, WorkerSight> sights_;
+  absl::btree_map<std::string, Ring> rings_;  // by pool
+  std::vector<Address> nodes_;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/mallet/mallet.h
@@ -0,0 +1,73 @@
+// Duties that one process does: won by a round of ballots each time one falls vacant (design.md 6.9).
+#pragma once
+
+#include "anvil/view.h"
+#include "vise/desk.h"
+
+namespace stonemount {
+
+struct DutyBallot {
+  static constexpr std::uint16_t kKind = 50;
+  std::string duty;
+  std::uint64_t term = 0;
+  Address candidate;
+  STONEMOUNT_PACK(duty, term, candidate)
+};
+struct DutyBeat {
+  static constexpr std::uint16_t kKind = 51;
+  std::string duty;
+  std::uint64_t term = 0;
+  Address holder;
+  STONEMOUNT_PACK(duty, term, holder)
+};
+struct DutyNod {
+  bool granted = false;
+  std::uint64_t incarnation = 0;
+  std::uint64_t term = 0;
+  STONEMOUNT_PACK(granted, incarnation, term)
+};
+
+struct MalletPlan {
+  Us beatUs = 200 * kMilliUs;
+  Us vacantUs = 900 * kMilliUs;   // no beat for so long: the duty is vacant
+  Us standDownUs = 800 * kMilliUs;  // a holder that no majority nods to lets go
+};
+
+// Two holders for a moment do no harm: what a duty writes is fenced where it is written.
+class Mallet {
+ public:
+  Mallet(Ports& ports, Desk& desk, TaskRoom& room, MalletPlan plan);
+  void begin(const std::vector<std::string>& duties);
+  void setElectors(std::vector<Seat> electors, std::uint64_t incarnation);
+  void setReluctant(bool reluctant) { reluctant_ = reluctant; }  // in an evacuated zone
+  bool holds(const std::string& duty) const;
+  Address holder(const std::string& duty) const;
+
+ private:
+  struct Duty {
+    std::uint64_t term = 0;
+    std::uint64_t voted = 0;
+    Address holder;
+    Us heardUs = -1;
+    bool mine = false;
+    Us noddedUs = 0;
+  };
+  Task keep(std::string name);
+  Job<Done> beat(std::string name);
+  Job<Done> contend(std::string name);
+  void take(const std::string& name, Duty& duty, std::uint64_t term);
+  void letGo(const std::string& name, Duty& duty);
+  void onBallot(const Asked& asked);
+  void onBeat(const Asked& asked);
+  bool vacant(const Duty& duty) const;
+  Ports& ports_;
+  Desk& desk_;
+  TaskRoom& room_;
+  MalletPlan plan_;
+  std::vector<Seat> electors_;
+  std::uint64_t incarnation_ = 0;
+  bool reluctant_ = false;
+  absl::btree_map<std::string, Duty> duties_;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,121 @@
+#include "node/node.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+namespace stonemount {
+
+Node::Node(Ports& ports, Settings settings, NodePlan plan)
+    : ports_(ports), settings_(std::move(settings)), desk_(ports.alarms, ports.wire, ports.chance),
+      shim_(ports, desk_, room_, plan.shim), core_(ports, desk_, {}), store_(ports, desk_, {}),
+      almanac_(ports, desk_, room_, core_, shim_),
+      board_(ports.clock, almanac_.state(), {settings_.zone, settings_.wire}), fitness_(ports, room_, board_),
+      lathe_(ports, room_, board_, almanac_.state(), plan.lathe, hexText(ports.chance.next())),
+      scheduler_(ports, desk_, room_, store_, board_, almanac_.state(), shim_, settings_.zone, plan.scheduler) {}
+
+Node::~Node() {
+  asked_.disconnect();
+  room_.clear();
+}
+
+void Node::begin() {
+  Card card;
+  card.http = settings_.http;
+  card.role = Role::kNode;
+  card.zone = settings_.zone;
+  shim_.met.connect(sigc::mem_fun(*this, &Node::onMet));
+  almanac_.news.connect(sigc::mem_fun(*this, &Node::onNews));
+  shim_.begin(card);
+  almanac_.begin();
+  lathe_.begin();
+  scheduler_.begin();
+  room_.start(keepNodes());
+  asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Node::onAsked));
+}
+
+void Node::drain() {
+  draining_ = true;
+  shim_.self().draining = true;
+  lathe_.drain();
+  scheduler_.drain();
+}
+
+void Node::onMet(const Card& card) {
+  if (card.role == Role::kCore) core_.learnMember(card.wire);
+  if (card.role == Role::kStore) store_.learnMember(card.wire);
+}
+
+void Node::onNews() {
+  board_.relist();
+  fitness_.relist();
+}
+
+Task Node::keepNodes() {
+  while (true) {
+    std::vector<Address> nodes;
+    for (const Card& card : shim_.alive(Role::kNode)) nodes.push_back(card.wire);
+    board_.setNodes(std::move(nodes));
+    Pause pause(ports_.alarms, 200 * kMilliUs);
+    co_await pause;
+  }
+}
+
+void Node::methodRefused(HttpReply& reply, const char* allowed) {
+  HeaderMap headers{{"allow", allowed}};
+  JsonOut out;
+  out.object().field("verdict", "wrong_method").field("allowed", allowed).closeObject();
+  reply.whole(405, headers, out.take() + "\n");
+}
+
+void Node::onAsked(const HttpAsk& ask, ReplyPtr reply) {
+  const Parts parts = absl::StrSplit(ask.path, '/', absl::SkipEmpty());
+  if (!parts.empty() && parts[0] == "v1") return frontCaller(ask, parts, reply);
+  if (!parts.empty() && parts[0] == "op") return frontOperator(ask, parts, reply);
+  if (ask.path == "/metrics") return showMetrics(reply);
+  sendVerdict(*reply, 404, "unknown_path", {{"path", ask.path}});
+}
+
+Job<ChainAnswer> Node::askCore(ControlQuery query) {
+  Job<ChainAnswer> asking = core_.read(pack(query), 0, 3 * kSecondUs);
+  ChainAnswer answer = co_await asking;
+  co_return answer;
+}
+
+void Node::chainFailed(HttpReply& reply, const ChainFailure& failure, bool command) {
+  // A command whose fate is not known may be sent again: it is applied once (design.md 6.8).
+  const bool unsure = command && failure.trouble == ChainTrouble::kUnreachable;
+  sendVerdict(reply, 503, "control_unreachable",
+              {{"why", troubleText(failure.trouble)}, {"taken", unsure ? "unknown" : "no"}}, 1);
+}
+
+Job<std::optional<ControlVerdict>> Node::commandCore(ControlCommand command, ReplyPtr reply) {
+  Job<ChainAnswer> sending = core_.submit(pack(command), 4 * kSecondUs);
+  ChainAnswer answer = co_await sending;
+  if (auto* failure = std::get_if<ChainFailure>(&answer)) {
+    chainFailed(*reply, *failure, true);
+    co_return std::nullopt;
+  }
+  auto read = unpack<ControlVerdict>(std::get<Bytes>(answer));
+  if (std::holds_alternative<BadBytes>(read)) {
+    sendVerdict(*reply, 503, "control_unreadable", {}, 1);
+    co_return std::nullopt;
+  }
+  co_return std::get<ControlVerdict>(read);
+}
+
+Job<std::optional<StoreVerdict>> Node::commandStore(StoreCommand command, ReplyPtr reply) {
+  Job<ChainAnswer> sending = store_.submit(pack(command), 4 * kSecondUs);
+  ChainAnswer answer = co_await sending;
+  if (auto* failure = std::get_if<ChainFailure>(&answer)) {
+    chainFailed(*reply, *failure, true);
+    co_return std::nullopt;
+  }
+  auto read = unpack<StoreVerdict>(std::get<Bytes>(answer));
+  if (std::holds_alternative<BadBytes>(read)) {
+    sendVerdict(*reply, 503, "store_unreadable", {}, 1);
+    co_return std::nullopt;
+  }
+  co_return std::get<StoreVerdict>(read);
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,86 @@
+// A data-plane node: the HTTP front, live traffic, the scheduler of lots, the operators' desk
+// (design.md 9).
+#pragma once
+
+#include "jig/almanac.h"
+#include "jig/settings.h"
+#include "lathe/fitness.h"
+#include "lathe/lathe.h"
+#include "node/scheduler.h"
+
+namespace stonemount {
+
+struct NodePlan {
+  ShimPlan shim;
+  LathePlan lathe;
+  SchedulerPlan scheduler;
+};
+
+class Node {
+ public:
+  Node(Ports& ports, Settings settings, NodePlan plan);
+  ~Node();
+  void begin();
+  void drain();
+  const Almanac& almanac() const { return almanac_; }
+  const Lathe& lathe() const { return lathe_; }
+  const Scheduler& scheduler() const { return scheduler_; }
+  const WorkerBoard& board() const { return board_; }
+  Shim& shim() { return shim_; }
+
+ private:
+  using Parts = std::vector<std::string>;
+  // front.cc: callers
+  void onAsked(const HttpAsk& ask, ReplyPtr reply);
+  void frontCaller(const HttpAsk& ask, const Parts& parts, ReplyPtr reply);
+  void enterLive(const HttpAsk& ask, RouteKind kind, const std::string& route, ReplyPtr reply);
+  // lots.cc
+  void frontLots(const HttpAsk& ask, const Parts& parts, ReplyPtr reply);
+  Task submitLot(HttpAsk ask, std::string event, ReplyPtr reply);
+  Task showLot(HttpAsk ask, std::string lot, std::string part, ReplyPtr reply);
+  Task endLot(std::string lot, ReplyPtr reply);
+  // operators.cc
+  void frontOperator(const HttpAsk& ask, const Parts& parts, ReplyPtr reply);
+  Task putConfig(HttpAsk ask, bool whole, ReplyPtr reply);
+  Task showConfig(ReplyPtr reply);
+  Task showHistory(ReplyPtr reply);
+  Task returnConfig(HttpAsk ask, ReplyPtr reply);
+  Task setZone(std::string zone, bool evacuated, ReplyPtr reply);
+  Task createEvent(HttpAsk ask, ReplyPtr reply);
+  Task closeEvent(std::string name, ReplyPtr reply);
+  Task showEvents(std::string name, ReplyPtr reply);
+  Task showWorkers(ReplyPtr reply);
+  Task changeVoters(HttpAsk ask, bool core, std::string verb, ReplyPtr reply);
+  // inspect.cc
+  Task showClock(ReplyPtr reply);
+  Task showStatus(ReplyPtr reply);
+  Task showStore(ReplyPtr reply);
+  Task doctor(ReplyPtr reply);
+  void showMetrics(ReplyPtr reply);
+
+  Job<ChainAnswer> askCore(ControlQuery query);
+  Job<std::optional<ControlVerdict>> commandCore(ControlCommand command, ReplyPtr reply);
+  Job<std::optional<StoreVerdict>> commandStore(StoreCommand command, ReplyPtr reply);
+  void chainFailed(HttpReply& reply, const ChainFailure& failure, bool command);
+  void onMet(const Card& card);
+  void onNews();
+  Task keepNodes();
+  void methodRefused(HttpReply& reply, const char* allowed);
+
+  Ports& ports_;
+  Settings settings_;
+  TaskRoom room_;
+  Desk desk_;
+  Shim shim_;
+  ChainClient core_;
+  ChainClient store_;
+  Almanac almanac_;
+  WorkerBoard board_;
+  FitnessWatch fitness_;
+  Lathe lathe_;
+  Scheduler scheduler_;
+  sigc::connection asked_;
+  bool draining_ = false;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/node/peek.cc
@@ -0,0 +1,42 @@
+#include "node/peek.h"
+
+namespace stonemount {
+
+namespace {
+constexpr Us kPeekUs = 500 * kMilliUs;
+
+class PeekPoll : public Poll {
+ public:
+  PeekPoll(Desk& desk, ChainSight& sight) : Poll(desk, Peek::kKind, pack(Peek{}), kPeekUs), sight_(sight) {
+    for (const MemberLine& line : sight.members) add(line.seat.address);
+  }
+
+ protected:
+  void heard(std::size_t partner, const Bytes& body) override {
+    auto read = unpack<Pong>(body);
+    if (auto* pong = std::get_if<Pong>(&read)) sight_.members[partner].pong = std::move(*pong);
+  }
+  bool enough() const override { return false; }
+
+ private:
+  ChainSight& sight_;
+};
+}  // namespace
+
+Job<ChainSight> peekChain(Desk& desk, ChainClient& client) {
+  Job<Done> refreshing = client.refresh();
+  co_await refreshing;
+  ChainSight sight;
+  sight.view = client.view();
+  for (const Seat& seat : sight.view.voters) {
+    MemberLine line;
+    line.seat = seat;
+    line.inChain = holdsSeat(sight.view.chain, seat.address, seat.incarnation);
+    sight.members.push_back(line);
+  }
+  PeekPoll poll(desk, sight);
+  co_await poll;
+  co_return sight;
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/node/peek.h
@@ -0,0 +1,19 @@
+// A look at a chain's members from outside (design.md 11).
+#pragma once
+
+#include "anvil/client.h"
+
+namespace stonemount {
+
+struct MemberLine {
+  Seat seat;
+  bool inChain = false;
+  std::optional<Pong> pong;  // none: silent
+};
+struct ChainSight {
+  View view;
+  std::vector<MemberLine> members;
+};
+Job<ChainSight> peekChain(Desk& desk, ChainClient& client);
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/sawhorse/worker.h
@@ -0,0 +1,64 @@
+// The stand-in worker: a prefix cache, a cold start, silences, and faults on demand
+// (docs/worker-contract.md).
+#pragma once
+
+#include "vise/http_call.h"
+
+namespace stonemount {
+
+struct WorkerPlan {
+  std::string pool = "models";
+  std::string zone;
+  std::uint32_t slots = 4;
+  std::uint32_t coldBear = 2;       // what it bears when cold
+  std::uint32_t warmAfter = 12;     // answers until it is warm
+  std::uint32_t parts = 4;
+  Us partUs = 40 * kMilliUs;
+  Us missUs = 80 * kMilliUs;        // more for a prefix that it has not cached
+  std::size_t cachePrefixes = 64;
+  std::vector<std::string> adapters;
+  Address platform;                 // where it has itself listed, if anywhere
+  std::uint64_t oddsTruncate = 0;   // one in so many; 0: never
+  std::uint64_t oddsSwap = 0;
+  std::uint64_t oddsSilent = 0;
+  Us silentUs = 5 * kSecondUs;
+  std::uint64_t oddsWholeAtEnd = 4;
+};
+
+struct WorkerLedger {
+  std::uint64_t started = 0, finished = 0, refused = 0, coldRefused = 0, cacheHits = 0, cacheMisses = 0;
+  std::vector<std::pair<Us, std::string>> starts;  // when, and which prompt
+};
+
+// What the stand-in answers to a prompt: callers know it, and check it.
+Bytes rehearsedPart(const Bytes& prompt, std::uint32_t number);
+Bytes rehearsedAnswer(const Bytes& prompt, std::uint32_t parts);
+
+class RehearseWorker {
+ public:
+  RehearseWorker(Ports& ports, Address self, WorkerPlan plan, WorkerLedger& ledger);
+  ~RehearseWorker();
+  void begin();
+  void leave() { leaving_ = true; }
+  bool leaving() const { return leaving_; }
+
+ private:
+  void onAsked(const HttpAsk& ask, ReplyPtr reply);
+  void sendFitness(HttpReply& reply) const;
+  std::uint32_t bear() const;
+  Task work(std::string exchange, Bytes prompt, bool lookup, ReplyPtr reply);
+  Task enlist();
+  bool cached(const Bytes& prompt);
+  Ports& ports_;
+  Address self_;
+  WorkerPlan plan_;
+  WorkerLedger& ledger_;
+  TaskRoom room_;
+  sigc::connection asked_;
+  std::uint32_t load_ = 0;
+  std::uint64_t answered_ = 0;
+  bool leaving_ = false;
+  std::deque<std::uint64_t> cache_;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/shim/shim.cc
@@ -0,0 +1,115 @@
+#include "shim/shim.h"
+
+#include <algorithm>
+
+namespace stonemount {
+
+const char* roleText(Role role) {
+  switch (role) {
+    case Role::kCore: return "core";
+    case Role::kStore: return "store";
+    case Role::kNode: return "node";
+    case Role::kOther: return "other";
+  }
+  return "unknown";
+}
+
+Shim::Shim(Ports& ports, Desk& desk, TaskRoom& room, ShimPlan plan)
+    : ports_(ports), desk_(desk), room_(room), plan_(std::move(plan)) {}
+
+void Shim::begin(Card self) {
+  self_ = std::move(self);
+  self_.wire = desk_.self();
+  // Wall time only orders the lives of one process; nothing expires by it.
+  self_.life = static_cast<std::uint64_t>(std::max<Us>(ports_.clock.wallUs(), 1));
+  desk_.serve(Shuffle::kKind, sigc::mem_fun(*this, &Shim::onShuffle));
+  room_.start(shuffle());
+}
+
+bool Shim::isAlive(const Sight& sight) const {
+  return ports_.clock.monoUs() - sight.heardUs <= plan_.silentUs;
+}
+
+std::vector<Card> Shim::alive(Role role) const {
+  std::vector<Card> cards;
+  if (self_.role == role) cards.push_back(self_);
+  for (const auto& [address, sight] : sights_)
+    if (sight.card.role == role && isAlive(sight)) cards.push_back(sight.card);
+  return cards;
+}
+
+std::vector<Card> Shim::hand() {
+  std::vector<Card> cards{self_};
+  std::vector<const Sight*> known;
+  for (const auto& [address, sight] : sights_)
+    if (isAlive(sight)) known.push_back(&sight);
+  for (std::size_t i = 0; i < known.size() && cards.size() < plan_.told; ++i) {
+    std::swap(known[i], known[i + ports_.chance.below(known.size() - i)]);
+    cards.push_back(known[i]->card);
+  }
+  return cards;
+}
+
+void Shim::absorb(const std::vector<Card>& cards) {
+  const Us nowUs = ports_.clock.monoUs();
+  for (const Card& card : cards) {
+    if (card.wire == desk_.self()) {
+      // Our own card from a former life whose clock ran ahead: step past it.
+      if (card.life > self_.life) self_.life = card.life + 1;
+      continue;
+    }
+    auto found = sights_.find(card.wire);
+    const bool newer = found == sights_.end() || card.life > found->second.card.life ||
+                       (card.life == found->second.card.life && card.beat > found->second.card.beat);
+    if (!newer) continue;
+    sights_[card.wire] = {card, nowUs};
+    met.emit(card);
+  }
+  trim();
+}
+
+void Shim::trim() {
+  const Us nowUs = ports_.clock.monoUs();
+  for (auto sight = sights_.begin(); sight != sights_.end();) {
+    if (nowUs - sight->second.heardUs > plan_.forgetUs) sight = sights_.erase(sight);
+    else ++sight;
+  }
+  while (sights_.size() > plan_.most) {
+    auto victim = sights_.begin();
+    std::advance(victim, static_cast<std::ptrdiff_t>(ports_.chance.below(sights_.size())));
+    sights_.erase(victim);
+  }
+}
+
+void Shim::onShuffle(const Asked& asked) {
+  auto message = unpack<Shuffle>(asked.body);
+  if (!std::holds_alternative<Shuffle>(message)) return;
+  desk_.reply(asked, Shuffle{hand()});
+  absorb(std::get<Shuffle>(message).cards);
+}
+
+Address Shim::nominatePartner() {
+  std::vector<Address> partners;
+  for (const auto& [address, sight] : sights_)
+    if (isAlive(sight)) partners.push_back(address);
+  // Now and then a seed, known or not: two halves that forgot each other meet again there.
+  const bool seed = partners.empty() || ports_.chance.oneIn(8);
+  if (seed && !plan_.seeds.empty()) return plan_.seeds[ports_.chance.below(plan_.seeds.size())];
+  return partners.empty() ? Address() : partners[ports_.chance.below(partners.size())];
+}
+
+Task Shim::shuffle() {
+  while (true) {
+    ++self_.beat;
+    const Address partner = nominatePartner();
+    if (partner.set() && partner != desk_.self()) {
+      Job<std::variant<Shuffle, PartnerSilent>> job = ask<Shuffle>(desk_, partner, Shuffle{hand()}, plan_.shuffleUs);
+      std::variant<Shuffle, PartnerSilent> verdict = co_await job;
+      if (auto* shuffled = std::get_if<Shuffle>(&verdict)) absorb(shuffled->cards);
+    }
+    Pause pause(ports_.alarms, plan_.shuffleUs + static_cast<Us>(ports_.chance.below(50)) * kMilliUs);
+    co_await pause;
+  }
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/shim/shim.h
@@ -0,0 +1,66 @@
+// How processes know each other: partial views, shuffled between partners (design.md 4).
+#pragma once
+
+#include "vise/desk.h"
+
+namespace stonemount {
+
+enum class Role : std::uint8_t { kCore, kStore, kNode, kOther };
+const char* roleText(Role role);
+
+struct Card {  // what a process says of itself
+  Address wire;
+  Address http;
+  Role role = Role::kOther;
+  std::string zone;
+  std::uint64_t life = 0;  // grows with each start
+  std::uint64_t beat = 0;  // grows while it runs
+  Revision control = 0;    // the newest control revision that it has
+  bool draining = false;
+  STONEMOUNT_PACK(wire, http, role, zone, life, beat, control, draining)
+};
+struct Shuffle {
+  static constexpr std::uint16_t kKind = 60;
+  std::vector<Card> cards;  // the sender's own first
+  STONEMOUNT_PACK(cards)
+};
+
+struct ShimPlan {
+  std::vector<Address> seeds;
+  Us shuffleUs = 250 * kMilliUs;
+  Us silentUs = 2500 * kMilliUs;  // no newer beat: not counted as alive
+  Us forgetUs = 30 * kSecondUs;
+  std::size_t most = 64;
+  std::size_t told = 16;
+};
+
+class Shim {
+ public:
+  Shim(Ports& ports, Desk& desk, TaskRoom& room, ShimPlan plan);
+  void begin(Card self);
+  Card& self() { return self_; }
+  struct Sight {
+    Card card;
+    Us heardUs = 0;  // when its beat last moved
+  };
+  std::vector<Card> alive(Role role) const;
+  const absl::btree_map<Address, Sight>& sights() const { return sights_; }
+  bool isAlive(const Sight& sight) const;
+  sigc::signal<void(const Card&)> met;  // a newer card
+
+ private:
+  Task shuffle();
+  std::vector<Card> hand();
+  void absorb(const std::vector<Card>& cards);
+  void onShuffle(const Asked& asked);
+  Address nominatePartner();
+  void trim();
+  Ports& ports_;
+  Desk& desk_;
+  TaskRoom& room_;
+  ShimPlan plan_;
+  Card self_;
+  absl::btree_map<Address, Sight> sights_;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/store/store.h
@@ -0,0 +1,33 @@
+// A store process: a member of the store chain (design.md 2).
+#pragma once
+
+#include "anvil/member.h"
+#include "jig/settings.h"
+#include "shim/shim.h"
+#include "store/store_machine.h"
+
+namespace stonemount {
+
+class Store {
+ public:
+  Store(Ports& ports, Settings settings, ShimPlan shim, StorePlan plan);
+  ~Store();
+  void begin();
+  const Member& member() const { return member_; }
+  const StoreMachine& machine() const { return machine_; }
+
+ private:
+  void onMet(const Card& card);
+  void onSession(const Asked& asked);
+  void onAsked(const HttpAsk& ask, ReplyPtr reply);
+  Ports& ports_;
+  Settings settings_;
+  TaskRoom room_;
+  Desk desk_;
+  Shim shim_;
+  StoreMachine machine_;
+  Member member_;
+  sigc::connection asked_;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/store/store_machine.cc
@@ -0,0 +1,108 @@
+#include "store/store_machine.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace stonemount {
+
+namespace {
+constexpr std::uint8_t kStateFormat = 1;
+struct SavedOut {
+  const StoreState& state;
+  template <class Archive>
+  void save(Archive& archive) const {
+    archive(kStateFormat, state);
+  }
+};
+struct SavedIn {
+  std::uint8_t format = 0;
+  StoreState state;
+  STONEMOUNT_PACK(format, state)
+};
+}  // namespace
+
+// What the head knows and no other member can: its clocks, and whether the sampler's session lives.
+StampVerdict StoreMachine::stamp(const Bytes& bytes, const HeadSight& sight) {
+  auto read = unpack<StoreCommand>(bytes);
+  auto* command = std::get_if<StoreCommand>(&read);
+  if (command == nullptr) return StampRefused{pack(StoreVerdict{StoreOutcome::kUnreadable})};
+  const bool live = sessions_.live(state_.cut.session, sight);
+  if (auto* grant = std::get_if<GrantRuns>(command)) {
+    if (!certain(live)) return StampRefused{pack(StoreVerdict{StoreOutcome::kUncertain})};
+    grant->certainHere = live;
+  } else if (auto* seal = std::get_if<SealRuns>(command)) {
+    seal->certainHere = live;
+  } else if (auto* drop = std::get_if<DropRuns>(command)) {
+    drop->certainHere = live;
+  } else if (auto* sweep = std::get_if<Sweep>(command)) {
+    sweep->certainHere = live;
+    sweep->wallUs = sight.wallUs;
+  } else if (auto* event = std::get_if<CreateEvent>(command)) {
+    event->wallUs = live && certain(live) && state_.cut.wallAgreed ? sight.wallUs : 0;
+  } else if (auto* lot = std::get_if<SubmitLot>(command)) {
+    lot->wallUs = live && state_.cut.wallAgreed ? sight.wallUs : 0;
+  } else if (auto* lock = std::get_if<LockWish>(command)) {
+    if (!sessions_.stampLock(*lock, sight)) return StampRefused{pack(StoreVerdict{StoreOutcome::kLost})};
+  } else if (auto* proposal = std::get_if<CutProposal>(command)) {
+    if (!sessions_.stampProposal(*proposal, sight)) return StampRefused{pack(StoreVerdict{StoreOutcome::kLost})};
+  }
+  return Stamped{pack(*command)};
+}
+
+Bytes StoreMachine::apply(const Bytes& bytes) {
+  auto read = unpack<StoreCommand>(bytes);
+  auto* command = std::get_if<StoreCommand>(&read);
+  if (command == nullptr) return pack(StoreVerdict{StoreOutcome::kUnreadable});
+  StoreVerdict verdict;
+  if (auto* create = std::get_if<CreateEvent>(command)) verdict = run(*create);
+  else if (auto* close = std::get_if<CloseEvent>(command)) verdict = run(*close);
+  else if (auto* submit = std::get_if<SubmitLot>(command)) verdict = run(*submit);
+  else if (auto* end = std::get_if<EndLot>(command)) verdict = run(*end);
+  else if (auto* grant = std::get_if<GrantRuns>(command)) verdict = run(*grant);
+  else if (auto* renew = std::get_if<RenewRuns>(command)) verdict = run(*renew);
+  else if (auto* seal = std::get_if<SealRuns>(command)) verdict = run(*seal);
+  else if (auto* drop = std::get_if<DropRuns>(command)) verdict = run(*drop);
+  else if (auto* sweep = std::get_if<Sweep>(command)) verdict = run(*sweep);
+  else if (auto* lock = std::get_if<LockWish>(command)) verdict = run(*lock);
+  else if (auto* proposal = std::get_if<CutProposal>(command)) verdict = run(*proposal);
+  else verdict = run(std::get<DoubtCut>(*command));
+  return pack(verdict);
+}
+
+// Nothing here could expire, so the cut may start at wall time (design.md 8.4).
+bool StoreMachine::nothingHeld() const {
+  return state_.events.empty() && state_.lots.empty() && state_.tombstones.empty() && state_.charged.empty();
+}
+
+StoreVerdict StoreMachine::run(const LockWish& command) {
+  state_.cut.takeLock(command, nothingHeld());
+  ++state_.workVersion;
+  StoreVerdict verdict;
+  verdict.epoch = state_.cut.epoch;
+  return verdict;
+}
+
+StoreVerdict StoreMachine::run(const CutProposal& command) {
+  const bool before = state_.cut.certain;
+  StoreVerdict verdict;
+  if (!state_.cut.propose(command, plan_.gauge, nothingHeld())) verdict.outcome = StoreOutcome::kLost;
+  verdict.epoch = state_.cut.epoch;
+  if (before != state_.cut.certain) ++state_.workVersion;
+  return verdict;
+}
+
+StoreVerdict StoreMachine::run(const DoubtCut& command) {
+  if (command.epoch == state_.cut.epoch) state_.cut.doubtBecause(Doubt::kSessionLost);
+  return {};
+}
+
+Bytes StoreMachine::save() const { return pack(SavedOut{state_}); }
+
+bool StoreMachine::load(const Bytes& bytes) {
+  auto read = unpack<SavedIn>(bytes);
+  auto* saved = std::get_if<SavedIn>(&read);
+  if (saved == nullptr || saved->format != kStateFormat) return false;
+  state_ = std::move(saved->state);
+  return true;
+}
+
+}  // namespace stonemount
