--- a/src/bellows/http_out.cc
+++ b/src/bellows/http_out.cc
@@ -12,9 +12,19 @@
 namespace {
 constexpr int kIdleSeconds = 900;  // a silent worker is no dead worker; limits are the lathe's
 
+constexpr Us kConnectUs = kSecondUs;  // not connected by then: nothing was sent, nothing will be
+
 // Pieces are handed on through the alarm port, never from within evhttp's own call.
 class FlowEv : public HttpFlow, public Continuation {
  public:
+  class ConnectLimit : public Continuation {
+   public:
+    explicit ConnectLimit(FlowEv& flow) : flow_(flow) {}
+    void proceed() override { flow_.connectLapsed(); }
+
+   private:
+    FlowEv& flow_;
+  };
   FlowEv(Loop& loop, const Address& server, const HttpAsk& ask) : loop_(loop) {
     bufferevent* channel = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     watch_ = evbuffer_add_cb(bufferevent_get_output(channel), &FlowEv::onOutput, this);
@@ -49,12 +59,12 @@
       request_ = nullptr;
       put(HttpBroken{true});
     }
+    loop_.arm(kConnectUs, connectLimit_);
   }
   ~FlowEv() override {
     loop_.disarm(*this);
-    if (connection_ == nullptr) return;
-    if (watch_ != nullptr) evbuffer_remove_cb_entry(output_, watch_);
-    evhttp_connection_free(connection_);
+    loop_.disarm(connectLimit_);
+    closeChannel();
   }
   void proceed() override {
     const std::weak_ptr<bool> alive = alive_;
@@ -67,6 +77,16 @@
   }
 
  private:
+  void closeChannel() {
+    if (connection_ == nullptr) return;
+    evbuffer_remove_cb_entry(output_, watch_);
+    evhttp_connection_free(std::exchange(connection_, nullptr));
+  }
+  void connectLapsed() {
+    if (anySent_ || ended_) return;
+    closeChannel();  // first, so that it stays unsent
+    put(HttpBroken{true});
+  }
   void put(HttpPiece next) {
     if (ended_) return;
     ended_ = std::holds_alternative<HttpEnd>(next) || std::holds_alternative<HttpBroken>(next);
@@ -109,6 +129,7 @@
     self.put(HttpEnd{});
   }
   Loop& loop_;
+  ConnectLimit connectLimit_{*this};
   evhttp_connection* connection_ = nullptr;
   evhttp_request* request_ = nullptr;
   evbuffer* output_ = nullptr;
--- /dev/null
+++ b/src/bench/fleet.cc
@@ -0,0 +1,200 @@
+#include "bench/fleet.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace stonemount {
+
+namespace {
+constexpr std::uint32_t kNet = (127u << 24) | (1u << 16);
+constexpr std::size_t kRingFiles = 8;
+constexpr std::size_t kRingFileBytes = 512 << 10;
+
+Address wireOf(std::uint32_t number) { return {kNet + number, 7000}; }
+Address httpOf(std::uint32_t number) { return {kNet + number, 8000}; }
+}  // namespace
+
+FleetShape posilkaShape() {
+  FleetShape shape;
+  shape.name = "posilka";
+  shape.zones = {"brno", "olomouc", "zlin"};
+  return shape;
+}
+
+FleetShape portaviaShape() {
+  FleetShape shape;
+  shape.name = "portavia";
+  shape.zones = {"centrs", "agenskalns", "teika", "imanta"};
+  shape.cores = shape.stores = 4;
+  shape.nodes = 5;
+  shape.models = 8;
+  shape.apps = 4;
+  shape.lotItems = 20;
+  shape.lotEveryUs = 2 * kSecondUs;
+  return shape;
+}
+
+Fleet::Fleet(std::uint64_t seed, FleetShape shape) : world_(seed), shape_(std::move(shape)) {
+  std::vector<Address> cores, stores, nodes;
+  for (std::uint32_t i = 0; i < shape_.cores; ++i) cores.push_back(wireOf(1 + i));
+  for (std::uint32_t i = 0; i < shape_.stores; ++i) stores.push_back(wireOf(21 + i));
+  for (std::uint32_t i = 0; i < shape_.nodes; ++i) nodes.push_back(httpOf(41 + i));
+  const std::size_t zones = shape_.zones.size();
+  platform_ = &add(PartKind::kPlatform, "platform", shape_.zones[0], 200);
+  for (std::uint32_t i = 0; i < shape_.cores; ++i) {
+    Part& part = add(PartKind::kCore, absl::StrCat("core-", i + 1), shape_.zones[i % zones], 1 + i);
+    part.settings.founders = cores;
+  }
+  for (std::uint32_t i = 0; i < shape_.stores; ++i) {
+    Part& part = add(PartKind::kStore, absl::StrCat("store-", i + 1), shape_.zones[i % zones], 21 + i);
+    part.settings.founders = stores;
+  }
+  for (std::uint32_t i = 0; i < shape_.nodes; ++i)
+    add(PartKind::kNode, absl::StrCat("node-", i + 1), shape_.zones[i % zones], 41 + i);
+  for (std::uint32_t i = 0; i < shape_.models + shape_.apps; ++i) {
+    Part& part = add(PartKind::kWorker, absl::StrCat("worker-", i + 1), shape_.zones[i % zones], 100 + i);
+    part.workerPlan.zone = part.host->zone();
+    if (i < shape_.models) continue;
+    part.workerPlan.pool = "apps";
+    part.workerPlan.slots = 16;
+    part.workerPlan.coldBear = 4;
+  }
+  for (std::uint32_t i = 0; i < zones; ++i) {
+    Part& part = add(PartKind::kCaller, absl::StrCat("caller-", i + 1), shape_.zones[i], 220 + i);
+    part.callerPlan.name = part.host->name();
+    part.callerPlan.nodes = nodes;
+    part.callerPlan.event = "night";
+    part.callerPlan.lookupEveryUs = shape_.lookupEveryUs;
+    part.callerPlan.streamEveryUs = shape_.streamEveryUs;
+    part.callerPlan.wholeEveryUs = shape_.wholeEveryUs;
+    part.callerPlan.lotEveryUs = shape_.lotEveryUs;
+    part.callerPlan.lots = shape_.lots;
+    part.callerPlan.lotItems = shape_.lotItems;
+    part.callerPlan.lotPatienceUs = 300 * kSecondUs;
+  }
+  for (Part& part : parts_) {
+    part.settings.seeds = {cores[0], cores[1], stores[0]};
+    part.settings.platform = platform_->host->http();
+  }
+}
+
+Fleet::~Fleet() {
+  for (Part& part : parts_) kill(part, false);
+}
+
+Part& Fleet::add(PartKind kind, const std::string& name, const std::string& zone, std::uint32_t number) {
+  Part& part = parts_.emplace_back();
+  part.kind = kind;
+  part.host = &world_.addHost(name, zone, wireOf(number), httpOf(number));
+  part.settings.wire = part.host->wire();
+  part.settings.http = part.host->http();
+  part.settings.zone = zone;
+  if (kind == PartKind::kCore || kind == PartKind::kStore)
+    part.host->disk = std::make_unique<SimDisk>(*part.host, kRingFiles, kRingFileBytes);
+  return part;
+}
+
+std::vector<Part*> Fleet::of(PartKind kind) {
+  std::vector<Part*> found;
+  for (Part& part : parts_)
+    if (part.kind == kind) found.push_back(&part);
+  return found;
+}
+
+void Fleet::start(Part& part) {
+  if (part.host->up()) return;
+  part.host->rise();
+  part.ports = std::make_unique<Ports>(part.host->ports());
+  ShimPlan shim;
+  shim.seeds = part.settings.seeds;
+  for (const Address& founder : part.settings.founders)
+    if (founder != part.settings.wire) shim.seeds.push_back(founder);
+  switch (part.kind) {
+    case PartKind::kCore: {
+      CorePlan plan;
+      plan.shim = shim;
+      part.core = std::make_unique<Core>(*part.ports, part.settings, plan);
+      part.core->begin();
+      break;
+    }
+    case PartKind::kStore:
+      part.store = std::make_unique<Store>(*part.ports, part.settings, shim, StorePlan());
+      part.store->begin();
+      break;
+    case PartKind::kNode: {
+      NodePlan plan;
+      plan.shim = shim;
+      part.node = std::make_unique<Node>(*part.ports, part.settings, plan);
+      part.node->begin();
+      break;
+    }
+    case PartKind::kWorker:
+      part.worker = std::make_unique<RehearseWorker>(*part.ports, part.host->http(), part.workerPlan, part.workerLedger);
+      part.worker->begin();
+      break;
+    case PartKind::kPlatform:
+      part.platform = std::make_unique<RehearsePlatform>(*part.ports);
+      part.platform->begin();
+      for (Part* worker : of(PartKind::kWorker)) {
+        ListedWorker listed;
+        listed.address = worker->host->http();
+        listed.pool = worker->workerPlan.pool;
+        listed.zone = worker->workerPlan.zone;
+        listed.slots = worker->workerPlan.slots;
+        listed.leaving = worker->leftUs >= 0;
+        part.platform->put(listed);
+      }
+      break;
+    case PartKind::kCaller:
+      part.caller = std::make_unique<RehearseCaller>(*part.ports, part.callerPlan, part.callerLedger);
+      break;
+  }
+}
+
+void Fleet::kill(Part& part, bool power) {
+  if (!part.host->up()) return;
+  part.core.reset();
+  part.store.reset();
+  part.node.reset();
+  part.worker.reset();
+  part.platform.reset();
+  part.caller.reset();
+  part.ports.reset();
+  part.seenControl = 0;
+  part.host->fall();
+  if (part.host->disk != nullptr) part.host->disk->losePower(power ? world_.chance() : part.host->chance);
+}
+
+bool Fleet::ready() {
+  for (Part* part : of(PartKind::kNode))
+    if (part->host->up() && (!part->node->almanac().ready() || part->node->board().sights().empty())) return false;
+  bool certain = false;
+  for (Part* part : of(PartKind::kCore))
+    if (!part->core || !part->core->member().active()) return false;
+  for (Part* part : of(PartKind::kStore)) {
+    if (!part->store || !part->store->member().active()) return false;
+    certain |= part->store->member().tail() && part->store->machine().state().cut.certain;
+  }
+  return certain;
+}
+
+bool Fleet::runUntilReady(Us limitUs) {
+  const Us untilUs = world_.nowUs() + limitUs;
+  while (world_.nowUs() < untilUs && !ready()) run(50 * kMilliUs);
+  return ready();
+}
+
+void Fleet::startCallers() {
+  for (Part* part : of(PartKind::kCaller)) part->caller->begin();
+}
+
+void Fleet::stopCallers() {
+  for (Part* part : of(PartKind::kCaller)) part->caller->stop();
+}
+
+bool Fleet::callersDone() {
+  for (Part* part : of(PartKind::kCaller))
+    if (part->caller->open() > 0) return false;
+  return true;
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/bench/fleet.h
@@ -0,0 +1,77 @@
+// A whole fleet in one process: the real tasks on simulated machines (design.md 13).
+#pragma once
+
+#include "bench/world.h"
+#include "core/core.h"
+#include "node/node.h"
+#include "sawhorse/caller.h"
+#include "sawhorse/platform.h"
+#include "sawhorse/worker.h"
+#include "store/store.h"
+
+namespace stonemount {
+
+struct FleetShape {
+  std::string name;
+  std::vector<std::string> zones;
+  std::size_t cores = 3, stores = 3, nodes = 6, models = 6, apps = 3;
+  Us lookupEveryUs = 100 * kMilliUs;  // by each zone's callers
+  Us streamEveryUs = 300 * kMilliUs;
+  Us wholeEveryUs = 400 * kMilliUs;
+  std::uint32_t lots = 6;
+  std::uint32_t lotItems = 30;
+  Us lotEveryUs = 3 * kSecondUs;
+};
+FleetShape posilkaShape();
+FleetShape portaviaShape();
+
+enum class PartKind : std::uint8_t { kCore, kStore, kNode, kWorker, kPlatform, kCaller };
+
+struct Part {
+  PartKind kind;
+  SimHost* host = nullptr;
+  Settings settings;
+  WorkerPlan workerPlan;
+  WorkerLedger workerLedger;
+  CallerPlan callerPlan;
+  CallerLedger callerLedger;
+  std::unique_ptr<Ports> ports;  // outlives the process that uses them
+  std::unique_ptr<Core> core;
+  std::unique_ptr<Store> store;
+  std::unique_ptr<Node> node;
+  std::unique_ptr<RehearseWorker> worker;
+  std::unique_ptr<RehearsePlatform> platform;
+  std::unique_ptr<RehearseCaller> caller;
+  Us leftUs = -1;        // a worker: since when the platform lists it as leaving
+  Us troubledUs = 0;     // until when it was cut, frozen or down
+  Revision seenControl = 0;
+};
+
+class Fleet {
+ public:
+  Fleet(std::uint64_t seed, FleetShape shape);
+  ~Fleet();
+  World& world() { return world_; }
+  const FleetShape& shape() const { return shape_; }
+  std::deque<Part>& parts() { return parts_; }
+  std::vector<Part*> of(PartKind kind);
+  void start(Part& part);
+  void kill(Part& part, bool power);
+  void run(Us lengthUs) { world_.runUntil(world_.nowUs() + lengthUs); }
+  bool ready();  // every node has configuration, both chains are whole, the cut is certain
+  bool runUntilReady(Us limitUs);
+  void startCallers();
+  void stopCallers();
+  bool callersDone();
+  Part& platform() { return *platform_; }
+  void troubled(Part& part, Us untilUs) { part.troubledUs = std::max(part.troubledUs, untilUs); }
+
+ private:
+  Part& add(PartKind kind, const std::string& name, const std::string& zone, std::uint32_t number);
+  World world_;
+  FleetShape shape_;
+  std::deque<Part> parts_;
+  Part* platform_ = nullptr;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/bench/operators.cc
@@ -0,0 +1,116 @@
+#include "bench/operators.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace stonemount {
+
+namespace {
+constexpr std::size_t kExtraRoutes = 40;
+
+void usualRoutes(JsonOut& out) {
+  out.object().field("name", "digest").field("kind", "stream").field("pool", "models").closeObject();
+  out.object().field("name", "review").field("kind", "whole").field("pool", "models").field("lots", true).closeObject();
+  out.object().field("name", "card").field("kind", "lookup").field("pool", "apps").field("limitUs", 5000000).closeObject();
+}
+}  // namespace
+
+SimOperator::SimOperator(Fleet& fleet, SimHost& host, OperatorLedger& ledger)
+    : fleet_(fleet), host_(host), ports_(host.ports()), ledger_(ledger) {}
+
+Job<HttpVerdict> SimOperator::ask(std::string method, std::string path, Bytes body, Us limitUs) {
+  HttpAsk wish;
+  wish.method = std::move(method);
+  wish.path = std::move(path);
+  wish.body = std::move(body);
+  const std::vector<Part*> nodes = fleet_.of(PartKind::kNode);
+  const Address node = nodes[ports_.chance.below(nodes.size())]->host->http();
+  HttpCall call(ports_, node, wish, limitUs);
+  HttpVerdict verdict = co_await call;
+  auto* whole = std::get_if<HttpWhole>(&verdict);
+  lastStatus = whole != nullptr ? whole->status : 0;
+  co_return verdict;
+}
+
+void SimOperator::pushRoutes(bool first) { room_.start(push(first)); }
+void SimOperator::createEvent(const std::string& name, Us openForUs) { room_.start(event(name, openForUs)); }
+void SimOperator::setZone(const std::string& name, bool evacuated) { room_.start(zone(name, evacuated)); }
+void SimOperator::endLot(const std::string& lot) { room_.start(end(lot)); }
+void SimOperator::changeVoters(const std::string& path, const Address& add, const Address& remove) {
+  room_.start(voters(path, add, remove));
+}
+
+Task SimOperator::push(bool first) {
+  Revision base = 0;
+  if (!first) {
+    Job<HttpVerdict> showing = ask("GET", "/op/config", "", 5 * kSecondUs);
+    const HttpVerdict shown = co_await showing;
+    auto* whole = std::get_if<HttpWhole>(&shown);
+    if (whole == nullptr || whole->status != 200) co_return;
+    JsonVerdict read = parseJson(whole->body);
+    if (auto* document = std::get_if<JsonDocument>(&read)) base = static_cast<Revision>(jsonNumber(*document, "base"));
+  }
+  ++ledger_.pushes;
+  JsonOut out;
+  out.object().field("base", base).key("routes").array();
+  if (first) usualRoutes(out);
+  for (std::size_t i = 0; i < (first ? kExtraRoutes : 5); ++i) {
+    out.object().field("name", absl::StrCat("extra-", ports_.chance.below(kExtraRoutes))).field("kind", "lookup");
+    out.field("pool", "apps").field("limitUs", 1000000 + static_cast<Us>(ports_.chance.below(1000))).closeObject();
+    if (first) break;
+  }
+  out.closeArray().closeObject();
+  // Two of one name in a patch would be refused; that is as good a push as any.
+  Job<HttpVerdict> pushing = ask(first ? "PUT" : "PATCH", "/op/config", out.take(), 6 * kSecondUs);
+  const HttpVerdict verdict = co_await pushing;
+  auto* whole = std::get_if<HttpWhole>(&verdict);
+  if (whole == nullptr || whole->status >= 500) ++ledger_.unsure;
+  else if (whole->status == 409) ++ledger_.conflicts;
+  else if (whole->status != 200) ++ledger_.refused;
+  else {
+    JsonVerdict read = parseJson(whole->body);
+    if (auto* document = std::get_if<JsonDocument>(&read))
+      ledger_.configAcked.emplace(static_cast<Revision>(jsonNumber(*document, "config")), fleet_.world().nowUs());
+  }
+}
+
+Task SimOperator::event(std::string name, Us openForUs) {
+  JsonOut out;
+  const Us startUs = ports_.clock.wallUs() - kSecondUs;
+  out.object().field("name", name).field("startUs", startUs).field("closeUs", startUs + openForUs).closeObject();
+  const Bytes body = out.take();
+  for (int i = 0; i < 20; ++i) {
+    Job<HttpVerdict> asking = ask("POST", "/op/events", body, 5 * kSecondUs);
+    const HttpVerdict verdict = co_await asking;
+    auto* whole = std::get_if<HttpWhole>(&verdict);
+    if (whole != nullptr && whole->status < 300) co_return;
+    Pause pause(ports_.alarms, 300 * kMilliUs);
+    co_await pause;
+  }
+}
+
+Task SimOperator::zone(std::string name, bool evacuated) {
+  Job<HttpVerdict> asking = ask("POST", "/op/zones/" + name + (evacuated ? "/evacuate" : "/restore"), "", 6 * kSecondUs);
+  if (!evacuated) ledger_.zoneEvacuated.erase(name);  // from the asking on it may be restored
+  const HttpVerdict verdict = co_await asking;
+  auto* whole = std::get_if<HttpWhole>(&verdict);
+  if (whole != nullptr && whole->status == 200 && evacuated) ledger_.zoneEvacuated[name] = fleet_.world().nowUs();
+}
+
+Task SimOperator::end(std::string lot) {
+  Job<HttpVerdict> asking = ask("POST", "/v1/lots/" + lot + "/end", "", 6 * kSecondUs);
+  const HttpVerdict verdict = co_await asking;
+  auto* whole = std::get_if<HttpWhole>(&verdict);
+  if (whole != nullptr && whole->status == 200) ledger_.lotEnded[lot] = fleet_.world().nowUs();
+}
+
+Task SimOperator::voters(std::string path, Address add, Address remove) {
+  JsonOut out;
+  out.object();
+  if (add.set()) out.field("add", addressText(add));
+  if (remove.set()) out.field("remove", addressText(remove));
+  out.closeObject();
+  Job<HttpVerdict> asking = ask("POST", path, out.take(), 12 * kSecondUs);
+  co_await asking;
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/bench/operators.h
@@ -0,0 +1,42 @@
+// Simulated operators: they push, evacuate and end, race each other, and remember what they were told.
+#pragma once
+
+#include "bench/fleet.h"
+
+namespace stonemount {
+
+struct OperatorLedger {
+  std::map<Revision, Us> configAcked;          // when each was first acknowledged
+  std::uint64_t pushes = 0, conflicts = 0, unsure = 0, refused = 0;
+  std::map<std::string, Us> zoneEvacuated;     // since when, where acknowledged
+  std::map<std::string, Us> lotEnded;
+};
+
+class SimOperator {
+ public:
+  SimOperator(Fleet& fleet, SimHost& host, OperatorLedger& ledger);
+  ~SimOperator() { room_.clear(); }
+  void pushRoutes(bool first);   // the usual routes, and some that change each time
+  void createEvent(const std::string& name, Us openForUs);
+  void setZone(const std::string& zone, bool evacuated);
+  void endLot(const std::string& lot);
+  void changeVoters(const std::string& path, const Address& add, const Address& remove);
+  bool idle() const { return room_.size() == 0; }
+  int lastStatus = 0;
+
+ private:
+  Task push(bool first);
+  Task event(std::string name, Us openForUs);
+  Task zone(std::string name, bool evacuated);
+  Task end(std::string lot);
+  Task voters(std::string path, Address add, Address remove);
+  Job<HttpVerdict> ask(std::string method, std::string path, Bytes body, Us limitUs);
+  Fleet& fleet_;
+  SimHost& host_;
+  Ports ports_;
+  OperatorLedger& ledger_;
+  TaskRoom room_;
+  std::uint64_t last_ = 0;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/bench/world.cc
@@ -0,0 +1,170 @@
+#include "bench/world.h"
+
+#include <algorithm>
+#include <cstdio>
+
+#include "bench/sim_http.h"
+
+namespace stonemount {
+
+namespace {
+constexpr Us kStartWallUs = 1'700'000'000LL * kSecondUs;
+
+class FrameEvent : public SimEvent {
+ public:
+  FrameEvent(World& world, SimHost& from, SimHost& to, Bytes frame)
+      : world_(world), from_(from), to_(to), frame_(std::move(frame)) {}
+  void happen() override {
+    if (!world_.cut(from_, to_)) {
+      const Bytes frame = std::move(frame_);
+      to_.heard.emit(from_.wire(), frame);
+      return;
+    }
+    // A cut channel drops some frames and holds others back, to come late.
+    if (++held_ > 10 || world_.chance().oneIn(2)) return;
+    auto again = std::make_unique<FrameEvent>(world_, from_, to_, std::move(frame_));
+    again->held_ = held_;
+    world_.schedule(world_.nowUs() + 300 * kMilliUs, &to_, std::move(again));
+  }
+
+ private:
+  World& world_;
+  SimHost& from_;
+  SimHost& to_;
+  Bytes frame_;
+  int held_ = 0;
+};
+}  // namespace
+
+SimHost::SimHost(World& world, std::size_t place, std::string name, std::string zone, Address wire, Address http)
+    : chance(world.chance().next()), world_(world), place_(place), name_(std::move(name)), zone_(std::move(zone)),
+      wire_(wire), http_(http), monoOffsetUs_(static_cast<Us>(1000 + 13 * place) * kSecondUs) {}
+
+SimHost::~SimHost() = default;
+
+Us SimHost::monoUs() const { return world_.nowUs() + monoOffsetUs_; }
+Us SimHost::wallUs() const { return kStartWallUs + world_.nowUs() + wallOffsetUs; }
+bool SimHost::frozen() const { return world_.nowUs() < frozenUntilUs; }
+
+void SimHost::arm(Us delayUs, Continuation& continuation) {
+  STONEMOUNT_INVARIANT(continuation.alarmKey == 0);
+  continuation.alarmDueUs = world_.nowUs() + std::max<Us>(delayUs, 0);
+  continuation.alarmKey = world_.enqueue(continuation.alarmDueUs, *this, continuation);
+}
+
+void SimHost::disarm(Continuation& continuation) {
+  if (continuation.alarmKey == 0) return;
+  world_.dequeue(continuation.alarmDueUs, continuation.alarmKey);
+  continuation.alarmKey = 0;
+}
+
+void SimHost::post(const Address& partner, Bytes frame) {
+  SimHost* to = world_.hostByWire(partner);
+  if (to == nullptr || !to->up()) return;
+  Us atUs = world_.nowUs() + world_.latency(*this, *to);
+  Us& last = world_.lastDelivery_[{place_, to->place()}];
+  last = atUs = std::max(atUs, last);  // a channel keeps its order
+  world_.schedule(atUs, to, std::make_unique<FrameEvent>(world_, *this, *to, std::move(frame)));
+}
+
+std::unique_ptr<HttpFlow> SimHost::open(const Address& server, const HttpAsk& ask) {
+  return openSimFlow(world_, *this, server, ask);
+}
+
+void SimHost::rise() {
+  STONEMOUNT_INVARIANT(!up_);
+  up_ = true;
+  ++life_;
+}
+
+void SimHost::fall() {
+  up_ = false;
+  frozenUntilUs = 0;
+}
+
+World::World(std::uint64_t seed) : chance_(seed) { setLogSink(this); }
+World::~World() { setLogSink(nullptr); }
+
+SimHost& World::addHost(const std::string& name, const std::string& zone, const Address& wire, const Address& http) {
+  hosts_.push_back(std::make_unique<SimHost>(*this, hosts_.size(), name, zone, wire, http));
+  byWire_[wire] = hosts_.back().get();
+  byHttp_[http] = hosts_.back().get();
+  return *hosts_.back();
+}
+
+SimHost* World::hostByWire(const Address& address) {
+  auto found = byWire_.find(address);
+  return found == byWire_.end() ? nullptr : found->second;
+}
+
+SimHost* World::hostByHttp(const Address& address) {
+  auto found = byHttp_.find(address);
+  return found == byHttp_.end() ? nullptr : found->second;
+}
+
+Us World::latency(const SimHost& from, const SimHost& to) {
+  const Us baseUs = &from == &to ? 20 : from.zone() == to.zone() ? 150 : 600;
+  return baseUs + static_cast<Us>(chance_.below(static_cast<std::uint64_t>(baseUs)));
+}
+
+void World::setCut(const SimHost& from, const SimHost& to, bool isCut) {
+  if (isCut) cuts_.insert({from.place(), to.place()});
+  else cuts_.erase({from.place(), to.place()});
+}
+
+std::uint64_t World::enqueue(Us atUs, SimHost& host, Continuation& continuation) {
+  const std::uint64_t key = ++lastKey_;
+  Entry entry;
+  entry.host = &host;
+  entry.life = host.life();
+  entry.continuation = &continuation;
+  queue_.emplace(std::make_pair(atUs, key), std::move(entry));
+  return key;
+}
+
+void World::dequeue(Us dueUs, std::uint64_t key) { queue_.erase({dueUs, key}); }
+
+void World::schedule(Us atUs, SimHost* host, std::unique_ptr<SimEvent> event) {
+  Entry entry;
+  entry.host = host;
+  entry.life = host != nullptr ? host->life() : 0;
+  entry.event = std::move(event);
+  queue_.emplace(std::make_pair(std::max(atUs, nowUs_), ++lastKey_), std::move(entry));
+}
+
+void World::runUntil(Us untilUs) {
+  while (!queue_.empty() && queue_.begin()->first.first <= untilUs) {
+    auto first = queue_.begin();
+    nowUs_ = first->first.first;
+    Entry entry = std::move(first->second);
+    const std::uint64_t key = first->first.second;
+    queue_.erase(first);
+    SimHost* host = entry.host;
+    if (host != nullptr && host->frozen()) {
+      // Whatever comes while it is frozen waits, in order, until it wakes.
+      if (entry.continuation != nullptr) entry.continuation->alarmDueUs = host->frozenUntilUs;
+      queue_.emplace(std::make_pair(host->frozenUntilUs, key), std::move(entry));
+      continue;
+    }
+    ++steps_;
+    current_ = host;
+    if (entry.continuation != nullptr) {
+      entry.continuation->alarmKey = 0;
+      entry.continuation->proceed();
+    } else if (host == nullptr || (host->up() && host->life() == entry.life)) {
+      entry.event->happen();
+    } else {
+      entry.event->lost();
+    }
+    current_ = nullptr;
+  }
+  nowUs_ = std::max(nowUs_, untilUs);
+}
+
+void World::line(bool doubt, const std::string& text) {
+  const std::string whole = std::to_string(nowUs_) + " " + (current_ != nullptr ? current_->name() : "world") + " " + text;
+  traceDigest_ = spread(whole, traceDigest_);
+  if (loud) std::fprintf(stderr, "%s%s\n", doubt ? "! " : "  ", whole.c_str());
+}
+
+}  // namespace stonemount
--- a/src/sawhorse/worker.cc
+++ b/src/sawhorse/worker.cc
@@ -78,11 +78,15 @@
   const bool lookup = ask.path == "/lookup";
   const std::string exchange = ask.headers.contains("x-exchange") ? ask.headers.at("x-exchange") : "";
   Bytes prompt;
+  bool lot = false;
   if (lookup) {
     prompt = ask.query.contains("key") ? ask.query.at("key") : "";
   } else {
     JsonVerdict read = parseJson(ask.body);
-    if (auto* document = std::get_if<JsonDocument>(&read)) prompt = jsonString(*document, "prompt");
+    if (auto* document = std::get_if<JsonDocument>(&read)) {
+      prompt = jsonString(*document, "prompt");
+      lot = jsonFlag(*document, "lot");
+    }
   }
   if (prompt.empty() || exchange.empty()) return reply->whole(400, {}, "{\"verdict\":\"bad_request\"}\n");
   if (load_ >= bear()) {
@@ -90,7 +94,7 @@
     if (bear() < plan_.slots) ++ledger_.coldRefused;
     return reply->whole(429, {{"x-exchange", exchange}}, "{\"verdict\":\"no_slot\"}\n");
   }
-  room_.start(work(exchange, prompt, lookup, reply));
+  room_.start(work(exchange, prompt, lookup, lot, reply));
 }
 
 bool RehearseWorker::cached(const Bytes& prompt) {
@@ -103,12 +107,12 @@
   return hit;
 }
 
-Task RehearseWorker::work(std::string exchange, Bytes prompt, bool lookup, ReplyPtr reply) {
+Task RehearseWorker::work(std::string exchange, Bytes prompt, bool lookup, bool lot, ReplyPtr reply) {
   Departure departure;
   reply->gone.connect(sigc::mem_fun(departure, &Departure::onGone));
   ++load_;
   ++ledger_.started;
-  ledger_.starts.emplace_back(ports_.clock.monoUs(), prompt);
+  ledger_.starts.push_back({ports_.clock.monoUs(), prompt, lookup, lot});
   Us waitUs = lookup ? 2 * kMilliUs : plan_.partUs + (cached(prompt) ? 0 : plan_.missUs);
   if (plan_.oddsSilent != 0 && ports_.chance.oneIn(plan_.oddsSilent)) waitUs += plan_.silentUs;
   const std::uint32_t parts = lookup ? 1 : plan_.parts;
--- a/src/sawhorse/worker.h
+++ b/src/sawhorse/worker.h
@@ -27,7 +27,13 @@
 
 struct WorkerLedger {
   std::uint64_t started = 0, finished = 0, refused = 0, coldRefused = 0, cacheHits = 0, cacheMisses = 0;
-  std::vector<std::pair<Us, std::string>> starts;  // when, and which prompt
+  struct Start {
+    Us atUs = 0;
+    Bytes prompt;
+    bool lookup = false;
+    bool lot = false;
+  };
+  std::vector<Start> starts;
 };
 
 // What the stand-in answers to a prompt: callers know it, and check it.
@@ -46,7 +52,7 @@
   void onAsked(const HttpAsk& ask, ReplyPtr reply);
   void sendFitness(HttpReply& reply) const;
   std::uint32_t bear() const;
-  Task work(std::string exchange, Bytes prompt, bool lookup, ReplyPtr reply);
+  Task work(std::string exchange, Bytes prompt, bool lookup, bool lot, ReplyPtr reply);
   Task enlist();
   bool cached(const Bytes& prompt);
   Ports& ports_;
