Nodes hear leaving marks from the platform too, and trust nothing older than a freeze

Cause 1: with the core down for over 3 s nobody carried the platform's leaving mark, and a worker that was not itself told went on reporting as fit. Ruled out: the lister (it carried each list within 0.5 s while a view stood), the worker's own report (absent by design in half the cases). Change: nodes ask the platform for marks only; a report is as old as its question; without a tick for 0.7 s a node nominates nobody.

--- a/src/anvil/mender.cc
+++ b/src/anvil/mender.cc
@@ -30,7 +30,7 @@
 Task Member::ping(Address partner) {
   while (standing_ != Standing::kBroken) {
     Ping message{memory_.view.revision, memory_.incarnation};
-    Call call(desk_, partner, Ping::kKind, pack(message), plan_.suspectUs);
+    Call call(desk_, partner, Ping::kKind, pack(message), plan_.pingLimitUs);
     auto raw = co_await call;
     if (auto* body = std::get_if<Bytes>(&raw)) {
       auto read = unpack<Pong>(*body);
--- a/src/bench/operators.cc
+++ b/src/bench/operators.cc
@@ -89,11 +89,17 @@
 }
 
 Task SimOperator::zone(std::string name, bool evacuated) {
+  if (evacuated) {
+    ledger_.zoneRestoreAsked.erase(name);
+  } else {  // from the asking on it may be restored
+    ledger_.zoneEvacuated.erase(name);
+    ledger_.zoneRestoreAsked.insert(name);
+  }
   Job<HttpVerdict> asking = ask("POST", "/op/zones/" + name + (evacuated ? "/evacuate" : "/restore"), "", 6 * kSecondUs);
-  if (!evacuated) ledger_.zoneEvacuated.erase(name);  // from the asking on it may be restored
   const HttpVerdict verdict = co_await asking;
   auto* whole = std::get_if<HttpWhole>(&verdict);
-  if (whole != nullptr && whole->status == 200 && evacuated) ledger_.zoneEvacuated[name] = fleet_.world().nowUs();
+  if (whole != nullptr && whole->status == 200 && evacuated && !ledger_.zoneRestoreAsked.contains(name))
+    ledger_.zoneEvacuated[name] = fleet_.world().nowUs();
 }
 
 Task SimOperator::end(std::string lot) {
--- a/src/bench/operators.h
+++ b/src/bench/operators.h
@@ -9,6 +9,7 @@
   std::map<Revision, Us> configAcked;          // when each was first acknowledged
   std::uint64_t pushes = 0, conflicts = 0, unsure = 0, refused = 0;
   std::map<std::string, Us> zoneEvacuated;     // since when, where acknowledged
+  std::set<std::string> zoneRestoreAsked;
   std::map<std::string, Us> lotEnded;
   std::set<std::string> lotEndAsked;
 };
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "jig/platform_list.h"
 #include "vise/http_call.h"
 
 namespace stonemount {
@@ -15,27 +16,6 @@
   return plan;
 }
 
-std::optional<PutWorkers> readList(const Bytes& body) {
-  JsonVerdict read = parseJson(body);
-  auto* document = std::get_if<JsonDocument>(&read);
-  if (document == nullptr || !document->IsObject() || !document->HasMember("workers") ||
-      !(*document)["workers"].IsArray())
-    return std::nullopt;
-  PutWorkers command;
-  command.platformVersion = static_cast<std::uint64_t>(jsonNumber(*document, "version"));
-  for (const JsonValue& given : (*document)["workers"].GetArray()) {
-    auto address = parseAddress(jsonString(given, "address"));
-    if (!std::holds_alternative<Address>(address)) continue;
-    ListedWorker worker;
-    worker.address = std::get<Address>(address);
-    worker.pool = jsonString(given, "pool");
-    worker.zone = jsonString(given, "zone");
-    worker.slots = static_cast<std::uint32_t>(std::max<std::int64_t>(1, jsonNumber(given, "slots", 1)));
-    worker.leaving = jsonFlag(given, "leaving");
-    command.workers.push_back(worker);
-  }
-  return command;
-}
 }  // namespace
 
 Core::Core(Ports& ports, Settings settings, CorePlan plan)
@@ -107,10 +87,11 @@
   const HttpVerdict verdict = co_await call;
   auto* whole = std::get_if<HttpWhole>(&verdict);
   if (whole == nullptr || whole->status != 200) co_return Done{};
-  std::optional<PutWorkers> command = readList(whole->body);
-  if (!command || command->platformVersion == listedVersion_) co_return Done{};
-  const std::uint64_t version = command->platformVersion;
-  Job<ChainAnswer> sending = core_.submit(pack(ControlCommand(std::move(*command))), 2 * kSecondUs);
+  std::optional<PlatformList> list = readPlatformList(whole->body);
+  if (!list || list->version == listedVersion_) co_return Done{};
+  const std::uint64_t version = list->version;
+  ControlCommand command = PutWorkers{version, std::move(list->workers)};
+  Job<ChainAnswer> sending = core_.submit(pack(command), 2 * kSecondUs);
   ChainAnswer answer = co_await sending;
   if (std::holds_alternative<Bytes>(answer)) listedVersion_ = version;
   co_return Done{};
--- a/src/lathe/fitness.cc
+++ b/src/lathe/fitness.cc
@@ -36,11 +36,12 @@
     HttpAsk ask;
     ask.method = "GET";
     ask.path = "/fitness";
+    const Us askedUs = ports_.clock.monoUs();
     HttpCall call(ports_, worker, ask, kLimitUs);
     const HttpVerdict verdict = co_await call;
     if (auto* whole = std::get_if<HttpWhole>(&verdict)) {
       std::optional<FitnessReport> report = whole->status == 200 ? readReport(whole->body) : std::nullopt;
-      if (report) board_.report(worker, std::move(*report));
+      if (report) board_.report(worker, std::move(*report), askedUs);
     }
     Pause pause(ports_.alarms, kEveryUs + static_cast<Us>(ports_.chance.below(100)) * kMilliUs);
     co_await pause;
--- a/src/lathe/worker_board.cc
+++ b/src/lathe/worker_board.cc
@@ -32,11 +32,13 @@
 
 bool WorkerBoard::listed(const Address& worker) const { return control_.workers().contains(worker); }
 
-void WorkerBoard::report(const Address& worker, FitnessReport report) {
+void WorkerBoard::setLeavingMarks(absl::btree_set<Address> marks) { leavingMarks_ = std::move(marks); }
+
+void WorkerBoard::report(const Address& worker, FitnessReport report, Us askedUs) {
   auto found = sights_.find(worker);
   if (found == sights_.end()) return;
   found->second.report = std::move(report);
-  found->second.reportedUs = clock_.monoUs();
+  found->second.reportedUs = askedUs;  // it is no newer than our question
   found->second.inFlightAtReport = found->second.inFlight();
   roomMade.emit();
 }
@@ -44,6 +46,7 @@
 bool WorkerBoard::usable(const WorkerSight& sight) const {
   const Us nowUs = clock_.monoUs();
   const bool fresh = sight.reportedUs >= 0 && nowUs - sight.reportedUs <= plan_.staleUs;
+  if (nowUs - tickUs_ > plan_.frozenUs || leavingMarks_.contains(sight.listed.address)) return false;
   return fresh && !sight.listed.pool.empty() && !sight.listed.leaving && !sight.report.leaving &&
          nowUs >= sight.mutedUntilUs && !control_.evacuated(sight.listed.zone);
 }
--- a/src/lathe/worker_board.h
+++ b/src/lathe/worker_board.h
@@ -40,6 +40,7 @@
 struct BoardPlan {
   std::string zone;
   Address self;
+  Us frozenUs = 700 * kMilliUs;
   Us staleUs = 1500 * kMilliUs;  // a worker that has not reported for so long gets nothing new
   Us muteUs = 500 * kMilliUs;
 };
@@ -49,7 +50,10 @@
   WorkerBoard(const Clock& clock, const ControlState& control, BoardPlan plan)
       : clock_(clock), control_(control), plan_(std::move(plan)) {}
   void relist();  // after news from control
-  void report(const Address& worker, FitnessReport report);
+  void report(const Address& worker, FitnessReport report, Us askedUs);
+  // A tick that must come often: without it this process was frozen and what it knows is old.
+  void tick() { tickUs_ = clock_.monoUs(); }
+  void setLeavingMarks(absl::btree_set<Address> marks);
   void setNodes(std::vector<Address> nodes);
   std::optional<Address> nominate(const NominateWish& wish) const;
   bool usable(const WorkerSight& sight) const;
@@ -69,6 +73,8 @@
   absl::btree_map<Address, WorkerSight> sights_;
   absl::btree_map<std::string, Ring> rings_;  // by pool
   std::vector<Address> nodes_;
+  absl::btree_set<Address> leavingMarks_;  // told by the platform itself
+  Us tickUs_ = 0;
 };
 
 }  // namespace stonemount
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -3,6 +3,9 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include "jig/platform_list.h"
+#include "vise/http_call.h"
+
 namespace stonemount {
 
 Node::Node(Ports& ports, Settings settings, NodePlan plan)
@@ -30,6 +33,7 @@
   lathe_.begin();
   scheduler_.begin();
   room_.start(keepNodes());
+  if (settings_.platform.set()) room_.start(hearPlatform());
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Node::onAsked));
 }
 
@@ -55,11 +59,34 @@
     std::vector<Address> nodes;
     for (const Card& card : shim_.alive(Role::kNode)) nodes.push_back(card.wire);
     board_.setNodes(std::move(nodes));
+    board_.tick();
     Pause pause(ports_.alarms, 200 * kMilliUs);
     co_await pause;
   }
 }
 
+// The list itself comes through the core. A leaving mark must be heard even while the core cannot
+// be: so each node also asks the platform, and takes nothing but the marks (design.md 7.7).
+Task Node::hearPlatform() {
+  while (true) {
+    HttpAsk ask;
+    ask.method = "GET";
+    ask.path = "/platform/workers";
+    HttpCall call(ports_, settings_.platform, ask, 500 * kMilliUs);
+    const HttpVerdict verdict = co_await call;
+    if (auto* whole = std::get_if<HttpWhole>(&verdict)) {
+      if (std::optional<PlatformList> list = readPlatformList(whole->body)) {
+        absl::btree_set<Address> marks;
+        for (const ListedWorker& worker : list->workers)
+          if (worker.leaving) marks.insert(worker.address);
+        board_.setLeavingMarks(std::move(marks));
+      }
+    }
+    Pause pause(ports_.alarms, static_cast<Us>(600 + ports_.chance.below(300)) * kMilliUs);
+    co_await pause;
+  }
+}
+
 void Node::methodRefused(HttpReply& reply, const char* allowed) {
   HeaderMap headers{{"allow", allowed}};
   JsonOut out;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -65,6 +65,7 @@
   void onMet(const Card& card);
   void onNews();
   Task keepNodes();
+  Task hearPlatform();
   void methodRefused(HttpReply& reply, const char* allowed);
 
   Ports& ports_;
