--- a/src/anvil/member.cc
+++ b/src/anvil/member.cc
@@ -171,6 +171,7 @@
   memory_.promised = Ballot();
   memory_.acceptedBallot = Ballot();
   memory_.accepted.reset();
+  tooFarBehind_ = Address();
   needSinceUs_ = -1;
   ++counts_.viewChanges;
   Job<bool> kept = keepMemory();
--- a/src/anvil/member.h
+++ b/src/anvil/member.h
@@ -96,6 +96,8 @@
   Task ping(Address partner);
   Task pingAll();
   Task mend();
+  bool heardLately(const Address& partner) const;
+  bool suspicion(const Seat& one, const Seat& other) const;
   bool aliveSeat(const Seat& seat) const;
   bool healthySeat(const Seat& seat) const;
   std::optional<View> wantedView() const;
@@ -150,6 +152,7 @@
   absl::btree_set<Address> pinged_;
   std::uint64_t highestRound_ = 0;
   Us needSinceUs_ = -1;
+  Us blindUntilUs_ = 0;  // since a start or a freeze it has not heard enough to suspect anyone
   bool proposing_ = false;
   Revision durableRevision_ = 0;  // of the newest view that its disk holds
   std::optional<ChangeVoters> wish_;
--- a/src/anvil/mender.cc
+++ b/src/anvil/mender.cc
@@ -1,6 +1,8 @@
 // Mending: who is alive, what the next view should be, and whose turn it is to propose (design.md 6.5).
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 #include "anvil/member.h"
 
 namespace stonemount {
@@ -54,12 +56,24 @@
   }
 }
 
-bool Member::aliveSeat(const Seat& seat) const {
-  auto found = partners_.find(seat.address);
+bool Member::heardLately(const Address& partner) const {
+  auto found = partners_.find(partner);
   return found != partners_.end() && found->second.heardUs >= 0 &&
-         ports_.clock.monoUs() - found->second.heardUs < plan_.suspectUs &&
-         found->second.pong.incarnation == seat.incarnation &&
-         found->second.pong.standing != Standing::kBroken;
+         ports_.clock.monoUs() - found->second.heardUs < plan_.suspectUs;
+}
+
+bool Member::aliveSeat(const Seat& seat) const {
+  if (!heardLately(seat.address)) return false;
+  const Pong& pong = partners_.at(seat.address).pong;
+  return pong.incarnation == seat.incarnation && pong.standing != Standing::kBroken;
+}
+
+// Neighbours in the chain must reach each other both ways, whatever the proposer itself can reach.
+bool Member::suspicion(const Seat& one, const Seat& other) const {
+  const std::vector<Address>& ones = partners_.at(one.address).pong.suspects;
+  const std::vector<Address>& others = partners_.at(other.address).pong.suspects;
+  return std::find(ones.begin(), ones.end(), other.address) != ones.end() ||
+         std::find(others.begin(), others.end(), one.address) != others.end();
 }
 
 bool Member::healthySeat(const Seat& seat) const {
@@ -85,7 +99,7 @@
       wanted.voters.push_back(seat);
       allowed = true;
     }
-    if (!allowed) continue;
+    if (!allowed || (!wanted.chain.empty() && suspicion(wanted.chain.back(), seat))) continue;
     wanted.chain.push_back(seat);
     return true;
   }
@@ -99,20 +113,19 @@
   wanted.voters = now.voters;
   bool needed = false;
   std::vector<Seat> alive;
-  absl::btree_set<Address> suspects;
   for (const Seat& seat : now.chain) {
     if (!aliveSeat(seat)) continue;
+    if (!alive.empty() && suspicion(alive.back(), seat)) continue;
     alive.push_back(seat);
     const Pong& pong = partners_.at(seat.address).pong;
     needed |= pong.revision == now.revision && pong.standing == Standing::kSealed;
-    suspects.insert(pong.suspects.begin(), pong.suspects.end());
   }
   for (const Seat& voter : now.voters)
     needed |= aliveSeat(voter) && partners_.at(voter.address).pong.ballotOpen &&
               partners_.at(voter.address).pong.revision == now.revision;
   std::vector<Seat> healthy;
   for (const Seat& seat : alive)
-    if (healthySeat(seat) && !suspects.contains(seat.address)) healthy.push_back(seat);
+    if (healthySeat(seat)) healthy.push_back(seat);
   // A slow disk is mended out only where two zones remain without it.
   wanted.chain = !healthy.empty() && spansZones(healthy) ? healthy : alive;
   if (wanted.chain.empty()) return std::nullopt;  // nobody left who holds what was acknowledged
@@ -146,15 +159,15 @@
 
 Task Member::mend() {
   Us lastUs = ports_.clock.monoUs();
-  Us blindUntilUs = lastUs + plan_.suspectUs;
+  blindUntilUs_ = lastUs + plan_.suspectUs;
   while (standing_ != Standing::kBroken) {
     Hear hear(ports_.alarms, mendBell_, plan_.pingUs);
     co_await hear;
     const Us nowUs = ports_.clock.monoUs();
     // After a freeze everyone looks dead; hear from them again first.
-    if (nowUs - lastUs > plan_.suspectUs / 2) blindUntilUs = nowUs + plan_.suspectUs;
+    if (nowUs - lastUs > plan_.suspectUs / 2) blindUntilUs_ = nowUs + plan_.suspectUs;
     lastUs = nowUs;
-    if (nowUs < blindUntilUs || proposing_ || !votes(memory_.view.revision)) continue;
+    if (nowUs < blindUntilUs_ || proposing_ || !votes(memory_.view.revision)) continue;
     std::optional<View> wanted = wantedView();
     if (!wanted) {
       needSinceUs_ = -1;
--- a/src/anvil/messages.h
+++ b/src/anvil/messages.h
@@ -26,7 +26,7 @@
   bool ballotOpen = false;  // has accepted a next view that it does not know to be decided
   Us stalledUs = 0;
   Us worstSyncUs = 0;
-  std::vector<Address> suspects;
+  std::vector<Address> suspects;  // to whom it has no way there and back
   STONEMOUNT_PACK(incarnation, revision, standing, zone, end, refilled, ballotOpen, stalledUs, worstSyncUs, suspects)
 };
 struct ViewAsk {
@@ -52,7 +52,8 @@
   bool granted = false;
   std::uint64_t incarnation = 0;
   std::uint64_t end = 0;
-  STONEMOUNT_PACK(granted, incarnation, end)
+  std::uint64_t keptAfter = 0;  // it can pass on what comes after this entry
+  STONEMOUNT_PACK(granted, incarnation, end, keptAfter)
 };
 struct Prepare {
   static constexpr std::uint16_t kKind = 5;
--- a/src/anvil/propose.cc
+++ b/src/anvil/propose.cc
@@ -35,6 +35,18 @@
     lastEnd = end;
     sound.insert(sound.begin(), stays[i]);
   }
+  // And who lacks more than the one before it still keeps must be refilled.
+  std::vector<Seat> joined;
+  std::uint64_t keptAfter = 0;
+  for (const Seat& seat : sound) {
+    std::size_t place = 0;
+    while (!(stays[place] == seat)) ++place;
+    const SealVerdict& verdict = *poll.verdicts()[place];
+    if (!joined.empty() && verdict.end < keptAfter) continue;
+    joined.push_back(seat);
+    keptAfter = verdict.keptAfter;
+  }
+  sound = joined;
   target.chain = sound;
   if (!joiner) co_return true;
   const Seat last = sound.back();
--- a/src/anvil/relay.cc
+++ b/src/anvil/relay.cc
@@ -81,6 +81,11 @@
   while (standing_ != Standing::kBroken) {
     Hear hear(ports_.alarms, inboxBell_, 200 * kMilliUs);
     co_await hear;
+    if (inbox_.empty() && drawer_.worstSyncUs() > plan_.slowDiskUs / 2) {
+      // A disk that was slow and has nothing to do would be called slow for ever: try it.
+      Job<bool> trying = keepMemory();
+      co_await trying;
+    }
     do {
       std::vector<Entry> batch;
       while (!inbox_.empty() && batch.size() < kBatchEntries) {
--- a/src/anvil/voter.cc
+++ b/src/anvil/voter.cc
@@ -15,6 +15,9 @@
   pong.stalledUs = drawer_.stalledUs();
   pong.worstSyncUs = drawer_.worstSyncUs();
   if (tooFarBehind_.set()) pong.suspects.push_back(tooFarBehind_);
+  if (ports_.clock.monoUs() < blindUntilUs_) return pong;
+  for (const Seat& voter : memory_.view.voters)
+    if (!heardLately(voter.address)) pong.suspects.push_back(voter.address);
   return pong;
 }
 
@@ -44,6 +47,7 @@
   if (mine && standing_ == Standing::kActive) changeStanding(Standing::kSealed);
   verdict.granted = mine && standing_ == Standing::kSealed;
   verdict.end = end_;
+  verdict.keptAfter = recent_.empty() ? end_ : recent_.front().index - 1;
   desk_.reply(asked, verdict);
 }
 
--- a/src/store/store.cc
+++ b/src/store/store.cc
@@ -17,7 +17,7 @@
 Store::Store(Ports& ports, Settings settings, ShimPlan shim, StorePlan plan)
     : ports_(ports), settings_(std::move(settings)), desk_(ports.alarms, ports.wire, ports.chance),
       shim_(ports, desk_, room_, std::move(shim)), machine_(ports.chance, plan),
-      member_(ports, desk_, room_, machine_, memberPlan(settings_)) {}
+      member_(ports, desk_, room_, machine_, memberPlan(settings_)), client_(ports, desk_, settings_.founders) {}
 
 Store::~Store() {
   asked_.disconnect();
@@ -34,10 +34,26 @@
   desk_.serve(SessionAsk::kKind, sigc::mem_fun(*this, &Store::onSession));
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Store::onAsked));
   member_.begin();
+  room_.start(watchSession());
 }
 
 void Store::onMet(const Card& card) {
-  if (card.role == Role::kStore) member_.meet(card.wire);
+  if (card.role != Role::kStore) return;
+  member_.meet(card.wire);
+  client_.learnMember(card.wire);
+}
+
+// The head knows first that the sampler is gone, and has the doubt written down: grants and expiry
+// stop by its own stamp anyway; this shows it to all (design.md 8.3).
+Task Store::watchSession() {
+  while (true) {
+    Pause pause(ports_.alarms, 500 * kMilliUs);
+    co_await pause;
+    const CutState& cut = machine_.state().cut;
+    if (!member_.head() || !cut.certain || machine_.sessions().live(cut.session, member_.sight())) continue;
+    Job<ChainAnswer> doubting = client_.submit(pack(StoreCommand(DoubtCut{cut.epoch})), kSecondUs);
+    co_await doubting;
+  }
 }
 
 void Store::onSession(const Asked& asked) {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -1,6 +1,7 @@
 // A store process: a member of the store chain (design.md 2).
 #pragma once
 
+#include "anvil/client.h"
 #include "anvil/member.h"
 #include "jig/settings.h"
 #include "shim/shim.h"
@@ -18,6 +19,7 @@
 
  private:
   void onMet(const Card& card);
+  Task watchSession();
   void onSession(const Asked& asked);
   void onAsked(const HttpAsk& ask, ReplyPtr reply);
   Ports& ports_;
@@ -27,6 +29,7 @@
   Shim shim_;
   StoreMachine machine_;
   Member member_;
+  ChainClient client_;
   sigc::connection asked_;
 };
 
--- a/src/vise/pack.h
+++ b/src/vise/pack.h
@@ -1,40 +1,100 @@
 // cereal, kept behind two functions; what it throws stops here (design.md 3.3).
 #pragma once
 
-#include <cereal/archives/portable_binary.hpp>
+#include <cereal/cereal.hpp>
 #include <cereal/types/deque.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
+#include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/utility.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
-#include <cereal/types/set.hpp>
+#include <cstring>
 #include <map>
 #include <set>
-#include <sstream>
 
 #include "stonemount.h"
 
 namespace stonemount {
 
+// cereal archives over a plain string, little-endian as all our machines are. A length that the
+// bytes cannot hold is refused before anything is allocated for it.
+class PackOut : public cereal::OutputArchive<PackOut, cereal::AllowEmptyClassElision> {
+ public:
+  PackOut() : cereal::OutputArchive<PackOut, cereal::AllowEmptyClassElision>(this) {}
+  void put(const void* data, std::size_t size) { bytes.append(static_cast<const char*>(data), size); }
+  Bytes bytes;
+};
+class PackIn : public cereal::InputArchive<PackIn, cereal::AllowEmptyClassElision> {
+ public:
+  explicit PackIn(const Bytes& bytes)
+      : cereal::InputArchive<PackIn, cereal::AllowEmptyClassElision>(this), bytes_(bytes) {}
+  std::size_t left() const { return bytes_.size() - at_; }
+  void get(void* data, std::size_t size) {
+    if (size > left()) throw cereal::Exception("too short");
+    std::memcpy(data, bytes_.data() + at_, size);
+    at_ += size;
+  }
+
+ private:
+  const Bytes& bytes_;
+  std::size_t at_ = 0;
+};
+
+template <class Number>
+  requires std::is_arithmetic_v<Number>
+void CEREAL_SAVE_FUNCTION_NAME(PackOut& archive, const Number& number) {
+  archive.put(&number, sizeof(number));
+}
+template <class Number>
+  requires std::is_arithmetic_v<Number>
+void CEREAL_LOAD_FUNCTION_NAME(PackIn& archive, Number& number) {
+  archive.get(&number, sizeof(number));
+}
+template <class Length>
+void CEREAL_SAVE_FUNCTION_NAME(PackOut& archive, const cereal::SizeTag<Length>& tag) {
+  const std::uint64_t size = tag.size;
+  archive.put(&size, sizeof(size));
+}
+template <class Length>
+void CEREAL_LOAD_FUNCTION_NAME(PackIn& archive, cereal::SizeTag<Length>& tag) {
+  std::uint64_t size = 0;
+  archive.get(&size, sizeof(size));
+  if (size > archive.left()) throw cereal::Exception("a length beyond the bytes");
+  tag.size = size;
+}
+template <class Data>
+void CEREAL_SAVE_FUNCTION_NAME(PackOut& archive, const cereal::BinaryData<Data>& data) {
+  archive.put(data.data, static_cast<std::size_t>(data.size));
+}
+template <class Data>
+void CEREAL_LOAD_FUNCTION_NAME(PackIn& archive, cereal::BinaryData<Data>& data) {
+  archive.get(data.data, static_cast<std::size_t>(data.size));
+}
+
+template <class Value>
+void CEREAL_SERIALIZE_FUNCTION_NAME(PackOut& archive, cereal::NameValuePair<Value>& pair) {
+  archive(pair.value);
+}
+template <class Value>
+void CEREAL_SERIALIZE_FUNCTION_NAME(PackIn& archive, cereal::NameValuePair<Value>& pair) {
+  archive(pair.value);
+}
+
 struct BadBytes {};
 
 template <class Value>
 Bytes pack(const Value& value) {
-  std::ostringstream out(std::ios::binary);
-  {
-    cereal::PortableBinaryOutputArchive archive(out);
-    archive(value);
-  }
-  return std::move(out).str();
+  PackOut archive;
+  archive(value);
+  return std::move(archive.bytes);
 }
 
 template <class Value>
 std::variant<Value, BadBytes> unpack(const Bytes& bytes) {
   try {
-    std::istringstream in(bytes, std::ios::binary);
-    cereal::PortableBinaryInputArchive archive(in);
+    PackIn archive(bytes);
     Value value;
     archive(value);
     return value;
@@ -50,3 +110,5 @@
   }
 
 }  // namespace stonemount
+
+CEREAL_SETUP_ARCHIVE_TRAITS(stonemount::PackIn, stonemount::PackOut)
--- /dev/null
+++ b/tests/drawer_test.cc
@@ -0,0 +1,142 @@
+// The drawer against a plain model: whatever was synced is there again after any loss of power;
+// what was not synced may be missing only from the end (design.md 5).
+#include <rapidcheck.h>
+
+#include "bench/world.h"
+#include "drawer/press.h"
+
+using namespace stonemount;
+
+namespace {
+constexpr std::size_t kFiles = 6;
+constexpr std::size_t kFileBytes = 16 << 10;
+
+struct Bench {
+  explicit Bench(std::uint64_t seed)
+      : world(seed), host(world.addHost("disk", "zone", {1, 1}, {1, 2})) {
+    host.disk = std::make_unique<SimDisk>(host, kFiles, kFileBytes);
+    host.rise();
+  }
+  World world;
+  SimHost& host;
+};
+
+Task syncOnce(Drawer& drawer, bool& done) {
+  Job<SyncVerdict> job = drawer.sync();
+  const SyncVerdict verdict = co_await job;
+  done = std::holds_alternative<Synced>(verdict);
+}
+
+struct Model {
+  std::vector<Bytes> appended;  // since the newest checkpoint began, or ever
+  std::size_t synced = 0;
+  Bytes checkpoint;
+  bool hasCheckpoint = false;
+  Bytes nextCheckpoint;
+  std::size_t nextFrom = 0;
+  bool nextOpen = false;
+};
+
+// What comes back must be the model's, cut somewhere after what was synced.
+void agree(const OpenVerdict& opened, Model& model, bool lost) {
+  if (std::holds_alternative<DrawerEmpty>(opened)) {
+    RC_ASSERT(model.synced == 0 && !model.hasCheckpoint);
+    model = Model();
+    return;
+  }
+  RC_ASSERT(std::holds_alternative<DrawerContent>(opened));
+  const DrawerContent& content = std::get<DrawerContent>(opened);
+  // The next checkpoint may just have become whole.
+  if (model.nextOpen && content.hasCheckpoint && content.checkpoint == model.nextCheckpoint &&
+      (!model.hasCheckpoint || model.checkpoint != model.nextCheckpoint)) {
+    model.checkpoint = model.nextCheckpoint;
+    model.hasCheckpoint = true;
+    model.appended.erase(model.appended.begin(), model.appended.begin() + static_cast<std::ptrdiff_t>(model.nextFrom));
+    model.synced -= std::min(model.synced, model.nextFrom);
+  }
+  RC_ASSERT(content.hasCheckpoint == model.hasCheckpoint);
+  if (model.hasCheckpoint) RC_ASSERT(content.checkpoint == model.checkpoint);
+  RC_ASSERT(content.records.size() >= model.synced);
+  RC_ASSERT(content.records.size() <= model.appended.size());
+  if (!lost) RC_ASSERT(content.records.size() == model.appended.size());
+  for (std::size_t i = 0; i < content.records.size(); ++i) RC_ASSERT(content.records[i].body == model.appended[i]);
+  model.appended.resize(content.records.size());
+  model.synced = content.records.size();
+  model.nextOpen = false;
+}
+
+void keepsWhatWasSynced(std::uint64_t seed) {
+  Bench bench(seed);
+  Chance chance(seed);
+  auto drawer = std::make_unique<Drawer>(*bench.host.disk, bench.host, bench.host);
+  Model model;
+  agree(drawer->open(), model, true);
+  for (int step = 0; step < 400; ++step) {
+    const std::uint64_t pick = chance.below(20);
+    if (pick < 12) {
+      Bytes body = hexText(chance.next()) + Bytes(chance.below(600), 'x');
+      const AppendVerdict verdict = drawer->append(RecordKind::kEntry, body);
+      if (std::holds_alternative<std::uint64_t>(verdict)) model.appended.push_back(body);
+    } else if (pick < 16) {
+      bool done = false;
+      TaskRoom room;
+      room.start(syncOnce(*drawer, done));
+      bench.world.runUntil(bench.world.nowUs() + kSecondUs);
+      RC_ASSERT(done);
+      model.synced = model.appended.size();
+      if (model.nextOpen && !drawer->checkpointing()) {
+        model.checkpoint = model.nextCheckpoint;
+        model.hasCheckpoint = true;
+        model.appended.erase(model.appended.begin(), model.appended.begin() + static_cast<std::ptrdiff_t>(model.nextFrom));
+        model.synced = model.appended.size();
+        model.nextOpen = false;
+      }
+    } else if (pick == 16 && !drawer->checkpointing()) {
+      model.nextCheckpoint = hexText(chance.next()) + Bytes(chance.below(9000), 'c');
+      model.nextFrom = model.appended.size();
+      model.nextOpen = true;
+      drawer->beginCheckpoint(model.nextCheckpoint);
+      drawer->pumpCheckpoint(chance.below(2) == 0 ? 1 : 100);
+    } else if (pick == 17 && drawer->checkpointing()) {
+      drawer->pumpCheckpoint(100);
+    } else if (pick == 18) {
+      drawer.reset();
+      bench.host.fall();
+      bench.host.disk->losePower(chance);
+      bench.host.rise();
+      drawer = std::make_unique<Drawer>(*bench.host.disk, bench.host, bench.host);
+      agree(drawer->open(), model, true);
+    }
+  }
+}
+
+// A flipped byte is never read as a record that was not written.
+void neverInvents(std::uint64_t seed) {
+  Bench bench(seed);
+  Chance chance(seed);
+  std::set<Bytes> written;
+  {
+    Drawer drawer(*bench.host.disk, bench.host, bench.host);
+    drawer.open();
+    for (int i = 0; i < 40; ++i) {
+      Bytes body = hexText(chance.next()) + Bytes(chance.below(900), 'y');
+      if (std::holds_alternative<std::uint64_t>(drawer.append(RecordKind::kEntry, body))) written.insert(body);
+    }
+    bool done = false;
+    TaskRoom room;
+    room.start(syncOnce(drawer, done));
+    bench.world.runUntil(kSecondUs);
+  }
+  for (int i = 0; i < 3; ++i) bench.host.disk->corrupt(chance);
+  Drawer again(*bench.host.disk, bench.host, bench.host);
+  const OpenVerdict opened = again.open();
+  if (auto* content = std::get_if<DrawerContent>(&opened))
+    for (const Record& record : content->records) RC_ASSERT(written.contains(record.body));
+}
+}  // namespace
+
+int main() {
+  bool well = rc::check("what was synced lasts", keepsWhatWasSynced);
+  well &= rc::check("nothing is invented from damage", neverInvents);
+  return well ? 0 : 1;
+}
--- /dev/null
+++ b/tests/fleet_test.cc
@@ -0,0 +1,67 @@
+// Whole fleets under trouble, fixed seeds: each fault alone, then any together, in both shapes.
+// The judge looks for every "never" line (docs/failures.md).
+#include <cstdio>
+
+#include "bench/chaos.h"
+
+using namespace stonemount;
+
+namespace {
+int failed = 0;
+int passed = 0;
+
+void expect(bool well, const std::string& what) {
+  ++(well ? passed : failed);
+  if (!well) std::printf("FAILED %s\n", what.c_str());
+}
+
+Tally runOne(std::uint64_t seed, const FleetShape& shape, const ChaosPlan& plan, const std::string& name) {
+  Chaos chaos(seed, shape, plan);
+  const std::vector<std::string>& faults = chaos.run();
+  const std::string what = name + " " + shape.name + " seed=" + std::to_string(seed);
+  for (const std::string& fault : faults) std::printf("%s: %s\n", what.c_str(), fault.c_str());
+  expect(chaos.started() && faults.empty(), what);
+  return chaos.tally();
+}
+
+void everyFaultAlone(const FleetShape& shape) {
+  for (std::uint8_t i = 0; i < static_cast<std::uint8_t>(Fault::kCount); ++i) {
+    ChaosPlan plan;
+    plan.faults = {static_cast<Fault>(i)};
+    plan.lengthUs = 20 * kSecondUs;
+    const Tally tally = runOne(1000 + i, shape, plan, faultText(static_cast<Fault>(i)));
+    // Safety is not to be bought by refusing.
+    const bool heavy = plan.faults[0] == Fault::kAllLost || plan.faults[0] == Fault::kZoneLost;
+    const double share = static_cast<double>(tally.served) / static_cast<double>(tally.asked);
+    expect(heavy ? share > 0.15 : share > 0.75, std::string("share served under ") + faultText(plan.faults[0]) + " in " +
+                                                  shape.name + ": " + std::to_string(share));
+    expect(tally.lotsAccepted > 0 && tally.coldRefused * 50 <= tally.started, std::string("lots taken, cold spared: ") + faultText(plan.faults[0]));
+  }
+}
+
+void anyTogether(const FleetShape& shape) {
+  for (std::uint64_t seed = 1; seed <= 16; ++seed) runOne(2000 + seed, shape, ChaosPlan(), "any");
+}
+
+void sameSeedSameRun() {
+  ChaosPlan plan;
+  plan.lengthUs = 10 * kSecondUs;
+  std::uint64_t digests[2];
+  for (std::uint64_t& digest : digests) {
+    Chaos chaos(77, posilkaShape(), plan);
+    chaos.run();
+    digest = chaos.fleet().world().traceDigest();
+  }
+  expect(digests[0] == digests[1], "the same seed gives the same run, byte for byte");
+}
+}  // namespace
+
+int main() {
+  sameSeedSameRun();
+  for (const FleetShape& shape : {posilkaShape(), portaviaShape()}) {
+    everyFaultAlone(shape);
+    anyTogether(shape);
+  }
+  std::printf("%d passed, %d failed\n", passed, failed);
+  return failed == 0 ? 0 : 1;
+}
