A packed flag that is neither true nor false is refused

Cause: the decoder test under the undefined-behaviour sanitizer read a damaged byte as a bool (seen failing: load of value 159). Before: taken as it was.

--- a/src/vise/pack.h
+++ b/src/vise/pack.h
@@ -50,7 +50,14 @@
 template <class Number>
   requires std::is_arithmetic_v<Number>
 void CEREAL_LOAD_FUNCTION_NAME(PackIn& archive, Number& number) {
-  archive.get(&number, sizeof(number));
+  if constexpr (std::is_same_v<Number, bool>) {
+    std::uint8_t byte = 0;
+    archive.get(&byte, 1);
+    if (byte > 1) throw cereal::Exception("neither true nor false");
+    number = byte == 1;
+  } else {
+    archive.get(&number, sizeof(number));
+  }
 }
 template <class Length>
 void CEREAL_SAVE_FUNCTION_NAME(PackOut& archive, const cereal::SizeTag<Length>& tag) {
