Draining, rebuilding control from the nodes, rings that refuse before they are full

repair_test found: a store ring of 4 MiB given 21 lots of 60 kB lost the whole chain (every member broke on a full ring while writing its checkpoint). Cause: the head looked at free bytes, not at what the next checkpoint needs. Ruled out: the ring's own accounting (drawer_test). Now the head refuses work that enlarges the state above a quarter of the ring and all else above a third; checkpoints come at an eighth. After: 9 accepted, then refused as ring_full, and all 9 stay. Also: SIGTERM lets a node finish what it has; control state lost with every core disk is rebuilt from the nodes that were told; open lots are indexed.

--- a/src/anvil/machine.h
+++ b/src/anvil/machine.h
@@ -29,6 +29,7 @@
   virtual Bytes apply(const Bytes& command) = 0;
   virtual StampVerdict stamp(const Bytes& command, const HeadSight& sight) = 0;
   virtual QueryVerdict answer(const Bytes& query, bool mustAnswer) = 0;
+  virtual bool enlarges(const Bytes& command) const = 0;  // takes in new work, not needed to finish old
   virtual Bytes save() const = 0;
   virtual bool load(const Bytes& state) = 0;
 };
--- a/src/anvil/member.cc
+++ b/src/anvil/member.cc
@@ -210,6 +210,7 @@
   end_ = image->end;
   endRevision_ = image->endRevision;
   appended_ = image->end;
+  imageBytes_ = bytes.size();
   recent_.clear();
   recentBytes_ = 0;
   verdicts_.clear();
@@ -222,8 +223,11 @@
 }
 
 void Member::maybeCheckpoint() {
-  if (!drawer_.checkpointing() && drawer_.bytesSinceCheckpoint() > drawer_.ringBytes() / 4)
-    drawer_.beginCheckpoint(image());
+  if (!drawer_.checkpointing() && drawer_.bytesSinceCheckpoint() > drawer_.ringBytes() / 8) {
+    Bytes whole = image();
+    imageBytes_ = whole.size();
+    drawer_.beginCheckpoint(std::move(whole));
+  }
   if (drawer_.checkpointing() && !drawer_.pumpCheckpoint(8)) diskBroke();
 }
 
--- a/src/anvil/member.h
+++ b/src/anvil/member.h
@@ -134,6 +134,7 @@
   std::uint64_t committed_ = 0;  // last entry known to be durable at the tail
   std::deque<Entry> recent_;     // entries that a successor may still need
   std::size_t recentBytes_ = 0;
+  std::size_t imageBytes_ = 0;  // of the newest checkpoint
   std::deque<Entry> inbox_;      // received in this view, not yet durable
   std::size_t inboxBytes_ = 0;
   std::vector<Asked> appendsWaiting_;
--- a/src/anvil/relay.cc
+++ b/src/anvil/relay.cc
@@ -34,7 +34,10 @@
   if (!spansZones(memory_.view.chain)) return refuse(asked, ChainOutcome::kTooFewCopies);
   if (inbox_.size() >= kInboxBound || inboxBytes_ >= kInboxBytesBound)
     return refuse(asked, ChainOutcome::kBusy);
-  if (drawer_.freeBytes() < drawer_.ringBytes() / 16) return refuse(asked, ChainOutcome::kRingFull);
+  // The ring must hold the old checkpoint, the new one and the entries between (design.md 5.2).
+  const std::size_t state = imageBytes_ + drawer_.bytesSinceCheckpoint() + inboxBytes_;
+  const std::size_t room = drawer_.ringBytes() / (machine_.enlarges(submit.command) ? 4 : 3);
+  if (state + submit.command.size() > room) return refuse(asked, ChainOutcome::kRingFull);
   StampVerdict stamped = machine_.stamp(submit.command, sight());
   if (auto* refused = std::get_if<StampRefused>(&stamped)) {
     desk_.reply(asked, ChainVerdict{ChainOutcome::kDone, memory_.view.revision, refused->verdict});
--- a/src/bellows/loop.cc
+++ b/src/bellows/loop.cc
@@ -76,13 +76,15 @@
   rearm();
 }
 
-void Loop::onSignal(evutil_socket_t, short, void* self) { static_cast<Loop*>(self)->stop(); }
+void Loop::onSignal(evutil_socket_t, short, void* self) { static_cast<Loop*>(self)->leave(); }
+
+void Loop::leave() {
+  if (farewell != nullptr && !std::exchange(leaving_, true)) farewell->proceed();
+  else stop();
+}
 
 void Loop::run() { event_base_dispatch(base_); }
 
-void Loop::stop() {
-  stopping.emit();
-  event_base_loopexit(base_, nullptr);
-}
+void Loop::stop() { event_base_loopexit(base_, nullptr); }
 
 }  // namespace stonemount
--- a/src/bellows/loop.h
+++ b/src/bellows/loop.h
@@ -18,16 +18,19 @@
   event_base* base() { return base_; }
   void run();   // until stop() or a polite signal
   void stop();
-  sigc::signal<void()> stopping;
+  // Runs before the loop ends at a polite signal; a second signal ends it at once.
+  Continuation* farewell = nullptr;
 
  private:
   static void onAlarm(evutil_socket_t, short, void* self);
   static void onSignal(evutil_socket_t, short, void* self);
   void fire();
   void rearm();
+  void leave();
   event_base* base_;
   event* timer_;
   std::vector<event*> signals_;
+  bool leaving_ = false;
   std::uint64_t lastKey_ = 0;
   absl::btree_map<std::pair<Us, std::uint64_t>, Continuation*> queue_;
 };
--- a/src/chisel/process.cc
+++ b/src/chisel/process.cc
@@ -55,6 +55,30 @@
   return (static_cast<std::uint64_t>(device()) << 32) ^ device();
 }
 
+// A node that is told to end takes nothing new and finishes what it has, for a while.
+class NodeFarewell : public Continuation {
+ public:
+  NodeFarewell(Loop& loop, Node& node) : loop_(loop), node_(node) { loop_.farewell = this; }
+  ~NodeFarewell() override {
+    loop_.farewell = nullptr;
+    loop_.disarm(*this);
+  }
+  void proceed() override {
+    if (untilUs_ == 0) {
+      logEvent("draining", {});
+      node_.drain();
+      untilUs_ = loop_.monoUs() + 20 * kSecondUs;
+    }
+    if (node_.idle() || loop_.monoUs() >= untilUs_) loop_.stop();
+    else loop_.arm(50 * kMilliUs, *this);
+  }
+
+ private:
+  Loop& loop_;
+  Node& node_;
+  Us untilUs_ = 0;
+};
+
 template <class Running>
 void serve(Loop& loop, Running& running) {
   running.begin();
@@ -111,6 +135,7 @@
     NodePlan plan;
     plan.shim = shim;
     Node node(ports, settings, plan);
+    NodeFarewell farewell(loop, node);
     serve(loop, node);
   }
   setLogSink(nullptr);
--- a/src/core/commands.h
+++ b/src/core/commands.h
@@ -24,7 +24,11 @@
   Revision to = 0;
   STONEMOUNT_PACK(base, to)
 };
-using ControlCommand = std::variant<PutConfig, SetZone, PutWorkers, ReturnConfig>;
+struct Rebuild {  // what a node was told before all control state was lost
+  ControlNews told;
+  STONEMOUNT_PACK(told)
+};
+using ControlCommand = std::variant<PutConfig, SetZone, PutWorkers, ReturnConfig, Rebuild>;
 
 enum class ControlOutcome : std::uint8_t { kDone, kConflict, kUnknownRevision, kUnreadable, kUnchanged };
 struct ControlVerdict {
--- a/src/core/control_machine.cc
+++ b/src/core/control_machine.cc
@@ -32,6 +32,7 @@
   if (auto* config = std::get_if<PutConfig>(command)) done = put(*config);
   else if (auto* zone = std::get_if<SetZone>(command)) done = put(*zone);
   else if (auto* workers = std::get_if<PutWorkers>(command)) done = put(*workers);
+  else if (auto* rebuild = std::get_if<Rebuild>(command)) done = put(*rebuild);
   else done = put(std::get<ReturnConfig>(*command));
   packedNews_.clear();
   return pack(done);
@@ -94,6 +95,16 @@
   return changeRoutes("return to " + std::to_string(command.to), std::move(changes));
 }
 
+// Only onto nothing: where any configuration was ever taken here, nobody else's memory counts.
+ControlVerdict ControlMachine::put(const Rebuild& command) {
+  const bool fresh = state_.configRevision() == 0 && state_.zones().empty();
+  if (!fresh || command.told.to <= state_.revision() || !command.told.whole) return verdict(ControlOutcome::kUnchanged);
+  state_.absorb(command.told);
+  state_.bump();
+  platformVersion_ = 0;
+  return verdict(ControlOutcome::kDone);
+}
+
 ControlVerdict ControlMachine::put(const SetZone& command) {
   state_.bump();
   state_.setZone(command.zone, command.evacuated);
--- a/src/core/control_machine.h
+++ b/src/core/control_machine.h
@@ -11,6 +11,7 @@
   Bytes apply(const Bytes& command) override;
   StampVerdict stamp(const Bytes& command, const HeadSight& sight) override;
   QueryVerdict answer(const Bytes& query, bool mustAnswer) override;
+  bool enlarges(const Bytes&) const override { return true; }
   Bytes save() const override;
   bool load(const Bytes& state) override;
   const ControlState& state() const { return state_; }
@@ -20,6 +21,7 @@
   ControlVerdict put(const SetZone& command);
   ControlVerdict put(const PutWorkers& command);
   ControlVerdict put(const ReturnConfig& command);
+  ControlVerdict put(const Rebuild& command);
   ControlVerdict changeRoutes(const std::string& note, std::vector<RouteChange> changes);
   ControlVerdict verdict(ControlOutcome outcome) const;
   ControlState state_;
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -22,7 +22,7 @@
     : ports_(ports), settings_(std::move(settings)), plan_(plan), desk_(ports.alarms, ports.wire, ports.chance),
       shim_(ports, desk_, room_, plan.shim), member_(ports, desk_, room_, machine_, memberPlan(settings_)),
       core_(ports, desk_, settings_.founders), store_(ports, desk_, {}), mallet_(ports, desk_, room_, plan.mallet),
-      sampler_(ports, desk_, room_, mallet_, store_, plan.gauge) {}
+      sampler_(ports, desk_, room_, mallet_, store_, plan.gauge), rebuilder_(ports, desk_, shim_, core_, machine_) {}
 
 Core::~Core() {
   asked_.disconnect();
@@ -68,6 +68,10 @@
 // The lister carries the platform's list into the control chain.
 Task Core::list() {
   while (true) {
+    if (mallet_.holds(kLister)) {
+      Job<Done> rebuilding = rebuilder_.look();
+      co_await rebuilding;
+    }
     if (mallet_.holds(kLister) && settings_.platform.set()) {
       Job<Done> carrying = carryList();
       co_await carrying;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -5,6 +5,7 @@
 #include "core/control_machine.h"
 #include "gauge/sampler.h"
 #include "jig/settings.h"
+#include "rasp/rebuild.h"
 #include "shim/shim.h"
 
 namespace stonemount {
@@ -23,6 +24,7 @@
   void begin();
   const Member& member() const { return member_; }
   const ControlMachine& machine() const { return machine_; }
+  std::uint64_t sentBytes() const { return desk_.sentBytes; }
   const Mallet& mallet() const { return mallet_; }
   static constexpr const char* kLister = "lister";
 
@@ -45,6 +47,7 @@
   ChainClient store_;
   Mallet mallet_;
   Sampler sampler_;
+  Rebuilder rebuilder_;
   std::uint64_t listedVersion_ = 0;
   sigc::connection asked_;
 };
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -22,6 +22,7 @@
   ~Node();
   void begin();
   void drain();
+  bool idle() const { return lathe_.waiting() == 0 && lathe_.relaying() == 0 && scheduler_.idle(); }
   const Almanac& almanac() const { return almanac_; }
   const Lathe& lathe() const { return lathe_; }
   const Scheduler& scheduler() const { return scheduler_; }
--- a/src/node/scheduler.h
+++ b/src/node/scheduler.h
@@ -25,6 +25,7 @@
   void begin();
   void drain() { draining_ = true; }
   std::size_t running() const { return running_.size(); }
+  bool idle() const { return running_.empty() && toSeal_.empty() && toDrop_.empty(); }
   const SchedulerCounts& counts() const { return counts_; }
 
  private:
--- /dev/null
+++ b/src/rasp/rebuild.cc
@@ -0,0 +1,31 @@
+#include "rasp/rebuild.h"
+
+#include <absl/strings/str_cat.h>
+
+#include "jig/almanac.h"
+
+namespace stonemount {
+
+namespace {
+constexpr Us kAskUs = 600 * kMilliUs;
+constexpr Us kSubmitUs = 2 * kSecondUs;
+}  // namespace
+
+Job<Done> Rebuilder::look() {
+  if (machine_.state().configRevision() != 0 || !machine_.state().zones().empty()) co_return Done{};
+  Card newest;
+  for (const Card& card : shim_.alive(Role::kNode))
+    if (card.control > newest.control) newest = card;
+  if (newest.control <= machine_.state().revision()) co_return Done{};
+  Job<std::variant<ControlNews, PartnerSilent>> asking = ask<ControlNews>(desk_, newest.wire, AlmanacAsk{0}, kAskUs);
+  std::variant<ControlNews, PartnerSilent> verdict = co_await asking;
+  auto* told = std::get_if<ControlNews>(&verdict);
+  if (told == nullptr || told->configRevision == 0) co_return Done{};
+  logDoubt("control_rebuilt", {{"from", addressText(newest.wire)}, {"config", absl::StrCat(told->configRevision)}});
+  ControlCommand command = Rebuild{std::move(*told)};
+  Job<ChainAnswer> sending = core_.submit(pack(command), kSubmitUs);
+  co_await sending;
+  co_return Done{};
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/rasp/rebuild.h
@@ -0,0 +1,26 @@
+// Repair from those who were told first: control state that was lost with every core disk is rebuilt
+// from the nodes' almanacs (design.md 7.8).
+#pragma once
+
+#include "anvil/client.h"
+#include "core/control_machine.h"
+#include "shim/shim.h"
+
+namespace stonemount {
+
+class Rebuilder {
+ public:
+  Rebuilder(Ports& ports, Desk& desk, Shim& shim, ChainClient& core, const ControlMachine& machine)
+      : ports_(ports), desk_(desk), shim_(shim), core_(core), machine_(machine) {}
+  // One look; does nothing unless control is empty and some node knows more.
+  Job<Done> look();
+
+ private:
+  Ports& ports_;
+  Desk& desk_;
+  Shim& shim_;
+  ChainClient& core_;
+  const ControlMachine& machine_;
+};
+
+}  // namespace stonemount
--- a/src/store/answers.cc
+++ b/src/store/answers.cc
@@ -25,8 +25,8 @@
   verdict.version = state_.workVersion;
   verdict.certain = state_.cut.certain;
   verdict.charged = state_.charged;
-  for (const auto& [name, lot] : state_.lots) {
-    if (lot.ended || lot.waiting.empty()) continue;
+  for (const std::string& name : state_.openLots) {
+    const KeptLot& lot = state_.lots.at(name);
     OpenLot open;
     open.lot = name;
     open.route = lot.route;
--- a/src/store/events.cc
+++ b/src/store/events.cc
@@ -91,6 +91,7 @@
   ++event->second.lots;
   ++state_.workVersion;
   state_.lotByKey[key] = lot.name;
+  noteWaiting(lot);
   state_.lots.emplace(lot.name, std::move(lot));
   return verdict;
 }
@@ -109,7 +110,14 @@
   return verdict;
 }
 
+void StoreMachine::noteWaiting(const KeptLot& lot) {
+  if (lot.ended || lot.waiting.empty()) state_.openLots.erase(lot.name);
+  else state_.openLots.insert(lot.name);
+}
+
+// Called after every change of a lot.
 void StoreMachine::noteTerminal(KeptLot& lot) {
+  noteWaiting(lot);
   if (lot.terminalUs == 0 && lot.finished()) lot.terminalUs = std::max<Us>(state_.cut.cutUs, 1);
 }
 
--- a/src/store/runs.cc
+++ b/src/store/runs.cc
@@ -62,6 +62,7 @@
   ++lot.running;
   ++state_.charged[worker];
   state_.runningItems.insert({lot.name, place});
+  noteWaiting(lot);
 }
 
 void StoreMachine::releaseSlot(const Address& worker, bool isCertain) {
--- a/src/store/store_machine.cc
+++ b/src/store/store_machine.cc
@@ -95,6 +95,12 @@
   return {};
 }
 
+bool StoreMachine::enlarges(const Bytes& bytes) const {
+  auto read = unpack<StoreCommand>(bytes);
+  auto* command = std::get_if<StoreCommand>(&read);
+  return command != nullptr && (std::holds_alternative<SubmitLot>(*command) || std::holds_alternative<CreateEvent>(*command));
+}
+
 Bytes StoreMachine::save() const { return pack(SavedOut{state_}); }
 
 bool StoreMachine::load(const Bytes& bytes) {
--- a/src/store/store_machine.h
+++ b/src/store/store_machine.h
@@ -63,10 +63,11 @@
   std::map<Address, std::uint32_t> charged;  // slots in use, by worker
   std::vector<Address> pendingSlots;         // freed, but charged until a certain cut confirms it
   std::set<std::pair<std::string, std::uint32_t>> runningItems;
+  std::set<std::string> openLots;            // those with items that may be started
   std::uint64_t lastLot = 0;
   std::uint64_t workVersion = 1;
   std::uint64_t pausedExpiries = 0, lateExpiries = 0, expired = 0;
-  STONEMOUNT_PACK(cut, events, lots, lotByKey, tombstones, charged, pendingSlots, runningItems, lastLot, workVersion,
+  STONEMOUNT_PACK(cut, events, lots, lotByKey, tombstones, charged, pendingSlots, runningItems, openLots, lastLot, workVersion,
                   pausedExpiries, lateExpiries, expired)
 };
 
@@ -76,6 +77,7 @@
   Bytes apply(const Bytes& command) override;
   StampVerdict stamp(const Bytes& command, const HeadSight& sight) override;
   QueryVerdict answer(const Bytes& query, bool mustAnswer) override;
+  bool enlarges(const Bytes& command) const override;
   Bytes save() const override;
   bool load(const Bytes& state) override;
   SessionKeeper& sessions() { return sessions_; }
@@ -103,6 +105,7 @@
   void stopRun(KeptLot& lot, std::uint32_t item, bool isCertain);
   void sealItem(KeptLot& lot, std::uint32_t item, const SealedRun& sealed, bool isCertain);
   void releaseSlot(const Address& worker, bool isCertain);
+  void noteWaiting(const KeptLot& lot);
   void noteTerminal(KeptLot& lot);
   void expireLicences();
   void collect();
--- a/tests/chain_test.cc
+++ b/tests/chain_test.cc
@@ -23,6 +23,7 @@
   }
   StampVerdict stamp(const Bytes& command, const HeadSight&) override { return Stamped{command}; }
   QueryVerdict answer(const Bytes&, bool) override { return pack(list_); }
+  bool enlarges(const Bytes&) const override { return true; }
   Bytes save() const override { return pack(list_); }
   bool load(const Bytes& state) override {
     auto read = unpack<std::vector<Bytes>>(state);
