Commands too long for the ring are refused; verdicts kept for retries are bounded in bytes

Cause: a lot of up to 4 MiB could exceed a ring file, and the append that failed broke every member in turn (seen in review, then caused by repair_test with 600 kB in a ring of 1 MiB files). The head now refuses over half a file, typed as too_long. Verdicts of grants hold bodies; 16,384 of them could reach gigabytes in memory and checkpoints, so 256 KiB are kept, the same at each member.

--- a/src/anvil/client.cc
+++ b/src/anvil/client.cc
@@ -40,6 +40,7 @@
     case ChainTrouble::kTooFewCopies: return "too_few_copies";
     case ChainTrouble::kBusy: return "busy";
     case ChainTrouble::kRingFull: return "ring_full";
+    case ChainTrouble::kTooLong: return "too_long";
   }
   return "unknown";
 }
@@ -82,6 +83,7 @@
       trouble = ChainTrouble::kUnreachable;
       if (answered != nullptr) {
         if (answered->outcome == ChainOutcome::kDone) co_return std::move(answered->body);
+        if (answered->outcome == ChainOutcome::kTooLong) co_return ChainFailure{ChainTrouble::kTooLong};
         if (answered->outcome == ChainOutcome::kTooFewCopies) trouble = ChainTrouble::kTooFewCopies;
         if (answered->outcome == ChainOutcome::kBusy) trouble = ChainTrouble::kBusy;
         if (answered->outcome == ChainOutcome::kRingFull) trouble = ChainTrouble::kRingFull;
--- a/src/anvil/client.h
+++ b/src/anvil/client.h
@@ -11,6 +11,7 @@
   kTooFewCopies,   // refused: it could not have been kept in two zones
   kBusy,
   kRingFull,
+  kTooLong,        // no record of the ring could hold it
 };
 const char* troubleText(ChainTrouble trouble);
 struct ChainFailure {
--- a/src/anvil/member.cc
+++ b/src/anvil/member.cc
@@ -215,9 +215,11 @@
   recentBytes_ = 0;
   verdicts_.clear();
   verdictOrder_.clear();
+  verdictBytes_ = 0;
   for (auto& [id, verdict] : image->verdicts) {
     verdictOrder_.push_back(id);
     verdicts_[id] = verdict;
+    verdictBytes_ += verdict.size();
   }
   return true;
 }
--- a/src/anvil/member.h
+++ b/src/anvil/member.h
@@ -145,6 +145,7 @@
   std::optional<std::uint64_t> successorEnd_;
   std::map<CommandId, Bytes> verdicts_;  // of commands applied lately; a retry finds its own
   std::deque<CommandId> verdictOrder_;
+  std::size_t verdictBytes_ = 0;
   // reads
   std::deque<Waiting> reads_;
   std::vector<Waiting> held_;
--- a/src/anvil/messages.h
+++ b/src/anvil/messages.h
@@ -159,7 +159,7 @@
   Us holdUs = 0;
   STONEMOUNT_PACK(revision, query, holdUs)
 };
-enum class ChainOutcome : std::uint8_t { kDone, kNotMine, kTooFewCopies, kBusy, kRingFull, kHeld };
+enum class ChainOutcome : std::uint8_t { kDone, kNotMine, kTooFewCopies, kBusy, kRingFull, kTooLong };
 struct ChainVerdict {
   ChainOutcome outcome = ChainOutcome::kNotMine;
   Revision revision = 0;
--- a/src/anvil/relay.cc
+++ b/src/anvil/relay.cc
@@ -13,6 +13,7 @@
 constexpr std::size_t kRecentEntries = 20000;
 constexpr std::size_t kRecentBytes = 8 << 20;
 constexpr std::size_t kVerdictsKept = 16384;
+constexpr std::size_t kVerdictBytesKept = 256 << 10;  // the same at every member, or they would differ
 constexpr Us kPassLimitUs = 500 * kMilliUs;
 constexpr Us kPassAgainUs = 30 * kMilliUs;
 }  // namespace
@@ -34,6 +35,7 @@
   if (!spansZones(memory_.view.chain)) return refuse(asked, ChainOutcome::kTooFewCopies);
   if (inbox_.size() >= kInboxBound || inboxBytes_ >= kInboxBytesBound)
     return refuse(asked, ChainOutcome::kBusy);
+  if (submit.command.size() > drawer_.longestRecord()) return refuse(asked, ChainOutcome::kTooLong);
   // The ring must hold the old checkpoint, the new one and the entries between (design.md 5.2).
   const std::size_t state = imageBytes_ + drawer_.bytesSinceCheckpoint() + inboxBytes_;
   const std::size_t room = drawer_.ringBytes() / (machine_.enlarges(submit.command) ? 4 : 3);
@@ -130,7 +132,9 @@
   if (known == verdicts_.end()) {  // a retry of what was applied finds its verdict and changes nothing
     known = verdicts_.emplace(entry.id, machine_.apply(entry.command)).first;
     verdictOrder_.push_back(entry.id);
-    if (verdictOrder_.size() > kVerdictsKept) {
+    verdictBytes_ += known->second.size();
+    while (verdictOrder_.size() > 1 && (verdictOrder_.size() > kVerdictsKept || verdictBytes_ > kVerdictBytesKept)) {
+      verdictBytes_ -= verdicts_.at(verdictOrder_.front()).size();
       verdicts_.erase(verdictOrder_.front());
       verdictOrder_.pop_front();
     }
--- a/src/bellows/http_in.cc
+++ b/src/bellows/http_in.cc
@@ -12,6 +12,7 @@
 namespace {
 constexpr ssize_t kHeaderBound = 16 << 10;
 constexpr ssize_t kBodyBound = 8 << 20;
+constexpr int kIdleSeconds = 120;  // of a channel with no request on it
 
 const char* reason(int status) {
   switch (status) {
@@ -45,8 +46,10 @@
   explicit ReplyEv(evhttp_request* request) : request_(request) {
     channel_ = evhttp_request_get_connection(request);
     evhttp_connection_set_closecb(channel_, &ReplyEv::onClose, this);
-    // Keep reading, so that a caller that leaves is seen at once.
-    bufferevent_enable(evhttp_connection_get_bufferevent(channel_), EV_READ);
+    // Keep reading, so that a caller that leaves is seen at once; but its silence means nothing.
+    bufferevent* channel = evhttp_connection_get_bufferevent(channel_);
+    bufferevent_set_timeouts(channel, nullptr, nullptr);
+    bufferevent_enable(channel, EV_READ);
   }
   ~ReplyEv() override {
     if (request_ == nullptr) return;
@@ -94,7 +97,10 @@
     self.gone.emit();
   }
   void leave() {
-    if (channel_ != nullptr) evhttp_connection_set_closecb(channel_, nullptr, nullptr);
+    if (channel_ == nullptr) return;
+    const timeval idle{kIdleSeconds, 0};
+    bufferevent_set_timeouts(evhttp_connection_get_bufferevent(channel_), &idle, &idle);
+    evhttp_connection_set_closecb(channel_, nullptr, nullptr);
     channel_ = nullptr;
   }
   void putHeaders(const HeaderMap& headers) {
@@ -124,7 +130,7 @@
   evhttp_set_max_body_size(server_, kBodyBound);
   evhttp_set_allowed_methods(server_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
                                           EVHTTP_REQ_PATCH);
-  evhttp_set_timeout(server_, 120);
+  evhttp_set_timeout(server_, kIdleSeconds);
   evhttp_set_gencb(server_, &HttpInEv::onAsk, this);
   return evhttp_bind_socket(server_, ipText(self_).c_str(), self_.port) == 0;
 }
--- a/src/bellows/http_out.cc
+++ b/src/bellows/http_out.cc
@@ -10,7 +10,7 @@
 namespace stonemount {
 
 namespace {
-constexpr int kIdleSeconds = 900;  // a silent worker is no dead worker; limits are the lathe's
+constexpr int kIdleSeconds = 3700;  // more than any route's limit: a silent worker is no dead worker; limits are the lathe's
 
 constexpr Us kConnectUs = kSecondUs;  // not connected by then: nothing was sent, nothing will be
 
--- a/src/bench/fleet.cc
+++ b/src/bench/fleet.cc
@@ -7,7 +7,7 @@
 namespace {
 constexpr std::uint32_t kNet = (127u << 24) | (1u << 16);
 constexpr std::size_t kRingFiles = 8;
-constexpr std::size_t kRingFileBytes = 512 << 10;
+constexpr std::size_t kRingFileBytes = 1 << 20;
 
 Address wireOf(std::uint32_t number) { return {kNet + number, 7000}; }
 Address httpOf(std::uint32_t number) { return {kNet + number, 8000}; }
--- a/src/drawer/ring.cc
+++ b/src/drawer/ring.cc
@@ -187,15 +187,6 @@
   return true;
 }
 
-std::size_t Drawer::freeBytes() const {
-  std::size_t freeFiles = 0;
-  for (std::size_t i = 0; i < spans_.size(); ++i) {
-    const bool needed = spans_[i].last >= keepFrom_ && spans_[i].last != 0;
-    freeFiles += i != file_ && !needed ? 1 : 0;
-  }
-  return freeFiles * disk_.fileBytes() + disk_.fileBytes() - offset_;
-}
-
 Us Drawer::stalledUs() const { return syncing_ ? clock_.monoUs() - syncBeganUs_ : 0; }
 
 namespace {
--- a/src/drawer/ring.h
+++ b/src/drawer/ring.h
@@ -44,7 +44,7 @@
   void dropCheckpoint() { checkpointOpen_ = false; }
   bool checkpointing() const { return checkpointOpen_; }
   std::size_t bytesSinceCheckpoint() const { return sinceCheckpoint_; }
-  std::size_t freeBytes() const;
+  std::size_t longestRecord() const { return disk_.fileBytes() / 2; }
   std::size_t ringBytes() const { return disk_.fileCount() * disk_.fileBytes(); }
   // How long the sync now under way has taken: a stalled disk shows here (design.md 5.4).
   Us stalledUs() const;
--- a/tests/repair_test.cc
+++ b/tests/repair_test.cc
@@ -90,6 +90,17 @@
     fleet.expect(fleet.ask("GET", absl::StrCat("/v1/lots/lot-", i)).status == 200, "what was accepted stays");
 }
 
+// What no record could hold is refused, and harms nobody.
+void tooLongToKeep() {
+  Asking fleet(6);
+  const Bytes body = absl::StrCat(R"({"key":"k","route":"review","items":[{"id":"a","prompt":")", std::string(600000, 'p'), R"("}]})");
+  const Answer answer = fleet.ask("POST", "/v1/events/night/lots", body);
+  fleet.expect(answer.status == 413 && answer.has("too_long_to_keep"), "a lot too long for the ring: " + answer.body);
+  fleet.fleet.run(2 * kSecondUs);
+  const Bytes small = R"({"key":"k","route":"review","items":[{"id":"a","prompt":"p"}]})";
+  fleet.expect(fleet.ask("POST", "/v1/events/night/lots", small).status == 201, "a shorter one is taken after it");
+}
+
 // A byte rots on one store's disk while it is down: it is mended from the others.
 void diskRots() {
   for (std::uint64_t seed = 10; seed < 22; ++seed) {
@@ -143,6 +154,7 @@
   nodeDrains();
   callerLeaves();
   ringFills();
+  tooLongToKeep();
   diskRots();
   manyRoutes();
   std::printf("%d passed, %d failed\n", Asking::passed, Asking::failed);
