--- a/src/chisel/main.cc
+++ b/src/chisel/main.cc
@@ -35,6 +35,7 @@
   stonemount status
   stonemount clock show
   stonemount doctor
+  stonemount metrics                (of that one process; also of a core or store)
 
 Stand-ins for rehearsals:
   stonemount rehearse worker   --http= --zone= --pool= --slots= --platform=
