--- a/src/anvil/member.h
+++ b/src/anvil/member.h
@@ -11,7 +11,6 @@
 struct MemberPlan {
   std::string zone;
   std::vector<Address> founders;  // all must be empty and present for the first view
-  std::vector<Address> seeds;     // other members that may be asked for the view
   Us pingUs = 100 * kMilliUs;
   Us pingLimitUs = 250 * kMilliUs;
   Us suspectUs = 700 * kMilliUs;
--- /dev/null
+++ b/src/anvil/member_face.cc
@@ -0,0 +1,27 @@
+#include "anvil/member_face.h"
+
+namespace stonemount {
+
+MemberPlan memberPlanOf(const Settings& settings) {
+  MemberPlan plan;
+  plan.zone = settings.zone;
+  plan.founders = settings.founders;
+  return plan;
+}
+
+void answerMemberMetrics(const HttpAsk& ask, HttpReply& reply, JsonOut& out, const Member& member, const Desk& desk) {
+  if (ask.path != "/metrics") {
+    JsonOut unknown;
+    unknown.object().field("verdict", "unknown_path").field("path", ask.path).closeObject();
+    return reply.whole(404, {}, unknown.take() + "\n");
+  }
+  const MemberCounts& counts = member.counts();
+  out.field("standing", standingText(member.standing())).field("view", member.view().revision);
+  out.field("end", member.end()).field("applied", counts.applied).field("reads", counts.reads);
+  out.field("confirms", counts.confirms).field("ballots", counts.ballots).field("viewChanges", counts.viewChanges);
+  out.field("refusedOld", counts.refusedOld).field("syncs", member.drawer().syncs);
+  out.field("frames", desk.sentFrames).field("frameBytes", desk.sentBytes).closeObject();
+  reply.whole(200, {}, out.take() + "\n");
+}
+
+}  // namespace stonemount
--- a/src/anvil/mender.cc
+++ b/src/anvil/mender.cc
@@ -14,7 +14,6 @@
 
 Task Member::pingAll() {
   absl::btree_set<Address> known(plan_.founders.begin(), plan_.founders.end());
-  known.insert(plan_.seeds.begin(), plan_.seeds.end());
   known.insert(self_);
   while (standing_ != Standing::kBroken) {
     for (const Seat& seat : memory_.view.voters) known.insert(seat.address);
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -2,25 +2,16 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "anvil/member_face.h"
+
 #include "jig/platform_list.h"
 #include "vise/http_call.h"
 
 namespace stonemount {
 
-namespace {
-MemberPlan memberPlan(const Settings& settings) {
-  MemberPlan plan;
-  plan.zone = settings.zone;
-  plan.founders = settings.founders;
-  plan.seeds = settings.founders;
-  return plan;
-}
-
-}  // namespace
-
 Core::Core(Ports& ports, Settings settings, CorePlan plan)
     : ports_(ports), settings_(std::move(settings)), plan_(plan), desk_(ports.alarms, ports.wire, ports.chance),
-      shim_(ports, desk_, room_, plan.shim), member_(ports, desk_, room_, machine_, memberPlan(settings_)),
+      shim_(ports, desk_, room_, plan.shim), member_(ports, desk_, room_, machine_, memberPlanOf(settings_)),
       core_(ports, desk_, settings_.founders), store_(ports, desk_, {}), mallet_(ports, desk_, room_, plan.mallet),
       sampler_(ports, desk_, room_, mallet_, store_, plan.gauge), rebuilder_(ports, desk_, shim_, core_, machine_) {}
 
@@ -103,19 +94,8 @@
 
 void Core::onAsked(const HttpAsk& ask, ReplyPtr reply) {
   JsonOut out;
-  if (ask.path != "/metrics") {
-    out.object().field("verdict", "unknown_path").closeObject();
-    reply->whole(404, {}, out.take() + "\n");
-    return;
-  }
-  const MemberCounts& counts = member_.counts();
-  out.object().field("role", "core").field("standing", standingText(member_.standing()));
-  out.field("view", member_.view().revision).field("end", member_.end()).field("applied", counts.applied);
-  out.field("reads", counts.reads).field("confirms", counts.confirms).field("ballots", counts.ballots);
-  out.field("refusedOld", counts.refusedOld).field("syncs", member_.drawer().syncs);
-  out.field("sampler", mallet_.holds(Sampler::kDuty)).field("lister", mallet_.holds(kLister));
-  out.field("frames", desk_.sentFrames).field("frameBytes", desk_.sentBytes).closeObject();
-  reply->whole(200, {}, out.take() + "\n");
+  out.object().field("role", "core").field("sampler", mallet_.holds(Sampler::kDuty)).field("lister", mallet_.holds(kLister));
+  answerMemberMetrics(ask, *reply, out, member_, desk_);
 }
 
 }  // namespace stonemount
--- a/src/store/store.cc
+++ b/src/store/store.cc
@@ -2,22 +2,14 @@
 
 #include <absl/strings/str_cat.h>
 
-namespace stonemount {
+#include "anvil/member_face.h"
 
-namespace {
-MemberPlan memberPlan(const Settings& settings) {
-  MemberPlan plan;
-  plan.zone = settings.zone;
-  plan.founders = settings.founders;
-  plan.seeds = settings.founders;
-  return plan;
-}
-}  // namespace
+namespace stonemount {
 
 Store::Store(Ports& ports, Settings settings, ShimPlan shim, StorePlan plan)
     : ports_(ports), settings_(std::move(settings)), desk_(ports.alarms, ports.wire, ports.chance),
       shim_(ports, desk_, room_, std::move(shim)), machine_(ports.chance, plan),
-      member_(ports, desk_, room_, machine_, memberPlan(settings_)), client_(ports, desk_, settings_.founders) {}
+      member_(ports, desk_, room_, machine_, memberPlanOf(settings_)), client_(ports, desk_, settings_.founders) {}
 
 Store::~Store() {
   asked_.disconnect();
@@ -43,6 +35,18 @@
   client_.learnMember(card.wire);
 }
 
+// One line for each change of epoch or certainty, from the tail alone.
+void Store::tellCut() {
+  const StoreState& state = machine_.state();
+  const bool news = state.cut.epoch != toldCut_.epoch || state.cut.certain != toldCut_.certain ||
+                    state.cut.doubts != toldCut_.doubts;
+  if (!member_.tail() || !news) return;
+  toldCut_ = state.cut;
+  logEvent("cut", {{"epoch", absl::StrCat(state.cut.epoch)}, {"cut_us", absl::StrCat(state.cut.cutUs)},
+                   {"certain", state.cut.certain ? "yes" : "no"}, {"cause", doubtText(state.cut.doubt)},
+                   {"lag_us", absl::StrCat(state.cut.lagUs)}, {"paused_expiries", absl::StrCat(state.pausedExpiries)}});
+}
+
 // The head knows first that the sampler is gone, and has the doubt written down: grants and expiry
 // stop by its own stamp anyway; this shows it to all (design.md 8.3).
 Task Store::watchSession() {
@@ -50,6 +54,7 @@
     Pause pause(ports_.alarms, 500 * kMilliUs);
     co_await pause;
     const CutState& cut = machine_.state().cut;
+    tellCut();
     if (!member_.head() || !cut.certain || machine_.sessions().live(cut.session, member_.sight())) continue;
     Job<ChainAnswer> doubting = client_.submit(pack(StoreCommand(DoubtCut{cut.epoch})), kSecondUs);
     co_await doubting;
@@ -65,20 +70,10 @@
 }
 
 void Store::onAsked(const HttpAsk& ask, ReplyPtr reply) {
+  const CutState& cut = machine_.state().cut;
   JsonOut out;
-  if (ask.path != "/metrics") {
-    out.object().field("verdict", "unknown_path").closeObject();
-    reply->whole(404, {}, out.take() + "\n");
-    return;
-  }
-  const MemberCounts& counts = member_.counts();
-  out.object().field("role", "store").field("standing", standingText(member_.standing()));
-  out.field("view", member_.view().revision).field("end", member_.end()).field("applied", counts.applied);
-  out.field("reads", counts.reads).field("confirms", counts.confirms).field("ballots", counts.ballots);
-  out.field("refusedOld", counts.refusedOld).field("syncs", member_.drawer().syncs);
-  out.field("cutUs", machine_.state().cut.cutUs).field("certain", machine_.state().cut.certain);
-  out.field("frames", desk_.sentFrames).field("frameBytes", desk_.sentBytes).closeObject();
-  reply->whole(200, {}, out.take() + "\n");
+  out.object().field("role", "store").field("cutUs", cut.cutUs).field("certain", cut.certain).field("epoch", cut.epoch);
+  answerMemberMetrics(ask, *reply, out, member_, desk_);
 }
 
 }  // namespace stonemount
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -20,6 +20,7 @@
  private:
   void onMet(const Card& card);
   Task watchSession();
+  void tellCut();
   void onSession(const Asked& asked);
   void onAsked(const HttpAsk& ask, ReplyPtr reply);
   Ports& ports_;
@@ -30,6 +31,7 @@
   StoreMachine machine_;
   Member member_;
   ChainClient client_;
+  CutState toldCut_;  // as it was last logged
   sigc::connection asked_;
 };
 
