--- a/tests/chain_test.cc
+++ b/tests/chain_test.cc
@@ -12,7 +12,7 @@
 
 namespace {
 constexpr std::size_t kFiles = 8;
-constexpr std::size_t kFileBytes = 64 << 10;
+constexpr std::size_t kFileBytes = 256 << 10;
 constexpr Address kClientWire{1, 99};
 
 class ListMachine : public Machine {
