A node that starts or wakes waits for news before it nominates

Change: after a start or a freeze nothing is nominated until the platform has answered a question asked since; after 1 s control will do, after 2.5 s the node goes on without.

--- a/src/jig/almanac.cc
+++ b/src/jig/almanac.cc
@@ -32,6 +32,7 @@
 Task Almanac::follow() {
   while (true) {
     ++asks;
+    const Us askedUs = ports_.clock.monoUs();
     // Asks are spread, so that the return of the core brings no herd.
     const Us holdUs = kHoldUs + static_cast<Us>(ports_.chance.below(250)) * kMilliUs;
     Bytes query = pack(ControlQuery(NewsAsk{state_.revision()}));
@@ -40,7 +41,7 @@
     if (std::holds_alternative<Bytes>(answer)) {
       auto read = unpack<ControlNews>(std::get<Bytes>(answer));
       if (auto* given = std::get_if<ControlNews>(&read)) {
-        freshUs_ = ports_.clock.monoUs();
+        freshUs_ = askedUs;
         take(*given);
       }
     }
--- a/src/jig/almanac.h
+++ b/src/jig/almanac.h
@@ -20,7 +20,7 @@
   void begin();
   const ControlState& state() const { return state_; }
   bool ready() const { return state_.revision() != 0; }
-  Us freshUs() const { return freshUs_; }  // when control itself last answered
+  Us freshUs() const { return freshUs_; }  // when the question was asked that control answered last
   std::uint64_t asks = 0;
   sigc::signal<void()> news;
 
--- a/src/lathe/worker_board.cc
+++ b/src/lathe/worker_board.cc
@@ -32,7 +32,25 @@
 
 bool WorkerBoard::listed(const Address& worker) const { return control_.workers().contains(worker); }
 
-void WorkerBoard::setLeavingMarks(absl::btree_set<Address> marks) { leavingMarks_ = std::move(marks); }
+void WorkerBoard::setLeavingMarks(absl::btree_set<Address> marks, Us askedUs) {
+  leavingMarks_ = std::move(marks);
+  marksHeardUs_ = std::max(marksHeardUs_, askedUs);
+}
+
+void WorkerBoard::tick() {
+  const Us nowUs = clock_.monoUs();
+  if (tickUs_ < 0 || nowUs - tickUs_ > plan_.frozenUs) wokeUs_ = nowUs;
+  tickUs_ = nowUs;
+}
+
+// What was known before a start or a freeze may be long out of date. Live traffic waits for news, but
+// not for ever: it goes on without control and platform too.
+bool WorkerBoard::awake() const {
+  const Us nowUs = clock_.monoUs();
+  if (tickUs_ < 0 || nowUs - tickUs_ > plan_.frozenUs) return false;
+  if (marksHeardUs_ >= wokeUs_ || nowUs - wokeUs_ > plan_.newsWaitUs) return true;
+  return controlHeardUs_ >= wokeUs_ && nowUs - wokeUs_ > plan_.marksWaitUs;
+}
 
 void WorkerBoard::report(const Address& worker, FitnessReport report, Us askedUs) {
   auto found = sights_.find(worker);
@@ -46,7 +64,7 @@
 bool WorkerBoard::usable(const WorkerSight& sight) const {
   const Us nowUs = clock_.monoUs();
   const bool fresh = sight.reportedUs >= 0 && nowUs - sight.reportedUs <= plan_.staleUs;
-  if (nowUs - tickUs_ > plan_.frozenUs || leavingMarks_.contains(sight.listed.address)) return false;
+  if (!awake() || leavingMarks_.contains(sight.listed.address)) return false;
   return fresh && !sight.listed.pool.empty() && !sight.listed.leaving && !sight.report.leaving &&
          nowUs >= sight.mutedUntilUs && !control_.evacuated(sight.listed.zone);
 }
--- a/src/lathe/worker_board.h
+++ b/src/lathe/worker_board.h
@@ -41,6 +41,8 @@
   std::string zone;
   Address self;
   Us frozenUs = 700 * kMilliUs;
+  Us marksWaitUs = kSecondUs;         // after waking, wait so long for the platform before control will do
+  Us newsWaitUs = 2500 * kMilliUs;    // and so long for either before going on with what is known
   Us staleUs = 1500 * kMilliUs;  // a worker that has not reported for so long gets nothing new
   Us muteUs = 500 * kMilliUs;
 };
@@ -52,13 +54,15 @@
   void relist();  // after news from control
   void report(const Address& worker, FitnessReport report, Us askedUs);
   // A tick that must come often: without it this process was frozen and what it knows is old.
-  void tick() { tickUs_ = clock_.monoUs(); }
+  void tick();
   // While lots wait anywhere, live traffic leaves them a quarter of each worker, one slot at least.
   void setLotsWaiting(bool waiting) { lotsWaiting_ = waiting; }
   // And lots keep to that quarter while live requests wait; else they may have half.
   void setLiveWaiting(bool waiting) { liveWaiting_ = waiting; }
   std::uint32_t lotSlots(const WorkerSight& sight) const;
-  void setLeavingMarks(absl::btree_set<Address> marks);
+  void setLeavingMarks(absl::btree_set<Address> marks, Us askedUs);
+  // Control answered a question that was asked then.
+  void controlHeard(Us askedUs) { controlHeardUs_ = std::max(controlHeardUs_, askedUs); }
   void setNodes(std::vector<Address> nodes);
   std::optional<Address> nominate(const NominateWish& wish) const;
   bool usable(const WorkerSight& sight) const;
@@ -79,7 +83,11 @@
   absl::btree_map<std::string, Ring> rings_;  // by pool
   std::vector<Address> nodes_;
   absl::btree_set<Address> leavingMarks_;  // told by the platform itself
-  Us tickUs_ = 0;
+  bool awake() const;
+  Us tickUs_ = -1;
+  Us wokeUs_ = 0;          // its start, or the end of its last freeze
+  Us marksHeardUs_ = -1;   // when the questions were asked that were answered last
+  Us controlHeardUs_ = -1;
   bool lotsWaiting_ = false;
   bool liveWaiting_ = false;
 };
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -60,6 +60,7 @@
     for (const Card& card : shim_.alive(Role::kNode)) nodes.push_back(card.wire);
     board_.setNodes(std::move(nodes));
     board_.tick();
+    board_.controlHeard(almanac_.freshUs());
     Pause pause(ports_.alarms, 200 * kMilliUs);
     co_await pause;
   }
@@ -72,6 +73,8 @@
     HttpAsk ask;
     ask.method = "GET";
     ask.path = "/platform/workers";
+    const Us askedUs = ports_.clock.monoUs();
+    bool heard = false;
     HttpCall call(ports_, settings_.platform, ask, 500 * kMilliUs);
     const HttpVerdict verdict = co_await call;
     if (auto* whole = std::get_if<HttpWhole>(&verdict)) {
@@ -79,10 +82,12 @@
         absl::btree_set<Address> marks;
         for (const ListedWorker& worker : list->workers)
           if (worker.leaving) marks.insert(worker.address);
-        board_.setLeavingMarks(std::move(marks));
+        board_.setLeavingMarks(std::move(marks), askedUs);
+        heard = true;
       }
     }
-    Pause pause(ports_.alarms, static_cast<Us>(600 + ports_.chance.below(300)) * kMilliUs);
+    const Us againUs = static_cast<Us>(heard ? 600 + ports_.chance.below(300) : 50) * kMilliUs;
+    Pause pause(ports_.alarms, againUs);
     co_await pause;
   }
 }
