--- a/src/sawhorse/caller_lots.cc
+++ b/src/sawhorse/caller_lots.cc
@@ -59,11 +59,14 @@
     Pause pause(ports_.alarms, 700 * kMilliUs);
     co_await pause;
   }
-  // Once more after a while: what was read must not change, nor go away.
-  Pause later(ports_.alarms, 5 * kSecondUs);
-  co_await later;
-  Job<bool> again = readLot(record);
-  co_await again;
+  // Again later: what was read must not change, nor go away, though runs that were thought lost may
+  // yet bring their answers.
+  for (int i = 0; i < 3; ++i) {
+    Pause later(ports_.alarms, 6 * kSecondUs);
+    co_await later;
+    Job<bool> again = readLot(record);
+    co_await again;
+  }
   --open_;
 }
 
