Headers and bodies that are too long are refused by the front, in JSON

Cause: evhttp answered them itself in HTML. Its bounds are now far above the front's (16 KiB of headers, 4 MiB of body).

--- a/src/bellows/http_in.cc
+++ b/src/bellows/http_in.cc
@@ -10,8 +10,9 @@
 namespace stonemount {
 
 namespace {
-constexpr ssize_t kHeaderBound = 16 << 10;
-constexpr ssize_t kBodyBound = 8 << 20;
+// Far above what the front takes, so that it is the front that refuses, in JSON.
+constexpr ssize_t kHeaderBound = 256 << 10;
+constexpr ssize_t kBodyBound = 64 << 20;
 constexpr int kIdleSeconds = 120;  // of a channel with no request on it
 
 const char* reason(int status) {
@@ -23,6 +24,8 @@
     case 405: return "Method Not Allowed";
     case 409: return "Conflict";
     case 413: return "Content Too Large";
+    case 422: return "Unprocessable Content";
+    case 431: return "Request Header Fields Too Large";
     case 429: return "Too Many Requests";
     case 503: return "Service Unavailable";
     case 504: return "Gateway Timeout";
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -7,7 +7,6 @@
 namespace stonemount {
 
 namespace {
-constexpr std::size_t kBodyBound = 4 << 20;
 constexpr char kPromptSchema[] = R"({
   "type": "object",
   "additionalProperties": false,
@@ -26,7 +25,6 @@
 }  // namespace
 
 void Node::frontCaller(const HttpAsk& ask, const Parts& parts, ReplyPtr reply) {
-  if (ask.body.size() > kBodyBound) return sendVerdict(*reply, 413, "body_too_long");
   const bool live = parts.size() == 3;
   if (live && parts[1] == "streams") return enterLive(ask, RouteKind::kStream, parts[2], reply);
   if (live && parts[1] == "answers") return enterLive(ask, RouteKind::kWhole, parts[2], reply);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -8,6 +8,11 @@
 
 namespace stonemount {
 
+namespace {
+constexpr std::size_t kHeaderBytes = 16 << 10;
+constexpr std::size_t kBodyBytes = 4 << 20;
+}  // namespace
+
 Node::Node(Ports& ports, Settings settings, NodePlan plan)
     : ports_(ports), settings_(std::move(settings)), desk_(ports.alarms, ports.wire, ports.chance),
       shim_(ports, desk_, room_, plan.shim), core_(ports, desk_, {}), store_(ports, desk_, {}),
@@ -100,6 +105,10 @@
 }
 
 void Node::onAsked(const HttpAsk& ask, ReplyPtr reply) {
+  std::size_t headerBytes = ask.path.size();
+  for (const auto& [name, value] : ask.headers) headerBytes += name.size() + value.size();
+  if (headerBytes > kHeaderBytes) return sendVerdict(*reply, 431, "headers_too_long");
+  if (ask.body.size() > kBodyBytes) return sendVerdict(*reply, 413, "body_too_long");
   const Parts parts = absl::StrSplit(ask.path, '/', absl::SkipEmpty());
   if (!parts.empty() && parts[0] == "v1") return frontCaller(ask, parts, reply);
   if (!parts.empty() && parts[0] == "op") return frontOperator(ask, parts, reply);
