A successor that lacks more than is kept is left behind again; a head decodes less

Found in reading the change: the check for a successor that falls behind what is kept in memory went away when names were compared at first contact, so one that fell behind later in a view would have been sent empty appends without end. It is back, and one function serves both cases. Not seen failing; no test causes it yet.

--- a/src/anvil/member.h
+++ b/src/anvil/member.h
@@ -74,6 +74,7 @@
   void refuse(const Asked& asked, ChainOutcome outcome);
   Task write();
   Task passOn();
+  void leaveBehind(const Address& successor, std::uint64_t itsEnd);
   void applyEntry(const Entry& entry, bool release);
   LogNames logNames() const;
   bool begins(const PassedOn& successor) const;
@@ -162,7 +163,7 @@
   bool proposing_ = false;
   Revision durableRevision_ = 0;  // of the newest view that its disk holds
   std::optional<ChangeVoters> wish_;
-  Address tooFarBehind_;  // a successor that needs more than is kept in memory
+  Address tooFarBehind_;  // a successor left behind, until the next view
   // refill
   bool refilled_ = false;
   bool fetching_ = false;
--- a/src/anvil/relay.cc
+++ b/src/anvil/relay.cc
@@ -37,9 +37,10 @@
     return refuse(asked, ChainOutcome::kBusy);
   if (submit.command.size() > drawer_.longestRecord()) return refuse(asked, ChainOutcome::kTooLong);
   // The ring must hold the old checkpoint, the new one and the entries between (design.md 5.2).
-  const std::size_t state = imageBytes_ + drawer_.bytesSinceCheckpoint() + inboxBytes_;
-  const std::size_t room = drawer_.ringBytes() / (machine_.enlarges(submit.command) ? 4 : 3);
-  if (state + submit.command.size() > room) return refuse(asked, ChainOutcome::kRingFull);
+  const std::size_t bytes = imageBytes_ + drawer_.bytesSinceCheckpoint() + inboxBytes_ + submit.command.size();
+  const bool tight = bytes > drawer_.ringBytes() / 4;  // only then is it worth reading the command
+  if (bytes > drawer_.ringBytes() / 3 || (tight && machine_.enlarges(submit.command)))
+    return refuse(asked, ChainOutcome::kRingFull);
   StampVerdict stamped = machine_.stamp(submit.command, sight());
   if (auto* refused = std::get_if<StampRefused>(&stamped)) {
     desk_.reply(asked, ChainVerdict{ChainOutcome::kDone, memory_.view.revision, refused->verdict});
@@ -186,6 +187,14 @@
   }
 }
 
+// Its log parted from ours, or it lacks more than we keep: a new view will have it refilled.
+void Member::leaveBehind(const Address& successor, std::uint64_t itsEnd) {
+  logDoubt("successor_left_behind", {{"partner", addressText(successor)}, {"its_end", absl::StrCat(itsEnd)},
+                                     {"end", absl::StrCat(end_)}});
+  changeStanding(Standing::kSealed);
+  tooFarBehind_ = successor;
+}
+
 Task Member::passOn() {
   while (standing_ != Standing::kBroken) {
     Hear hear(ports_.alarms, passBell_, 250 * kMilliUs);
@@ -201,6 +210,10 @@
       append.after = successorEnd_.value_or(0);
       append.verified = successorEnd_.has_value();
       if (successorEnd_ && *successorEnd_ < end_) {
+        if (recent_.empty() || recent_.front().index > *successorEnd_ + 1) {
+          leaveBehind(successor, *successorEnd_);
+          break;
+        }
         std::size_t bytes = 0;
         for (std::size_t i = *successorEnd_ + 1 - recent_.front().index; i < recent_.size(); ++i) {
           if (append.entries.size() >= kBatchEntries || bytes > kBatchBytes) break;
@@ -221,10 +234,7 @@
         continue;
       }
       if (!successorEnd_ && !begins(*passed)) {
-        logDoubt("successor_parted", {{"partner", addressText(successor)}, {"its_end", absl::StrCat(passed->end)},
-                                      {"end", absl::StrCat(end_)}});
-        changeStanding(Standing::kSealed);  // a new view will have it refilled
-        tooFarBehind_ = successor;
+        leaveBehind(successor, passed->end);
         break;
       }
       successorTold_ |= append.verified;
--- a/src/drawer/ring.cc
+++ b/src/drawer/ring.cc
@@ -90,7 +90,6 @@
     if (record.sequence >= spans_[file_].first) offset_ += kHeaderBytes + record.body.size();
   }
   nextSequence_ = all.back().sequence + 1;
-  syncedSequence_ = all.back().sequence;
   DrawerContent content;
   std::uint64_t begin = 0;
   std::uint64_t from = 0;
@@ -224,7 +223,6 @@
     failed_ = true;
     co_return DiskFailure{};
   }
-  syncedSequence_ = upTo;
   if (checkpointOpen_ && checkpointEnded_ && checkpointLast_ <= upTo) {
     checkpointOpen_ = false;
     keepFrom_ = checkpointFrom_;
--- a/src/drawer/ring.h
+++ b/src/drawer/ring.h
@@ -73,7 +73,6 @@
   Bytes checkpointRest_;
   std::size_t checkpointAt_ = 0;
   std::size_t sinceCheckpoint_ = 0;
-  std::uint64_t syncedSequence_ = 0;
   bool syncing_ = false;
   bool failed_ = false;
   Us syncBeganUs_ = 0;
