--- a/src/jig/control_state.cc
+++ b/src/jig/control_state.cc
@@ -23,11 +23,16 @@
     if (news.whole || worker.changed > since) news.workers.push_back(worker);
   for (const auto& [zone, state] : zones_)
     if (news.whole || state.changed > since) news.zones.emplace_back(zone, state);
+  for (const auto& [name, pool] : pools_)
+    if (news.whole || pool.changed > since) news.pools.push_back(pool);
+  news.limits = limits_;
   if (news.whole) return news;
   for (const auto& [name, changed] : goneRoutes_)
     if (changed > since) news.removedRoutes.push_back(name);
   for (const auto& [address, changed] : goneWorkers_)
     if (changed > since) news.removedWorkers.push_back(address);
+  for (const auto& [name, changed] : gonePools_)
+    if (changed > since) news.removedPools.push_back(name);
   return news;
 }
 
@@ -38,6 +43,8 @@
     routes_.clear();
     workers_.clear();
     zones_.clear();
+    pools_.clear();
+    gonePools_.clear();
     goneRoutes_.clear();
     goneWorkers_.clear();
     forgotten_ = news.to;
@@ -59,6 +66,15 @@
     workers_[worker.address] = worker;
   }
   for (const auto& [zone, state] : news.zones) zones_[zone] = state;
+  for (const std::string& name : news.removedPools) {
+    pools_.erase(name);
+    gonePools_[name] = news.to;
+  }
+  for (const Pool& pool : news.pools) {
+    gonePools_.erase(pool.name);
+    pools_[pool.name] = pool;
+  }
+  limits_ = news.limits;
   revision_ = news.to;
   configRevision_ = news.configRevision;
   forgetOld();
@@ -89,6 +105,30 @@
   forgetOld();
 }
 
+void ControlState::putPool(Pool pool) {
+  pool.changed = revision_;
+  gonePools_.erase(pool.name);
+  pools_[pool.name] = std::move(pool);
+}
+
+void ControlState::removePool(const std::string& name) {
+  if (pools_.erase(name) != 0) gonePools_[name] = revision_;
+}
+
+void ControlState::setLimits(CallerLimits limits) {
+  limits.changed = revision_;
+  limits_ = std::move(limits);
+}
+
+const Route* ControlState::routeFor(const std::string& host, std::string_view path) const {
+  const Route* chosenRoute = nullptr;
+  for (const auto& [name, route] : routes_) {
+    if (route.host != host || route.prefix.empty() || path.substr(0, route.prefix.size()) != route.prefix) continue;
+    if (chosenRoute == nullptr || route.prefix.size() > chosenRoute->prefix.size()) chosenRoute = &route;
+  }
+  return chosenRoute;
+}
+
 void ControlState::forgetOld() {
   while (goneRoutes_.size() > kGoneKept) {
     forgotten_ = revision_;
--- a/src/jig/control_state.h
+++ b/src/jig/control_state.h
@@ -7,6 +7,13 @@
 
 enum class RouteKind : std::uint8_t { kStream, kLookup, kWhole };
 
+struct PoolShare {
+  std::string pool;
+  std::uint32_t weight = 0;
+  friend bool operator==(const PoolShare&, const PoolShare&) = default;
+  STONEMOUNT_PACK(pool, weight)
+};
+
 struct Route {
   std::string name;
   RouteKind kind = RouteKind::kWhole;
@@ -17,8 +24,46 @@
   bool lots = false;  // lots may be handed in for it
   std::string when;       // a rule; where it does not hold, the route named by `otherwise` is asked
   std::string otherwise;
+  // A route that is chosen by host and path; its requests are passed through as they came (design.md 9.6).
+  std::string host;    // empty: chosen by name only
+  std::string prefix;
+  std::vector<PoolShare> shares;   // several pools by weight; empty: `pool` alone
+  Us targetUs = 0;                 // an answer within it has its full worth; of lots: the acknowledgement
+  Us gapTargetUs = 0;              // longest pause between the parts of a stream that is still in time
+  Us completionUs = 0;             // lots: all results are due within it
+  Us retentionUs = 0;              // lots: an item may be given up after it; 0: never
+  std::uint32_t attempts = 0;      // workers that one request may be sent to; lots: failures until given up; 0: our own bound
+  std::uint32_t precedence = 0;    // 0 is the highest
+  bool affinity = false;           // requests name the parts of their prompts
+  bool resumable = false;          // a stream may go on at another worker
+  std::string given;               // the operator's own text of it, to be read back
+  Revision changed = 0;
+  STONEMOUNT_PACK(name, kind, pool, limitUs, prefixBytes, adapter, lots, when, otherwise, host, prefix, shares, targetUs,
+                  gapTargetUs, completionUs, retentionUs, attempts, precedence, affinity, resumable, given, changed)
+};
+
+// What is configured of a pool of workers.
+struct Pool {
+  std::string name;
+  std::string healthPath;
+  std::uint32_t mostChannels = 0;   // that a worker takes from all together; 0: not told
+  Us warmUs = 0;                    // how long a worker is cold after its start
+  std::uint64_t warmPerKs = 0;      // requests in 1,000 s that a cold one bears; 0: no bound
+  std::uint32_t slots = 0;          // requests that run at once; 0: see the list
+  std::uint64_t cacheTokens = 0;
+  std::string given;
+  Revision changed = 0;
+  STONEMOUNT_PACK(name, healthPath, mostChannels, warmUs, warmPerKs, slots, cacheTokens, given, changed)
+};
+// What callers may send, and how long they may take.
+struct CallerLimits {
+  std::uint32_t headerBytes = 16 << 10;
+  std::uint32_t bodyBytes = 4 << 20;
+  Us headerUs = 3 * kSecondUs;
+  Us idleUs = 120 * kSecondUs;
+  std::string given;
   Revision changed = 0;
-  STONEMOUNT_PACK(name, kind, pool, limitUs, prefixBytes, adapter, lots, when, otherwise, changed)
+  STONEMOUNT_PACK(headerBytes, bodyBytes, headerUs, idleUs, given, changed)
 };
 
 struct ListedWorker {
@@ -27,10 +72,14 @@
   std::string zone;
   std::uint32_t slots = 1;
   bool leaving = false;
+  std::string life;    // names one start of it; empty: the platform does not tell
+  Us coldLeftUs = 0;   // how much longer it was slow when it was listed
   Revision changed = 0;
-  STONEMOUNT_PACK(address, pool, zone, slots, leaving, changed)
+  STONEMOUNT_PACK(address, pool, zone, slots, leaving, life, coldLeftUs, changed)
+  // A list tells of coldness only as it begins; that is a change.
   bool sameAs(const ListedWorker& other) const {
-    return pool == other.pool && zone == other.zone && slots == other.slots && leaving == other.leaving;
+    return pool == other.pool && zone == other.zone && slots == other.slots && leaving == other.leaving &&
+           life == other.life && other.coldLeftUs == 0;
   }
 };
 
@@ -51,7 +100,11 @@
   std::vector<ListedWorker> workers;
   std::vector<Address> removedWorkers;
   std::vector<std::pair<std::string, ZoneState>> zones;
-  STONEMOUNT_PACK(from, to, configRevision, whole, routes, removedRoutes, workers, removedWorkers, zones)
+  std::vector<Pool> pools;
+  std::vector<std::string> removedPools;
+  CallerLimits limits;  // always told
+  STONEMOUNT_PACK(from, to, configRevision, whole, routes, removedRoutes, workers, removedWorkers, zones, pools,
+                  removedPools, limits)
 };
 
 class ControlState {
@@ -61,6 +114,10 @@
   const std::map<std::string, Route>& routes() const { return routes_; }
   const std::map<Address, ListedWorker>& workers() const { return workers_; }
   const std::map<std::string, ZoneState>& zones() const { return zones_; }
+  const std::map<std::string, Pool>& pools() const { return pools_; }
+  const CallerLimits& limits() const { return limits_; }
+  // The route of that host with the longest prefix that begins the path; none: nullptr.
+  const Route* routeFor(const std::string& host, std::string_view path) const;
   bool evacuated(const std::string& zone) const;
   ControlNews newsSince(Revision since) const;
   // Takes what is newer, never what is older. False if it does not fit on what is here.
@@ -74,7 +131,11 @@
   void setZone(const std::string& zone, bool evacuated);
   void putWorker(ListedWorker worker);
   void removeWorker(const Address& address);
-  STONEMOUNT_PACK(revision_, configRevision_, routes_, workers_, zones_, goneRoutes_, goneWorkers_, forgotten_)
+  void putPool(Pool pool);
+  void removePool(const std::string& name);
+  void setLimits(CallerLimits limits);
+  STONEMOUNT_PACK(revision_, configRevision_, routes_, workers_, zones_, pools_, limits_, goneRoutes_, goneWorkers_, gonePools_,
+                  forgotten_)
 
  private:
   void forgetOld();
@@ -83,7 +144,10 @@
   std::map<std::string, Route> routes_;
   std::map<Address, ListedWorker> workers_;
   std::map<std::string, ZoneState> zones_;
+  std::map<std::string, Pool> pools_;
+  CallerLimits limits_;
   std::map<std::string, Revision> goneRoutes_;
+  std::map<std::string, Revision> gonePools_;
   std::map<Address, Revision> goneWorkers_;
   Revision forgotten_ = 0;  // whoever is older than this is sent the whole
 };
--- a/src/stonemount.h
+++ b/src/stonemount.h
@@ -109,8 +109,16 @@
   std::string method;
   std::string path;
   HeaderMap query;
-  HeaderMap headers;
+  HeaderMap headers;  // of one that came more than once, the values are joined by ", "
   Bytes body;
+  std::string target;  // path and query as they came, byte for byte; when sent and not empty, it stands over both
+};
+
+// What a server lets its callers do (design.md 3.2).
+struct HttpLimits {
+  std::size_t headerBytes = 256 << 10;
+  std::size_t bodyBytes = 64 << 20;
+  Us idleUs = 120 * kSecondUs;  // of a channel with no request on it
 };
 
 // The way back to a caller. `gone` fires once if the caller goes away first.
@@ -122,6 +130,8 @@
   virtual void end() = 0;
   virtual void whole(int status, const HeaderMap& headers, const Bytes& body) = 0;
   virtual std::size_t backlogBytes() const = 0;
+  // Closes the channel at once: what was begun must not look complete.
+  virtual void abort() { end(); }
   sigc::signal<void()> gone;
 };
 using ReplyPtr = std::shared_ptr<HttpReply>;
@@ -129,6 +139,8 @@
 class HttpIn {
  public:
   virtual ~HttpIn() = default;
+  virtual void setLimits(const HttpLimits&) {}
+  virtual void setClosing() {}  // from now on every answer closes its channel
   sigc::signal<void(const HttpAsk&, ReplyPtr)> asked;
 };
 
@@ -142,6 +154,7 @@
 struct HttpEnd {};
 struct HttpBroken {
   bool provenUnsent = false;  // not one byte of the ask left this process
+  bool reused = false;        // the channel had served another request before
 };
 using HttpPiece = std::variant<HttpHead, HttpData, HttpEnd, HttpBroken>;
 
@@ -151,10 +164,20 @@
   virtual ~HttpFlow() = default;
   sigc::signal<void(HttpPiece)> piece;
 };
+// How a channel to a server is come by. Kept ones wait for the next request until the server's own
+// Keep-Alive time, less a margin, or until it says that it closes.
+struct HttpVia {
+  bool keep = false;      // may ride on a kept channel, and leaves its own behind
+  bool fresh = false;     // must not ride on one that was used before
+  std::string echoName;   // the answer must repeat this header with this value, or it is another request's
+  std::string echoValue;
+};
 class HttpOut {
  public:
   virtual ~HttpOut() = default;
   virtual std::unique_ptr<HttpFlow> open(const Address& server, const HttpAsk& ask) = 0;
+  virtual std::unique_ptr<HttpFlow> open(const Address& server, const HttpAsk& ask, const HttpVia&) { return open(server, ask); }
+  virtual void closeKept(const Address&) {}  // the server is gone, or another has its address
 };
 
 class Chance {
