--- a/src/chisel/process.cc
+++ b/src/chisel/process.cc
@@ -6,6 +6,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <cstdlib>
 #include <random>
 
 #include "bellows/disk_file.h"
@@ -15,6 +16,9 @@
 #include "chisel/flags.h"
 #include "core/core.h"
 #include "node/node.h"
+#include "platform/front.h"
+#include "platform/settings.h"
+#include "platform/workers.h"
 #include "store/store.h"
 
 ABSL_FLAG(std::string, wire, "", "own address between processes, as 127.0.0.1:7001");
@@ -55,28 +59,38 @@
   return (static_cast<std::uint64_t>(device()) << 32) ^ device();
 }
 
-// A node that is told to end takes nothing new and finishes what it has, for a while.
+// A node that is told to end finishes what it has, for a while. Where callers are sent by a platform that
+// first has to see that it is not ready any more, those that still come until then are served too.
 class NodeFarewell : public Continuation {
  public:
-  NodeFarewell(Loop& loop, Node& node) : loop_(loop), node_(node) { loop_.farewell = this; }
+  NodeFarewell(Loop& loop, Node& node, platform::Front* front, Us graceUs)
+      : loop_(loop), node_(node), front_(front), graceUs_(graceUs) { loop_.farewell = this; }
   ~NodeFarewell() override {
     loop_.farewell = nullptr;
     loop_.disarm(*this);
   }
   void proceed() override {
+    const Us nowUs = loop_.monoUs();
     if (untilUs_ == 0) {
       logEvent("draining", {});
       node_.drain();
-      untilUs_ = loop_.monoUs() + 20 * kSecondUs;
+      if (front_ != nullptr) front_->drain();
+      untilUs_ = nowUs + graceUs_ - kLastUs;
+      quietFromUs_ = nowUs + (front_ != nullptr ? std::min(kUnseenUs, graceUs_ / 2) : 0);
     }
-    if (node_.idle() || loop_.monoUs() >= untilUs_) loop_.stop();
+    if ((node_.idle() && nowUs >= quietFromUs_) || nowUs >= untilUs_) loop_.stop();
     else loop_.arm(50 * kMilliUs, *this);
   }
 
  private:
+  static constexpr Us kLastUs = 700 * kMilliUs;    // of the grace, kept for the end itself
+  static constexpr Us kUnseenUs = 2800 * kMilliUs;  // until those who send callers have seen it
   Loop& loop_;
   Node& node_;
+  platform::Front* front_;
+  Us graceUs_;
   Us untilUs_ = 0;
+  Us quietFromUs_ = 0;
 };
 
 template <class Running>
@@ -87,16 +101,46 @@
 }
 }  // namespace
 
-int runProcess(const std::string& role) {
-  std::string fileText;
+namespace {
+// Where a process learns its place: the platform's file, if its variable is set and no other file is named;
+// else the product's own settings.
+SettingsVerdict learnPlace(SettingsFor kind, bool& onPlatform) {
   const std::string path = absl::GetFlag(FLAGS_settings);
-  if (!path.empty()) {
-    std::optional<std::string> text = readWholeFile(path);
-    if (!text) return say(Exit::kUsage, "settings: cannot read " + path);
+  const char* bootFile = std::getenv(platform::kBootFileVariable);
+  onPlatform = path.empty() && bootFile != nullptr;
+  std::string fileText;
+  if (!path.empty() || onPlatform) {
+    std::optional<std::string> text = readWholeFile(onPlatform ? bootFile : path);
+    if (!text) return SettingsFault{"(file)", "cannot be read"};
     fileText = *text;
   }
+  if (onPlatform) return platform::readBootFile(fileText, kind);
+  return readSettings(fileText, givenFlags(), kind);
+}
+
+// The node role: its own interface, and the platform's callers where it has some.
+int runNode(Loop& loop, Ports& ports, const Settings& settings, const ShimPlan& shim) {
+  platform::Workers dialect;
+  NodePlan plan;
+  plan.shim = shim;
+  if (settings.front.set()) plan.dialect = &dialect;
+  HttpInEv frontIn(loop, settings.front);
+  HttpInEv readinessIn(loop, settings.readiness);
+  if (settings.front.set() && !frontIn.listen()) return say(Exit::kUsage, "settings: cannot listen on " + addressText(settings.front));
+  if (settings.readiness.set() && !readinessIn.listen()) return say(Exit::kUsage, "settings: cannot listen on " + addressText(settings.readiness));
+  Node node(ports, settings, plan);
+  std::unique_ptr<platform::Front> front;
+  if (settings.front.set()) front = std::make_unique<platform::Front>(node, frontIn, settings.readiness.set() ? &readinessIn : nullptr);
+  NodeFarewell farewell(loop, node, front.get(), settings.bounds.graceUs);
+  serve(loop, node);
+  return 0;
+}
+}  // namespace
+
+int runProcess(const std::string& role) {
   const SettingsFor kind = role == "core" ? SettingsFor::kCore : role == "store" ? SettingsFor::kStore : SettingsFor::kNode;
-  SettingsVerdict read = readSettings(fileText, givenFlags(), kind);
+  bool onPlatform = false;
+  SettingsVerdict read = learnPlace(kind, onPlatform);
   if (auto* fault = std::get_if<SettingsFault>(&read))
     return say(Exit::kUsage, "settings: key " + fault->key + " " + fault->why);
   const Settings settings = std::get<Settings>(read);
@@ -119,6 +163,7 @@
   if (!httpIn.listen()) return say(Exit::kUsage, "settings: key http: cannot listen on " + addressText(settings.http));
   Ports ports{loop, loop, wire, httpIn, httpOut, disk.get(), chance};
   logEvent("starting", {{"role", role}, {"zone", settings.zone}, {"http", addressText(settings.http)}});
+  int result = 0;
   ShimPlan shim;
   shim.seeds = settings.seeds;
   for (const Address& founder : settings.founders)
@@ -132,14 +177,10 @@
     Store store(ports, settings, shim, StorePlan());
     serve(loop, store);
   } else {
-    NodePlan plan;
-    plan.shim = shim;
-    Node node(ports, settings, plan);
-    NodeFarewell farewell(loop, node);
-    serve(loop, node);
+    result = runNode(loop, ports, settings, shim);
   }
   setLogSink(nullptr);
-  return 0;
+  return result;
 }
 
 }  // namespace stonemount
--- a/src/jig/settings.h
+++ b/src/jig/settings.h
@@ -1,6 +1,8 @@
 // Where a process learns its place: a settings file, then flags over it (design.md 10.2).
 #pragma once
 
+#include <set>
+
 #include "jig/json.h"
 
 namespace stonemount {
@@ -10,6 +12,7 @@
   Us drainUs = 3 * kSecondUs;       // a leaving worker gets nothing new after this
   Us graceUs = 20 * kSecondUs;      // from the polite signal to the end
   Us syncUs = 5 * kSecondUs;        // within it a returned or new member holds everything
+  Us statusUs = 120 * kSecondUs;    // a lot's results stay readable for so long after it was handed in
   Us cancelUs = 3 * kSecondUs;      // an ended lot starts nothing after this
   std::uint32_t coldOverPercent = 100;  // of a cold worker's rate that it gets in a second at the most
   std::uint32_t coldSlack = 0;          // and so many more
@@ -24,6 +27,7 @@
   Address wire;
   Address http;
   std::string zone;
+  std::set<std::string> zones;  // all that there are; empty: not told
   std::vector<Address> seeds;
   std::vector<Address> founders;
   std::string data;
--- /dev/null
+++ b/src/lathe/gateway.h
@@ -0,0 +1,74 @@
+// Live requests that are passed through: hold, choose, try, go on, answer (design.md 9.6). Which words the
+// callers use is the business of whoever enters them here.
+#pragma once
+
+#include "lathe/passage.h"
+
+namespace stonemount {
+
+struct LiveRequest {
+  Route route;           // as it stood when the request was read
+  std::string exchange;  // the caller's name for this try
+  HttpAsk ask;           // as it goes out
+  Us limitUs = 0;        // that the caller waits
+  std::uint64_t spot = 0;
+  std::uint32_t tokens = 0;
+  std::optional<std::uint64_t> lastEvent;
+};
+
+struct GatewayPlan {
+  std::size_t holdBound = 512;    // requests that wait for a worker
+  std::size_t relayBound = 2048;  // requests at workers
+  Us holdUs = 150 * kMilliUs;     // longest wait for a worker; less where a route's target is short
+  std::uint32_t tries = 3;        // where the route does not say
+};
+struct GatewayCounts {
+  std::uint64_t taken = 0, whole = 0, refused = 0, lapsed = 0, broken = 0, left = 0, retried = 0, resumed = 0;
+};
+
+class Gateway : public ItemPasser {
+ public:
+  Gateway(Ports& ports, TaskRoom& room, PoolBoard& board, const ControlState& control, const WorkerDialect& dialect,
+          GatewayPlan plan);
+  ~Gateway() override;
+  void enter(LiveRequest request, ReplyPtr reply);
+  Job<PassEnding> passItem(PassOrder order, PassSink& sink) override;
+  bool roomForLots(const std::string& pool) const override { return held_ == 0 && board_.roomForLots(pool); }
+  void drain() { draining_ = true; }
+  const GatewayCounts& counts() const { return counts_; }
+  std::size_t holding() const { return held_; }
+  std::size_t relaying() const { return relaying_; }
+
+ private:
+  struct Caller;
+  bool mayChoose(const std::string& pool, const std::pair<std::uint32_t, std::uint64_t>& place) const;
+  Task serve(std::shared_ptr<Caller> caller);
+  Job<bool> hold(std::shared_ptr<Caller> caller, std::string pool);
+  bool mayTryAgain(const Caller& caller) const;
+  bool handleEnding(Caller& caller, const PassEnding& ending);  // true: try again
+  void refuse(Caller& caller, const char* why);
+  void fail(Caller& caller, int status, const char* why);
+  void onRoom();
+  std::string poolOf(const Route& route, const std::string& exchange) const;
+  Ports& ports_;
+  TaskRoom& room_;
+  PoolBoard& board_;
+  const ControlState& control_;
+  const WorkerDialect& dialect_;
+  GatewayPlan plan_;
+  std::uint64_t lastEntered_ = 0;
+  using Queue = std::map<std::pair<std::uint32_t, std::uint64_t>, Caller*>;  // by precedence, then as they came
+  std::map<std::string, Queue> queues_;  // by pool
+  std::size_t held_ = 0;
+  std::size_t relaying_ = 0;
+  sigc::connection roomMade_;
+  GatewayCounts counts_;
+  Us paceUs_ = 20 * kMilliUs;  // smoothed time between two whole answers
+  Us lastWholeUs_ = 0;
+  bool draining_ = false;
+};
+
+// A refusal that promises: not run, and never will be. `againUs`: when to come back; 0: not told.
+void sendRefusal(HttpReply& reply, int status, const char* why, Us againUs);
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/lathe/passage.cc
@@ -0,0 +1,102 @@
+#include "lathe/passage.h"
+
+namespace stonemount {
+
+namespace {
+constexpr std::size_t kFailureBytes = 256 << 10;
+
+bool isSeries(const HttpHead& head) {
+  auto type = head.headers.find("content-type");
+  return type != head.headers.end() && type->second.rfind("text/event-stream", 0) == 0;
+}
+}  // namespace
+
+// Silence is no ground to end an answer: only its own limit, the caller's leaving, a broken channel or an
+// answer that is not this request's ends it (design.md 9.4).
+Job<PassEnding> Passage::run(PassOrder order, Address worker, PassSink& sink) {
+  sink_ = &sink;
+  worker_ = worker;
+  lastEvent_ = order.lastEvent;
+  const Us untilUs = ports_.clock.monoUs() + order.limitUs;
+  dialect_.direct(order.ask, board_.lifeOf(worker), order.limitUs, order.lastEvent);
+  std::unique_ptr<HttpFlow> flow = ports_.httpOut.open(worker, order.ask, dialect_.via(order.exchange));
+  order.ask = HttpAsk();
+  flow->piece.connect(sigc::mem_fun(*this, &Passage::put));
+  while (!ending_) {
+    if (sink.left()) {
+      ending_ = PassBroken{headSeen_};
+      break;
+    }
+    const Us leftUs = untilUs - ports_.clock.monoUs();
+    if (leftUs <= 0) {
+      ending_ = PassLapsed{true};
+      if (!headSeen_) told_ = PoolBoard::Ending::kBroken;  // for the choice of workers only
+      break;
+    }
+    Hear hear(ports_.alarms, sink.bell(), leftUs);
+    co_await hear;
+  }
+  flow.reset();
+  board_.giveBack(worker, order.lot, told_);
+  co_return std::move(*ending_);
+}
+
+void Passage::end(PassEnding ending, PoolBoard::Ending told) {
+  if (ending_) return;
+  ending_ = std::move(ending);
+  told_ = told;
+  sink_->bell().ring();
+}
+
+void Passage::put(HttpPiece piece) {
+  if (ending_) return;
+  if (auto* head = std::get_if<HttpHead>(&piece)) return takeHead(*head);
+  if (auto* data = std::get_if<HttpData>(&piece)) return takeData(data->bytes);
+  if (auto* broken = std::get_if<HttpBroken>(&piece)) {
+    if (broken->provenUnsent) return end(PassNotRun{}, PoolBoard::Ending::kUnsent);
+    return end(PassBroken{headSeen_}, PoolBoard::Ending::kBroken);
+  }
+  finish();
+}
+
+void Passage::takeHead(const HttpHead& head) {
+  headSeen_ = true;
+  head_ = head;
+  word_ = dialect_.read(head);
+  if (word_.load) board_.heard(worker_, *word_.load);
+  if (word_.word == WorkerWord::kForeign) return end(PassBroken{true}, PoolBoard::Ending::kBroken);
+  if (word_.word != WorkerWord::kSealed) return;
+  series_ = isSeries(head);
+  sink_->head(head);
+}
+
+void Passage::takeData(const Bytes& bytes) {
+  if (word_.word != WorkerWord::kSealed) {
+    if (failure_.size() + bytes.size() <= kFailureBytes) failure_ += bytes;
+    return;
+  }
+  if (!series_) return sink_->bytes(bytes);
+  std::vector<PassEvent> events;
+  if (!events_.feed(bytes, events)) return end(PassBroken{true}, PoolBoard::Ending::kBroken);
+  for (PassEvent& event : events) {
+    // Where it goes on for another, not one event may be missing or come twice.
+    if (lastEvent_ && event.id != *lastEvent_ + 1) return end(PassBroken{true}, PoolBoard::Ending::kBroken);
+    lastEvent_ = event.id;
+    sink_->event(std::move(event));
+  }
+}
+
+void Passage::finish() {
+  switch (word_.word) {
+    case WorkerWord::kSealed:
+      if (series_ && !events_.between()) return end(PassBroken{true}, PoolBoard::Ending::kBroken);
+      return end(PassWhole{head_.status}, PoolBoard::Ending::kWhole);
+    case WorkerWord::kNotRun: return end(PassNotRun{}, PoolBoard::Ending::kRefused);
+    case WorkerWord::kOtherLife: return end(PassNotRun{}, PoolBoard::Ending::kOtherLife);
+    case WorkerWord::kDeclined: return end(PassDeclined{}, PoolBoard::Ending::kWhole);
+    case WorkerWord::kFailed: return end(PassFailed{head_.status, head_, std::move(failure_)}, PoolBoard::Ending::kWhole);
+    case WorkerWord::kForeign: return end(PassBroken{true}, PoolBoard::Ending::kBroken);
+  }
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/lathe/passage.h
@@ -0,0 +1,77 @@
+// One request at one worker, its bytes passed through (design.md 9.6).
+#pragma once
+
+#include "lathe/event_reader.h"
+#include "lathe/pool_board.h"
+#include "lathe/worker_dialect.h"
+#include "vise/await.h"
+
+namespace stonemount {
+
+struct PassOrder {
+  std::string exchange;   // the id that the worker must echo
+  std::string pool;       // whose workers may run it
+  HttpAsk ask;            // as it goes out; what concerns one worker is added when it is sent
+  std::uint64_t spot = 0; // of its shared prompt; 0: none
+  std::uint32_t tokens = 0;
+  std::optional<std::uint64_t> lastEvent;  // go on after this event
+  bool lot = false;
+  Us limitUs = 0;         // that it may take from now on
+};
+
+struct PassWhole { int status = 0; };           // a whole 2xx answer with its seal
+struct PassNotRun { Us againUs = 0; };          // proven: no worker ran it (refused, unsent, none had room)
+struct PassFailed { int status = 0; HttpHead head; Bytes body; };  // the worker's own whole failure: it ran
+struct PassDeclined {};                          // 422: it can never be done
+struct PassBroken { bool began = true; };        // may have run; not whole
+struct PassLapsed { bool sent = false; };        // limitUs passed
+using PassEnding = std::variant<PassWhole, PassNotRun, PassFailed, PassDeclined, PassBroken, PassLapsed>;
+
+class PassSink {
+ public:
+  virtual ~PassSink() = default;
+  virtual void head(const HttpHead&) {}          // of a sealed 2xx answer, before any of its bytes
+  virtual void bytes(const Bytes&) {}            // of an answer that is no series of events
+  virtual void event(PassEvent&& event) = 0;     // in order, each once
+  virtual bool left() const = 0;                  // nobody wants it any more: end it
+  virtual Bell& bell() = 0;                       // rung when that changes
+};
+
+class ItemPasser {                                // implemented by the live path
+ public:
+  virtual ~ItemPasser() = default;
+  // One worker, one try: chooses a worker, sends, reads to the end. Never two workers in one call.
+  virtual Job<PassEnding> passItem(PassOrder order, PassSink& sink) = 0;
+  virtual bool roomForLots(const std::string& pool) const = 0;
+};
+
+// One try at a worker that was chosen and charged for; gives it back to the board when it ends.
+class Passage : public sigc::trackable {
+ public:
+  Passage(Ports& ports, PoolBoard& board, const WorkerDialect& dialect)
+      : ports_(ports), board_(board), dialect_(dialect) {}
+  Job<PassEnding> run(PassOrder order, Address worker, PassSink& sink);
+
+ private:
+  void put(HttpPiece piece);
+  void takeHead(const HttpHead& head);
+  void takeData(const Bytes& bytes);
+  void end(PassEnding ending, PoolBoard::Ending told);
+  void finish();
+  Ports& ports_;
+  PoolBoard& board_;
+  const WorkerDialect& dialect_;
+  PassSink* sink_ = nullptr;
+  Address worker_;
+  std::optional<std::uint64_t> lastEvent_;
+  EventReader events_;
+  HttpHead head_;
+  WorkerHead word_;
+  Bytes failure_;
+  bool headSeen_ = false;
+  bool series_ = false;  // the answer is a series of events
+  std::optional<PassEnding> ending_;
+  PoolBoard::Ending told_ = PoolBoard::Ending::kLeft;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/lathe/pool_board.cc
@@ -0,0 +1,177 @@
+#include "lathe/pool_board.h"
+
+#include <algorithm>
+
+namespace stonemount {
+
+namespace {
+constexpr Us kToldHalvesUs = kSecondUs;  // what was told of others' requests counts half after each
+constexpr std::uint32_t kSpareUse = 2;   // over the mean, before a spot's worker is passed over
+}  // namespace
+
+void PoolBoard::relist() {
+  const Us nowUs = clock_.monoUs();
+  pools_.clear();
+  std::vector<Address> lost;
+  for (auto& [address, worker] : workers_)
+    if (!control_.workers().contains(address)) lost.push_back(address);
+  for (const Address& address : lost) {
+    PoolWorker& worker = workers_.at(address);
+    if (!worker.listed.pool.empty()) gone.emit(address);
+    worker.listed.pool.clear();
+    if (worker.inFlight() == 0) workers_.erase(address);
+  }
+  for (const auto& [address, listed] : control_.workers()) {
+    PoolWorker& worker = workers_[address];
+    if (worker.listed.life != listed.life || worker.listed.pool != listed.pool) {
+      const std::uint32_t live = worker.live, lots = worker.lots;
+      if (!worker.listed.pool.empty()) gone.emit(address);
+      worker = PoolWorker();
+      worker.live = live;  // of its former life; they end by themselves
+      worker.lots = lots;
+    }
+    if (listed.changed != worker.listed.changed && listed.coldLeftUs > 0) worker.coldUntilUs = nowUs + listed.coldLeftUs;
+    worker.listed = listed;
+    pools_[listed.pool].push_back(address);
+  }
+  roomMade.emit();
+}
+
+void PoolBoard::setNodes(std::size_t nodes) { nodes_ = static_cast<std::uint32_t>(std::max<std::size_t>(1, nodes)); }
+
+bool PoolBoard::usable(const PoolWorker& worker) const {
+  return !worker.listed.pool.empty() && !worker.listed.leaving && !worker.otherLife &&
+         !control_.evacuated(worker.listed.zone);
+}
+
+std::uint32_t PoolBoard::slots(const PoolWorker& worker) const {
+  return std::max<std::uint32_t>(1, worker.listed.slots);
+}
+
+// What others have there is what it told less what was ours then; it is forgotten by and by.
+std::uint32_t PoolBoard::use(const PoolWorker& worker) const {
+  if (worker.toldUs < 0) return worker.inFlight();
+  const std::uint32_t all = worker.told.running + worker.told.waiting;
+  std::uint32_t others = all > worker.inFlightAtTold ? all - worker.inFlightAtTold : 0;
+  const Us ageUs = clock_.monoUs() - worker.toldUs;
+  others >>= std::min<Us>(ageUs / kToldHalvesUs, 31);
+  return others + worker.inFlight();
+}
+
+// Its connections and, while it is cold, its requests of any one second are shared out among the nodes.
+bool PoolBoard::bearsMore(const PoolWorker& worker) const {
+  auto pool = control_.pools().find(worker.listed.pool);
+  if (pool == control_.pools().end()) return true;
+  const std::uint32_t channels = pool->second.mostChannels;
+  if (channels > 0 && worker.inFlight() + 1 > std::max<std::uint32_t>(1, channels / nodes_)) return false;
+  const Us nowUs = clock_.monoUs();
+  if (pool->second.warmPerKs == 0 || nowUs >= worker.coldUntilUs) return true;
+  const std::uint64_t perSecond = pool->second.warmPerKs * plan_.coldOverPercent / 100'000 + plan_.coldSlack;
+  const std::uint64_t share = perSecond / nodes_;
+  std::uint64_t lately = 0;
+  for (const Us sentUs : worker.sentUs) lately += nowUs - sentUs < kSecondUs + 100 * kMilliUs ? 1 : 0;
+  return lately < share;
+}
+
+// Requests that share a prompt meet where it is kept, unless that worker has clearly more to do than the
+// others; all else goes where least is.
+const PoolWorker* PoolBoard::pickFrom(const Pick& pick, const PoolWish& wish) const {
+  std::uint64_t sum = 0;
+  for (const PoolWorker* worker : pick) sum += use(*worker);
+  const std::uint64_t most = pick.empty() ? 0 : sum * 5 / (4 * pick.size()) + kSpareUse;
+  const PoolWorker* chosen = nullptr;
+  std::uint64_t chosenRank = 0;
+  for (const PoolWorker* worker : pick) {
+    const std::uint64_t hash = spread(std::string_view(reinterpret_cast<const char*>(&worker->listed.address.ip), 4),
+                                      wish.spot + worker->listed.address.port);
+    std::uint64_t rank = hash >> 8;
+    if (wish.spot == 0) rank = (static_cast<std::uint64_t>(use(*worker)) * 1000 / slots(*worker) << 32) + (hash >> 40);
+    else if (use(*worker) > most) rank |= 1ULL << 60;
+    if (chosen != nullptr && rank >= chosenRank) continue;
+    chosen = worker;
+    chosenRank = rank;
+  }
+  return chosen;
+}
+
+// In turn: this zone while it is calm there, any zone that is, any that has room; those that failed lately last.
+std::optional<Address> PoolBoard::choose(const PoolWish& wish) const {
+  auto pool = pools_.find(wish.pool);
+  if (pool == pools_.end()) return std::nullopt;
+  const Us nowUs = clock_.monoUs();
+  Pick tiers[5];
+  for (const Address& address : pool->second) {
+    const PoolWorker& worker = workers_.at(address);
+    if (wish.passedOver.contains(address) || !usable(worker) || !bearsMore(worker)) continue;
+    const std::uint64_t percent = 100ULL * (use(worker) + 1) / slots(worker);
+    const bool calm = percent <= (wish.lot ? plan_.lotPercent : plan_.calmPercent) || use(worker) == 0;
+    if (wish.lot && !calm) continue;
+    if (percent > plan_.fullPercent && use(worker) > 0) continue;
+    const bool own = worker.listed.zone == plan_.zone;
+    if (nowUs < worker.suspectUntilUs) {
+      if (worker.inFlight() == 0) tiers[4].push_back(&worker);
+    } else {
+      tiers[calm ? (own ? 0 : 1) : (own ? 2 : 3)].push_back(&worker);
+    }
+  }
+  for (const Pick& pick : tiers)
+    if (const PoolWorker* chosen = pickFrom(pick, wish)) return chosen->listed.address;
+  return std::nullopt;
+}
+
+bool PoolBoard::serves(const std::string& pool) const {
+  auto found = pools_.find(pool);
+  if (found == pools_.end()) return false;
+  for (const Address& address : found->second)
+    if (usable(workers_.at(address))) return true;
+  return false;
+}
+
+bool PoolBoard::roomForLots(const std::string& pool) const {
+  PoolWish wish;
+  wish.pool = pool;
+  wish.lot = true;
+  return choose(wish).has_value();
+}
+
+void PoolBoard::take(const Address& address, bool lot) {
+  PoolWorker& worker = workers_.at(address);
+  ++(lot ? worker.lots : worker.live);
+  const Us nowUs = clock_.monoUs();
+  if (nowUs < worker.coldUntilUs) worker.sentUs.push_back(nowUs);
+  while (!worker.sentUs.empty() && nowUs - worker.sentUs.front() > 2 * kSecondUs) worker.sentUs.pop_front();
+}
+
+void PoolBoard::heard(const Address& address, const WorkerLoad& load) {
+  auto found = workers_.find(address);
+  if (found == workers_.end()) return;
+  found->second.told = load;
+  found->second.toldUs = clock_.monoUs();
+  found->second.inFlightAtTold = found->second.inFlight();
+}
+
+void PoolBoard::giveBack(const Address& address, bool lot, Ending ending) {
+  auto found = workers_.find(address);
+  STONEMOUNT_INVARIANT(found != workers_.end());
+  PoolWorker& worker = found->second;
+  std::uint32_t& held = lot ? worker.lots : worker.live;
+  STONEMOUNT_INVARIANT(held > 0);
+  --held;
+  worker.inFlightAtTold = std::min(worker.inFlightAtTold, worker.inFlight());
+  const Us nowUs = clock_.monoUs();
+  if (ending == Ending::kWhole) {
+    worker.failures = 0;
+    worker.suspectUntilUs = 0;
+  } else if (ending == Ending::kOtherLife) {
+    worker.otherLife = true;
+  } else if (ending == Ending::kBroken || ending == Ending::kUnsent) {
+    const std::uint32_t doublings = std::min<std::uint32_t>(worker.failures++, 6);
+    worker.suspectUntilUs = nowUs + std::min(plan_.suspectUs << doublings, plan_.mostSuspectUs);
+  } else if (ending == Ending::kRefused) {
+    worker.suspectUntilUs = std::max(worker.suspectUntilUs, nowUs + plan_.suspectUs / 8);
+  }
+  if (worker.listed.pool.empty() && worker.inFlight() == 0) workers_.erase(found);
+  roomMade.emit();
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/lathe/pool_board.h
@@ -0,0 +1,76 @@
+// Workers whose load is known from their answers and the list alone: which one gets a request that is
+// passed through, and how much (design.md 9.7). Nothing is asked of a worker but requests.
+#pragma once
+
+#include "jig/control_state.h"
+#include "lathe/worker_dialect.h"
+
+namespace stonemount {
+
+struct PoolWish {
+  std::string pool;
+  std::uint64_t spot = 0;  // of its shared prompt: requests of one spot meet at one worker; 0: none
+  bool lot = false;
+  absl::flat_hash_set<Address> passedOver;
+};
+
+struct PoolWorker {
+  ListedWorker listed;
+  std::uint32_t live = 0, lots = 0;  // of this node, in flight
+  WorkerLoad told;                   // by its newest answer to this node
+  Us toldUs = -1;
+  std::uint32_t inFlightAtTold = 0;
+  std::deque<Us> sentUs;             // of the last second, while it is cold
+  Us coldUntilUs = 0;
+  Us suspectUntilUs = 0;             // it failed lately: only where no other will do
+  std::uint32_t failures = 0;        // in a row
+  bool otherLife = false;            // somebody else has its address; until it is listed anew
+  std::uint32_t inFlight() const { return live + lots; }
+};
+
+struct PoolBoardPlan {
+  std::string zone;
+  std::uint32_t coldOverPercent = 100;
+  std::uint32_t coldSlack = 0;
+  std::uint32_t calmPercent = 85;    // of a worker's slots: up to here it gets requests before another zone does
+  std::uint32_t lotPercent = 80;     // up to here lots start
+  std::uint32_t fullPercent = 140;   // from here on it has no room: what waits there would be late
+  Us suspectUs = 400 * kMilliUs;     // doubles with each failure in a row
+  Us mostSuspectUs = 4 * kSecondUs;
+};
+
+class PoolBoard {
+ public:
+  PoolBoard(const Clock& clock, const ControlState& control, PoolBoardPlan plan)
+      : clock_(clock), control_(control), plan_(std::move(plan)) {}
+  void relist();  // after news from control
+  void setNodes(std::size_t nodes);  // that share the workers, this one among them
+  std::optional<Address> choose(const PoolWish& wish) const;
+  void take(const Address& worker, bool lot);
+  enum class Ending : std::uint8_t { kWhole, kRefused, kOtherLife, kUnsent, kBroken, kLeft };
+  void giveBack(const Address& worker, bool lot, Ending ending);
+  void heard(const Address& worker, const WorkerLoad& load);
+  // Is there any worker that may get anything, now or when room is made?
+  bool serves(const std::string& pool) const;
+  bool roomForLots(const std::string& pool) const;
+  const absl::btree_map<Address, PoolWorker>& workers() const { return workers_; }
+  const std::string& lifeOf(const Address& worker) const { return workers_.at(worker).listed.life; }
+  sigc::signal<void()> roomMade;
+  sigc::signal<void(const Address&)> gone;  // its kept channels are worth nothing any more
+
+ private:
+  using Pick = std::vector<const PoolWorker*>;
+  bool usable(const PoolWorker& worker) const;
+  bool bearsMore(const PoolWorker& worker) const;
+  std::uint32_t slots(const PoolWorker& worker) const;
+  std::uint32_t use(const PoolWorker& worker) const;  // of its slots, by all, as far as is known
+  const PoolWorker* pickFrom(const Pick& pick, const PoolWish& wish) const;
+  const Clock& clock_;
+  const ControlState& control_;
+  PoolBoardPlan plan_;
+  std::uint32_t nodes_ = 1;
+  absl::btree_map<Address, PoolWorker> workers_;
+  absl::flat_hash_map<std::string, std::vector<Address>> pools_;
+};
+
+}  // namespace stonemount
--- a/src/lathe/worker_board.h
+++ b/src/lathe/worker_board.h
@@ -74,6 +74,7 @@
   enum class Ending : std::uint8_t { kSealed, kRefused, kBroken, kUnsent, kLeft };
   void giveBack(const Address& worker, bool lot, Ending ending);
   const absl::btree_map<Address, WorkerSight>& sights() const { return sights_; }
+  bool awake() const;  // what is known is from after its start, or its last freeze
   sigc::signal<void()> roomMade;
 
  private:
@@ -86,7 +87,6 @@
   absl::btree_map<std::string, Ring> rings_;  // by pool
   std::vector<Address> nodes_;
   absl::btree_set<Address> leavingMarks_;  // told by the platform itself
-  bool awake() const;
   Us tickUs_ = -1;
   Us wokeUs_ = 0;          // its start, or the end of its last freeze
   Us marksHeardUs_ = -1;   // when the questions were asked that were answered last
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -19,7 +19,15 @@
       almanac_(ports, desk_, room_, core_, shim_),
       board_(ports.clock, almanac_.state(), {settings_.zone, settings_.wire}), fitness_(ports, room_, board_),
       lathe_(ports, room_, board_, almanac_.state(), plan.lathe, hexText(ports.chance.next())),
-      scheduler_(ports, desk_, room_, store_, board_, almanac_.state(), shim_, settings_.zone, plan.scheduler) {}
+      scheduler_(ports, desk_, room_, store_, board_, almanac_.state(), shim_, settings_.zone, plan.scheduler) {
+  if (plan.dialect == nullptr) return;
+  PoolBoardPlan board;
+  board.zone = settings_.zone;
+  board.coldOverPercent = settings_.bounds.coldOverPercent;
+  board.coldSlack = settings_.bounds.coldSlack;
+  pools_ = std::make_unique<PoolBoard>(ports.clock, almanac_.state(), board);
+  gateway_ = std::make_unique<Gateway>(ports, room_, *pools_, almanac_.state(), *plan.dialect, plan.gateway);
+}
 
 Node::~Node() {
   asked_.disconnect();
@@ -47,6 +55,12 @@
   shim_.self().draining = true;
   lathe_.drain();
   scheduler_.drain();
+  if (gateway_ != nullptr) gateway_->drain();
+}
+
+bool Node::idle() const {
+  const bool passing = gateway_ != nullptr && (gateway_->holding() > 0 || gateway_->relaying() > 0);
+  return !passing && lathe_.waiting() == 0 && lathe_.relaying() == 0 && scheduler_.idle();
 }
 
 void Node::onMet(const Card& card) {
@@ -56,13 +70,15 @@
 
 void Node::onNews() {
   board_.relist();
-  fitness_.relist();
+  if (pools_ != nullptr) pools_->relist();
+  else fitness_.relist();
 }
 
 Task Node::keepNodes() {
   while (true) {
     std::vector<Address> nodes;
     for (const Card& card : shim_.alive(Role::kNode)) nodes.push_back(card.wire);
+    if (pools_ != nullptr) pools_->setNodes(nodes.size());
     board_.setNodes(std::move(nodes));
     board_.tick();
     board_.controlHeard(almanac_.freshUs());
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -6,6 +6,7 @@
 #include "jig/rule.h"
 #include "jig/settings.h"
 #include "lathe/fitness.h"
+#include "lathe/gateway.h"
 #include "lathe/lathe.h"
 #include "node/scheduler.h"
 
@@ -15,6 +16,8 @@
   ShimPlan shim;
   LathePlan lathe;
   SchedulerPlan scheduler;
+  GatewayPlan gateway;
+  const WorkerDialect* dialect = nullptr;  // set: requests are passed through to workers that are spoken to in it
 };
 
 class Node {
@@ -23,7 +26,11 @@
   ~Node();
   void begin();
   void drain();
-  bool idle() const { return lathe_.waiting() == 0 && lathe_.relaying() == 0 && scheduler_.idle(); }
+  bool idle() const;
+  // Takes requests: it knows a configuration, is not leaving, and does not go by news from before a freeze.
+  bool ready() const { return almanac_.ready() && !draining_ && board_.awake(); }
+  Gateway* gateway() { return gateway_.get(); }  // none: nothing is passed through here
+  sigc::signal<void()>& almanacNews() { return almanac_.news; }
   const Almanac& almanac() const { return almanac_; }
   const Lathe& lathe() const { return lathe_; }
   const Scheduler& scheduler() const { return scheduler_; }
@@ -82,6 +89,8 @@
   WorkerBoard board_;
   FitnessWatch fitness_;
   Lathe lathe_;
+  std::unique_ptr<PoolBoard> pools_;  // only where requests are passed through
+  std::unique_ptr<Gateway> gateway_;
   Scheduler scheduler_;
   RuleBook rules_;
   sigc::connection asked_;
