--- a/src/anvil/client.cc
+++ b/src/anvil/client.cc
@@ -12,26 +12,29 @@
 
 class ViewPoll : public Poll {
  public:
-  ViewPoll(Desk& desk, const absl::btree_set<Address>& members)
-      : Poll(desk, ViewAsk::kKind, pack(ViewAsk{}), kViewUs) {
-    for (const Address& member : members) add(member);
-    needed_ = members.size() / 2 + 1;
+  ViewPoll(Desk& desk, const absl::btree_set<Address>& members, bool wantsHead)
+      : Poll(desk, ViewAsk::kKind, pack(ViewAsk{}), kViewUs), members_(members.begin(), members.end()), wantsHead_(wantsHead) {
+    for (const Address& member : members_) add(member);
+    needed_ = members_.size() / 2 + 1;
   }
   View newest;
+  bool headHeard() const { return !newest.chain.empty() && answered_.contains(newest.chain.front().address); }
 
  protected:
-  void heard(std::size_t, const Bytes& body) override {
+  void heard(std::size_t member, const Bytes& body) override {
     auto read = unpack<ViewVerdict>(body);
     auto* verdict = std::get_if<ViewVerdict>(&read);
     if (verdict == nullptr) return;
-    ++answered_;
+    answered_.insert(members_[member]);
     if (verdict->view.revision > newest.revision) newest = std::move(verdict->view);
   }
-  bool enough() const override { return answered_ >= needed_; }
+  bool enough() const override { return answered_.size() >= needed_ && (!wantsHead_ || headHeard()); }
 
  private:
+  std::vector<Address> members_;
+  bool wantsHead_;
   std::size_t needed_ = 0;
-  std::size_t answered_ = 0;
+  absl::btree_set<Address> answered_;
 };
 }  // namespace
 
@@ -52,14 +55,10 @@
 Job<Done> ChainClient::refresh() {
   if (!refreshing_) {
     refreshing_ = true;
-    ViewPoll poll(desk_, members_);
+    ViewPoll poll(desk_, members_, false);
     co_await poll;
     refreshing_ = false;
-    if (poll.newest.revision > view_.revision) {
-      view_ = poll.newest;
-      for (const Seat& voter : view_.voters) members_.insert(voter.address);
-      for (const Seat& guest : view_.guests) members_.insert(guest.address);
-    }
+    takeView(poll.newest);
   } else {
     Pause pause(ports_.alarms, kAgainUs);
     co_await pause;
@@ -67,11 +66,26 @@
   co_return Done{};
 }
 
-Job<ChainAnswer> ChainClient::submit(Bytes command, Us limitUs) {
+void ChainClient::takeView(const View& view) {
+  if (view.revision <= view_.revision) return;
+  view_ = view;
+  for (const Seat& voter : view_.voters) members_.insert(voter.address);
+  for (const Seat& guest : view_.guests) members_.insert(guest.address);
+}
+
+Job<bool> ChainClient::findHead() {
+  ViewPoll poll(desk_, members_, true);
+  co_await poll;
+  takeView(poll.newest);
+  co_return poll.newest.revision == view_.revision && poll.headHeard();
+}
+
+Job<ChainAnswer> ChainClient::submit(Bytes command, Us limitUs, Us sureUs) {
   Submit submit;
   submit.id = {clientId_, ++lastNumber_};
   submit.command = std::move(command);
   const Us untilUs = ports_.clock.monoUs() + limitUs;
+  const Us sureUntilUs = sureUs > 0 ? ports_.clock.monoUs() + sureUs : untilUs;
   ChainTrouble trouble = ChainTrouble::kUnreachable;
   bool unsure = false;  // one try was not answered: whatever the others say, it may have been taken
   while (true) {
@@ -94,13 +108,13 @@
         if (answered->outcome == ChainOutcome::kRingFull) trouble = ChainTrouble::kRingFull;
       }
     }
-    if (ports_.clock.monoUs() + kAgainUs >= untilUs) break;
+    if (ports_.clock.monoUs() + kAgainUs >= (unsure ? untilUs : sureUntilUs)) break;
     Job<Done> refreshing = refresh();
     co_await refreshing;
     Pause pause(ports_.alarms, kAgainUs);
     co_await pause;
   }
-  co_return ChainFailure{unsure ? ChainTrouble::kUnreachable : trouble};
+  co_return ChainFailure{unsure ? ChainTrouble::kUnreachable : trouble, unsure};
 }
 
 Job<ChainAnswer> ChainClient::read(Bytes query, Us holdUs, Us limitUs) {
--- a/src/anvil/client.h
+++ b/src/anvil/client.h
@@ -16,6 +16,7 @@
 const char* troubleText(ChainTrouble trouble);
 struct ChainFailure {
   ChainTrouble trouble = ChainTrouble::kUnreachable;
+  bool unsure = false;  // a command may have been taken, or yet be
 };
 using ChainAnswer = std::variant<Bytes, ChainFailure>;
 
@@ -23,14 +24,18 @@
  public:
   ChainClient(Ports& ports, Desk& desk, std::vector<Address> members);
   // The same command is sent again until it is known to be applied, and is applied once.
-  Job<ChainAnswer> submit(Bytes command, Us limitUs);
+  // While it is sure not to have been taken it is given up after `sureUs` already, if that is given.
+  Job<ChainAnswer> submit(Bytes command, Us limitUs, Us sureUs = 0);
   Job<ChainAnswer> read(Bytes query, Us holdUs, Us limitUs);
   Job<std::variant<ChangeVerdict, PartnerSilent>> changeVoters(ChangeVoters wish, Us limitUs);
   const View& view() const { return view_; }
   void learnMember(const Address& member) { members_.insert(member); }
   Job<Done> refresh();
+  // Looks for the newest view, and whether its head can be heard. False: a command sent now would be sent in vain.
+  Job<bool> findHead();
 
  private:
+  void takeView(const View& view);
   Ports& ports_;
   Desk& desk_;
   absl::btree_set<Address> members_;
--- a/src/core/commands.h
+++ b/src/core/commands.h
@@ -14,10 +14,13 @@
   bool evacuated = false;
   STONEMOUNT_PACK(zone, evacuated)
 };
-struct PutWorkers {  // what the platform lists, with the platform's own version of it
+// What the platform lists, with the platform's own version of it; or, where it has none, with the number after
+// the last one that the lister knew before it asked for the list: of two such, only the first is taken.
+struct PutWorkers {
   std::uint64_t platformVersion = 0;
+  bool numbered = false;  // by the lister
   std::vector<ListedWorker> workers;
-  STONEMOUNT_PACK(platformVersion, workers)
+  STONEMOUNT_PACK(platformVersion, numbered, workers)
 };
 struct ReturnConfig {  // an older content again, as a new revision
   Revision base = 0;
@@ -30,12 +33,18 @@
 };
 using ControlCommand = std::variant<PutConfig, SetZone, PutWorkers, ReturnConfig, Rebuild>;
 
-enum class ControlOutcome : std::uint8_t { kDone, kConflict, kUnknownRevision, kUnreadable, kUnchanged };
+enum class ControlOutcome : std::uint8_t { kDone, kConflict, kUnknownRevision, kUnreadable, kUnchanged,
+                                            kNotAbove,  // the operator's number is not above the current one
+                                            kInvalid,   // see the flaw
+                                            kOlder };   // another list came first
 struct ControlVerdict {
   ControlOutcome outcome = ControlOutcome::kDone;
   Revision configRevision = 0;
   Revision revision = 0;
-  STONEMOUNT_PACK(outcome, configRevision, revision)
+  std::uint64_t platformVersion = 0;  // of the list that stands
+  ConfigFlaw flaw = ConfigFlaw::kNone;
+  std::string flawed;                 // the route that has it
+  STONEMOUNT_PACK(outcome, configRevision, revision, platformVersion, flaw, flawed)
 };
 
 struct NewsAsk {
@@ -48,16 +57,24 @@
 };
 using ControlQuery = std::variant<NewsAsk, HistoryAsk>;
 
-struct RouteChange {
-  std::optional<Route> before;
-  std::optional<Route> after;
+template <class Item>
+struct ItemChange {
+  std::optional<Item> before;
+  std::optional<Item> after;
   STONEMOUNT_PACK(before, after)
 };
+using RouteChange = ItemChange<Route>;
+using PoolChange = ItemChange<Pool>;
+// From one configuration to the next, and back.
 struct ConfigStep {
   Revision revision = 0;
+  Revision base = 0;  // the one before it
   std::string note;
   std::vector<RouteChange> changes;
-  STONEMOUNT_PACK(revision, note, changes)
+  std::vector<PoolChange> pools;
+  ItemChange<CallerLimits> limits;  // empty: as they were
+  ItemChange<std::string> given;
+  STONEMOUNT_PACK(revision, base, note, changes, pools, limits, given)
 };
 struct HistoryVerdict {
   std::vector<ConfigStep> steps;  // newest last
--- a/src/core/control_machine.cc
+++ b/src/core/control_machine.cc
@@ -1,25 +1,26 @@
 #include "core/control_machine.h"
 
+#include "core/config_merge.h"
+
 namespace stonemount {
 
 namespace {
-constexpr std::uint8_t kStateFormat = 2;
+constexpr std::uint8_t kStateFormat = 3;
 constexpr std::size_t kStepsKept = 64;
+constexpr std::size_t kStepBytesKept = 1 << 20;  // of all but the newest: a checkpoint holds them too
+constexpr std::size_t kTakenKept = 256;
 struct Saved {
   std::uint8_t format = kStateFormat;
   ControlState state;
   std::uint64_t platformVersion = 0;
   std::deque<ConfigStep> history;
-  STONEMOUNT_PACK(format, state, platformVersion, history)
+  std::deque<TakenWish> taken;
+  STONEMOUNT_PACK(format, state, platformVersion, history, taken)
 };
-bool sameRoute(const Route& left, const Route& right) {
-  return left.kind == right.kind && left.pool == right.pool && left.limitUs == right.limitUs &&
-         left.prefixBytes == right.prefixBytes && left.adapter == right.adapter && left.lots == right.lots;
-}
 }  // namespace
 
 ControlVerdict ControlMachine::verdict(ControlOutcome outcome) const {
-  return {outcome, state_.configRevision(), state_.revision()};
+  return {outcome, state_.configRevision(), state_.revision(), platformVersion_};
 }
 
 StampVerdict ControlMachine::stamp(const Bytes& command, const HeadSight&) { return Stamped{command}; }
@@ -38,61 +39,66 @@
   return pack(done);
 }
 
-// A change is made from a base; if another came first, its maker must look again (design.md 7.2).
+// A change is made from a base; if another came first, its maker must look again. The very same wish, sent
+// again because its first answer was lost, is answered as then (design.md 7.2).
 ControlVerdict ControlMachine::put(const PutConfig& command) {
   const ConfigWish& wish = command.wish;
+  for (const TakenWish& taken : taken_)
+    if (wish.digest != 0 && taken.digest == wish.digest && taken.revision == wish.next)
+      return verdict(ControlOutcome::kUnchanged);
   if (wish.base != state_.configRevision()) return verdict(ControlOutcome::kConflict);
-  std::vector<RouteChange> changes;
-  absl::btree_set<std::string> named;
-  for (const Route& route : wish.routes) {
-    named.insert(route.name);
-    auto found = state_.routes().find(route.name);
-    if (found == state_.routes().end()) changes.push_back({std::nullopt, route});
-    else if (!sameRoute(found->second, route)) changes.push_back({found->second, route});
-  }
-  for (const auto& [name, route] : state_.routes()) {
-    const bool goes = wish.whole && !named.contains(name);
-    if (goes) changes.push_back({route, std::nullopt});
-  }
-  for (const std::string& name : wish.removed) {
-    auto found = state_.routes().find(name);
-    if (found != state_.routes().end()) changes.push_back({found->second, std::nullopt});
+  ConfigStep step = mergeWish(state_, wish);
+  if (step.revision <= state_.configRevision()) return verdict(ControlOutcome::kNotAbove);
+  const ConfigFlawFound found = findFlaw(state_, step);
+  if (found.flaw != ConfigFlaw::kNone) {
+    ControlVerdict refused = verdict(ControlOutcome::kInvalid);
+    refused.flaw = found.flaw;
+    refused.flawed = found.route;
+    return refused;
   }
-  return changeRoutes(wish.note, std::move(changes));
+  if (wish.digest != 0) taken_.push_back({step.revision, wish.digest});
+  if (taken_.size() > kTakenKept) taken_.pop_front();
+  return take(std::move(step));
 }
 
-ControlVerdict ControlMachine::changeRoutes(const std::string& note, std::vector<RouteChange> changes) {
+ControlVerdict ControlMachine::take(ConfigStep step) {
+  STONEMOUNT_INVARIANT(step.revision > state_.configRevision());
   state_.bump();
-  state_.bumpConfig();
-  for (const RouteChange& change : changes) {
+  state_.setConfigRevision(step.revision);
+  for (const RouteChange& change : step.changes)
+    if (!change.after) state_.removeRoute(change.before->name);
+  for (const RouteChange& change : step.changes)
     if (change.after) state_.putRoute(*change.after);
-    else state_.removeRoute(change.before->name);
+  for (const PoolChange& change : step.pools) {
+    if (change.after) state_.putPool(*change.after);
+    else state_.removePool(change.before->name);
   }
-  history_.push_back({state_.configRevision(), note, std::move(changes)});
-  if (history_.size() > kStepsKept) history_.pop_front();
+  if (step.limits.after) state_.setLimits(*step.limits.after);
+  if (step.given.after) state_.setGiven(*step.given.after);
+  history_.push_back(std::move(step));
+  boundHistory();
   return verdict(ControlOutcome::kDone);
 }
 
+void ControlMachine::boundHistory() {
+  std::size_t bytes = 0, kept = 0;
+  for (auto step = history_.rbegin(); step != history_.rend() && kept < kStepsKept; ++step, ++kept) {
+    bytes += pack(*step).size();
+    if (kept > 0 && bytes > kStepBytesKept) break;
+  }
+  while (history_.size() > kept) history_.pop_front();
+}
+
 ControlVerdict ControlMachine::put(const ReturnConfig& command) {
   if (command.base != state_.configRevision()) return verdict(ControlOutcome::kConflict);
-  const bool known = command.to + 1 >= (history_.empty() ? 1 : history_.front().revision) &&
-                     command.to <= state_.configRevision();
-  if (!known) return verdict(ControlOutcome::kUnknownRevision);
-  std::map<std::string, std::optional<Route>> target;
-  for (auto step = history_.rbegin(); step != history_.rend() && step->revision > command.to; ++step)
-    for (const RouteChange& change : step->changes)
-      target[change.after ? change.after->name : change.before->name] = change.before;
-  std::vector<RouteChange> changes;
-  for (auto& [name, route] : target) {
-    auto found = state_.routes().find(name);
-    RouteChange change;
-    if (found != state_.routes().end()) change.before = found->second;
-    change.after = route;
-    const bool same = change.before.has_value() == change.after.has_value() &&
-                      (!change.before || sameRoute(*change.before, *change.after));
-    if (!same) changes.push_back(std::move(change));
-  }
-  return changeRoutes("return to " + std::to_string(command.to), std::move(changes));
+  std::vector<const ConfigStep*> steps;
+  for (auto step = history_.rbegin(); step != history_.rend() && step->revision > command.to; ++step) steps.push_back(&*step);
+  // Numbers may leap: only what stood after a step, or before the oldest, is known.
+  const Revision reached = steps.empty() ? state_.configRevision() : steps.back()->base;
+  if (reached != command.to) return verdict(ControlOutcome::kUnknownRevision);
+  ConfigStep back = mergeBack(state_, steps);
+  back.note = "return to " + std::to_string(command.to);
+  return take(std::move(back));
 }
 
 // Only onto nothing: where any configuration was ever taken here, nobody else's memory counts.
@@ -106,6 +112,9 @@
 }
 
 ControlVerdict ControlMachine::put(const SetZone& command) {
+  auto found = state_.zones().find(command.zone);
+  if (found != state_.zones().end() && found->second.evacuated == command.evacuated)
+    return verdict(ControlOutcome::kUnchanged);
   state_.bump();
   state_.setZone(command.zone, command.evacuated);
   return verdict(ControlOutcome::kDone);
@@ -113,7 +122,8 @@
 
 ControlVerdict ControlMachine::put(const PutWorkers& command) {
   // An older list, told by a lister that was slow, changes nothing.
-  if (command.platformVersion < platformVersion_) return verdict(ControlOutcome::kUnchanged);
+  if (command.platformVersion < platformVersion_) return verdict(ControlOutcome::kOlder);
+  if (command.numbered && command.platformVersion == platformVersion_) return verdict(ControlOutcome::kOlder);
   platformVersion_ = command.platformVersion;
   absl::btree_set<Address> listed;
   std::vector<ListedWorker> changed;
@@ -146,7 +156,7 @@
   return pack(HistoryVerdict{{history_.begin(), history_.end()}});
 }
 
-Bytes ControlMachine::save() const { return pack(Saved{kStateFormat, state_, platformVersion_, history_}); }
+Bytes ControlMachine::save() const { return pack(Saved{kStateFormat, state_, platformVersion_, history_, taken_}); }
 
 bool ControlMachine::load(const Bytes& state) {
   auto read = unpack<Saved>(state);
@@ -155,6 +165,7 @@
   state_ = std::move(saved->state);
   platformVersion_ = saved->platformVersion;
   history_ = std::move(saved->history);
+  taken_ = std::move(saved->taken);
   packedNews_.clear();
   return true;
 }
--- a/src/core/control_machine.h
+++ b/src/core/control_machine.h
@@ -6,6 +6,12 @@
 
 namespace stonemount {
 
+struct TakenWish {
+  Revision revision = 0;
+  std::uint64_t digest = 0;
+  STONEMOUNT_PACK(revision, digest)
+};
+
 class ControlMachine : public Machine {
  public:
   Bytes apply(const Bytes& command) override;
@@ -15,6 +21,7 @@
   Bytes save() const override;
   bool load(const Bytes& state) override;
   const ControlState& state() const { return state_; }
+  std::uint64_t platformVersion() const { return platformVersion_; }
 
  private:
   ControlVerdict put(const PutConfig& command);
@@ -22,11 +29,13 @@
   ControlVerdict put(const PutWorkers& command);
   ControlVerdict put(const ReturnConfig& command);
   ControlVerdict put(const Rebuild& command);
-  ControlVerdict changeRoutes(const std::string& note, std::vector<RouteChange> changes);
+  ControlVerdict take(ConfigStep step);
   ControlVerdict verdict(ControlOutcome outcome) const;
+  void boundHistory();
   ControlState state_;
   std::uint64_t platformVersion_ = 0;
   std::deque<ConfigStep> history_;
+  std::deque<TakenWish> taken_;  // the last ones; the same wish sent again is known by them
   mutable std::map<Revision, Bytes> packedNews_;  // many nodes ask from the same revision
 };
 
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -4,16 +4,15 @@
 
 #include "anvil/member_face.h"
 
-#include "jig/platform_list.h"
-#include "vise/http_call.h"
-
 namespace stonemount {
 
 Core::Core(Ports& ports, Settings settings, CorePlan plan)
     : ports_(ports), settings_(std::move(settings)), plan_(plan), desk_(ports.alarms, ports.wire, ports.chance),
       shim_(ports, desk_, room_, plan.shim), member_(ports, desk_, room_, machine_, memberPlanOf(settings_)),
       core_(ports, desk_, settings_.founders), store_(ports, desk_, {}), mallet_(ports, desk_, room_, plan.mallet),
-      sampler_(ports, desk_, room_, mallet_, store_, member_, plan.gauge), rebuilder_(ports, desk_, shim_, core_, machine_) {}
+      sampler_(ports, desk_, room_, mallet_, store_, member_, plan.gauge), rebuilder_(ports, desk_, shim_, core_, machine_),
+      ownList_(ports, settings_.platform), lister_(core_, machine_, plan.list != nullptr ? plan.list : &ownList_),
+      operators_(ports, core_) {}
 
 Core::~Core() {
   asked_.disconnect();
@@ -63,35 +62,17 @@
       Job<Done> rebuilding = rebuilder_.look();
       co_await rebuilding;
     }
-    if (mallet_.holds(kLister) && settings_.platform.set()) {
-      Job<Done> carrying = carryList();
+    if (mallet_.holds(kLister) && (plan_.list != nullptr || settings_.platform.set())) {
+      Job<Done> carrying = lister_.carry();
       co_await carrying;
     } else {
-      listedVersion_ = 0;
+      lister_.forget();
     }
     Pause pause(ports_.alarms, plan_.listUs);
     co_await pause;
   }
 }
 
-Job<Done> Core::carryList() {
-  HttpAsk ask;
-  ask.method = "GET";
-  ask.path = "/platform/workers";
-  HttpCall call(ports_, settings_.platform, ask, kSecondUs);
-  const HttpVerdict verdict = co_await call;
-  auto* whole = std::get_if<HttpWhole>(&verdict);
-  if (whole == nullptr || whole->status != 200) co_return Done{};
-  std::optional<PlatformList> list = readPlatformList(whole->body);
-  if (!list || list->version == listedVersion_) co_return Done{};
-  const std::uint64_t version = list->version;
-  ControlCommand command = PutWorkers{version, std::move(list->workers)};
-  Job<ChainAnswer> sending = core_.submit(pack(command), 2 * kSecondUs);
-  ChainAnswer answer = co_await sending;
-  if (std::holds_alternative<Bytes>(answer)) listedVersion_ = version;
-  co_return Done{};
-}
-
 void Core::onAsked(const HttpAsk& ask, ReplyPtr reply) {
   JsonOut out;
   out.object().field("role", "core").field("sampler", mallet_.holds(Sampler::kDuty)).field("lister", mallet_.holds(kLister));
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -3,7 +3,10 @@
 
 #include "anvil/member.h"
 #include "core/control_machine.h"
+#include "core/lister.h"
+#include "core/operator_desk.h"
 #include "gauge/sampler.h"
+#include "jig/platform_list.h"
 #include "jig/settings.h"
 #include "rasp/rebuild.h"
 #include "shim/shim.h"
@@ -14,7 +17,8 @@
   ShimPlan shim;
   MalletPlan mallet;
   GaugePlan gauge;
-  Us listUs = 300 * kMilliUs;
+  Us listUs = 600 * kMilliUs;
+  WorkerListSource* list = nullptr;  // none: the settings' platform, if there is one
 };
 
 class Core {
@@ -27,11 +31,11 @@
   const ControlMachine& machine() const { return machine_; }
   std::uint64_t sentBytes() const { return desk_.sentBytes; }
   const Mallet& mallet() const { return mallet_; }
+  OperatorDesk& operators() { return operators_; }
   static constexpr const char* kLister = "lister";
 
  private:
   Task list();
-  Job<Done> carryList();
   Task watchZone();
   void onMet(const Card& card);
   void onView();
@@ -49,7 +53,9 @@
   Mallet mallet_;
   Sampler sampler_;
   Rebuilder rebuilder_;
-  std::uint64_t listedVersion_ = 0;
+  PlatformListSource ownList_;
+  Lister lister_;
+  OperatorDesk operators_;
   sigc::connection asked_;
 };
 
--- /dev/null
+++ b/src/core/operator_desk.cc
@@ -0,0 +1,87 @@
+#include "core/operator_desk.h"
+
+#include <algorithm>
+
+namespace stonemount {
+
+namespace {
+constexpr Us kLimitUs = 2500 * kMilliUs;
+constexpr Us kSureUs = 800 * kMilliUs;
+constexpr Us kPollUs = 250 * kMilliUs;  // of the members, see ChainClient
+constexpr Us kAgainUs = 50 * kMilliUs;
+
+struct ByOrder {
+  template <class Item>
+  bool operator()(const Item& left, const Item& right) const {
+    return left.order < right.order;
+  }
+};
+}  // namespace
+
+// Nothing is sent before the head has been heard: until then it is sure that nothing was taken.
+Job<OperatorDesk::CommandAnswer> OperatorDesk::command(ControlCommand command) {
+  const Us askedUs = ports_.clock.monoUs();
+  while (true) {
+    Job<bool> finding = core_.findHead();
+    const bool found = co_await finding;
+    if (found) break;
+    if (ports_.clock.monoUs() - askedUs + kAgainUs + kPollUs > kSureUs) co_return ChainFailure{};
+    Pause pause(ports_.alarms, kAgainUs);
+    co_await pause;
+  }
+  const Us passedUs = ports_.clock.monoUs() - askedUs;
+  Job<ChainAnswer> sending = core_.submit(pack(command), kLimitUs - passedUs, kSureUs - passedUs);
+  ChainAnswer answer = co_await sending;
+  if (auto* failure = std::get_if<ChainFailure>(&answer)) co_return *failure;
+  auto read = unpack<ControlVerdict>(std::get<Bytes>(answer));
+  auto* verdict = std::get_if<ControlVerdict>(&read);
+  if (verdict == nullptr) co_return ChainFailure{ChainTrouble::kUnreachable, true};
+  co_return std::move(*verdict);
+}
+
+Job<PushVerdict> OperatorDesk::push(ConfigWish wish) {
+  ControlCommand wished = PutConfig{std::move(wish)};
+  Job<CommandAnswer> sending = command(std::move(wished));
+  CommandAnswer answer = co_await sending;
+  if (auto* failure = std::get_if<ChainFailure>(&answer)) {
+    if (failure->unsure) co_return CallUnsure{};
+    co_return CallUntaken{failure->trouble};
+  }
+  ControlVerdict& verdict = std::get<ControlVerdict>(answer);
+  switch (verdict.outcome) {
+    case ControlOutcome::kDone: co_return ConfigTaken{verdict.configRevision, false};
+    case ControlOutcome::kUnchanged: co_return ConfigTaken{verdict.configRevision, true};
+    case ControlOutcome::kConflict: co_return ConfigConflict{verdict.configRevision};
+    case ControlOutcome::kNotAbove: co_return ConfigNotAbove{verdict.configRevision};
+    case ControlOutcome::kInvalid: co_return ConfigInvalid{verdict.flaw, std::move(verdict.flawed)};
+    default: break;
+  }
+  co_return CallUntaken{};  // the machine could not read it
+}
+
+Job<ConfigAnswer> OperatorDesk::current() {
+  ControlQuery query = NewsAsk{0};
+  Job<ChainAnswer> reading = core_.read(pack(query), 0, kSureUs);
+  ChainAnswer answer = co_await reading;
+  if (auto* failure = std::get_if<ChainFailure>(&answer)) co_return CallUntaken{failure->trouble};
+  auto read = unpack<ControlNews>(std::get<Bytes>(answer));
+  auto* news = std::get_if<ControlNews>(&read);
+  if (news == nullptr) co_return CallUntaken{};
+  if (news->configRevision == 0) co_return NoConfig{};
+  std::stable_sort(news->routes.begin(), news->routes.end(), ByOrder());
+  std::stable_sort(news->pools.begin(), news->pools.end(), ByOrder());
+  co_return ConfigSight{news->configRevision, std::move(news->routes), std::move(news->pools), std::move(news->limits),
+                        std::move(news->given)};
+}
+
+Job<ZoneVerdict> OperatorDesk::setZone(std::string zone, bool evacuated) {
+  ControlCommand wished = SetZone{std::move(zone), evacuated};
+  Job<CommandAnswer> sending = command(std::move(wished));
+  CommandAnswer answer = co_await sending;
+  auto* failure = std::get_if<ChainFailure>(&answer);
+  if (failure == nullptr) co_return ZoneTaken{};
+  if (failure->unsure) co_return CallUnsure{};
+  co_return CallUntaken{failure->trouble};
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/core/operator_desk.h
@@ -0,0 +1,58 @@
+// What an operator may ask of a core process, whatever tongue it speaks (design.md 7.2). Every call ends within
+// 2.5 s; one that is known to have changed nothing within 0.8 s, so that another core can be tried.
+#pragma once
+
+#include "anvil/client.h"
+#include "core/commands.h"
+
+namespace stonemount {
+
+struct CallUntaken {  // nothing was changed, and nothing will be
+  ChainTrouble why = ChainTrouble::kUnreachable;
+};
+struct CallUnsure {};  // it may have been taken, or yet be; it may be sent again as it was
+
+struct ConfigTaken {
+  Revision revision = 0;  // that stands now
+  bool again = false;     // the very same wish had been taken before
+};
+struct ConfigConflict {  // another revision stands than the wish was made from
+  Revision standing = 0;
+};
+struct ConfigNotAbove {
+  Revision standing = 0;
+};
+struct ConfigInvalid {
+  ConfigFlaw flaw = ConfigFlaw::kNone;
+  std::string route;
+};
+using PushVerdict = std::variant<ConfigTaken, ConfigConflict, ConfigNotAbove, ConfigInvalid, CallUntaken, CallUnsure>;
+
+struct ConfigSight {  // in the operator's order
+  Revision revision = 0;
+  std::vector<Route> routes;
+  std::vector<Pool> pools;
+  CallerLimits limits;
+  std::string given;
+};
+struct NoConfig {};  // none was ever taken, as far as the chain knows
+using ConfigAnswer = std::variant<ConfigSight, NoConfig, CallUntaken>;
+
+struct ZoneTaken {};
+using ZoneVerdict = std::variant<ZoneTaken, CallUntaken, CallUnsure>;
+
+class OperatorDesk {
+ public:
+  OperatorDesk(Ports& ports, ChainClient& core) : ports_(ports), core_(core) {}
+  Job<PushVerdict> push(ConfigWish wish);
+  Job<ConfigAnswer> current();  // as of now: nothing acknowledged before is missing
+  Job<ZoneVerdict> setZone(std::string zone, bool evacuated);
+
+ private:
+  using CommandAnswer = std::variant<ControlVerdict, ChainFailure>;
+  Job<CommandAnswer> command(ControlCommand command);
+  Ports& ports_;
+  ChainClient& core_;
+};
+
+}  // namespace stonemount
--- a/src/jig/config_check.cc
+++ b/src/jig/config_check.cc
@@ -2,42 +2,12 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "jig/config_schema.h"
 #include "jig/rule.h"
 
 namespace stonemount {
 
 namespace {
-constexpr char kSchema[] = R"({
-  "type": "object",
-  "additionalProperties": false,
-  "required": ["base"],
-  "properties": {
-    "base": {"type": "integer", "minimum": 0},
-    "note": {"type": "string", "maxLength": 200},
-    "remove": {"type": "array", "maxItems": 20000, "items": {"type": "string"}},
-    "routes": {
-      "type": "array",
-      "maxItems": 20000,
-      "items": {
-        "type": "object",
-        "additionalProperties": false,
-        "required": ["name", "kind", "pool"],
-        "properties": {
-          "name": {"type": "string", "pattern": "^[a-z0-9][a-z0-9._-]*$", "maxLength": 80},
-          "kind": {"type": "string", "enum": ["stream", "lookup", "whole"]},
-          "pool": {"type": "string", "minLength": 1, "maxLength": 40},
-          "limitUs": {"type": "integer", "minimum": 1000, "maximum": 3600000000},
-          "prefixBytes": {"type": "integer", "minimum": 0, "maximum": 65536},
-          "adapter": {"type": "string", "maxLength": 80},
-          "lots": {"type": "boolean"},
-          "when": {"type": "string", "minLength": 1, "maxLength": 300},
-          "otherwise": {"type": "string", "minLength": 1, "maxLength": 80}
-        }
-      }
-    }
-  }
-})";
-
 std::string whyText(const std::string& keyword) {
   if (keyword == "required") return "is missing";
   if (keyword == "additionalProperties") return "is not a known field";
@@ -65,68 +35,120 @@
   if (text == "stream") return RouteKind::kStream;
   return text == "lookup" ? RouteKind::kLookup : RouteKind::kWhole;
 }
-}  // namespace
 
-const char* routeKindText(RouteKind kind) {
-  switch (kind) {
-    case RouteKind::kStream: return "stream";
-    case RouteKind::kLookup: return "lookup";
-    case RouteKind::kWhole: return "whole";
+std::optional<ConfigFault> readShares(const JsonValue& given, const std::string& field, Route& route) {
+  if (given.HasMember("shares")) {
+    for (const JsonValue& share : given["shares"].GetArray())
+      route.shares.push_back({jsonString(share, "pool"), static_cast<std::uint32_t>(jsonNumber(share, "weight"))});
+    if (route.pool.empty() && !route.shares.empty()) route.pool = route.shares.front().pool;
+  }
+  if (route.pool.empty()) return ConfigFault{field + "/pool", "is missing"};
+  return std::nullopt;
+}
+
+Route readRoute(const JsonValue& given) {
+  Route route;
+  route.name = jsonString(given, "name");
+  route.kind = kindOf(jsonString(given, "kind"));
+  route.pool = jsonString(given, "pool");
+  route.limitUs = jsonNumber(given, "limitUs", route.limitUs);
+  route.prefixBytes = static_cast<std::uint32_t>(jsonNumber(given, "prefixBytes", route.prefixBytes));
+  route.adapter = jsonString(given, "adapter");
+  route.lots = jsonFlag(given, "lots");
+  route.when = jsonString(given, "when");
+  route.otherwise = jsonString(given, "otherwise");
+  route.host = jsonString(given, "host");
+  route.prefix = jsonString(given, "prefix");
+  route.targetUs = jsonNumber(given, "targetUs");
+  route.gapTargetUs = jsonNumber(given, "gapTargetUs");
+  route.completionUs = jsonNumber(given, "completionUs");
+  route.retentionUs = jsonNumber(given, "retentionUs");
+  route.attempts = static_cast<std::uint32_t>(jsonNumber(given, "attempts"));
+  route.precedence = static_cast<std::uint32_t>(jsonNumber(given, "precedence"));
+  route.affinity = jsonFlag(given, "affinity");
+  route.resumable = jsonFlag(given, "resumable");
+  return route;
+}
+
+std::optional<ConfigFault> checkRoute(const Route& route, const std::string& field) {
+  if (route.lots && route.kind != RouteKind::kWhole) return ConfigFault{field + "/lots", "lots need a route of kind whole"};
+  if (route.kind == RouteKind::kLookup && !route.adapter.empty())
+    return ConfigFault{field + "/adapter", "a lookup takes no adapter"};
+  if (route.resumable && route.kind != RouteKind::kStream) return ConfigFault{field + "/resumable", "needs a stream"};
+  if (route.host.empty() != route.prefix.empty())
+    return ConfigFault{field + (route.host.empty() ? "/host" : "/prefix"), "is missing: host and prefix go together"};
+  return checkRule(route, field);
+}
+
+Pool readPool(const JsonValue& given) {
+  Pool pool;
+  pool.name = jsonString(given, "name");
+  pool.healthPath = jsonString(given, "healthPath");
+  pool.mostChannels = static_cast<std::uint32_t>(jsonNumber(given, "mostChannels"));
+  pool.warmUs = jsonNumber(given, "warmUs");
+  pool.warmPerKs = static_cast<std::uint64_t>(jsonNumber(given, "warmPerKs"));
+  pool.slots = static_cast<std::uint32_t>(jsonNumber(given, "slots"));
+  pool.cacheTokens = static_cast<std::uint64_t>(jsonNumber(given, "cacheTokens"));
+  return pool;
+}
+
+CallerLimits readLimits(const JsonValue& given) {
+  CallerLimits limits;
+  limits.headerBytes = static_cast<std::uint32_t>(jsonNumber(given, "headerBytes", limits.headerBytes));
+  limits.bodyBytes = static_cast<std::uint32_t>(jsonNumber(given, "bodyBytes", limits.bodyBytes));
+  limits.headerUs = jsonNumber(given, "headerUs", limits.headerUs);
+  limits.idleUs = jsonNumber(given, "idleUs", limits.idleUs);
+  return limits;
+}
+
+// Names of a patch's list of what goes.
+std::optional<ConfigFault> readRemoved(const JsonValue& document, const char* list, const char* beside, bool whole,
+                                       const absl::btree_set<std::string>& named, std::vector<std::string>& removed) {
+  if (!document.HasMember(list)) return std::nullopt;
+  std::size_t place = 0;
+  for (const JsonValue& given : document[list].GetArray()) {
+    const std::string field = absl::StrCat("/", list, "/", place++);
+    if (whole) return ConfigFault{field, "only a patch removes; a push is the whole"};
+    if (named.contains(given.GetString())) return ConfigFault{field, absl::StrCat("is also given under ", beside)};
+    removed.push_back(given.GetString());
   }
-  return "unknown";
+  return std::nullopt;
 }
+}  // namespace
 
 ConfigVerdict readConfig(const JsonValue& document, bool whole) {
-  if (std::optional<SchemaFault> fault = checkSchema(kSchema, document))
+  if (std::optional<SchemaFault> fault = checkSchema(kConfigSchema, document))
     return ConfigFault{fault->field, whyText(fault->keyword)};
   ConfigWish wish;
   wish.whole = whole;
   wish.base = static_cast<Revision>(document["base"].GetInt64());
   wish.note = jsonString(document, "note");
-  absl::btree_set<std::string> names;
+  wish.next = static_cast<Revision>(jsonNumber(document, "next"));
+  absl::btree_set<std::string> names, poolNames;
   if (document.HasMember("routes")) {
-    std::size_t place = 0;
     for (const JsonValue& given : document["routes"].GetArray()) {
-      Route route;
-      route.name = jsonString(given, "name");
-      route.kind = kindOf(jsonString(given, "kind"));
-      route.pool = jsonString(given, "pool");
-      route.limitUs = jsonNumber(given, "limitUs", route.limitUs);
-      route.prefixBytes = static_cast<std::uint32_t>(jsonNumber(given, "prefixBytes", route.prefixBytes));
-      route.adapter = jsonString(given, "adapter");
-      route.lots = jsonFlag(given, "lots");
-      const std::string field = absl::StrCat("/routes/", place++);
+      const std::string field = absl::StrCat("/routes/", wish.routes.size());
+      Route route = readRoute(given);
       if (!names.insert(route.name).second) return ConfigFault{field + "/name", "names a route twice"};
-      if (route.lots && route.kind != RouteKind::kWhole)
-        return ConfigFault{field + "/lots", "lots need a route of kind whole"};
-      if (route.kind == RouteKind::kLookup && !route.adapter.empty())
-        return ConfigFault{field + "/adapter", "a lookup takes no adapter"};
-      route.when = jsonString(given, "when");
-      route.otherwise = jsonString(given, "otherwise");
-      if (std::optional<ConfigFault> fault = checkRule(route, field)) return *fault;
+      if (std::optional<ConfigFault> fault = readShares(given, field, route)) return *fault;
+      if (std::optional<ConfigFault> fault = checkRoute(route, field)) return *fault;
       wish.routes.push_back(std::move(route));
     }
   }
-  if (document.HasMember("remove")) {
-    std::size_t place = 0;
-    for (const JsonValue& given : document["remove"].GetArray()) {
-      const std::string field = absl::StrCat("/remove/", place++);
-      if (whole) return ConfigFault{field, "only a patch removes; a push is the whole"};
-      if (names.contains(given.GetString())) return ConfigFault{field, "is also given under routes"};
-      wish.removed.push_back(given.GetString());
+  if (document.HasMember("pools")) {
+    for (const JsonValue& given : document["pools"].GetArray()) {
+      Pool pool = readPool(given);
+      if (!poolNames.insert(pool.name).second)
+        return ConfigFault{absl::StrCat("/pools/", wish.pools.size(), "/name"), "names a pool twice"};
+      wish.pools.push_back(std::move(pool));
     }
   }
+  if (document.HasMember("limits")) wish.limits = readLimits(document["limits"]);
+  if (std::optional<ConfigFault> fault = readRemoved(document, "remove", "routes", whole, names, wish.removed)) return *fault;
+  if (std::optional<ConfigFault> fault = readRemoved(document, "removePools", "pools", whole, poolNames, wish.removedPools))
+    return *fault;
   if (whole && !document.HasMember("routes")) return ConfigFault{"/routes", "is missing"};
   return wish;
 }
 
-void writeRoute(JsonOut& out, const Route& route) {
-  out.object().field("name", route.name).field("kind", routeKindText(route.kind)).field("pool", route.pool);
-  out.field("limitUs", route.limitUs).field("prefixBytes", route.prefixBytes);
-  if (!route.adapter.empty()) out.field("adapter", route.adapter);
-  if (!route.when.empty()) out.field("when", route.when);
-  if (!route.otherwise.empty()) out.field("otherwise", route.otherwise);
-  out.field("lots", route.lots).closeObject();
-}
-
 }  // namespace stonemount
--- a/src/jig/config_check.h
+++ b/src/jig/config_check.h
@@ -10,18 +10,30 @@
   std::string field;
   std::string why;
 };
-// What an operator asks for. A patch names only what changes; a push is the whole.
+// What an operator asks for. A patch names only what changes; a push is the whole. Routes and pools stand in
+// the operator's order.
 struct ConfigWish {
   bool whole = true;
   Revision base = 0;
+  Revision next = 0;         // the operator's own number for the new revision; 0: the one after the base
+  std::uint64_t digest = 0;  // of the wish as it was handed in; 0: sent again, it is another wish
   std::string note;
   std::vector<Route> routes;
   std::vector<std::string> removed;
-  STONEMOUNT_PACK(whole, base, note, routes, removed)
+  std::vector<Pool> pools;
+  std::vector<std::string> removedPools;
+  std::optional<CallerLimits> limits;  // absent: a push takes the standing ones away, a patch leaves them
+  std::string given;                   // what else the operator's text held; of a push only
+  STONEMOUNT_PACK(whole, base, next, digest, note, routes, removed, pools, removedPools, limits, given)
 };
+// What is wrong with a configuration as a whole.
+enum class ConfigFlaw : std::uint8_t { kNone, kUnknownPool, kSamePlace, kNoWeight, kNoTime };
+const char* configFlawText(ConfigFlaw flaw);
 using ConfigVerdict = std::variant<ConfigWish, ConfigFault>;
 ConfigVerdict readConfig(const JsonValue& document, bool whole);
 void writeRoute(JsonOut& out, const Route& route);
+void writePool(JsonOut& out, const Pool& pool);
+void writeLimits(JsonOut& out, const CallerLimits& limits);
 const char* routeKindText(RouteKind kind);
 
 }  // namespace stonemount
--- a/src/jig/control_state.cc
+++ b/src/jig/control_state.cc
@@ -1,5 +1,7 @@
 #include "jig/control_state.h"
 
+#include <absl/strings/string_view.h>
+
 namespace stonemount {
 
 namespace {
@@ -26,6 +28,7 @@
   for (const auto& [name, pool] : pools_)
     if (news.whole || pool.changed > since) news.pools.push_back(pool);
   news.limits = limits_;
+  news.given = given_;
   if (news.whole) return news;
   for (const auto& [name, changed] : goneRoutes_)
     if (changed > since) news.removedRoutes.push_back(name);
@@ -41,6 +44,7 @@
   if (!news.whole && news.from > revision_) return false;
   if (news.whole) {
     routes_.clear();
+    places_.clear();
     workers_.clear();
     zones_.clear();
     pools_.clear();
@@ -50,7 +54,7 @@
     forgotten_ = news.to;
   }
   for (const std::string& name : news.removedRoutes) {
-    routes_.erase(name);
+    dropRoute(name);
     goneRoutes_[name] = news.to;
   }
   for (const Address& address : news.removedWorkers) {
@@ -58,8 +62,7 @@
     goneWorkers_[address] = news.to;
   }
   for (const Route& route : news.routes) {
-    goneRoutes_.erase(route.name);
-    routes_[route.name] = route;
+    placeRoute(route);
   }
   for (const ListedWorker& worker : news.workers) {
     goneWorkers_.erase(worker.address);
@@ -75,6 +78,7 @@
     pools_[pool.name] = pool;
   }
   limits_ = news.limits;
+  given_ = news.given;
   revision_ = news.to;
   configRevision_ = news.configRevision;
   forgetOld();
@@ -83,15 +87,53 @@
 
 void ControlState::putRoute(Route route) {
   route.changed = revision_;
-  goneRoutes_.erase(route.name);
-  routes_[route.name] = std::move(route);
+  placeRoute(route);
 }
 
 void ControlState::removeRoute(const std::string& name) {
-  if (routes_.erase(name) != 0) goneRoutes_[name] = revision_;
+  if (routes_.contains(name)) goneRoutes_[name] = revision_;
+  dropRoute(name);
   forgetOld();
 }
 
+void ControlState::placeRoute(const Route& route) {
+  goneRoutes_.erase(route.name);
+  Route& placed = routes_[route.name];
+  unindex(placed);
+  placed = route;
+  index(placed);
+}
+
+void ControlState::dropRoute(const std::string& name) {
+  auto found = routes_.find(name);
+  if (found == routes_.end()) return;
+  unindex(found->second);
+  routes_.erase(found);
+}
+
+void ControlState::index(const Route& route) {
+  if (route.prefix.empty()) return;
+  HostPlaces& places = places_[route.host];
+  if (places.names.insert_or_assign(route.prefix, route.name).second) ++places.lengths[route.prefix.size()];
+}
+
+// While a batch of changes is taken, another route may already have this one's place.
+void ControlState::unindex(const Route& route) {
+  auto places = places_.find(route.host);
+  if (route.prefix.empty() || places == places_.end()) return;
+  auto found = places->second.names.find(route.prefix);
+  if (found == places->second.names.end() || found->second != route.name) return;
+  places->second.names.erase(found);
+  auto length = places->second.lengths.find(route.prefix.size());
+  if (--length->second == 0) places->second.lengths.erase(length);
+  if (places->second.names.empty()) places_.erase(places);
+}
+
+void ControlState::indexAll() {
+  places_.clear();
+  for (const auto& [name, route] : routes_) index(route);
+}
+
 void ControlState::setZone(const std::string& zone, bool evacuated) { zones_[zone] = {evacuated, revision_}; }
 
 void ControlState::putWorker(ListedWorker worker) {
@@ -113,6 +155,7 @@
 
 void ControlState::removePool(const std::string& name) {
   if (pools_.erase(name) != 0) gonePools_[name] = revision_;
+  forgetOld();
 }
 
 void ControlState::setLimits(CallerLimits limits) {
@@ -121,12 +164,14 @@
 }
 
 const Route* ControlState::routeFor(const std::string& host, std::string_view path) const {
-  const Route* chosenRoute = nullptr;
-  for (const auto& [name, route] : routes_) {
-    if (route.host != host || route.prefix.empty() || path.substr(0, route.prefix.size()) != route.prefix) continue;
-    if (chosenRoute == nullptr || route.prefix.size() > chosenRoute->prefix.size()) chosenRoute = &route;
+  auto places = places_.find(host);
+  if (places == places_.end()) return nullptr;
+  for (const auto& [length, count] : places->second.lengths) {
+    if (length > path.size() || path[length - 1] != '/') continue;
+    auto found = places->second.names.find(absl::string_view(path.data(), length));
+    if (found != places->second.names.end()) return &routes_.at(found->second);
   }
-  return chosenRoute;
+  return nullptr;
 }
 
 void ControlState::forgetOld() {
@@ -138,6 +183,10 @@
     forgotten_ = revision_;
     goneWorkers_.clear();
   }
+  while (gonePools_.size() > kGoneKept) {
+    forgotten_ = revision_;
+    gonePools_.clear();
+  }
 }
 
 }  // namespace stonemount
--- a/src/jig/control_state.h
+++ b/src/jig/control_state.h
@@ -37,9 +37,10 @@
   bool affinity = false;           // requests name the parts of their prompts
   bool resumable = false;          // a stream may go on at another worker
   std::string given;               // the operator's own text of it, to be read back
+  std::uint64_t order = 0;         // where it stands in the operator's text, beside the others
   Revision changed = 0;
   STONEMOUNT_PACK(name, kind, pool, limitUs, prefixBytes, adapter, lots, when, otherwise, host, prefix, shares, targetUs,
-                  gapTargetUs, completionUs, retentionUs, attempts, precedence, affinity, resumable, given, changed)
+                  gapTargetUs, completionUs, retentionUs, attempts, precedence, affinity, resumable, given, order, changed)
 };
 
 // What is configured of a pool of workers.
@@ -52,8 +53,9 @@
   std::uint32_t slots = 0;          // requests that run at once; 0: see the list
   std::uint64_t cacheTokens = 0;
   std::string given;
+  std::uint64_t order = 0;
   Revision changed = 0;
-  STONEMOUNT_PACK(name, healthPath, mostChannels, warmUs, warmPerKs, slots, cacheTokens, given, changed)
+  STONEMOUNT_PACK(name, healthPath, mostChannels, warmUs, warmPerKs, slots, cacheTokens, given, order, changed)
 };
 // What callers may send, and how long they may take.
 struct CallerLimits {
@@ -89,6 +91,13 @@
   STONEMOUNT_PACK(evacuated, changed)
 };
 
+// The same, whenever it was put there.
+template <class Item>
+bool sameItem(Item left, Item right) {
+  left.changed = right.changed = 0;
+  return pack(left) == pack(right);
+}
+
 // Changes from one revision to another; `whole` replaces everything.
 struct ControlNews {
   Revision from = 0;
@@ -103,8 +112,9 @@
   std::vector<Pool> pools;
   std::vector<std::string> removedPools;
   CallerLimits limits;  // always told
+  std::string given;    // always told
   STONEMOUNT_PACK(from, to, configRevision, whole, routes, removedRoutes, workers, removedWorkers, zones, pools,
-                  removedPools, limits)
+                  removedPools, limits, given)
 };
 
 class ControlState {
@@ -116,7 +126,9 @@
   const std::map<std::string, ZoneState>& zones() const { return zones_; }
   const std::map<std::string, Pool>& pools() const { return pools_; }
   const CallerLimits& limits() const { return limits_; }
-  // The route of that host with the longest prefix that begins the path; none: nullptr.
+  const std::string& given() const { return given_; }  // what else the operator's text held
+  // The route of that host with the longest prefix that begins the path; none: nullptr. Prefixes begin and
+  // end with a slash. One look-up for each length of a prefix that the host has (design.md 7.2).
   const Route* routeFor(const std::string& host, std::string_view path) const;
   bool evacuated(const std::string& zone) const;
   ControlNews newsSince(Revision since) const;
@@ -126,6 +138,7 @@
   // Changes, made by the chain's machine only.
   void bump() { ++revision_; }
   void bumpConfig() { ++configRevision_; }
+  void setConfigRevision(Revision revision) { configRevision_ = revision; }
   void putRoute(Route route);
   void removeRoute(const std::string& name);
   void setZone(const std::string& zone, bool evacuated);
@@ -134,10 +147,25 @@
   void putPool(Pool pool);
   void removePool(const std::string& name);
   void setLimits(CallerLimits limits);
-  STONEMOUNT_PACK(revision_, configRevision_, routes_, workers_, zones_, pools_, limits_, goneRoutes_, goneWorkers_, gonePools_,
-                  forgotten_)
+  void setGiven(std::string given) { given_ = std::move(given); }
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(revision_, configRevision_, routes_, workers_, zones_, pools_, limits_, given_, goneRoutes_, goneWorkers_,
+            gonePools_, forgotten_);
+    if constexpr (std::is_same_v<Archive, PackIn>) indexAll();
+  }
 
  private:
+  // Routes of one host by prefix, and how many of them have a prefix of each length, longest first.
+  struct HostPlaces {
+    absl::flat_hash_map<std::string, std::string> names;
+    std::map<std::size_t, std::size_t, std::greater<>> lengths;
+  };
+  void index(const Route& route);
+  void unindex(const Route& route);
+  void indexAll();
+  void placeRoute(const Route& route);
+  void dropRoute(const std::string& name);
   void forgetOld();
   Revision revision_ = 0;
   Revision configRevision_ = 0;
@@ -146,6 +174,8 @@
   std::map<std::string, ZoneState> zones_;
   std::map<std::string, Pool> pools_;
   CallerLimits limits_;
+  std::string given_;
+  absl::flat_hash_map<std::string, HostPlaces> places_;  // not saved
   std::map<std::string, Revision> goneRoutes_;
   std::map<std::string, Revision> gonePools_;
   std::map<Address, Revision> goneWorkers_;
--- a/src/jig/json.cc
+++ b/src/jig/json.cc
@@ -9,7 +9,9 @@
 JsonVerdict parseJson(const std::string& text) {
   JsonDocument document;
   // Iterative, so that depth in the text is no depth on the stack.
-  document.Parse<rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag>(text.c_str(), text.size());
+  // In full precision, so that a fraction that is told again is the one that was given.
+  document.Parse<rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag | rapidjson::kParseFullPrecisionFlag>(
+      text.c_str(), text.size());
   if (document.HasParseError()) return BadJson{document.GetErrorOffset()};
   return document;
 }
--- a/src/jig/platform_list.cc
+++ b/src/jig/platform_list.cc
@@ -1,9 +1,38 @@
 #include "jig/platform_list.h"
 
 #include "jig/json.h"
+#include "vise/http_call.h"
 
 namespace stonemount {
 
+namespace {
+constexpr Us kLimitUs = kSecondUs;
+}
+
+const char* listTroubleText(ListTrouble trouble) {
+  switch (trouble) {
+    case ListTrouble::kUnreachable: return "unreachable";
+    case ListTrouble::kBusy: return "busy";
+    case ListTrouble::kUnreadable: return "unreadable";
+  }
+  return "unknown";
+}
+
+Job<WorkerListVerdict> PlatformListSource::fetch() {
+  HttpAsk ask;
+  ask.method = "GET";
+  ask.path = "/platform/workers";
+  HttpCall call(ports_, platform_, ask, kLimitUs);
+  const HttpVerdict verdict = co_await call;
+  auto* whole = std::get_if<HttpWhole>(&verdict);
+  if (whole == nullptr) co_return ListTrouble::kUnreachable;
+  if (whole->status == 429 || whole->status == 503) co_return ListTrouble::kBusy;
+  if (whole->status != 200) co_return ListTrouble::kUnreadable;
+  std::optional<PlatformList> list = readPlatformList(whole->body);
+  if (!list) co_return ListTrouble::kUnreadable;
+  co_return WorkerList{list->version, std::move(list->workers)};
+}
+
 std::optional<PlatformList> readPlatformList(const Bytes& body) {
   JsonVerdict read = parseJson(body);
   auto* document = std::get_if<JsonDocument>(&read);
--- a/src/jig/platform_list.h
+++ b/src/jig/platform_list.h
@@ -1,7 +1,8 @@
-// The platform's list of workers: a port with one HTTP adapter (design.md 7.7).
+// The platform's list of workers as the project's own platforms tell it (design.md 7.7).
 #pragma once
 
-#include "jig/control_state.h"
+#include "jig/worker_list.h"
+#include "stonemount.h"
 
 namespace stonemount {
 
@@ -11,4 +12,14 @@
 };
 std::optional<PlatformList> readPlatformList(const Bytes& body);
 
+class PlatformListSource : public WorkerListSource {
+ public:
+  PlatformListSource(Ports& ports, Address platform) : ports_(ports), platform_(platform) {}
+  Job<WorkerListVerdict> fetch() override;
+
+ private:
+  Ports& ports_;
+  Address platform_;
+};
+
 }  // namespace stonemount
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -3,14 +3,14 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
-#include "jig/platform_list.h"
-#include "vise/http_call.h"
 
 namespace stonemount {
 
 namespace {
 constexpr std::size_t kHeaderBytes = 16 << 10;
 constexpr std::size_t kBodyBytes = 4 << 20;
+constexpr Us kSilentUs = 2 * kSecondUs;
+constexpr Us kMarksKeptUs = 5 * kSecondUs;  // once control is heard again, until the lister has surely listed
 }  // namespace
 
 Node::Node(Ports& ports, Settings settings, NodePlan plan)
@@ -19,7 +19,10 @@
       almanac_(ports, desk_, room_, core_, shim_),
       board_(ports.clock, almanac_.state(), {settings_.zone, settings_.wire}), fitness_(ports, room_, board_),
       lathe_(ports, room_, board_, almanac_.state(), plan.lathe, hexText(ports.chance.next())),
-      scheduler_(ports, desk_, room_, store_, board_, almanac_.state(), shim_, settings_.zone, plan.scheduler) {}
+      scheduler_(ports, desk_, room_, store_, board_, almanac_.state(), shim_, settings_.zone, plan.scheduler),
+      ownList_(ports, settings_.platform), list_(plan.list) {
+  if (list_ == nullptr && settings_.platform.set()) list_ = &ownList_;
+}
 
 Node::~Node() {
   asked_.disconnect();
@@ -38,7 +41,7 @@
   lathe_.begin();
   scheduler_.begin();
   room_.start(keepNodes());
-  if (settings_.platform.set()) room_.start(hearPlatform());
+  if (list_ != nullptr) room_.start(hearPlatform());
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Node::onAsked));
 }
 
@@ -71,27 +74,40 @@
   }
 }
 
-// The list itself comes through the core. A leaving mark must be heard even while the core cannot
-// be: so each node also asks the platform, and takes nothing but the marks (design.md 7.7).
+// Control not heard for a while, counted from the start of this process at the earliest.
+bool Node::controlSilent(Us begunUs) const {
+  return ports_.clock.monoUs() - std::max(begunUs, almanac_.freshUs()) > kSilentUs;
+}
+
+// The list itself comes through the core. A leaving mark must be heard even while the core cannot be: then
+// each node asks the platform itself, and takes nothing but the marks, until control has told it for a while
+// (design.md 7.7). Asking is priced, and bounded for all nodes together.
 Task Node::hearPlatform() {
+  const Us begunUs = ports_.clock.monoUs();
+  Us silentUs = begunUs;  // when control was last found silent
+  bool marked = false;
+  std::uint64_t busy = 0;  // in a row
   while (true) {
-    HttpAsk ask;
-    ask.method = "GET";
-    ask.path = "/platform/workers";
-    const Us askedUs = ports_.clock.monoUs();
-    bool heard = false;
-    HttpCall call(ports_, settings_.platform, ask, 500 * kMilliUs);
-    const HttpVerdict verdict = co_await call;
-    if (auto* whole = std::get_if<HttpWhole>(&verdict)) {
-      if (std::optional<PlatformList> list = readPlatformList(whole->body)) {
+    Us againUs = 100 * kMilliUs;
+    const Us nowUs = ports_.clock.monoUs();
+    if (controlSilent(begunUs)) {
+      silentUs = nowUs;
+      Job<WorkerListVerdict> fetching = list_->fetch();
+      WorkerListVerdict verdict = co_await fetching;
+      if (auto* list = std::get_if<WorkerList>(&verdict)) {
         absl::btree_set<Address> marks;
         for (const ListedWorker& worker : list->workers)
           if (worker.leaving) marks.insert(worker.address);
-        board_.setLeavingMarks(std::move(marks), askedUs);
-        heard = true;
+        board_.setLeavingMarks(std::move(marks), nowUs);
+        marked = true;
       }
+      const bool turnedAway = std::holds_alternative<ListTrouble>(verdict) && std::get<ListTrouble>(verdict) == ListTrouble::kBusy;
+      busy = turnedAway ? std::min<std::uint64_t>(busy + 1, 4) : 0;
+      againUs = static_cast<Us>((600 << busy) + ports_.chance.below(300 << busy)) * kMilliUs;
+    } else if (marked && nowUs - silentUs > kMarksKeptUs) {
+      board_.setLeavingMarks({}, -1);
+      marked = false;
     }
-    const Us againUs = static_cast<Us>(heard ? 600 + ports_.chance.below(300) : 50) * kMilliUs;
     Pause pause(ports_.alarms, againUs);
     co_await pause;
   }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jig/almanac.h"
+#include "jig/platform_list.h"
 #include "jig/rule.h"
 #include "jig/settings.h"
 #include "lathe/fitness.h"
@@ -15,6 +16,7 @@
   ShimPlan shim;
   LathePlan lathe;
   SchedulerPlan scheduler;
+  WorkerListSource* list = nullptr;  // none: the settings' platform, if there is one
 };
 
 class Node {
@@ -69,6 +71,7 @@
   void onNews();
   Task keepNodes();
   Task hearPlatform();
+  bool controlSilent(Us begunUs) const;
   void methodRefused(HttpReply& reply, const char* allowed);
 
   Ports& ports_;
@@ -84,6 +87,8 @@
   Lathe lathe_;
   Scheduler scheduler_;
   RuleBook rules_;
+  PlatformListSource ownList_;
+  WorkerListSource* list_;
   sigc::connection asked_;
   bool draining_ = false;
 };
--- a/src/node/operators.cc
+++ b/src/node/operators.cc
@@ -44,12 +44,17 @@
 }
 
 void sendConfigVerdict(HttpReply& reply, const ControlVerdict& verdict) {
+  int status = 200;
+  const char* text = "taken";
+  if (verdict.outcome == ControlOutcome::kConflict) status = 409, text = "conflict";
+  if (verdict.outcome == ControlOutcome::kUnknownRevision) status = 404, text = "unknown_revision";
+  if (verdict.outcome == ControlOutcome::kNotAbove) status = 400, text = "not_above";
+  if (verdict.outcome == ControlOutcome::kInvalid) status = 400, text = "invalid_config";
   JsonOut out;
-  const bool conflict = verdict.outcome == ControlOutcome::kConflict;
-  const bool unknown = verdict.outcome == ControlOutcome::kUnknownRevision;
-  out.object().field("verdict", conflict ? "conflict" : unknown ? "unknown_revision" : "taken");
-  out.field("config", verdict.configRevision).closeObject();
-  reply.whole(conflict ? 409 : unknown ? 404 : 200, {}, out.take() + "\n");
+  out.object().field("verdict", text).field("config", verdict.configRevision);
+  if (verdict.flaw != ConfigFlaw::kNone) out.field("why", configFlawText(verdict.flaw)).field("route", verdict.flawed);
+  out.closeObject();
+  reply.whole(status, {}, out.take() + "\n");
 }
 }  // namespace
 
@@ -108,6 +113,12 @@
     out.field("base", news->configRevision).key("routes").array();
     for (const Route& route : news->routes) writeRoute(out, route);
     out.closeArray();
+    if (!news->pools.empty()) {
+      out.key("pools").array();
+      for (const Pool& pool : news->pools) writePool(out, pool);
+      out.closeArray().key("limits");
+      writeLimits(out, news->limits);
+    }
   }
   out.closeObject();
   reply->whole(200, {}, out.take() + "\n");
