--- a/src/chisel/process.cc
+++ b/src/chisel/process.cc
@@ -17,7 +17,9 @@
 #include "core/core.h"
 #include "node/node.h"
 #include "platform/front.h"
+#include "platform/operator.h"
 #include "platform/settings.h"
+#include "platform/worker_list.h"
 #include "platform/workers.h"
 #include "store/store.h"
 
@@ -121,9 +123,13 @@
 // The node role: its own interface, and the platform's callers where it has some.
 int runNode(Loop& loop, Ports& ports, const Settings& settings, const ShimPlan& shim) {
   platform::Workers dialect;
+  PlatformWorkerList list(ports, settings.platform);
   NodePlan plan;
   plan.shim = shim;
-  if (settings.front.set()) plan.dialect = &dialect;
+  if (settings.front.set()) {
+    plan.dialect = &dialect;
+    plan.list = &list;
+  }
   HttpInEv frontIn(loop, settings.front);
   HttpInEv readinessIn(loop, settings.readiness);
   if (settings.front.set() && !frontIn.listen()) return say(Exit::kUsage, "settings: cannot listen on " + addressText(settings.front));
@@ -135,6 +141,21 @@
   serve(loop, node);
   return 0;
 }
+
+// The core role, with the platform's operator where that is served here.
+int runCore(Loop& loop, Ports& ports, const Settings& settings, const ShimPlan& shim, bool onPlatform) {
+  PlatformWorkerList list(ports, settings.platform);
+  CorePlan plan;
+  plan.shim = shim;
+  if (onPlatform) plan.list = &list;
+  HttpInEv controlIn(loop, settings.control);
+  if (settings.control.set() && !controlIn.listen()) return say(Exit::kUsage, "settings: cannot listen on " + addressText(settings.control));
+  Core core(ports, settings, plan);
+  PlatformOperator operators(core.operators(), nullptr, {settings.zones.begin(), settings.zones.end()});
+  if (settings.control.set()) operators.begin(controlIn);
+  serve(loop, core);
+  return 0;
+}
 }  // namespace
 
 int runProcess(const std::string& role) {
@@ -169,10 +190,7 @@
   for (const Address& founder : settings.founders)
     if (founder != settings.wire) shim.seeds.push_back(founder);
   if (kind == SettingsFor::kCore) {
-    CorePlan plan;
-    plan.shim = shim;
-    Core core(ports, settings, plan);
-    serve(loop, core);
+    result = runCore(loop, ports, settings, shim, onPlatform);
   } else if (kind == SettingsFor::kStore) {
     Store store(ports, settings, shim, StorePlan());
     serve(loop, store);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jig/almanac.h"
+#include "jig/platform_list.h"
 #include "jig/rule.h"
 #include "jig/settings.h"
 #include "lathe/fitness.h"
@@ -18,6 +19,7 @@
   SchedulerPlan scheduler;
   GatewayPlan gateway;
   const WorkerDialect* dialect = nullptr;  // set: requests are passed through to workers that are spoken to in it
+  WorkerListSource* list = nullptr;  // none: the settings' platform, if there is one
 };
 
 class Node {
@@ -76,6 +78,7 @@
   void onNews();
   Task keepNodes();
   Task hearPlatform();
+  bool controlSilent(Us begunUs) const;
   void methodRefused(HttpReply& reply, const char* allowed);
 
   Ports& ports_;
@@ -93,6 +96,8 @@
   std::unique_ptr<Gateway> gateway_;
   Scheduler scheduler_;
   RuleBook rules_;
+  PlatformListSource ownList_;
+  WorkerListSource* list_;
   sigc::connection asked_;
   bool draining_ = false;
 };
