--- a/src/bellows/http_in.cc
+++ b/src/bellows/http_in.cc
@@ -1,126 +1,177 @@
 #include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
 
 #include "bellows/http.h"
+#include "bellows/http_text.h"
 #include "bellows/socket_address.h"
 
 namespace stonemount {
 
 namespace {
-// Far above what the front takes, so that it is the front that refuses, in JSON.
-constexpr ssize_t kHeaderBound = 256 << 10;
-constexpr ssize_t kBodyBound = 64 << 20;
-constexpr int kIdleSeconds = 120;  // of a channel with no request on it
+// evhttp's own bounds lie above the limits, so that it is we who refuse, with the right status.
+constexpr std::size_t kHeaderBound = 1 << 20;
+constexpr std::size_t kBodyBound = 64 << 20;
+constexpr std::size_t kAheadBytes = 64 << 10;  // read of the next request while one is being answered
+constexpr int kBacklog = 1024;
 
-const char* reason(int status) {
-  switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 409: return "Conflict";
-    case 413: return "Content Too Large";
-    case 422: return "Unprocessable Content";
-    case 431: return "Request Header Fields Too Large";
-    case 429: return "Too Many Requests";
-    case 503: return "Service Unavailable";
-    case 504: return "Gateway Timeout";
-    default: return "Other";
-  }
+timeval idleTime(const HttpLimits& limits) {
+  return {static_cast<time_t>(limits.idleUs / kSecondUs), static_cast<suseconds_t>(limits.idleUs % kSecondUs)};
 }
 
-const char* methodText(evhttp_cmd_type type) {
-  switch (type) {
-    case EVHTTP_REQ_GET: return "GET";
-    case EVHTTP_REQ_POST: return "POST";
-    case EVHTTP_REQ_PUT: return "PUT";
-    case EVHTTP_REQ_PATCH: return "PATCH";
-    case EVHTTP_REQ_DELETE: return "DELETE";
-    default: return "OTHER";
-  }
-}
+enum class Standing {
+  kOpen,   // nothing of the answer was begun
+  kBegun,  // head sent, more to come
+  kSent,   // all of it handed to evhttp, not yet to the kernel
+  kOver,   // with the kernel, or the channel is gone
+};
 
-class ReplyEv : public HttpReply {
+class ReplyEv : public HttpReply, public std::enable_shared_from_this<ReplyEv> {
  public:
-  explicit ReplyEv(evhttp_request* request) : request_(request) {
-    channel_ = evhttp_request_get_connection(request);
+  ReplyEv(evhttp_request* request, std::shared_ptr<HttpInState> state)
+      : state_(std::move(state)), request_(request), channel_(evhttp_request_get_connection(request)) {
+    ++state_->open;
     evhttp_connection_set_closecb(channel_, &ReplyEv::onClose, this);
-    // Keep reading, so that a caller that leaves is seen at once; but its silence means nothing.
+    evhttp_request_set_on_complete_cb(request_, &ReplyEv::onComplete, this);
+    // Keep reading, so that a caller that leaves is seen at once; but its silence means nothing. What it
+    // sends ahead must not reach evhttp now: it ends the process when it is given bytes while answering.
     bufferevent* channel = evhttp_connection_get_bufferevent(channel_);
+    bufferevent_data_cb onWritten = nullptr;
+    bufferevent_event_cb onEvent = nullptr;
+    void* given = nullptr;
+    bufferevent_getcb(channel, nullptr, &onWritten, &onEvent, &given);
+    bufferevent_setcb(channel, nullptr, onWritten, onEvent, given);
     bufferevent_set_timeouts(channel, nullptr, nullptr);
+    bufferevent_setwatermark(channel, EV_READ, 0, kAheadBytes);
     bufferevent_enable(channel, EV_READ);
   }
   ~ReplyEv() override {
-    if (request_ == nullptr) return;
-    if (!begun_) whole(503, {{"retry-after", "1"}}, "{\"verdict\":\"stopping\"}\n");
-    else end();
+    if (standing_ == Standing::kBegun) abort();
+    if (standing_ == Standing::kOpen) {
+      putHeaders({{"retry-after", "1"}}, false);
+      release();
+      sendBody(503, "{\"verdict\":\"stopping\"}\n");
+    }
+    --state_->open;
   }
   void begin(int status, const HeaderMap& headers) override {
-    if (request_ == nullptr || begun_) return;
-    begun_ = true;
-    putHeaders(headers);
-    evhttp_send_reply_start(request_, status, reason(status));
+    if (standing_ != Standing::kOpen) return;
+    standing_ = Standing::kBegun;
+    putHeaders(headers, true);
+    evhttp_send_reply_start(request_, status, httpReason(status));
   }
   void chunk(const Bytes& bytes) override {
-    if (request_ == nullptr || gone_) return;
+    if (standing_ != Standing::kBegun || bytes.empty()) return;
+    if (declared_ && bytes.size() > leftBytes_) return abort();  // would be taken for another answer's bytes
+    leftBytes_ -= declared_ ? bytes.size() : 0;
     evbuffer* buffer = evbuffer_new();
     evbuffer_add(buffer, bytes.data(), bytes.size());
     evhttp_send_reply_chunk(request_, buffer);
     evbuffer_free(buffer);
   }
   void end() override {
-    if (request_ == nullptr) return;
-    leave();
-    evhttp_send_reply_end(std::exchange(request_, nullptr));
+    if (standing_ != Standing::kBegun) return;
+    if (declared_ && leftBytes_ != 0) return abort();
+    sent();
+    evhttp_send_reply_end(request_);
   }
   void whole(int status, const HeaderMap& headers, const Bytes& body) override {
-    if (request_ == nullptr || begun_) return;
-    begun_ = true;
-    putHeaders(headers);
-    leave();
-    evbuffer* buffer = evbuffer_new();
-    evbuffer_add(buffer, body.data(), body.size());
-    evhttp_send_reply(std::exchange(request_, nullptr), status, reason(status), buffer);
-    evbuffer_free(buffer);
+    if (standing_ != Standing::kOpen) return;
+    putHeaders(headers, false);
+    sent();
+    sendBody(status, body);
+  }
+  void abort() override {
+    if (standing_ == Standing::kOver || standing_ == Standing::kSent) return;
+    evhttp_connection* channel = channel_;
+    release();
+    evhttp_connection_free(channel);  // and the request with it
+  }
+  void refuse(int status) {
+    refused_ = true;
+    whole(status, {}, absl::StrCat("{\"verdict\":\"", status == 413 ? "body" : "headers", "_too_large\"}\n"));
   }
   std::size_t backlogBytes() const override {
-    if (request_ == nullptr || gone_) return 0;
+    if (channel_ == nullptr) return 0;
     return evbuffer_get_length(bufferevent_get_output(evhttp_connection_get_bufferevent(channel_)));
   }
 
  private:
-  static void onClose(evhttp_connection*, void* given) {
-    ReplyEv& self = *static_cast<ReplyEv*>(given);
-    self.gone_ = true;
-    self.channel_ = nullptr;
-    self.gone.emit();
+  void sent() {
+    standing_ = Standing::kSent;
+    self_ = shared_from_this();  // until the kernel has it, so that a process that ends can wait for that
   }
-  void leave() {
-    if (channel_ == nullptr) return;
-    const timeval idle{kIdleSeconds, 0};
-    bufferevent_set_timeouts(evhttp_connection_get_bufferevent(channel_), &idle, &idle);
+  // evhttp knows us no more.
+  void release() {
+    standing_ = Standing::kOver;
     evhttp_connection_set_closecb(channel_, nullptr, nullptr);
+    evhttp_request_set_on_complete_cb(request_, nullptr, nullptr);
+    awaitNext();
     channel_ = nullptr;
   }
-  void putHeaders(const HeaderMap& headers) {
+  void awaitNext() {
+    bufferevent* channel = evhttp_connection_get_bufferevent(channel_);
+    const timeval idle = idleTime(state_->limits);
+    bufferevent_set_timeouts(channel, &idle, &idle);
+    bufferevent_setwatermark(channel, EV_READ, 0, 0);
+  }
+  void sendBody(int status, const Bytes& body) {
+    evbuffer* buffer = evbuffer_new();
+    evbuffer_add(buffer, body.data(), body.size());
+    evhttp_send_reply(request_, status, httpReason(status), buffer);
+    evbuffer_free(buffer);
+  }
+  static void onComplete(evhttp_request*, void* given) {
+    ReplyEv& self = *static_cast<ReplyEv*>(given);
+    const std::shared_ptr<ReplyEv> kept = std::move(self.self_);
+    self.release();
+  }
+  static void onClose(evhttp_connection*, void* given) {
+    ReplyEv& self = *static_cast<ReplyEv*>(given);
+    const std::shared_ptr<ReplyEv> kept = std::move(self.self_);
+    const bool unsent = self.standing_ != Standing::kSent;
+    self.standing_ = Standing::kOver;
+    self.channel_ = nullptr;
+    // A request that evhttp has parted from its channel is ours to free; any other goes with the channel.
+    if (unsent && evhttp_request_get_connection(self.request_) == nullptr) evhttp_request_free(self.request_);
+    if (unsent) self.gone.emit();
+  }
+  // The framing is ours: what a server that we asked said of its own channel is not passed on.
+  void putHeaders(const HeaderMap& headers, bool begins) {
     evkeyvalq* out = evhttp_request_get_output_headers(request_);
-    for (const auto& [name, value] : headers) evhttp_add_header(out, name.c_str(), value.c_str());
-    if (!headers.contains("content-type")) evhttp_add_header(out, "content-type", "application/json");
+    bool typed = false;
+    for (const auto& [name, value] : headers) {
+      if (name == "content-type") typed = true;
+      if (httpFraming(name) || (name == "content-type" && value.empty())) continue;
+      if (name == "content-length") {
+        if (!begins || !absl::SimpleAtoi(value, &leftBytes_)) continue;
+        declared_ = true;
+      }
+      evhttp_add_header(out, name.c_str(), value.c_str());
+    }
+    if (!typed) evhttp_add_header(out, "content-type", "application/json");
+    const Us toldSeconds = state_->limits.idleUs / kSecondUs - 1;
+    if (state_->closing || refused_) evhttp_add_header(out, "connection", "close");
+    else if (toldSeconds > 0) evhttp_add_header(out, "keep-alive", absl::StrCat("timeout=", toldSeconds).c_str());
   }
+  std::shared_ptr<HttpInState> state_;
+  std::shared_ptr<ReplyEv> self_;
   evhttp_request* request_;
-  evhttp_connection* channel_ = nullptr;
-  bool begun_ = false;
-  bool gone_ = false;
+  evhttp_connection* channel_;
+  std::size_t leftBytes_ = 0;
+  Standing standing_ = Standing::kOpen;
+  bool declared_ = false;  // the answer's length was told
+  bool refused_ = false;
 };
-
-void copyPairs(const evkeyvalq* pairs, HeaderMap& out) {
-  for (const evkeyval* pair = pairs->tqh_first; pair != nullptr; pair = pair->next.tqe_next)
-    out[absl::AsciiStrToLower(pair->key)] = pair->value;
-}
 }  // namespace
 
 HttpInEv::~HttpInEv() {
@@ -129,19 +180,49 @@
 
 bool HttpInEv::listen() {
   server_ = evhttp_new(loop_.base());
-  evhttp_set_max_headers_size(server_, kHeaderBound);
-  evhttp_set_max_body_size(server_, kBodyBound);
+  evhttp_set_default_content_type(server_, nullptr);
   evhttp_set_allowed_methods(server_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
                                           EVHTTP_REQ_PATCH);
-  evhttp_set_timeout(server_, kIdleSeconds);
+  evhttp_set_flags(server_, EVHTTP_SERVER_LINGERING_CLOSE);
   evhttp_set_gencb(server_, &HttpInEv::onAsk, this);
-  return evhttp_bind_socket(server_, ipText(self_).c_str(), self_.port) == 0;
+  setLimits(state_->limits);
+  sockaddr_in where = socketAddress(self_);
+  evconnlistener* listener = evconnlistener_new_bind(loop_.base(), nullptr, nullptr,
+                                                     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+                                                     kBacklog, reinterpret_cast<sockaddr*>(&where), sizeof(where));
+  if (listener == nullptr) return false;
+  const int socket = evconnlistener_get_fd(listener);
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));  // accepted sockets inherit it
+  socklen_t length = sizeof(where);
+  getsockname(socket, reinterpret_cast<sockaddr*>(&where), &length);
+  self_.port = ntohs(where.sin_port);
+  bound_ = evhttp_bind_listener(server_, listener);
+  return bound_ != nullptr;
+}
+
+void HttpInEv::stop() {
+  if (bound_ != nullptr) evhttp_del_accept_socket(server_, std::exchange(bound_, nullptr));
+}
+
+void HttpInEv::setLimits(const HttpLimits& limits) {
+  state_->limits = limits;
+  if (server_ == nullptr) return;
+  evhttp_set_max_headers_size(server_, static_cast<ev_ssize_t>(std::max(kHeaderBound, 2 * limits.headerBytes)));
+  evhttp_set_max_body_size(server_, static_cast<ev_ssize_t>(std::max(kBodyBound, limits.bodyBytes)));
+  const timeval idle = idleTime(limits);
+  evhttp_set_timeout_tv(server_, &idle);
 }
 
 void HttpInEv::onAsk(evhttp_request* request, void* given) {
   HttpInEv& self = *static_cast<HttpInEv*>(given);
+  const auto reply = std::make_shared<ReplyEv>(request, self.state_);
+  evbuffer* input = evhttp_request_get_input_buffer(request);
+  if (request->headers_size > self.state_->limits.headerBytes) return reply->refuse(431);
+  if (evbuffer_get_length(input) > self.state_->limits.bodyBytes) return reply->refuse(413);
   HttpAsk ask;
-  ask.method = methodText(evhttp_request_get_command(request));
+  ask.method = httpMethodName(evhttp_request_get_command(request));
+  ask.target = evhttp_request_get_uri(request);
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
   const char* path = uri != nullptr ? evhttp_uri_get_path(uri) : nullptr;
   ask.path = path != nullptr && *path != '\0' ? path : "/";
@@ -151,11 +232,13 @@
     if (evhttp_parse_query_str(query, &pairs) == 0) copyPairs(&pairs, ask.query);
     evhttp_clear_headers(&pairs);
   }
-  copyPairs(evhttp_request_get_input_headers(request), ask.headers);
-  evbuffer* input = evhttp_request_get_input_buffer(request);
+  if (ask.target.empty() || ask.target.front() != '/')  // a whole URI names the host besides
+    ask.target = query != nullptr ? absl::StrCat(ask.path, "?", query) : ask.path;
+  joinPairs(evhttp_request_get_input_headers(request), ask.headers);
+  ask.headers.erase("expect");  // answered here
   ask.body.resize(evbuffer_get_length(input));
   evbuffer_remove(input, ask.body.data(), ask.body.size());
-  self.asked.emit(ask, std::make_shared<ReplyEv>(request));
+  self.asked.emit(ask, reply);
 }
 
 }  // namespace stonemount
--- a/src/bellows/http_out.cc
+++ b/src/bellows/http_out.cc
@@ -1,21 +1,39 @@
 #include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
+
 #include "bellows/http.h"
+#include "bellows/http_channels.h"
+#include "bellows/http_text.h"
 #include "bellows/socket_address.h"
 
 namespace stonemount {
 
 namespace {
-constexpr int kIdleSeconds = 3700;  // more than any route's limit: a silent worker is no dead worker; limits are the lathe's
+constexpr Us kUntoldIdleUs = 2500 * kMilliUs;  // of a server that names no Keep-Alive time
+constexpr Us kIdleMarginUs = 500 * kMilliUs;   // a request that we send still meets an open channel
 
-constexpr Us kConnectUs = kSecondUs;  // not connected by then: nothing was sent, nothing will be
+// How long a channel may wait, by the server's word; 0: not at all.
+Us idleTime(const HeaderMap& headers) {
+  const auto told = headers.find("keep-alive");
+  if (told == headers.end()) return kUntoldIdleUs;
+  const std::size_t at = told->second.find("timeout=");
+  if (at == std::string::npos) return kUntoldIdleUs;
+  const char* from = told->second.c_str() + at + 8;
+  const Us toldUs = std::clamp<Us>(std::strtol(from, nullptr, 10), 0, 3600) * kSecondUs;
+  return toldUs - std::min(kIdleMarginUs, toldUs / 2);
+}
 
-// Pieces are handed on through the alarm port, never from within evhttp's own call.
-class FlowEv : public HttpFlow, public Continuation {
+// Pieces are handed on through the alarm port, never from within evhttp's own call; all that came in
+// one read are handed on at one wake.
+class FlowEv : public HttpFlow, public HttpRider, public Continuation {
  public:
   class ConnectLimit : public Continuation {
    public:
@@ -25,125 +43,149 @@
    private:
     FlowEv& flow_;
   };
-  FlowEv(Loop& loop, const Address& server, const HttpAsk& ask) : loop_(loop) {
-    bufferevent* channel = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-    watch_ = evbuffer_add_cb(bufferevent_get_output(channel), &FlowEv::onOutput, this);
-    output_ = bufferevent_get_output(channel);
-    connection_ = evhttp_connection_base_bufferevent_new(loop.base(), nullptr, channel, ipText(server).c_str(), server.port);
-    evhttp_connection_set_timeout(connection_, kIdleSeconds);
-    request_ = evhttp_request_new(&FlowEv::onDone, this);
-    evhttp_request_set_header_cb(request_, &FlowEv::onHead);
-    evhttp_request_set_chunked_cb(request_, &FlowEv::onChunk);
-    evhttp_request_set_error_cb(request_, &FlowEv::onError);
-    evkeyvalq* out = evhttp_request_get_output_headers(request_);
-    evhttp_add_header(out, "host", addressText(server).c_str());
-    evhttp_add_header(out, "connection", "close");
-    for (const auto& [name, value] : ask.headers) evhttp_add_header(out, name.c_str(), value.c_str());
-    if (!ask.body.empty() || ask.method == "POST" || ask.method == "PUT" || ask.method == "PATCH")
-      evhttp_add_header(out, "content-length", absl::StrCat(ask.body.size()).c_str());
-    evbuffer_add(evhttp_request_get_output_buffer(request_), ask.body.data(), ask.body.size());
-    std::string target = ask.path;
-    char mark = '?';
-    for (const auto& [name, value] : ask.query) {
-      char* name_ = evhttp_uriencode(name.data(), static_cast<ssize_t>(name.size()), 0);
-      char* value_ = evhttp_uriencode(value.data(), static_cast<ssize_t>(value.size()), 0);
-      absl::StrAppend(&target, std::string(1, mark), name_, "=", value_);
-      free(name_);
-      free(value_);
-      mark = '&';
-    }
-    const evhttp_cmd_type type = ask.method == "GET" ? EVHTTP_REQ_GET : ask.method == "PUT" ? EVHTTP_REQ_PUT
-                                 : ask.method == "PATCH" ? EVHTTP_REQ_PATCH
-                                 : ask.method == "DELETE" ? EVHTTP_REQ_DELETE : EVHTTP_REQ_POST;
-    if (evhttp_make_request(connection_, request_, type, target.c_str()) != 0) {
-      request_ = nullptr;
-      put(HttpBroken{true});
-    }
-    loop_.arm(kConnectUs, connectLimit_);
+  FlowEv(Loop& loop, HttpChannels& channels, Us connectUs, const Address& server, const HttpAsk& ask, const HttpVia& via,
+         std::size_t most)
+      : loop_(loop), channels_(channels), via_(via), channel_(channels.take(server, via, most)) {
+    if (channel_ == nullptr) put(HttpBroken{true, false});
+    else send(server, ask, connectUs);
   }
   ~FlowEv() override {
     loop_.disarm(*this);
     loop_.disarm(connectLimit_);
-    closeChannel();
+    if (destroyed_ != nullptr) *destroyed_ = true;
   }
   void proceed() override {
-    const std::weak_ptr<bool> alive = alive_;
-    while (!pieces_.empty()) {
-      HttpPiece next = std::move(pieces_.front());
-      pieces_.pop_front();
+    bool destroyed = false;
+    destroyed_ = &destroyed;
+    std::vector<HttpPiece> pieces;
+    pieces.swap(pieces_);
+    for (HttpPiece& next : pieces) {
       piece.emit(std::move(next));
-      if (alive.expired()) return;
+      if (destroyed) return;
     }
+    destroyed_ = nullptr;
   }
 
  private:
-  void closeChannel() {
-    if (connection_ == nullptr) return;
-    evbuffer_remove_cb_entry(output_, watch_);
-    evhttp_connection_free(std::exchange(connection_, nullptr));
+  void send(const Address& server, const HttpAsk& ask, Us connectUs) {
+    channel_->board(*this);
+    evhttp_request* request = evhttp_request_new(&FlowEv::onDone, this);
+    evhttp_request_set_header_cb(request, &FlowEv::onHead);
+    evhttp_request_set_chunked_cb(request, &FlowEv::onChunk);
+    evhttp_request_set_error_cb(request, &FlowEv::onError);
+    evkeyvalq* out = evhttp_request_get_output_headers(request);
+    if (!ask.headers.contains("host")) evhttp_add_header(out, "host", addressText(server).c_str());
+    if (!via_.keep) evhttp_add_header(out, "connection", "close");
+    for (const auto& [name, value] : ask.headers)  // the framing is ours
+      if (!httpFraming(name) && name != "content-length") evhttp_add_header(out, name.c_str(), value.c_str());
+    const evhttp_cmd_type method = httpMethod(ask.method);
+    if (!ask.body.empty() || (method & (EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_PATCH)) != 0)
+      evhttp_add_header(out, "content-length", absl::StrCat(ask.body.size()).c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(request), ask.body.data(), ask.body.size());
+    if (evhttp_make_request(channel_->connection(), request, method, httpTarget(ask).c_str()) != 0)
+      put(HttpBroken{true, false});
+    if (!ended_ && !channel_->connected()) loop_.arm(connectUs, connectLimit_);
   }
+  void connected() override { loop_.disarm(connectLimit_); }
   void connectLapsed() {
-    if (anySent_ || ended_) return;
-    closeChannel();  // first, so that it stays unsent
-    put(HttpBroken{true});
+    if (ended_) return;
+    channel_.reset();  // first, so that it stays unsent
+    put(HttpBroken{true, false});
   }
   void put(HttpPiece next) {
     if (ended_) return;
     ended_ = std::holds_alternative<HttpEnd>(next) || std::holds_alternative<HttpBroken>(next);
     pieces_.push_back(std::move(next));
-    loop_.disarm(*this);
-    loop_.arm(0, *this);
+    if (alarmKey == 0) loop_.arm(0, *this);
+  }
+  void broken() {
+    loop_.disarm(connectLimit_);
+    put(HttpBroken{!channel_->anySent(), channel_->served()});
   }
   void drain(evhttp_request* request) {
     evbuffer* input = evhttp_request_get_input_buffer(request);
-    Bytes bytes(evbuffer_get_length(input), '\0');
-    evbuffer_remove(input, bytes.data(), bytes.size());
-    if (!bytes.empty()) put(HttpData{std::move(bytes)});
+    const std::size_t length = evbuffer_get_length(input);
+    if (length == 0 || ended_) return;
+    HttpData* last = pieces_.empty() ? nullptr : std::get_if<HttpData>(&pieces_.back());
+    if (last == nullptr) {
+      put(HttpData{});
+      last = std::get_if<HttpData>(&pieces_.back());
+    }
+    const std::size_t before = last->bytes.size();
+    last->bytes.resize(before + length);
+    evbuffer_remove(input, last->bytes.data() + before, length);
   }
-  static void onOutput(evbuffer*, const evbuffer_cb_info* info, void* given) {
-    if (info->n_deleted > 0) static_cast<FlowEv*>(given)->anySent_ = true;
+  // False: this is no answer to our request.
+  bool headOf(evhttp_request* request, HttpHead& head) {
+    head.status = evhttp_request_get_response_code(request);
+    if (head.status < 200 || head.status > 599) return false;
+    joinPairs(evhttp_request_get_input_headers(request), head.headers);
+    if (!via_.echoName.empty()) {
+      const auto echo = head.headers.find(via_.echoName);
+      if (echo == head.headers.end() || echo->second != via_.echoValue) return false;
+    }
+    const auto length = head.headers.find("content-length");
+    const auto coding = head.headers.find("transfer-encoding");
+    std::uint64_t told = 0;
+    if (coding != head.headers.end()) {
+      framed_ = absl::EqualsIgnoreCase(coding->second, "chunked");
+      if (length != head.headers.end()) head.headers.erase(length);  // the chunks are what counts
+    } else if (length != head.headers.end()) {
+      if (!absl::SimpleAtoi(length->second, &told)) return false;
+      framed_ = true;
+    } else {
+      framed_ = head.status == 204 || head.status == 304;
+    }
+    const auto channelWord = head.headers.find("connection");
+    const bool closes = channelWord != head.headers.end() && absl::StrContains(absl::AsciiStrToLower(channelWord->second), "close");
+    const bool lasting = request->major > 1 || (request->major == 1 && request->minor >= 1);
+    if (via_.keep && framed_ && lasting && !closes) idleUs_ = idleTime(head.headers);
+    return true;
   }
   static int onHead(evhttp_request* request, void* given) {
     FlowEv& self = *static_cast<FlowEv*>(given);
     HttpHead head;
-    head.status = evhttp_request_get_response_code(request);
-    const evkeyvalq* pairs = evhttp_request_get_input_headers(request);
-    for (const evkeyval* pair = pairs->tqh_first; pair != nullptr; pair = pair->next.tqe_next)
-      head.headers[absl::AsciiStrToLower(pair->key)] = pair->value;
-    self.headSeen_ = true;
-    self.put(std::move(head));
-    return 0;
+    const bool ours = self.headOf(request, head);
+    if (ours) self.put(std::move(head));
+    else self.put(HttpBroken{false, self.channel_->served()});
+    self.headSeen_ = ours;
+    return ours ? 0 : -1;  // evhttp then closes the channel
   }
   static void onChunk(evhttp_request* request, void* given) { static_cast<FlowEv*>(given)->drain(request); }
-  static void onError(evhttp_request_error, void* given) {
-    FlowEv& self = *static_cast<FlowEv*>(given);
-    self.put(HttpBroken{!self.anySent_});
-  }
+  static void onError(evhttp_request_error, void* given) { static_cast<FlowEv*>(given)->broken(); }
   static void onDone(evhttp_request* request, void* given) {
     FlowEv& self = *static_cast<FlowEv*>(given);
-    if (request == nullptr || evhttp_request_get_response_code(request) == 0 || !self.headSeen_) {
-      self.put(HttpBroken{!self.anySent_});
-      return;
-    }
+    // An answer without length or chunks ends with its channel: nobody can tell whether that was all.
+    if (request == nullptr || !self.headSeen_ || !self.framed_) return self.broken();
     self.drain(request);
     self.put(HttpEnd{});
+    if (self.idleUs_ > 0 && !self.channel_->surplus()) self.channels_.keep(std::move(self.channel_), self.idleUs_);
   }
   Loop& loop_;
+  HttpChannels& channels_;
+  HttpVia via_;
+  HttpChannelPtr channel_;
   ConnectLimit connectLimit_{*this};
-  evhttp_connection* connection_ = nullptr;
-  evhttp_request* request_ = nullptr;
-  evbuffer* output_ = nullptr;
-  evbuffer_cb_entry* watch_ = nullptr;
-  std::deque<HttpPiece> pieces_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  bool anySent_ = false;
+  std::vector<HttpPiece> pieces_;
+  bool* destroyed_ = nullptr;
+  Us idleUs_ = 0;  // 0: the channel is not to be kept
   bool headSeen_ = false;
+  bool framed_ = false;
   bool ended_ = false;
 };
 }  // namespace
 
-std::unique_ptr<HttpFlow> HttpOutEv::open(const Address& server, const HttpAsk& ask) {
-  return std::make_unique<FlowEv>(loop_, server, ask);
+HttpOutEv::HttpOutEv(Loop& loop, Us connectUs)
+    : loop_(loop), connectUs_(connectUs), channels_(std::make_unique<HttpChannels>(loop)) {}
+HttpOutEv::~HttpOutEv() = default;
+
+std::unique_ptr<HttpFlow> HttpOutEv::open(const Address& server, const HttpAsk& ask, const HttpVia& via) {
+  return std::make_unique<FlowEv>(loop_, *channels_, connectUs_, server, ask, via, mostPerServer);
 }
+void HttpOutEv::closeKept(const Address& server) { channels_->closeKept(server); }
+std::uint64_t HttpOutEv::opened() const { return channels_->opened; }
+std::uint64_t HttpOutEv::reused() const { return channels_->reused; }
+std::size_t HttpOutEv::kept(const Address& server) const { return channels_->kept(server); }
+std::size_t HttpOutEv::channels(const Address& server) const { return channels_->open(server); }
 
 }  // namespace stonemount
--- a/src/bellows/loop.h
+++ b/src/bellows/loop.h
@@ -20,17 +20,21 @@
   void stop();
   // Runs before the loop ends at a polite signal; a second signal ends it at once.
   Continuation* farewell = nullptr;
+  // Runs at SIGHUP, which is otherwise ignored.
+  Continuation* hangup = nullptr;
 
  private:
   static void onAlarm(evutil_socket_t, short, void* self);
-  static void onSignal(evutil_socket_t, short, void* self);
+  static void onSignal(evutil_socket_t number, short, void* self);
   void fire();
+  bool fireDue();
   void rearm();
   void leave();
   event_base* base_;
   event* timer_;
   std::vector<event*> signals_;
   bool leaving_ = false;
+  bool firing_ = false;
   std::uint64_t lastKey_ = 0;
   absl::btree_map<std::pair<Us, std::uint64_t>, Continuation*> queue_;
 };
