--- a/src/anvil/client.cc
+++ b/src/anvil/client.cc
@@ -15,21 +15,26 @@
   ViewPoll(Desk& desk, const absl::btree_set<Address>& members)
       : Poll(desk, ViewAsk::kKind, pack(ViewAsk{}), kViewUs) {
     for (const Address& member : members) add(member);
+    asked_.assign(members.begin(), members.end());
+    silent = members;
     needed_ = members.size() / 2 + 1;
   }
   View newest;
+  absl::btree_set<Address> silent;
+
+  bool enough() const override { return answered_ >= needed_; }
 
  protected:
-  void heard(std::size_t, const Bytes& body) override {
+  void heard(std::size_t partner, const Bytes& body) override {
     auto read = unpack<ViewVerdict>(body);
     auto* verdict = std::get_if<ViewVerdict>(&read);
     if (verdict == nullptr) return;
+    silent.erase(asked_[partner]);
     ++answered_;
     if (verdict->view.revision > newest.revision) newest = std::move(verdict->view);
   }
-  bool enough() const override { return answered_ >= needed_; }
-
  private:
+  std::vector<Address> asked_;
   std::size_t needed_ = 0;
   std::size_t answered_ = 0;
 };
@@ -55,11 +60,12 @@
     ViewPoll poll(desk_, members_);
     co_await poll;
     refreshing_ = false;
-    if (poll.newest.revision > view_.revision) {
-      view_ = poll.newest;
-      for (const Seat& voter : view_.voters) members_.insert(voter.address);
-      for (const Seat& guest : view_.guests) members_.insert(guest.address);
-    }
+    if (poll.newest.revision > view_.revision) view_ = poll.newest;
+    // Where machines come and go, those without a seat that say nothing would keep every poll waiting.
+    if (!poll.enough() && poll.silent.size() < members_.size() && view_.revision != 0)
+      for (const Address& gone : poll.silent) members_.erase(gone);
+    for (const Seat& voter : view_.voters) members_.insert(voter.address);
+    for (const Seat& guest : view_.guests) members_.insert(guest.address);
   } else {
     Pause pause(ports_.alarms, kAgainUs);
     co_await pause;
--- a/src/anvil/found.cc
+++ b/src/anvil/found.cc
@@ -40,6 +40,16 @@
   }
 }
 
+// Founders that were not known at the start, as the control chain agreed on them. The first list stays.
+void Member::onFoundersTold(const Asked& asked) {
+  auto message = unpack<FoundersTold>(asked.body);
+  if (!std::holds_alternative<FoundersTold>(message) || standing_ != Standing::kFounding) return;
+  if (!plan_.mayFound || !plan_.founders.empty()) return;
+  plan_.founders = std::get<FoundersTold>(message).founders;
+  for (const Address& founder : plan_.founders)
+    if (founder != self_) meet(founder);
+}
+
 void Member::onFound(const Asked& asked) {
   auto message = unpack<Found>(asked.body);
   if (!std::holds_alternative<Found>(message) || standing_ != Standing::kFounding) return;
--- a/src/anvil/member.cc
+++ b/src/anvil/member.cc
@@ -59,6 +59,9 @@
   desk_.serve(ChangeVoters::kKind, sigc::mem_fun(*this, &Member::onChangeVoters));
   desk_.serve(Submit::kKind, sigc::mem_fun(*this, &Member::onSubmit));
   desk_.serve(Read::kKind, sigc::mem_fun(*this, &Member::onRead));
+  desk_.serve(Invite::kKind, sigc::mem_fun(*this, &Member::onInvite));
+  desk_.serve(FoundersTold::kKind, sigc::mem_fun(*this, &Member::onFoundersTold));
+  if (!plan_.mayFound) plan_.founders.clear();
   room_.start(open());
 }
 
@@ -79,6 +82,7 @@
   passBell_.ring();
   readBell_.ring();
   mendBell_.ring();
+  refillBell_.ring();
   viewMoved.emit();
 }
 
--- a/src/anvil/member.h
+++ b/src/anvil/member.h
@@ -11,7 +11,9 @@
 struct MemberPlan {
   std::string zone;
   std::vector<Address> founders;  // all must be empty and present for the first view
-  Us pingUs = 100 * kMilliUs;
+  bool mayFound = true;           // the whole fleet's first start: else nobody founds, ever
+  Us pingUs = 200 * kMilliUs;
+  Us farPingUs = 500 * kMilliUs;  // of and to those without a seat
   Us pingLimitUs = 250 * kMilliUs;
   Us suspectUs = 700 * kMilliUs;
   Us slowDiskUs = 800 * kMilliUs;
@@ -112,7 +114,8 @@
   std::optional<View> wantedView() const;
   std::optional<View> viewFromHolder() const;
   bool addReadyPartner(View& wanted) const;
-  static void giveSeat(View& wanted, const Seat& seat);
+  bool ready(const Address& partner) const;
+  bool close(const Address& partner) const;
   std::size_t turn() const;
   Us voterSyncUs() const;
   void onChangeVoters(const Asked& asked);
@@ -130,6 +133,9 @@
   void onFetchLog(const Asked& asked);
   void onCatchUp(const Asked& asked);
   Task catchUp(Asked asked, CatchUp wish);
+  void onInvite(const Asked& asked);
+  void onFoundersTold(const Asked& asked);
+  bool invited() const;
 
   Ports& ports_;
   Desk& desk_;
@@ -181,6 +187,8 @@
   std::optional<ChangeVoters> wish_;
   Address tooFarBehind_;  // a successor left behind, until the next view
   // refill
+  Us invitedUntilUs_ = 0;  // by who wants it in; else a member without a seat copies nothing
+  Bell refillBell_;
   bool refilled_ = false;
   bool fetching_ = false;
   bool fetchRefused_ = false;
--- a/src/anvil/member_face.cc
+++ b/src/anvil/member_face.cc
@@ -6,6 +6,7 @@
   MemberPlan plan;
   plan.zone = settings.zone;
   plan.founders = settings.founders;
+  plan.mayFound = settings.firstStart;
   return plan;
 }
 
--- a/src/anvil/mender.cc
+++ b/src/anvil/mender.cc
@@ -10,7 +10,6 @@
 namespace {
 constexpr Us kTurnUs = 350 * kMilliUs;
 constexpr Us kPromiseUs = 250 * kMilliUs;
-constexpr Us kSlowestUs = 3 * kSecondUs;
 }  // namespace
 
 Task Member::pingAll() {
@@ -52,11 +51,19 @@
         }
       }
     }
-    Pause pause(ports_.alarms, plan_.pingUs);
+    // Who holds no seat is looked at now and then: it costs each of us as much as a member would.
+    Pause pause(ports_.alarms, close(partner) ? plan_.pingUs : plan_.farPingUs);
     co_await pause;
   }
 }
 
+// Do the two of us have to know of each other at once?
+bool Member::close(const Address& partner) const {
+  if (standing_ == Standing::kFounding || (wish_ && wish_->add == partner)) return true;
+  const bool mine = findMember(memory_.view, self_) != nullptr || invited();
+  return mine && findMember(memory_.view, partner) != nullptr;
+}
+
 bool Member::heardLately(const Address& partner) const {
   auto found = partners_.find(partner);
   return found != partners_.end() && found->second.heardUs >= 0 &&
@@ -83,21 +90,20 @@
   return pong.stalledUs < plan_.slowDiskUs && pong.worstSyncUs < plan_.slowDiskUs;
 }
 
-// A vote, unless it would make some zone's loss the loss of the majority; then a guest's seat.
-void Member::giveSeat(View& wanted, const Seat& seat) {
-  std::vector<Seat> with = wanted.voters;
-  with.push_back(seat);
-  const bool votes = outlivesZones(with) || !outlivesZones(wanted.voters);
-  (votes ? wanted.voters : wanted.guests).push_back(seat);
+// Refilled, healthy and waiting outside in the current view.
+bool Member::ready(const Address& partner) const {
+  auto found = partners_.find(partner);
+  if (found == partners_.end()) return false;
+  const Pong& pong = found->second.pong;
+  return pong.refilled && pong.revision == memory_.view.revision && pong.standing == Standing::kOutside &&
+         healthySeat({partner, pong.incarnation, pong.zone});
 }
 
 // A voter's place that is empty in the chain, and a refilled member to take it; or an operator's wish.
 bool Member::addReadyPartner(View& wanted) const {
   for (const auto& [address, sight] : partners_) {
     const Seat seat{address, sight.pong.incarnation, sight.pong.zone};
-    if (findSeat(wanted.chain, address) != nullptr || !healthySeat(seat)) continue;
-    if (!sight.pong.refilled || sight.pong.revision != memory_.view.revision) continue;
-    if (sight.pong.standing != Standing::kOutside) continue;
+    if (findSeat(wanted.chain, address) != nullptr || !ready(address)) continue;
     bool allowed = false;
     for (std::vector<Seat>* seats : {&wanted.voters, &wanted.guests}) {
       for (Seat& member : *seats) {
@@ -142,7 +148,9 @@
   wanted.chain = !healthy.empty() && spansZones(healthy) ? healthy : alive;
   if (wanted.chain.empty()) return viewFromHolder();
   needed |= wanted.chain.size() != now.chain.size();
-  const bool removing = wish_ && wish_->remove.set();
+  // A replacement waits until the new machine is refilled; all else is mended meanwhile.
+  const bool waits = wish_ && wish_->add.set() && findMember(now, wish_->add) == nullptr && !ready(wish_->add);
+  const bool removing = wish_ && wish_->remove.set() && !waits;
   if (removing) {
     std::erase_if(wanted.chain, SeatAt{wish_->remove});
     std::erase_if(wanted.voters, SeatAt{wish_->remove});
@@ -151,7 +159,7 @@
   }
   const bool added = addReadyPartner(wanted);
   if (wish_ && wish_->add.set() && findMember(wanted, wish_->add) == nullptr) {
-    if (removing) return std::nullopt;  // a replacement waits until the new machine is refilled
+    if (removing) return std::nullopt;
   } else if (removing) {
     needed = true;
     for (const Seat& guest : std::exchange(wanted.guests, {})) {  // one may have a vote now
@@ -196,17 +204,6 @@
   return before;
 }
 
-// The slowest sync of any voter that lives, as far as it is known: a ballot has to wait out two.
-Us Member::voterSyncUs() const {
-  Us slowestUs = 0;
-  for (const Seat& voter : memory_.view.voters) {
-    if (!aliveSeat(voter)) continue;
-    const Pong& pong = partners_.at(voter.address).pong;
-    slowestUs = std::max({slowestUs, pong.worstSyncUs, pong.stalledUs});
-  }
-  return std::min(slowestUs, kSlowestUs);
-}
-
 Task Member::mend() {
   Us lastUs = ports_.clock.monoUs();
   blindUntilUs_ = lastUs + plan_.suspectUs;
--- a/src/anvil/messages.h
+++ b/src/anvil/messages.h
@@ -155,6 +155,16 @@
   Address remove;
   STONEMOUNT_PACK(add, remove)
 };
+struct Invite {  // to one without a seat: copy the chain, you are wanted in it
+  static constexpr std::uint16_t kKind = 17;
+  std::uint8_t unused = 0;
+  STONEMOUNT_PACK(unused)
+};
+struct FoundersTold {  // who makes the first view, as it was agreed once (design.md 6.10)
+  static constexpr std::uint16_t kKind = 18;
+  std::vector<Address> founders;
+  STONEMOUNT_PACK(founders)
+};
 enum class ChangeOutcome : std::uint8_t { kDone, kNotReady, kUnknown, kTooFew, kBusy, kNoMajority };
 struct ChangeVerdict {
   ChangeOutcome outcome = ChangeOutcome::kBusy;
--- a/src/anvil/propose.cc
+++ b/src/anvil/propose.cc
@@ -11,6 +11,7 @@
 namespace {
 constexpr Us kSealLimitUs = 400 * kMilliUs;
 constexpr Us kCatchUpLimitUs = 1500 * kMilliUs;
+constexpr Us kSlowestUs = 3 * kSecondUs;
 constexpr Us kBallotLimitUs = 500 * kMilliUs;
 }  // namespace
 
@@ -22,6 +23,16 @@
   return found;
 }
 
+LogNames Member::logNames() const {
+  LogNames names;
+  names.end = end_;
+  names.keptAfter = recent_.empty() ? end_ : recent_.front().index - 1;
+  names.runs.emplace_back(names.keptAfter, recent_.empty() ? endRevision_ : keptAfterRevision_);
+  for (const Entry& entry : recent_)
+    if (entry.revision != names.runs.back().second) names.runs.emplace_back(entry.index, entry.revision);
+  return names;
+}
+
 namespace {
 using SealVerdicts = std::vector<std::optional<SealVerdict>>;
 
@@ -103,6 +114,17 @@
   co_return true;
 }
 
+// The slowest sync of any voter that lives, as far as it is known: a ballot has to wait out two.
+Us Member::voterSyncUs() const {
+  Us slowestUs = 0;
+  for (const Seat& voter : memory_.view.voters) {
+    if (!aliveSeat(voter)) continue;
+    const Pong& pong = partners_.at(voter.address).pong;
+    slowestUs = std::max({slowestUs, pong.worstSyncUs, pong.stalledUs});
+  }
+  return std::min(slowestUs, kSlowestUs);
+}
+
 Job<bool> Member::ballot(View target) {
   const View now = memory_.view;
   // A voter whose disk is slow may be needed for the majority; the poll ends as soon as it has enough.
--- a/src/anvil/reader.cc
+++ b/src/anvil/reader.cc
@@ -7,6 +7,8 @@
 
 namespace {
 constexpr std::size_t kReadBound = 8192;
+constexpr Us kHeldLookUs = 100 * kMilliUs;
+constexpr Us kIdleUs = kSecondUs;
 constexpr Us kConfirmLimitUs = 300 * kMilliUs;
 }  // namespace
 
@@ -23,7 +25,7 @@
 
 Task Member::readBatches() {
   while (standing_ != Standing::kBroken) {
-    Hear hear(ports_.alarms, readBell_, 100 * kMilliUs);
+    Hear hear(ports_.alarms, readBell_, held_.empty() ? kIdleUs : kHeldLookUs);
     co_await hear;
     std::vector<Waiting> batch(std::make_move_iterator(reads_.begin()), std::make_move_iterator(reads_.end()));
     reads_.clear();
--- a/src/anvil/refill.cc
+++ b/src/anvil/refill.cc
@@ -8,6 +8,9 @@
 namespace stonemount {
 
 namespace {
+constexpr Us kFollowUs = 50 * kMilliUs;
+constexpr Us kIdleUs = kSecondUs;
+constexpr Us kInvitedUs = 2 * kSecondUs;
 constexpr Us kFetchLimitUs = 600 * kMilliUs;
 constexpr std::size_t kPartBytes = 256 << 10;
 constexpr std::size_t kLeastBytes = 8 << 10;
@@ -16,28 +19,38 @@
 constexpr std::uint64_t kNearEnough = 64;
 }  // namespace
 
+bool Member::invited() const { return ports_.clock.monoUs() < invitedUntilUs_; }
+
+// Without a seat it copies only while somebody wants it in: a machine to spare costs nobody anything.
+void Member::onInvite(const Asked&) {
+  if (!invited()) refillBell_.ring();
+  invitedUntilUs_ = ports_.clock.monoUs() + kInvitedUs;
+}
+
 Task Member::refill() {
   while (standing_ != Standing::kBroken) {
-    Pause pause(ports_.alarms, plan_.pingUs / 2);
-    co_await pause;
+    const bool follows = standing_ == Standing::kOutside && (findMember(memory_.view, self_) != nullptr || invited());
+    if (!follows) refilled_ &= standing_ != Standing::kOutside;
+    Hear hear(ports_.alarms, refillBell_, follows ? kFollowUs : kIdleUs);
+    co_await hear;
     const Us nowUs = ports_.clock.monoUs();
     if (pictureToken_ != 0 && nowUs - pictureUsedUs_ > kPictureUs) {
       pictureToken_ = 0;
       picture_ = Bytes();
     }
     if (fetchBytes_ == 0) fetchBytes_ = kPartBytes;
-    if (standing_ != Standing::kOutside || fetching_ || appended_ > end_ || nowUs < heldUntilUs_) continue;
+    if (standing_ != Standing::kOutside || fetching_ || (findMember(memory_.view, self_) == nullptr && !invited()) || appended_ > end_ || nowUs < heldUntilUs_) continue;
     if (memory_.view.chain.empty()) continue;
     const Address source = memory_.view.chain.back().address;
     fetching_ = true;
     Job<bool> following = fetchLog(source, 0);
-    bool follows = co_await following;
+    bool near = co_await following;
     // Who caught up to join the next view, which may be chosen at any time, keeps what it holds until then.
     const bool keeps = memory_.heldRevision == memory_.view.revision;
-    if (!follows && standing_ == Standing::kOutside && fetchRefused_ && !keeps) {
+    if (!near && standing_ == Standing::kOutside && fetchRefused_ && !keeps) {
       refilled_ = false;
       Job<bool> copying = fetchState(source);
-      follows = co_await copying;
+      near = co_await copying;
     }
     fetching_ = false;
   }
--- a/src/anvil/relay.cc
+++ b/src/anvil/relay.cc
@@ -14,6 +14,8 @@
 constexpr std::size_t kVerdictsKept = 16384;
 constexpr std::size_t kVerdictBytesKept = 256 << 10;  // the same at every member, or they would differ
 constexpr Us kPassLimitUs = 500 * kMilliUs;
+constexpr Us kSlowTryUs = 200 * kMilliUs;
+constexpr Us kIdleUs = kSecondUs;  // bells ring for all that is urgent
 constexpr Us kPassAgainUs = 30 * kMilliUs;
 }  // namespace
 
@@ -62,16 +64,6 @@
   desk_.reply(asked, PassedOn{granted, active(), end_, endRevision_, tail() ? end_ : committed_});
 }
 
-LogNames Member::logNames() const {
-  LogNames names;
-  names.end = end_;
-  names.keptAfter = recent_.empty() ? end_ : recent_.front().index - 1;
-  names.runs.emplace_back(names.keptAfter, recent_.empty() ? endRevision_ : keptAfterRevision_);
-  for (const Entry& entry : recent_)
-    if (entry.revision != names.runs.back().second) names.runs.emplace_back(entry.index, entry.revision);
-  return names;
-}
-
 // Is the successor's log the beginning of ours? A joiner may have followed another member since it
 // was chosen; where the logs parted it must not serve (design.md 6.5).
 bool Member::begins(const PassedOn& successor) const {
@@ -108,9 +100,10 @@
 
 Task Member::write() {
   while (standing_ != Standing::kBroken) {
-    Hear hear(ports_.alarms, inboxBell_, 200 * kMilliUs);
+    const bool slow = drawer_.worstSyncUs() > plan_.slowDiskUs / 2;
+    Hear hear(ports_.alarms, inboxBell_, slow ? kSlowTryUs : kIdleUs);
     co_await hear;
-    if (inbox_.empty() && drawer_.worstSyncUs() > plan_.slowDiskUs / 2) {
+    if (inbox_.empty() && slow) {
       // A disk that was slow and has nothing to do would be called slow for ever: try it.
       Job<bool> trying = keepMemory();
       co_await trying;
@@ -198,7 +191,7 @@
 
 Task Member::passOn() {
   while (standing_ != Standing::kBroken) {
-    Hear hear(ports_.alarms, passBell_, 250 * kMilliUs);
+    Hear hear(ports_.alarms, passBell_, kIdleUs);
     co_await hear;
     while (active() && !tail()) {
       if (successorEnd_ && (successorTold_ || !verified_) && *successorEnd_ >= end_) break;
--- a/src/anvil/view.h
+++ b/src/anvil/view.h
@@ -53,6 +53,13 @@
   }
   return !voters.empty();
 }
+// A vote, unless it would make some zone's loss the loss of the majority; then a guest's seat.
+inline void giveSeat(View& wanted, const Seat& seat) {
+  std::vector<Seat> with = wanted.voters;
+  with.push_back(seat);
+  const bool votes = outlivesZones(with) || !outlivesZones(wanted.voters);
+  (votes ? wanted.voters : wanted.guests).push_back(seat);
+}
 inline const Seat* findMember(const View& view, const Address& address) {
   const Seat* voter = findSeat(view.voters, address);
   return voter != nullptr ? voter : findSeat(view.guests, address);
--- a/src/anvil/wish.cc
+++ b/src/anvil/wish.cc
@@ -32,6 +32,7 @@
         verdict.outcome = ChangeOutcome::kDone;
         break;
       }
+      if (!added) desk_.tell(wish.add, Invite{});
       Pause pause(ports_.alarms, plan_.pingUs);
       co_await pause;
     }
--- a/src/bench/fleet.h
+++ b/src/bench/fleet.h
@@ -25,6 +25,7 @@
   std::uint64_t oddsTruncate = 0, oddsSwap = 0, oddsSilent = 0;  // of the workers' answers
   std::size_t padBytes = 0;
   StorePlan store;
+  bool told = true;  // who founds is in the settings; else only three cores are, and stores are found
 };
 FleetShape posilkaShape();
 FleetShape portaviaShape();
--- /dev/null
+++ b/src/clamp/retire.cc
@@ -0,0 +1,125 @@
+#include "clamp/retire.h"
+
+#include "clamp/seats.h"
+#include "clamp/watch.h"
+
+namespace stonemount {
+
+namespace {
+constexpr Us kOrderLimitUs = 2500 * kMilliUs;
+constexpr Us kPeekUs = 400 * kMilliUs;
+constexpr Us kYoungUs = 3 * kSecondUs;  // who runs for less has not met everyone
+
+const RetireOrder* orderOf(const MemberOrders& orders, const std::string& machine) {
+  const RetireOrder* newest = nullptr;
+  for (const RetireOrder& order : orders.retired)
+    if (order.machine == machine) newest = &order;
+  return newest;
+}
+}  // namespace
+
+RetireByOrder::RetireByOrder(Ports& ports, Desk& desk, Shim& shim, ChainClient& core, ChainClient& store,
+                             std::uint32_t lostMachines)
+    : ports_(ports), desk_(desk), shim_(shim), core_(core), store_(store),
+      needed_(2 * static_cast<std::size_t>(lostMachines) + 1), begunUs_(ports.clock.monoUs()) {}
+
+bool RetireByOrder::young() const { return ports_.clock.monoUs() - begunUs_ < kYoungUs; }
+
+// A name may be that of a machine's successor too: the live one, and of those the newest, is meant.
+const Card* RetireByOrder::cardOf(const std::string& machine) const {
+  const Shim::Sight* chosen = nullptr;
+  for (const auto& [address, sight] : shim_.sights()) {
+    if (sight.card.role != Role::kStore || sight.card.machine != machine) continue;
+    if (chosen == nullptr || std::make_pair(shim_.isAlive(sight), sight.card.life) >
+                                 std::make_pair(shim_.isAlive(*chosen), chosen->card.life))
+      chosen = &sight;
+  }
+  return chosen == nullptr ? nullptr : &chosen->card;
+}
+
+Job<std::optional<MemberOrders>> RetireByOrder::readOrders() {
+  ControlQuery query = OrdersAsk{};
+  Job<ChainAnswer> asking = core_.read(pack(query), 0, kOrderLimitUs);
+  ChainAnswer answer = co_await asking;
+  if (!std::holds_alternative<Bytes>(answer)) co_return std::nullopt;
+  auto read = unpack<MemberOrders>(std::get<Bytes>(answer));
+  if (!std::holds_alternative<MemberOrders>(read)) co_return std::nullopt;
+  co_return std::get<MemberOrders>(std::move(read));
+}
+
+// Enough must stay that, with another loss right after it is gone, most voters are left, in two zones.
+// A live machine that holds no seat yet counts: the order is complete only when it has one.
+Job<RetireOutcome> RetireByOrder::retire(std::string machine) {
+  const Card* card = cardOf(machine);
+  if (card == nullptr) {
+    Job<std::optional<MemberOrders>> reading = readOrders();
+    const std::optional<MemberOrders> orders = co_await reading;
+    if (!orders) co_return RetireOutcome::kUnsure;
+    if (orderOf(*orders, machine) != nullptr) co_return RetireOutcome::kUnderWay;
+    co_return young() ? RetireOutcome::kUnsure : RetireOutcome::kUnknown;
+  }
+  RetireStore command;
+  command.machine = machine;
+  command.address = card->wire;
+  command.needed = static_cast<std::uint32_t>(needed_);
+  std::vector<Seat> with, rest;
+  for (const Card& other : shim_.alive(Role::kStore)) {
+    with.push_back({other.wire, 0, other.zone});
+    if (other.wire == command.address || other.draining) continue;
+    command.rest.push_back(other.wire);
+    rest.push_back(with.back());
+  }
+  const bool spread = outlivesZones(spreadSeats(rest, needed_)) || !outlivesZones(spreadSeats(with, needed_));
+  if (!spread) command.rest.clear();  // the chain still answers, should it have been ordered before
+  ControlCommand wrapped = command;
+  Job<ChainAnswer> sending = core_.submit(pack(wrapped), kOrderLimitUs);
+  ChainAnswer answer = co_await sending;
+  if (!std::holds_alternative<Bytes>(answer)) co_return RetireOutcome::kUnsure;
+  auto read = unpack<OrderVerdict>(std::get<Bytes>(answer));
+  auto* verdict = std::get_if<OrderVerdict>(&read);
+  if (verdict == nullptr) co_return RetireOutcome::kUnsure;
+  if (verdict->outcome == OrderOutcome::kTooFew && young()) co_return RetireOutcome::kUnsure;
+  if (verdict->outcome == OrderOutcome::kTooFew) co_return RetireOutcome::kTooFew;
+  co_return verdict->outcome == OrderOutcome::kAgain ? RetireOutcome::kUnderWay : RetireOutcome::kTaken;
+}
+
+// Every member of the chain holds all that was ever acknowledged. With as many of them active as the
+// tolerance asks for, in zones any of which may go, it and then as many as may be lost can go too.
+Job<bool> RetireByOrder::restHolds(Address retired) {
+  Job<Done> refreshing = store_.refresh();
+  co_await refreshing;
+  const View view = store_.view();
+  if (view.revision == 0 || findMember(view, retired) != nullptr) co_return false;
+  if (findSeat(view.chain, retired) != nullptr || findSeat(view.wide, retired) != nullptr) co_return false;
+  if (view.chain.size() < needed_ || !spansZones(view.chain)) co_return false;
+  absl::btree_set<Address> asked;
+  for (const Seat& seat : view.chain) asked.insert(seat.address);
+  PeekPoll poll(desk_, asked, kPeekUs);
+  co_await poll;
+  std::size_t active = 0;
+  std::vector<Seat> sound;
+  for (const Seat& seat : view.chain) {
+    auto found = poll.pongs().find(seat.address);
+    if (found == poll.pongs().end()) continue;
+    const Pong& pong = found->second;
+    if (pong.incarnation != seat.incarnation || pong.revision != view.revision) continue;
+    active += pong.standing == Standing::kActive ? 1 : 0;
+    if (findSeat(view.voters, seat.address) != nullptr) sound.push_back(seat);
+  }
+  co_return active == view.chain.size() && sound.size() >= view.majority() + needed_ / 2;
+}
+
+Job<RetireState> RetireByOrder::stateOf(std::string machine) {
+  Job<std::optional<MemberOrders>> reading = readOrders();
+  const std::optional<MemberOrders> orders = co_await reading;
+  if (!orders) co_return RetireState::kUnsure;
+  const RetireOrder* order = orderOf(*orders, machine);
+  const Card* card = cardOf(machine);
+  if (order == nullptr && card == nullptr) co_return young() ? RetireState::kUnsure : RetireState::kUnknown;
+  if (order == nullptr || (card != nullptr && card->wire != order->address)) co_return RetireState::kServing;
+  Job<bool> holding = restHolds(order->address);
+  const bool holds = co_await holding;
+  co_return holds ? RetireState::kComplete : RetireState::kServing;
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/clamp/retire.h
@@ -0,0 +1,33 @@
+// Retiring a store machine by order: answered from the control chain and the store's view alone, so that
+// any core may be asked (design.md 6.10).
+#pragma once
+
+#include "anvil/client.h"
+#include "clamp/retire_desk.h"
+#include "core/commands.h"
+#include "jig/settings.h"
+#include "shim/shim.h"
+
+namespace stonemount {
+
+class RetireByOrder : public RetireDesk {
+ public:
+  RetireByOrder(Ports& ports, Desk& desk, Shim& shim, ChainClient& core, ChainClient& store, std::uint32_t lostMachines);
+  Job<RetireOutcome> retire(std::string machine) override;
+  Job<RetireState> stateOf(std::string machine) override;
+
+ private:
+  const Card* cardOf(const std::string& machine) const;
+  bool young() const;
+  Job<std::optional<MemberOrders>> readOrders();
+  Job<bool> restHolds(Address retired);  // without it, with a loss right after
+  Ports& ports_;
+  Desk& desk_;
+  Shim& shim_;
+  ChainClient& core_;
+  ChainClient& store_;
+  std::size_t needed_;
+  Us begunUs_;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/clamp/seats.cc
@@ -0,0 +1,134 @@
+#include "clamp/seats.h"
+
+#include <algorithm>
+
+namespace stonemount {
+
+namespace {
+std::size_t zonesOf(const std::vector<Seat>& seats) {
+  absl::btree_set<std::string> zones;
+  for (const Seat& seat : seats) zones.insert(seat.zone);
+  return zones.size();
+}
+
+// The view as it would be (mender.cc gives seats in the same way).
+View changed(const SeatNeed& need, const Seat* add, const Address& remove) {
+  View after = need.view;
+  if (remove.set()) {
+    std::erase_if(after.voters, SeatAt{remove});
+    std::erase_if(after.guests, SeatAt{remove});
+  }
+  if (add != nullptr) giveSeat(after, *add);
+  if (!remove.set()) return after;
+  for (const Seat& guest : std::exchange(after.guests, {})) {
+    if (!need.dead.contains(guest.address)) giveSeat(after, guest);
+    else after.guests.push_back(guest);
+  }
+  return after;
+}
+
+// Zones that could be lost before can be lost after.
+bool keepsZones(const View& before, const View& after) {
+  return outlivesZones(after.voters) || !outlivesZones(before.voters);
+}
+
+struct Best {
+  const Seat* add = nullptr;
+  std::size_t zones = 0;
+  bool outlives = false;
+  void weigh(const Seat& seat, const View& after) {
+    const bool well = outlivesZones(after.voters);
+    const std::size_t spread = zonesOf(after.voters);
+    if (add != nullptr && std::make_pair(well, spread) <= std::make_pair(outlives, zones)) return;
+    add = &seat;
+    zones = spread;
+    outlives = well;
+  }
+};
+
+bool leaving(const SeatNeed& need, const Address& address) {
+  return need.dead.contains(address) || need.retired.contains(address);
+}
+
+// Without another where enough stay: a guest that may vote then, or, of one that was ordered out, more
+// members than are needed. Else another for the seat.
+ChangeVoters replacement(const SeatNeed& need, const Seat& old) {
+  const View alone = changed(need, nullptr, old.address);
+  const std::size_t floor = need.retired.contains(old.address) ? std::min(need.wanted, need.view.voters.size())
+                                                               : need.view.voters.size();
+  if (alone.voters.size() >= floor && keepsZones(need.view, alone)) return {Address(), old.address};
+  Best best;
+  for (const Seat& seat : need.fit) {
+    const View after = changed(need, &seat, old.address);
+    if (after.voters.size() >= need.view.voters.size() && keepsZones(need.view, after)) best.weigh(seat, after);
+  }
+  if (best.add == nullptr) return {};
+  return {best.add->address, old.address};
+}
+}  // namespace
+
+ChangeVoters nextChange(const SeatNeed& need) {
+  // A dead guest is left where it is: it costs nobody a vote. It counts for nothing, though.
+  std::vector<Seat> members = need.view.voters;
+  for (const Seat& guest : need.view.guests)
+    if (!need.dead.contains(guest.address)) members.push_back(guest);
+  if (members.empty()) return {};
+  // The dead first: while one is, a retired one still holds what the others hold.
+  for (const absl::btree_set<Address>* leavers : {&need.dead, &need.retired}) {
+    for (const Seat& seat : members) {
+      if (!leavers->contains(seat.address)) continue;
+      const ChangeVoters change = replacement(need, seat);
+      if (change.remove.set()) return change;
+    }
+  }
+  std::size_t staying = 0;
+  for (const Seat& seat : members) staying += leaving(need, seat.address) ? 0 : 1;
+  if (members.size() < need.wanted) {
+    Best best;
+    for (const Seat& seat : need.fit) {
+      const View after = changed(need, &seat, Address());
+      if (keepsZones(need.view, after)) best.weigh(seat, after);
+    }
+    if (best.add != nullptr) return {best.add->address, Address()};
+  }
+  if (staying != members.size() || outlivesZones(need.view.voters)) return {};
+  // All are well, but one zone holds too many votes: a newcomer elsewhere takes one of them.
+  for (const Seat& seat : need.fit)
+    for (auto old = need.view.voters.rbegin(); old != need.view.voters.rend(); ++old)
+      if (old->zone != seat.zone && outlivesZones(changed(need, &seat, old->address).voters))
+        return {seat.address, old->address};
+  return {};
+}
+
+std::vector<Address> wantedIn(const SeatNeed& need) {
+  std::vector<Address> wanted;
+  const ChangeVoters change = nextChange(need);
+  if (change.add.set()) wanted.push_back(change.add);
+  if (need.doubted.empty()) return wanted;
+  SeatNeed feared = need;
+  feared.dead.insert(need.doubted.begin(), need.doubted.end());
+  const ChangeVoters next = nextChange(feared);
+  if (next.add.set() && next.add != change.add) wanted.push_back(next.add);
+  return wanted;
+}
+
+std::vector<Seat> spreadSeats(std::vector<Seat> seats, std::size_t most) {
+  std::vector<Seat> chosen;
+  while (chosen.size() < most && !seats.empty()) {
+    auto next = seats.end();
+    std::pair<std::size_t, Address> least;
+    for (auto seat = seats.begin(); seat != seats.end(); ++seat) {
+      std::size_t same = 0;
+      for (const Seat& other : chosen) same += other.zone == seat->zone ? 1 : 0;
+      const std::pair<std::size_t, Address> rank(same, seat->address);
+      if (next != seats.end() && !(rank < least)) continue;
+      next = seat;
+      least = rank;
+    }
+    chosen.push_back(*next);
+    seats.erase(next);
+  }
+  return chosen;
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/clamp/steward.cc
@@ -0,0 +1,199 @@
+#include "clamp/steward.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace stonemount {
+
+namespace {
+constexpr Us kOrderLimitUs = 1500 * kMilliUs;
+}
+
+StewardPlan stewardPlanOf(const Settings& settings, StewardPlan plan) {
+  plan.seats = 2 * static_cast<std::size_t>(settings.bounds.lostMachines) + 1;
+  return plan;
+}
+
+Steward::Steward(Ports& ports, Desk& desk, TaskRoom& room, Mallet& mallet, Shim& shim, const Member& control,
+                 const ControlMachine& machine, ChainClient& core, ChainClient& store, StewardPlan plan)
+    : ports_(ports), desk_(desk), room_(room), mallet_(mallet), shim_(shim), control_(control), machine_(machine),
+      core_(core), store_(store), plan_(plan), controlWatch_(plan.watch), storeWatch_(plan.watch) {}
+
+void Steward::begin() {
+  room_.start(tendControl());
+  room_.start(tendStore());
+}
+
+// Whoever becomes steward knows since when the set of empty stores has stood.
+void Steward::noteEmpties() {
+  absl::btree_set<Address> now;
+  for (const Card& card : shim_.alive(Role::kStore))
+    if (card.empty) now.insert(card.wire);
+  const Us nowUs = ports_.clock.monoUs();
+  if (now != empties_) emptiesSinceUs_ = nowUs;
+  if (firstEmptyUs_ < 0 && !now.empty()) firstEmptyUs_ = nowUs;
+  empties_ = std::move(now);
+}
+
+// A store chain that was founded otherwise is remembered as founded: there is never a second one.
+Job<Done> Steward::rememberFounded() {
+  FoundStore command;
+  for (const Seat& seat : store_.view().voters) command.founders.push_back(seat.address);
+  ControlCommand wrapped = command;
+  Job<ChainAnswer> sending = core_.submit(pack(wrapped), kOrderLimitUs);
+  co_await sending;
+  co_return Done{};
+}
+
+// Agreed once in the control chain, whoever proposes: the first list holds for ever.
+Job<Done> Steward::found() {
+  const Us nowUs = ports_.clock.monoUs();
+  if (founders_.empty()) {
+    std::vector<Seat> seats;
+    for (const Card& card : shim_.alive(Role::kStore))
+      if (card.empty) seats.push_back({card.wire, 0, card.zone});
+    const bool late = firstEmptyUs_ >= 0 && nowUs - firstEmptyUs_ > plan_.foundWaitUs;
+    const bool enough = seats.size() >= plan_.seats && outlivesZones(spreadSeats(seats, plan_.seats));
+    if (seats.empty() || nowUs - emptiesSinceUs_ < plan_.settledUs || !(enough || (late && spansZones(seats))))
+      co_return Done{};
+    FoundStore command;
+    for (const Seat& seat : spreadSeats(seats, plan_.seats)) command.founders.push_back(seat.address);
+    ControlCommand wrapped = command;
+    Job<ChainAnswer> sending = core_.submit(pack(wrapped), kOrderLimitUs);
+    ChainAnswer answer = co_await sending;
+    if (!std::holds_alternative<Bytes>(answer)) co_return Done{};
+    auto read = unpack<OrderVerdict>(std::get<Bytes>(answer));
+    if (auto* verdict = std::get_if<OrderVerdict>(&read)) founders_ = verdict->orders.storeFounders;
+    logEvent("store_founders", {{"count", absl::StrCat(founders_.size())}});
+  }
+  for (const Address& founder : founders_) desk_.tell(founder, FoundersTold{founders_});
+  co_return Done{};
+}
+
+Job<bool> Steward::peek(const View& view) {
+  absl::btree_set<Address> asked;
+  for (const std::vector<Seat>* seats : {&view.voters, &view.guests})
+    for (const Seat& seat : *seats) asked.insert(seat.address);
+  for (const Card& card : shim_.alive(Role::kStore)) asked.insert(card.wire);
+  PeekPoll poll(desk_, asked, plan_.peekUs);
+  co_await poll;
+  bool newer = false;
+  const Us nowUs = ports_.clock.monoUs();
+  for (const auto& [address, pong] : poll.pongs()) {
+    storeWatch_.heard(address, pong, nowUs);
+    newer |= pong.revision > view.revision;
+  }
+  co_return newer;
+}
+
+SeatNeed Steward::needOf(const ChainWatch& watch, const View& view, Role role) const {
+  SeatNeed need;
+  need.view = view;
+  need.wanted = plan_.seats;
+  const Us nowUs = ports_.clock.monoUs();
+  for (const std::vector<Seat>* seats : {&view.voters, &view.guests}) {
+    for (const Seat& seat : *seats) {
+      if (seat.address == desk_.self()) continue;
+      if (watch.dead(view, seat.address, nowUs)) need.dead.insert(seat.address);
+      if (watch.doubted(seat.address, nowUs)) need.doubted.insert(seat.address);
+      if (role == Role::kStore && machine_.orders().retires(seat.address)) need.retired.insert(seat.address);
+    }
+  }
+  for (const Card& card : shim_.alive(role)) {
+    const Pong* pong = watch.pong(card.wire, nowUs);
+    if (pong == nullptr || findMember(view, card.wire) != nullptr || card.draining) continue;
+    if (role == Role::kStore && machine_.orders().retires(card.wire)) continue;
+    const bool waits = pong->standing == Standing::kOutside || pong->standing == Standing::kFounding;
+    if (waits && pong->stalledUs == 0) need.fit.push_back({card.wire, pong->incarnation, card.zone});
+  }
+  return need;
+}
+
+// What is applied here may lag behind: a retired machine must not come back by that.
+Job<bool> Steward::ordered(Address add) {
+  ControlQuery query = OrdersAsk{};
+  Job<ChainAnswer> asking = core_.read(pack(query), 0, kOrderLimitUs);
+  ChainAnswer answer = co_await asking;
+  if (!std::holds_alternative<Bytes>(answer)) co_return false;
+  auto read = unpack<MemberOrders>(std::get<Bytes>(answer));
+  auto* orders = std::get_if<MemberOrders>(&read);
+  co_return orders != nullptr && !orders->retires(add);
+}
+
+Job<bool> Steward::tend(ChainClient& client, ChainWatch& watch, View view, Role role) {
+  const Us nowUs = ports_.clock.monoUs();
+  const SeatNeed need = needOf(watch, view, role);
+  for (const Address& wanted : wantedIn(need)) desk_.tell(wanted, Invite{});
+  const ChangeVoters change = nextChange(need);
+  if (!change.add.set() && !change.remove.set()) co_return !need.doubted.empty() || !need.retired.empty();
+  if (change.add.set()) {
+    const Pong* pong = watch.pong(change.add, nowUs);
+    if (pong == nullptr || !pong->refilled || pong->revision != view.revision) co_return true;
+    if (role == Role::kStore) {
+      Job<bool> asking = ordered(change.add);
+      const bool may = co_await asking;
+      if (!may) co_return true;
+    }
+  }
+  logEvent("seat_change", {{"chain", roleText(role)}, {"add", addressText(change.add)},
+                           {"remove", addressText(change.remove)}});
+  Job<std::variant<ChangeVerdict, PartnerSilent>> job = client.changeVoters(change, plan_.changeUs);
+  co_await job;
+  co_return true;
+}
+
+Task Steward::tendControl() {
+  while (true) {
+    Pause pause(ports_.alarms, plan_.restUs);
+    co_await pause;
+    const View view = control_.view();
+    // Every core watches, so that whoever becomes steward knows since when one has been silent.
+    controlWatch_.look(view, ports_.clock.monoUs());
+    for (const auto& [address, sight] : control_.partners())
+      if (sight.heardUs >= 0) controlWatch_.heard(address, sight.pong, sight.heardUs);
+    if (!mallet_.holds(kDuty) || view.revision == 0) continue;
+    Job<bool> tending = tend(core_, controlWatch_, view, Role::kCore);
+    co_await tending;
+  }
+}
+
+Task Steward::tendStore() {
+  bool busy = true;
+  while (true) {
+    Pause pause(ports_.alarms, busy ? plan_.roundUs : plan_.restUs);
+    co_await pause;
+    const bool founded = store_.view().revision != 0;
+    if (!founded) noteEmpties();
+    busy = !founded && !empties_.empty();
+    if (!mallet_.holds(kDuty)) {
+      storeWatch_.clear();
+      continue;
+    }
+    if (!founded) {
+      Job<Done> refreshing = store_.refresh();
+      co_await refreshing;
+      Job<Done> founding = found();
+      if (store_.view().revision == 0) co_await founding;
+      continue;
+    }
+    const View view = store_.view();
+    if (machine_.orders().storeFounders.empty()) {
+      Job<Done> remembering = rememberFounded();
+      co_await remembering;
+    }
+    Job<bool> peeking = peek(view);
+    const bool newer = co_await peeking;
+    storeWatch_.look(view, ports_.clock.monoUs());
+    if (newer) {
+      Job<Done> refreshing = store_.refresh();
+      co_await refreshing;
+      busy = true;
+      continue;
+    }
+    Job<bool> tending = tend(store_, storeWatch_, view, Role::kStore);
+    busy = co_await tending;
+  }
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/clamp/steward.h
@@ -0,0 +1,62 @@
+// The steward: one core's duty. It founds the store chain once, and sees to it that live machines hold
+// the seats of both chains without anybody telling it where machines are (design.md 6.10).
+#pragma once
+
+#include "anvil/client.h"
+#include "anvil/member.h"
+#include "clamp/seats.h"
+#include "clamp/watch.h"
+#include "core/control_machine.h"
+#include "jig/settings.h"
+#include "mallet/mallet.h"
+#include "shim/shim.h"
+
+namespace stonemount {
+
+struct StewardPlan {
+  WatchPlan watch;
+  Us roundUs = 250 * kMilliUs;      // where there is something to do
+  Us restUs = 500 * kMilliUs;
+  Us peekUs = 250 * kMilliUs;
+  Us changeUs = 2500 * kMilliUs;
+  Us settledUs = 800 * kMilliUs;    // no other empty store came for so long
+  Us foundWaitUs = 3 * kSecondUs;   // the most that is waited for more stores or zones
+  std::size_t seats = 3;            // twice the machines that may be lost at once, and one
+};
+StewardPlan stewardPlanOf(const Settings& settings, StewardPlan plan);
+
+class Steward {
+ public:
+  Steward(Ports& ports, Desk& desk, TaskRoom& room, Mallet& mallet, Shim& shim, const Member& control,
+          const ControlMachine& machine, ChainClient& core, ChainClient& store, StewardPlan plan);
+  void begin();
+  static constexpr const char* kDuty = "steward";
+
+ private:
+  Task tendControl();
+  Task tendStore();
+  Job<Done> found();                      // the store chain
+  Job<Done> rememberFounded();
+  Job<bool> peek(const View& view);       // the store's members and those who may become one
+  Job<bool> tend(ChainClient& client, ChainWatch& watch, View view, Role role);  // true: there is more to do
+  Job<bool> ordered(Address add);         // may it be seated, by the control chain's own word?
+  SeatNeed needOf(const ChainWatch& watch, const View& view, Role role) const;
+  void noteEmpties();
+  Ports& ports_;
+  Desk& desk_;
+  TaskRoom& room_;
+  Mallet& mallet_;
+  Shim& shim_;
+  const Member& control_;
+  const ControlMachine& machine_;
+  ChainClient& core_;
+  ChainClient& store_;
+  StewardPlan plan_;
+  ChainWatch controlWatch_, storeWatch_;
+  std::vector<Address> founders_;  // of the store, as the control chain agreed
+  absl::btree_set<Address> empties_;
+  Us emptiesSinceUs_ = -1;         // when the set last changed
+  Us firstEmptyUs_ = -1;
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/clamp/watch.cc
@@ -0,0 +1,65 @@
+#include "clamp/watch.h"
+
+#include <algorithm>
+
+namespace stonemount {
+
+PeekPoll::PeekPoll(Desk& desk, const absl::btree_set<Address>& members, Us limitUs)
+    : Poll(desk, Peek::kKind, pack(Peek{}), limitUs), members_(members.begin(), members.end()) {
+  for (const Address& member : members_) add(member);
+}
+
+void PeekPoll::heard(std::size_t partner, const Bytes& body) {
+  auto read = unpack<Pong>(body);
+  if (auto* pong = std::get_if<Pong>(&read)) pongs_[members_[partner]] = std::move(*pong);
+}
+
+void ChainWatch::look(const View& view, Us nowUs) {
+  const bool blind = lookedUs_ < 0 || nowUs - lookedUs_ > plan_.blindUs;
+  lookedUs_ = nowUs;
+  for (const std::vector<Seat>* seats : {&view.voters, &view.guests})
+    for (const Seat& seat : *seats) sights_.try_emplace(seat.address, Sight{nowUs, false, {}});
+  for (auto& [address, sight] : sights_)
+    if (blind) sight.heardUs = nowUs;
+  for (auto sight = sights_.begin(); sight != sights_.end();) {
+    const bool seated = findMember(view, sight->first) != nullptr;
+    if (!seated && nowUs - sight->second.heardUs > plan_.deadUs) sight = sights_.erase(sight);
+    else ++sight;
+  }
+}
+
+void ChainWatch::heard(const Address& member, const Pong& pong, Us heardUs) {
+  Sight& sight = sights_[member];
+  sight.heardUs = std::max(sight.heardUs, heardUs);
+  sight.asked = true;
+  sight.pong = pong;
+}
+
+const Pong* ChainWatch::pong(const Address& member, Us nowUs) const {
+  auto found = sights_.find(member);
+  const bool lately = found != sights_.end() && found->second.asked && nowUs - found->second.heardUs < plan_.doubtUs;
+  return lately ? &found->second.pong : nullptr;
+}
+
+bool ChainWatch::doubted(const Address& member, Us nowUs) const {
+  auto found = sights_.find(member);
+  if (found == sights_.end()) return false;
+  return nowUs - found->second.heardUs >= plan_.doubtUs ||
+         (found->second.asked && found->second.pong.standing == Standing::kBroken);
+}
+
+// Silent to the watcher, and to every other voter that it hears: a way cut between two is no death.
+bool ChainWatch::dead(const View& view, const Address& member, Us nowUs) const {
+  auto found = sights_.find(member);
+  if (found == sights_.end()) return false;
+  const bool broken = found->second.asked && found->second.pong.standing == Standing::kBroken;
+  if (nowUs - found->second.heardUs < plan_.deadUs && !broken) return false;
+  for (const Seat& seat : view.voters) {
+    const Pong* other = pong(seat.address, nowUs);
+    if (seat.address == member || other == nullptr || other->revision != view.revision || broken) continue;
+    if (std::find(other->suspects.begin(), other->suspects.end(), member) == other->suspects.end()) return false;
+  }
+  return true;
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/clamp/watch.h
@@ -0,0 +1,52 @@
+// What is known of the members of one chain, and of who may become one, by asking them (design.md 6.10).
+#pragma once
+
+#include "anvil/messages.h"
+#include "vise/desk.h"
+
+namespace stonemount {
+
+// Asks each for its pong, whether it is a member or not.
+class PeekPoll : public Poll {
+ public:
+  PeekPoll(Desk& desk, const absl::btree_set<Address>& members, Us limitUs);
+  const absl::btree_map<Address, Pong>& pongs() const { return pongs_; }
+
+ protected:
+  void heard(std::size_t partner, const Bytes& body) override;
+  bool enough() const override { return false; }
+
+ private:
+  std::vector<Address> members_;
+  absl::btree_map<Address, Pong> pongs_;
+};
+
+struct WatchPlan {
+  Us deadUs = 2500 * kMilliUs;    // silent to all for so long: another may take its seat
+  Us doubtUs = 700 * kMilliUs;    // silent for so long: another had better be refilled
+  Us blindUs = kSecondUs;         // not looked for so long: whoever watches was frozen itself
+};
+
+class ChainWatch {
+ public:
+  explicit ChainWatch(WatchPlan plan) : plan_(plan) {}
+  // Forgets all, or, after a gap in looking, gives everyone their time again.
+  void clear() { sights_.clear(); }
+  void look(const View& view, Us nowUs);
+  void heard(const Address& member, const Pong& pong, Us heardUs);
+  bool dead(const View& view, const Address& member, Us nowUs) const;
+  bool doubted(const Address& member, Us nowUs) const;
+  const Pong* pong(const Address& member, Us nowUs) const;  // absent: not heard lately
+
+ private:
+  struct Sight {
+    Us heardUs = 0;
+    bool asked = false;  // a pong came
+    Pong pong;
+  };
+  WatchPlan plan_;
+  Us lookedUs_ = -1;
+  absl::btree_map<Address, Sight> sights_;
+};
+
+}  // namespace stonemount
--- a/src/core/commands.h
+++ b/src/core/commands.h
@@ -28,7 +28,20 @@
   ControlNews told;
   STONEMOUNT_PACK(told)
 };
-using ControlCommand = std::variant<PutConfig, SetZone, PutWorkers, ReturnConfig, Rebuild>;
+// Who founds the store chain; the first that is taken holds for ever (design.md 6.10).
+struct FoundStore {
+  std::vector<Address> founders;
+  STONEMOUNT_PACK(founders)
+};
+// A store machine is to hold no seat any more. Refused where fewer than `needed` of the rest stay.
+struct RetireStore {
+  std::string machine;
+  Address address;
+  std::vector<Address> rest;
+  std::uint32_t needed = 0;
+  STONEMOUNT_PACK(machine, address, rest, needed)
+};
+using ControlCommand = std::variant<PutConfig, SetZone, PutWorkers, ReturnConfig, Rebuild, FoundStore, RetireStore>;
 
 enum class ControlOutcome : std::uint8_t { kDone, kConflict, kUnknownRevision, kUnreadable, kUnchanged };
 struct ControlVerdict {
@@ -46,7 +59,11 @@
   std::uint8_t unused = 0;
   STONEMOUNT_PACK(unused)
 };
-using ControlQuery = std::variant<NewsAsk, HistoryAsk>;
+struct OrdersAsk {
+  std::uint8_t unused = 0;
+  STONEMOUNT_PACK(unused)
+};
+using ControlQuery = std::variant<NewsAsk, HistoryAsk, OrdersAsk>;
 
 struct RouteChange {
   std::optional<Route> before;
@@ -59,6 +76,27 @@
   std::vector<RouteChange> changes;
   STONEMOUNT_PACK(revision, note, changes)
 };
+struct RetireOrder {
+  std::string machine;
+  Address address;
+  STONEMOUNT_PACK(machine, address)
+};
+// What was ordered of the store's membership, as long as it may matter (design.md 6.10).
+struct MemberOrders {
+  std::vector<Address> storeFounders;
+  std::deque<RetireOrder> retired;  // newest last
+  bool retires(const Address& address) const;
+  STONEMOUNT_PACK(storeFounders, retired)
+};
+enum class OrderOutcome : std::uint8_t { kDone, kAgain, kTooFew };
+struct OrderVerdict {
+  OrderOutcome outcome = OrderOutcome::kDone;
+  MemberOrders orders;
+  STONEMOUNT_PACK(outcome, orders)
+};
+OrderVerdict applyOrder(MemberOrders& orders, const FoundStore& command);
+OrderVerdict applyOrder(MemberOrders& orders, const RetireStore& command);
+
 struct HistoryVerdict {
   std::vector<ConfigStep> steps;  // newest last
   STONEMOUNT_PACK(steps)
--- a/src/core/control_machine.cc
+++ b/src/core/control_machine.cc
@@ -3,14 +3,15 @@
 namespace stonemount {
 
 namespace {
-constexpr std::uint8_t kStateFormat = 2;
+constexpr std::uint8_t kStateFormat = 3;
 constexpr std::size_t kStepsKept = 64;
 struct Saved {
   std::uint8_t format = kStateFormat;
   ControlState state;
   std::uint64_t platformVersion = 0;
   std::deque<ConfigStep> history;
-  STONEMOUNT_PACK(format, state, platformVersion, history)
+  MemberOrders orders;
+  STONEMOUNT_PACK(format, state, platformVersion, history, orders)
 };
 bool sameRoute(const Route& left, const Route& right) {
   return left.kind == right.kind && left.pool == right.pool && left.limitUs == right.limitUs &&
@@ -28,6 +29,8 @@
   auto read = unpack<ControlCommand>(bytes);
   auto* command = std::get_if<ControlCommand>(&read);
   if (command == nullptr) return pack(verdict(ControlOutcome::kUnreadable));
+  if (auto* found = std::get_if<FoundStore>(command)) return pack(applyOrder(orders_, *found));
+  if (auto* retire = std::get_if<RetireStore>(command)) return pack(applyOrder(orders_, *retire));
   ControlVerdict done;
   if (auto* config = std::get_if<PutConfig>(command)) done = put(*config);
   else if (auto* zone = std::get_if<SetZone>(command)) done = put(*zone);
@@ -143,10 +146,11 @@
       found = packedNews_.emplace(news->since, pack(state_.newsSince(news->since))).first;
     return found->second;
   }
+  if (std::holds_alternative<OrdersAsk>(*query)) return pack(orders_);
   return pack(HistoryVerdict{{history_.begin(), history_.end()}});
 }
 
-Bytes ControlMachine::save() const { return pack(Saved{kStateFormat, state_, platformVersion_, history_}); }
+Bytes ControlMachine::save() const { return pack(Saved{kStateFormat, state_, platformVersion_, history_, orders_}); }
 
 bool ControlMachine::load(const Bytes& state) {
   auto read = unpack<Saved>(state);
@@ -155,6 +159,7 @@
   state_ = std::move(saved->state);
   platformVersion_ = saved->platformVersion;
   history_ = std::move(saved->history);
+  orders_ = std::move(saved->orders);
   packedNews_.clear();
   return true;
 }
--- a/src/core/control_machine.h
+++ b/src/core/control_machine.h
@@ -15,6 +15,7 @@
   Bytes save() const override;
   bool load(const Bytes& state) override;
   const ControlState& state() const { return state_; }
+  const MemberOrders& orders() const { return orders_; }
 
  private:
   ControlVerdict put(const PutConfig& command);
@@ -27,6 +28,7 @@
   ControlState state_;
   std::uint64_t platformVersion_ = 0;
   std::deque<ConfigStep> history_;
+  MemberOrders orders_;
   mutable std::map<Revision, Bytes> packedNews_;  // many nodes ask from the same revision
 };
 
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -13,7 +13,9 @@
     : ports_(ports), settings_(std::move(settings)), plan_(plan), desk_(ports.alarms, ports.wire, ports.chance),
       shim_(ports, desk_, room_, plan.shim), member_(ports, desk_, room_, machine_, memberPlanOf(settings_)),
       core_(ports, desk_, settings_.founders), store_(ports, desk_, {}), mallet_(ports, desk_, room_, plan.mallet),
-      sampler_(ports, desk_, room_, mallet_, store_, member_, plan.gauge), rebuilder_(ports, desk_, shim_, core_, machine_) {}
+      sampler_(ports, desk_, room_, mallet_, store_, member_, plan.gauge), rebuilder_(ports, desk_, shim_, core_, machine_),
+      steward_(ports, desk_, room_, mallet_, shim_, member_, machine_, core_, store_, stewardPlanOf(settings_, plan.steward)),
+      retireDesk_(ports, desk_, shim_, core_, store_, settings_.bounds.lostMachines) {}
 
 Core::~Core() {
   asked_.disconnect();
@@ -25,14 +27,16 @@
   card.http = settings_.http;
   card.role = Role::kCore;
   card.zone = settings_.zone;
+  card.machine = settings_.name;
   shim_.met.connect(sigc::mem_fun(*this, &Core::onMet));
   member_.viewMoved.connect(sigc::mem_fun(*this, &Core::onView));
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Core::onAsked));
   shim_.begin(card);
   core_.learnMember(settings_.wire);
-  mallet_.begin({Sampler::kDuty, kLister});
+  mallet_.begin({Sampler::kDuty, kLister, Steward::kDuty});
   member_.begin();
   sampler_.begin();
+  steward_.begin();
   room_.start(list());
   room_.start(watchZone());
 }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "anvil/member.h"
+#include "clamp/retire.h"
+#include "clamp/steward.h"
 #include "core/control_machine.h"
 #include "gauge/sampler.h"
 #include "jig/settings.h"
@@ -14,6 +16,7 @@
   ShimPlan shim;
   MalletPlan mallet;
   GaugePlan gauge;
+  StewardPlan steward;
   Us listUs = 300 * kMilliUs;
 };
 
@@ -27,6 +30,7 @@
   const ControlMachine& machine() const { return machine_; }
   std::uint64_t sentBytes() const { return desk_.sentBytes; }
   const Mallet& mallet() const { return mallet_; }
+  RetireDesk& retireDesk() { return retireDesk_; }
   static constexpr const char* kLister = "lister";
 
  private:
@@ -49,6 +53,8 @@
   Mallet mallet_;
   Sampler sampler_;
   Rebuilder rebuilder_;
+  Steward steward_;
+  RetireByOrder retireDesk_;
   std::uint64_t listedVersion_ = 0;
   sigc::connection asked_;
 };
--- a/src/gauge/cut.h
+++ b/src/gauge/cut.h
@@ -10,10 +10,10 @@
 
 // Free values of the design; see design.md 8.3 for how they fit in 12 s.
 struct GaugePlan {
-  Us sampleUs = 500 * kMilliUs;
+  Us sampleUs = 300 * kMilliUs;
   Us gapUs = 2 * kSecondUs;       // longer between two rounds: doubt
   Us stepUs = 250 * kMilliUs;     // wall against monotonic in one round: doubt
-  Us graceUs = 3 * kSecondUs;     // of stable monotonic time before certainty
+  Us graceUs = kSecondUs;         // of stable monotonic time before certainty
   std::uint32_t stableSamples = 3;
   Us agreeUs = kSecondUs;         // wall clocks nearer than this agree
   Us driftUs = kSecondUs;         // between the two monotonic clocks, beyond 1 in 1,000: doubt
--- a/src/shim/shim.h
+++ b/src/shim/shim.h
@@ -17,7 +17,9 @@
   std::uint64_t beat = 0;  // grows while it runs
   Revision control = 0;    // the newest control revision that it has
   bool draining = false;
-  STONEMOUNT_PACK(wire, http, role, zone, life, beat, control, draining)
+  std::string machine;     // its name, where it has one
+  bool empty = false;      // a store on the fleet's first start that no chain has taken in
+  STONEMOUNT_PACK(wire, http, role, zone, life, beat, control, draining, machine, empty)
 };
 struct Shuffle {
   static constexpr std::uint16_t kKind = 60;
--- a/src/store/store.cc
+++ b/src/store/store.cc
@@ -21,7 +21,9 @@
   card.http = settings_.http;
   card.role = Role::kStore;
   card.zone = settings_.zone;
+  card.machine = settings_.name;
   shim_.met.connect(sigc::mem_fun(*this, &Store::onMet));
+  member_.viewMoved.connect(sigc::mem_fun(*this, &Store::onView));
   shim_.begin(card);
   desk_.serve(SessionAsk::kKind, sigc::mem_fun(*this, &Store::onSession));
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Store::onAsked));
@@ -35,6 +37,11 @@
   client_.learnMember(card.wire);
 }
 
+// Empty, on the fleet's first start, and nobody told it who founds: it may become a founder.
+void Store::onView() {
+  shim_.self().empty = settings_.firstStart && settings_.founders.empty() && member_.standing() == Standing::kFounding;
+}
+
 // One line for each change of epoch or certainty, from the tail alone.
 void Store::tellCut() {
   const StoreState& state = machine_.state();
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -21,6 +21,7 @@
 
  private:
   void onMet(const Card& card);
+  void onView();
   Task watchSession();
   void tellCut();
   void onSession(const Asked& asked);
--- /dev/null
+++ b/tests/members_test.cc
@@ -0,0 +1,269 @@
+// Membership without an operator: nobody tells a process where store machines are, nor how many. They are
+// found, added, replaced, retired, and every loss that the deployment bears may come right after.
+#include <cstdio>
+#include <cstring>
+
+#include "bench/judge.h"
+
+using namespace stonemount;
+
+namespace {
+constexpr std::uint64_t kSeeds = 10;
+constexpr Us kSyncUs = 4900 * kMilliUs;  // the tighter of the two deployments
+int passed = 0, failed = 0;
+bool loud = false;
+
+void expect(bool well, std::uint64_t seed, const char* what) {
+  ++(well ? passed : failed);
+  if (!well) std::printf("FAILED seed=%d %s\n", static_cast<int>(seed), what);
+}
+
+FleetShape shapeOf(std::uint64_t seed) {
+  FleetShape shape = seed % 2 == 0 ? posilkaShape() : portaviaShape();
+  shape.told = false;
+  return shape;
+}
+
+template <class Result>
+Task keep(Job<Result> job, std::optional<Result>& result) {
+  result = co_await job;
+}
+
+struct Stage {
+  explicit Stage(std::uint64_t given)
+      : seed(given), fleet(seed, shapeOf(seed)),
+        host(fleet.world().addHost("operators", "outside", {(127u << 24) | 999, 7000}, {(127u << 24) | 999, 8000})),
+        judge(fleet, ledger), chance(seed ^ 0xABC) {
+    fleet.world().loud = loud;
+    host.rise();
+    operators = std::make_unique<SimOperator>(fleet, host, ledger);
+    for (Part& part : fleet.parts()) fleet.start(part);
+  }
+  ~Stage() {
+    rooms.clear();
+    operators.reset();
+  }
+  void serve() {
+    expect(fleet.runUntilReady(12 * kSecondUs), seed, "the fleet is ready");
+    operators->pushRoutes(true);
+    operators->createEvent("night", 24LL * 3600 * kSecondUs);
+    while (!operators->idle()) fleet.run(50 * kMilliUs);
+    fleet.run(kSecondUs);
+    fleet.startCallers();
+    run(4 * kSecondUs);
+  }
+  void run(Us lengthUs) {
+    const Us untilUs = fleet.world().nowUs() + lengthUs;
+    while (fleet.world().nowUs() < untilUs) {
+      fleet.run(50 * kMilliUs);
+      judge.look();
+    }
+  }
+  const View& view(PartKind kind) {
+    static const View none;
+    const View* newest = &none;
+    for (Part* part : fleet.of(kind)) {
+      const Member* member = fleet.memberOf(*part);
+      if (member != nullptr && member->view().revision > newest->revision) newest = &member->view();
+    }
+    return *newest;
+  }
+  Part* partAt(const Address& wire) {
+    for (Part& part : fleet.parts())
+      if (part.host->wire() == wire) return &part;
+    return nullptr;
+  }
+  Part& seated(PartKind kind) {
+    const View now = view(kind);
+    return *partAt(now.voters[chance.below(now.voters.size())].address);
+  }
+  Part* steward() {
+    for (Part* part : fleet.of(PartKind::kCore))
+      if (part->core && part->core->mallet().holds(Steward::kDuty)) return part;
+    return nullptr;
+  }
+  // Three live members, each in the chain, that outlive any zone.
+  bool whole(PartKind kind) {
+    const View now = view(kind);
+    if (now.voters.size() < 3 || now.chain.size() < 3 || !outlivesZones(now.voters)) return false;
+    for (const Seat& seat : now.voters) {
+      const Member* member = fleet.memberOf(*partAt(seat.address));
+      if (member == nullptr || !member->active() || partAt(seat.address)->host->frozen()) return false;
+    }
+    return true;
+  }
+  Us untilWhole(PartKind kind, Us limitUs) {
+    const Us sinceUs = fleet.world().nowUs();
+    while (!whole(kind) && fleet.world().nowUs() < sinceUs + limitUs) run(50 * kMilliUs);
+    return fleet.world().nowUs() - sinceUs;
+  }
+  void lose(Part& part) {
+    fleet.kill(part, true);
+    part.host->disk->wipe();
+    part.gone = true;
+  }
+  Part& arrive(PartKind kind, const std::string& zone) {
+    Part& fresh = fleet.addSpare(kind, zone, (kind == PartKind::kCore ? 11 : 31) + spares++);
+    fleet.start(fresh);
+    return fresh;
+  }
+  bool pushes() {
+    const std::size_t before = ledger.configAcked.size();
+    for (int i = 0; i < 80 && ledger.configAcked.size() == before; ++i) {
+      if (operators->idle()) operators->pushRoutes(false);
+      run(50 * kMilliUs);
+    }
+    return ledger.configAcked.size() > before;
+  }
+  template <class Result>
+  Result ask(Job<Result> job) {
+    std::optional<Result> result;
+    rooms.start(keep(std::move(job), result));
+    while (!result) run(20 * kMilliUs);
+    return *result;
+  }
+  RetireDesk& anyDesk() {
+    std::vector<Part*> cores = fleet.standing(PartKind::kCore);
+    return cores[chance.below(cores.size())]->core->retireDesk();
+  }
+  void conclude() {
+    const Us backUs = fleet.world().nowUs();
+    judge.backSince(backUs);
+    run(16 * kSecondUs);
+    judge.restUntil(fleet.world().nowUs());
+    expect(pushes(), seed, "a configuration is acknowledged at the end");
+    fleet.stopCallers();
+    for (int i = 0; i < 400 && !fleet.callersDone(); ++i) run(500 * kMilliUs);
+    judge.conclude();
+    for (const std::string& fault : judge.faults()) std::printf("seed=%d %s\n", static_cast<int>(seed), fault.c_str());
+    expect(judge.faults().empty(), seed, "nothing is lost, twice or mixed");
+  }
+  std::uint64_t seed;
+  Fleet fleet;
+  SimHost& host;
+  OperatorLedger ledger;
+  std::unique_ptr<SimOperator> operators;
+  Judge judge;
+  Chance chance;
+  TaskRoom rooms;
+  std::uint32_t spares = 0;
+};
+
+void founding(std::uint64_t seed) {
+  Stage stage(seed);
+  const Us wholeUs = stage.untilWhole(PartKind::kStore, 6 * kSecondUs);
+  expect(stage.fleet.runUntilReady(8 * kSecondUs), seed, "ready");
+  const Us readyUs = stage.fleet.world().nowUs();
+  std::printf("founding seed=%d store_us=%lld ready_us=%lld\n", static_cast<int>(seed), static_cast<long long>(wholeUs),
+              static_cast<long long>(readyUs));
+  expect(wholeUs <= 2500 * kMilliUs, seed, "the store chain stands 2.5 s after the start");
+  expect(readyUs <= 6 * kSecondUs, seed, "the cut is certain 6 s after the start");
+  expect(stage.view(PartKind::kCore).voters.size() == 3, seed, "three cores vote");
+  expect(stage.view(PartKind::kStore).voters.size() == 3, seed, "three stores vote");
+}
+
+// One is gone for good, an empty one comes later at another address; then the next is lost.
+void replaced(std::uint64_t seed, PartKind kind, bool stewardToo) {
+  Stage stage(seed);
+  stage.serve();
+  for (int round = 0; round < 2; ++round) {
+    Part* steward = stage.steward();
+    Part& old = kind == PartKind::kCore && stewardToo && steward != nullptr ? *steward : stage.seated(kind);
+    const std::string zone = old.host->zone();
+    stage.lose(old);
+    stage.run(static_cast<Us>(stage.chance.below(4000)) * kMilliUs);
+    stage.arrive(kind, zone);
+    const Us arrivedUs = stage.fleet.world().nowUs();
+    if (kind == PartKind::kStore && stewardToo && steward != nullptr) {
+      stage.run(static_cast<Us>(stage.chance.below(1500)) * kMilliUs);
+      stage.fleet.kill(*steward, false);
+      stage.run(static_cast<Us>(stage.chance.below(500)) * kMilliUs);
+      stage.fleet.start(*steward);
+    }
+    const Us tookUs = stage.untilWhole(kind, 12 * kSecondUs) + 0;
+    const Us wholeUs = stage.fleet.world().nowUs() - arrivedUs;
+    std::printf("replaced seed=%d kind=%d steward=%d whole_us=%lld\n", static_cast<int>(seed), static_cast<int>(kind),
+                stewardToo ? 1 : 0, static_cast<long long>(wholeUs));
+    // A steward that was lost on top is a loss of its own: its time counts from its return.
+    expect(stage.whole(kind) && (stewardToo ? tookUs : wholeUs) <= kSyncUs, seed, "a newcomer is seated in time");
+    if (wholeUs < kSyncUs) stage.run(kSyncUs - wholeUs);
+    // The next: its disk, and it comes back; or for good.
+    Part& next = stage.seated(kind);
+    stage.fleet.kill(next, true);
+    next.host->disk->wipe();
+    next.settings.firstStart = false;
+    stage.run(kSecondUs);
+    stage.fleet.start(next);
+    expect(stage.pushes(), seed, "a configuration is acknowledged after the next loss");
+    expect(stage.untilWhole(kind, 12 * kSecondUs) <= kSyncUs, seed, "a wiped one takes its own seat");
+    stage.run(kSecondUs);
+  }
+  stage.conclude();
+}
+
+void retired(std::uint64_t seed) {
+  Stage stage(seed);
+  stage.serve();
+  expect(stage.ask(stage.anyDesk().retire("nobody")) == RetireOutcome::kUnknown, seed, "an unknown machine is unknown");
+  expect(stage.ask(stage.anyDesk().stateOf("nobody")) == RetireState::kUnknown, seed, "and has no state");
+  Part& old = stage.seated(PartKind::kStore);
+  if (stage.fleet.standing(PartKind::kStore).size() == 3) {
+    expect(stage.ask(stage.anyDesk().retire(old.settings.name)) == RetireOutcome::kTooFew, seed, "three are too few");
+    stage.arrive(PartKind::kStore, old.host->zone());
+    stage.run(2 * kSecondUs);
+  }
+  expect(stage.ask(stage.anyDesk().stateOf(old.settings.name)) == RetireState::kServing, seed, "it serves");
+  expect(stage.ask(stage.anyDesk().retire(old.settings.name)) == RetireOutcome::kTaken, seed, "it is retired");
+  expect(stage.ask(stage.anyDesk().retire(old.settings.name)) == RetireOutcome::kUnderWay, seed, "it was asked before");
+  if (Part* steward = stage.steward(); seed % 3 == 0 && steward != nullptr) {
+    stage.fleet.kill(*steward, true);
+    stage.run(kSecondUs);
+    stage.fleet.start(*steward);
+  }
+  RetireState state = RetireState::kServing;
+  const Us sinceUs = stage.fleet.world().nowUs();
+  while (state != RetireState::kComplete && stage.fleet.world().nowUs() < sinceUs + 10 * kSecondUs)
+    state = stage.ask(stage.anyDesk().stateOf(old.settings.name));
+  std::printf("retired seed=%d us=%lld\n", static_cast<int>(seed), static_cast<long long>(stage.fleet.world().nowUs() - sinceUs));
+  expect(state == RetireState::kComplete, seed, "it may be taken away");
+  stage.lose(old);
+  Part& next = stage.seated(PartKind::kStore);
+  stage.fleet.kill(next, true);
+  next.host->disk->wipe();
+  next.settings.firstStart = false;
+  stage.fleet.start(next);
+  expect(stage.untilWhole(PartKind::kStore, 12 * kSecondUs) <= kSyncUs, seed, "a wiped one comes back");
+  expect(findMember(stage.view(PartKind::kStore), old.host->wire()) == nullptr, seed, "the retired one has no seat");
+  stage.conclude();
+}
+
+// Machines that nobody needs stay out, and copy nothing, until one of the seated is lost for good.
+void added(std::uint64_t seed) {
+  Stage stage(seed);
+  stage.serve();
+  Part& old = stage.seated(PartKind::kStore);
+  Part& fresh = stage.arrive(PartKind::kStore, old.host->zone());
+  stage.run(4 * kSecondUs);
+  expect(fresh.store->member().standing() == Standing::kOutside && fresh.store->member().end() == 0, seed, "it is to spare");
+  stage.lose(old);
+  expect(stage.untilWhole(PartKind::kStore, 12 * kSecondUs) <= 6 * kSecondUs, seed, "one to spare takes the seat");
+  stage.conclude();
+}
+}  // namespace
+
+// One course of one seed alone, told in full: members_test founding|core|store|steward|retired|added SEED
+int main(int argc, char** argv) {
+  loud = argc > 2;
+  const std::string only = argc > 1 ? argv[1] : "";
+  const std::uint64_t from = argc > 2 ? std::stoull(argv[2]) : 1;
+  for (std::uint64_t seed = from; seed < from + (argc > 2 ? 1 : kSeeds); ++seed) {
+    if (only.empty() || only == "founding") founding(seed);
+    if (only.empty() || only == "core") replaced(seed, PartKind::kCore, seed % 3 == 0);
+    if (only.empty() || only == "store") replaced(seed, PartKind::kStore, false);
+    if (only.empty() || only == "steward") replaced(seed, PartKind::kStore, true);
+    if (only.empty() || only == "retired") retired(seed);
+    if (only.empty() || only == "added") added(seed);
+  }
+  std::printf("%d passed, %d failed\n", passed, failed);
+  return failed == 0 ? 0 : 1;
+}
