--- a/src/anvil/client.cc
+++ b/src/anvil/client.cc
@@ -13,28 +13,31 @@
 class ViewPoll : public Poll {
  public:
   ViewPoll(Desk& desk, const absl::btree_set<Address>& members, bool wantsHead)
-      : Poll(desk, ViewAsk::kKind, pack(ViewAsk{}), kViewUs), members_(members.begin(), members.end()), wantsHead_(wantsHead) {
+      : Poll(desk, ViewAsk::kKind, pack(ViewAsk{}), kViewUs), silent(members), members_(members.begin(), members.end()),
+        wantsHead_(wantsHead) {
     for (const Address& member : members_) add(member);
     needed_ = members_.size() / 2 + 1;
   }
   View newest;
-  bool headHeard() const { return !newest.chain.empty() && answered_.contains(newest.chain.front().address); }
+  absl::btree_set<Address> silent;
+  bool headHeard() const { return !newest.chain.empty() && !silent.contains(newest.chain.front().address); }
+  bool enough() const override { return answered_ >= needed_ && (!wantsHead_ || headHeard()); }
 
  protected:
   void heard(std::size_t member, const Bytes& body) override {
     auto read = unpack<ViewVerdict>(body);
     auto* verdict = std::get_if<ViewVerdict>(&read);
     if (verdict == nullptr) return;
-    answered_.insert(members_[member]);
+    silent.erase(members_[member]);
+    ++answered_;
     if (verdict->view.revision > newest.revision) newest = std::move(verdict->view);
   }
-  bool enough() const override { return answered_.size() >= needed_ && (!wantsHead_ || headHeard()); }
 
  private:
   std::vector<Address> members_;
   bool wantsHead_;
   std::size_t needed_ = 0;
-  absl::btree_set<Address> answered_;
+  std::size_t answered_ = 0;
 };
 }  // namespace
 
@@ -59,6 +62,10 @@
     co_await poll;
     refreshing_ = false;
     takeView(poll.newest);
+    // Where machines come and go, those without a seat that say nothing would keep every poll waiting.
+    if (!poll.enough() && poll.silent.size() < members_.size() && view_.revision != 0)
+      for (const Address& gone : poll.silent) members_.erase(gone);
+    keepSeats();
   } else {
     Pause pause(ports_.alarms, kAgainUs);
     co_await pause;
@@ -69,6 +76,10 @@
 void ChainClient::takeView(const View& view) {
   if (view.revision <= view_.revision) return;
   view_ = view;
+  keepSeats();
+}
+
+void ChainClient::keepSeats() {
   for (const Seat& voter : view_.voters) members_.insert(voter.address);
   for (const Seat& guest : view_.guests) members_.insert(guest.address);
 }
--- a/src/anvil/client.h
+++ b/src/anvil/client.h
@@ -36,6 +36,7 @@
 
  private:
   void takeView(const View& view);
+  void keepSeats();
   Ports& ports_;
   Desk& desk_;
   absl::btree_set<Address> members_;
--- a/src/core/control_machine.cc
+++ b/src/core/control_machine.cc
@@ -15,7 +15,8 @@
   std::uint64_t platformVersion = 0;
   std::deque<ConfigStep> history;
   std::deque<TakenWish> taken;
-  STONEMOUNT_PACK(format, state, platformVersion, history, taken)
+  MemberOrders orders;
+  STONEMOUNT_PACK(format, state, platformVersion, history, taken, orders)
 };
 }  // namespace
 
@@ -29,6 +30,8 @@
   auto read = unpack<ControlCommand>(bytes);
   auto* command = std::get_if<ControlCommand>(&read);
   if (command == nullptr) return pack(verdict(ControlOutcome::kUnreadable));
+  if (auto* found = std::get_if<FoundStore>(command)) return pack(applyOrder(orders_, *found));
+  if (auto* retire = std::get_if<RetireStore>(command)) return pack(applyOrder(orders_, *retire));
   ControlVerdict done;
   if (auto* config = std::get_if<PutConfig>(command)) done = put(*config);
   else if (auto* zone = std::get_if<SetZone>(command)) done = put(*zone);
@@ -153,10 +156,11 @@
       found = packedNews_.emplace(news->since, pack(state_.newsSince(news->since))).first;
     return found->second;
   }
+  if (std::holds_alternative<OrdersAsk>(*query)) return pack(orders_);
   return pack(HistoryVerdict{{history_.begin(), history_.end()}});
 }
 
-Bytes ControlMachine::save() const { return pack(Saved{kStateFormat, state_, platformVersion_, history_, taken_}); }
+Bytes ControlMachine::save() const { return pack(Saved{kStateFormat, state_, platformVersion_, history_, taken_, orders_}); }
 
 bool ControlMachine::load(const Bytes& state) {
   auto read = unpack<Saved>(state);
@@ -166,6 +170,7 @@
   platformVersion_ = saved->platformVersion;
   history_ = std::move(saved->history);
   taken_ = std::move(saved->taken);
+  orders_ = std::move(saved->orders);
   packedNews_.clear();
   return true;
 }
--- a/src/core/control_machine.h
+++ b/src/core/control_machine.h
@@ -22,6 +22,7 @@
   bool load(const Bytes& state) override;
   const ControlState& state() const { return state_; }
   std::uint64_t platformVersion() const { return platformVersion_; }
+  const MemberOrders& orders() const { return orders_; }
 
  private:
   ControlVerdict put(const PutConfig& command);
@@ -36,6 +37,7 @@
   std::uint64_t platformVersion_ = 0;
   std::deque<ConfigStep> history_;
   std::deque<TakenWish> taken_;  // the last ones; the same wish sent again is known by them
+  MemberOrders orders_;
   mutable std::map<Revision, Bytes> packedNews_;  // many nodes ask from the same revision
 };
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "anvil/member.h"
+#include "clamp/retire.h"
+#include "clamp/steward.h"
 #include "core/control_machine.h"
 #include "core/lister.h"
 #include "core/operator_desk.h"
@@ -19,6 +21,7 @@
   GaugePlan gauge;
   Us listUs = 600 * kMilliUs;
   WorkerListSource* list = nullptr;  // none: the settings' platform, if there is one
+  StewardPlan steward;
 };
 
 class Core {
@@ -32,6 +35,7 @@
   std::uint64_t sentBytes() const { return desk_.sentBytes; }
   const Mallet& mallet() const { return mallet_; }
   OperatorDesk& operators() { return operators_; }
+  RetireDesk& retireDesk() { return retireDesk_; }
   static constexpr const char* kLister = "lister";
 
  private:
@@ -56,6 +60,8 @@
   PlatformListSource ownList_;
   Lister lister_;
   OperatorDesk operators_;
+  Steward steward_;
+  RetireByOrder retireDesk_;
   sigc::connection asked_;
 };
 
