Store: standing lots, results listed as they become final, retention by the cut

Lots on a users' platform belong to no event, are named by their callers, and are read by position. What ends by time, and what is owed, is found by indexes beside the state instead of walking every lot; own lots behave as before. State format 3.

--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -134,7 +134,7 @@
     run->worker = wish.worker;
     run->order.exchange = absl::StrCat(wish.lot, ".", wish.item, ".", granted.run);
     run->order.route = routes[granted.wish];
-    run->order.prompt = std::move(granted.body);
+    run->order.prompt = std::move(granted.item.body);
     run->order.lot = true;
     running_[{wish.lot, wish.item}] = run;
     ++counts_.granted;
--- a/src/node/scheduler.h
+++ b/src/node/scheduler.h
@@ -5,7 +5,7 @@
 #include "anvil/client.h"
 #include "lathe/exchange.h"
 #include "shim/shim.h"
-#include "store/commands.h"
+#include "store/queries.h"
 
 namespace stonemount {
 
--- a/src/store/answers.cc
+++ b/src/store/answers.cc
@@ -6,6 +6,7 @@
 namespace {
 constexpr std::size_t kWaitingTold = 32;
 constexpr std::size_t kPrefixBytes = 64;
+constexpr std::size_t kStandingTold = 192;  // of all standing lots, the oldest first
 constexpr std::size_t kPageBytes = 1 << 20;
 }  // namespace
 
@@ -14,7 +15,7 @@
   auto* query = std::get_if<StoreQuery>(&read);
   if (query == nullptr) return Bytes();
   if (auto* work = std::get_if<WorkAsk>(query)) return tell(*work, mustAnswer);
-  if (auto* lot = std::get_if<LotAsk>(query)) return tell(*lot);
+  if (auto* lot = std::get_if<LotAsk>(query)) return tell(*lot, mustAnswer);
   if (auto* events = std::get_if<EventsAsk>(query)) return tell(*events);
   return tell(std::get<ClockAsk>(*query));
 }
@@ -25,15 +26,21 @@
   verdict.version = state_.workVersion;
   verdict.certain = state_.cut.certain;
   verdict.charged = state_.charged;
-  for (const std::string& name : state_.openLots) {
+  std::size_t standingTold = 0;
+  for (const auto& [createdUs, name] : state_.openLots) {
     const KeptLot& lot = state_.lots.at(name);
+    if (lot.standing() && standingTold >= kStandingTold) continue;
     OpenLot open;
     open.lot = name;
     open.route = lot.route;
+    open.standing = lot.standing();
+    open.host = lot.host;
+    open.ageUs = std::max<Us>(0, state_.cut.cutUs - createdUs);
     for (const std::uint32_t place : lot.waiting) {
-      if (open.waiting.size() >= kWaitingTold) break;
+      if (lot.standing() ? standingTold >= kStandingTold : open.waiting.size() >= kWaitingTold) break;
       open.waiting.push_back(place);
-      open.prefixes.push_back(spread(lot.items[place].body.substr(0, kPrefixBytes)));
+      if (lot.standing()) ++standingTold;
+      else open.prefixes.push_back(spread(lot.items[place].given.body.substr(0, kPrefixBytes)));
     }
     verdict.lots.push_back(std::move(open));
     if (verdict.lots.size() >= ask.most) break;
@@ -41,7 +48,20 @@
   return pack(verdict);
 }
 
-QueryVerdict StoreMachine::tell(const LotAsk& ask) const {
+// Those that are final, in the order in which they became so.
+void StoreMachine::tellListed(const KeptLot& lot, const LotAsk& ask, LotVerdict& verdict) const {
+  std::size_t bytes = 0;
+  verdict.next = ask.from;
+  for (std::size_t at = ask.from; at < lot.listed.size() && verdict.sights.size() < ask.count; ++at) {
+    const KeptItem& item = lot.items[lot.listed[at]];
+    bytes += item.answer.size() + item.given.id.size();
+    if (!verdict.sights.empty() && bytes > (ask.mostBytes > 0 ? ask.mostBytes : kPageBytes)) break;
+    verdict.sights.push_back({lot.listed[at], item.given.id, item.state, item.run, item.answer, {}});
+    ++verdict.next;
+  }
+}
+
+QueryVerdict StoreMachine::tell(const LotAsk& ask, bool mustAnswer) const {
   LotVerdict verdict;
   verdict.lot = ask.lot;
   auto found = state_.lots.find(ask.lot);
@@ -50,6 +70,8 @@
     return pack(verdict);
   }
   const KeptLot& lot = found->second;
+  // Where nothing more can come there is nothing to wait for.
+  if (ask.hold && !mustAnswer && ask.from >= lot.listed.size() && !lot.finished()) return Hold{};
   verdict.event = lot.event;
   verdict.route = lot.route;
   verdict.ended = lot.ended;
@@ -57,6 +79,10 @@
   verdict.sealed = lot.sealed;
   verdict.refused = lot.refused;
   verdict.running = lot.running;
+  if (ask.listed) {
+    tellListed(lot, ask, verdict);
+    return pack(verdict);
+  }
   std::size_t bytes = 0;
   for (std::uint32_t place = ask.from; place < lot.items.size(); ++place) {
     if (!ask.bodies && !ask.results) break;
@@ -65,13 +91,14 @@
       break;
     }
     const KeptItem& item = lot.items[place];
+    if (!ask.item.empty() && ask.item != item.given.id) continue;
     ItemSight sight;
     sight.item = place;
-    sight.id = item.id;
+    sight.id = item.given.id;
     sight.state = item.state;
     sight.run = item.run;
     if (ask.results) sight.answer = item.answer;
-    if (ask.bodies) sight.body = item.body;
+    if (ask.bodies) sight.body = item.given.body;
     bytes += sight.answer.size() + sight.body.size();
     verdict.sights.push_back(std::move(sight));
   }
--- a/src/store/commands.h
+++ b/src/store/commands.h
@@ -8,7 +8,12 @@
 struct LotItem {
   std::string id;
   Bytes body;
-  STONEMOUNT_PACK(id, body)
+  // Of items that are passed through as they came (design.md 9.8).
+  std::string target;                          // path and query, byte for byte
+  std::map<std::string, std::string> headers;  // lower-case names
+  std::uint64_t spot = 0;                      // of its shared prompt; 0: none
+  std::uint32_t tokens = 0;
+  STONEMOUNT_PACK(id, body, target, headers, spot, tokens)
 };
 struct RunName {
   std::string lot;
@@ -37,7 +42,22 @@
   std::uint64_t digest = 0;
   std::vector<LotItem> items;
   Us wallUs = 0;  // stamped
-  STONEMOUNT_PACK(event, key, route, digest, items, wallUs)
+  // A standing lot belongs to no event (`event` and `key` empty) and is named by its caller.
+  std::string name;
+  std::string host;             // that its items are meant for
+  Us retentionUs = 0;           // after which an item may be given up; 0: never
+  Us keepUs = 0;                // how long results are kept after the lot's end; 0: as the store is set
+  Us keyUs = 0;                 // how long its name is remembered after that; 0: as the store is set
+  std::uint32_t attempts = 0;   // failures after which an item is given up; 0: no number of them
+  // Runs that the node that took it in would begin at once: granted with the lot, where the cut is certain.
+  Address node;
+  Us licenceUs = 0;
+  std::uint32_t atOnce = 0;
+  std::uint32_t slotCap = 0;
+  bool certainHere = false;  // stamped
+  bool standing() const { return event.empty(); }
+  STONEMOUNT_PACK(event, key, route, digest, items, wallUs, name, host, retentionUs, keepUs, keyUs, attempts, node, licenceUs,
+                  atOnce, slotCap, certainHere)
 };
 struct EndLot {
   std::string lot;
@@ -46,7 +66,7 @@
 struct GrantWish {
   std::string lot;
   std::uint32_t item = 0;
-  Address worker;
+  Address worker;  // whose slot it takes; the node itself, where the worker is chosen only as the item is sent
   std::uint32_t slotCap = 1;
   STONEMOUNT_PACK(lot, item, worker, slotCap)
 };
@@ -77,7 +97,8 @@
 struct DroppedRun {
   RunName run;
   bool began = false;  // a worker answered something, or broke off what it had been sent whole
-  STONEMOUNT_PACK(run, began)
+  bool failed = false;  // a worker told its own failure
+  STONEMOUNT_PACK(run, began, failed)
 };
 struct DropRuns {  // the exchange is over and brought no whole answer
   std::vector<DroppedRun> runs;
@@ -108,92 +129,18 @@
   kDone, kAgain, kConflict, kUnknownEvent, kUnknownLot, kNotOpen, kClosed, kEnded, kUncertain, kLost, kUnreadable
 };
 struct GrantedRun {
-  std::uint32_t wish = 0;  // which of the wishes
+  std::uint32_t wish = 0;  // which of the wishes; of those granted with a lot: which item
   std::uint32_t run = 0;
-  Bytes body;
-  STONEMOUNT_PACK(wish, run, body)
+  LotItem item;            // left out where the node has it already
+  STONEMOUNT_PACK(wish, run, item)
 };
 struct StoreVerdict {
   StoreOutcome outcome = StoreOutcome::kDone;
   std::string name;  // of a lot, where one was made or found
   std::uint64_t epoch = 0;
   std::vector<GrantedRun> granted;
-  STONEMOUNT_PACK(outcome, name, epoch, granted)
-};
-
-struct WorkAsk {  // answered when the list of open work has moved on
-  std::uint64_t since = 0;
-  std::uint32_t most = 0;
-  STONEMOUNT_PACK(since, most)
-};
-struct LotAsk {
-  std::string lot;
-  bool bodies = false;
-  bool results = false;
-  std::uint32_t from = 0;
-  std::uint32_t count = 0;
-  STONEMOUNT_PACK(lot, bodies, results, from, count)
-};
-struct EventsAsk {
-  std::string name;  // empty: all
-  STONEMOUNT_PACK(name)
-};
-struct ClockAsk {
-  std::uint8_t unused = 0;
-  STONEMOUNT_PACK(unused)
-};
-using StoreQuery = std::variant<WorkAsk, LotAsk, EventsAsk, ClockAsk>;
-
-struct OpenLot {
-  std::string lot;
-  std::string route;
-  std::vector<std::uint32_t> waiting;
-  std::vector<std::uint64_t> prefixes;  // of the waiting items' bodies
-  STONEMOUNT_PACK(lot, route, waiting, prefixes)
-};
-struct WorkVerdict {
-  std::uint64_t version = 0;
-  bool certain = false;
-  std::vector<OpenLot> lots;
-  std::map<Address, std::uint32_t> charged;  // slots by worker
-  STONEMOUNT_PACK(version, certain, lots, charged)
-};
-enum class ItemState : std::uint8_t { kWaiting, kRunning, kSealed, kRefused };
-struct ItemSight {
-  std::uint32_t item = 0;
-  std::string id;
-  ItemState state = ItemState::kWaiting;
-  std::uint32_t run = 0;
-  Bytes answer;
-  Bytes body;
-  STONEMOUNT_PACK(item, id, state, run, answer, body)
-};
-struct LotVerdict {
-  StoreOutcome outcome = StoreOutcome::kDone;
-  std::string lot, event, route;
-  bool ended = false;
-  std::uint32_t items = 0, sealed = 0, refused = 0, running = 0;
-  std::vector<ItemSight> sights;
-  std::uint32_t next = 0;  // 0: no more
-  STONEMOUNT_PACK(outcome, lot, event, route, ended, items, sealed, refused, running, sights, next)
-};
-struct EventSight {
-  std::string name;
-  Us startUs = 0, closeUs = 0;
-  bool open = false, closed = false;
-  std::uint32_t lots = 0, quota = 0;
-  Us windowUs = 0;
-  STONEMOUNT_PACK(name, startUs, closeUs, open, closed, lots, quota, windowUs)
-};
-struct EventsVerdict {
-  std::vector<EventSight> events;
-  STONEMOUNT_PACK(events)
-};
-struct ClockVerdict {
-  CutState cut;
-  std::uint64_t pausedExpiries = 0, lateExpiries = 0, expired = 0;
-  std::uint32_t licences = 0, pendingSlots = 0, tombstones = 0, lots = 0, items = 0;
-  STONEMOUNT_PACK(cut, pausedExpiries, lateExpiries, expired, licences, pendingSlots, tombstones, lots, items)
+  std::vector<std::uint32_t> over;  // of the renewed: those that are no longer wanted
+  STONEMOUNT_PACK(outcome, name, epoch, granted, over)
 };
 
 }  // namespace stonemount
--- /dev/null
+++ b/src/store/lot_index.cc
@@ -0,0 +1,83 @@
+#include "store/lot_index.h"
+
+namespace stonemount {
+
+namespace {
+// Whoever was told that an item is not final yet may still ask for its body.
+constexpr Us kBodyLingersUs = 3 * kSecondUs;
+
+template <class Name>
+std::optional<Name> firstDue(const std::set<std::pair<Us, Name>>& queue, Us cutUs) {
+  if (queue.empty() || queue.begin()->first > cutUs) return std::nullopt;
+  return queue.begin()->second;
+}
+}  // namespace
+
+void StoreIndex::rebuild(const StoreState& state, Us retentionUs) {
+  *this = StoreIndex();
+  for (const auto& [name, lot] : state.lots) {
+    note(lot, lot.keepUs > 0 ? lot.keepUs : retentionUs);
+    for (std::uint32_t place = 0; place < lot.items.size(); ++place) noteFinal(lot, place);
+  }
+  for (const auto& [key, tombstone] : state.tombstones) noteTombstone(key, tombstone.keepUntilUs);
+}
+
+void StoreIndex::note(const KeptLot& lot, Us keepUs) {
+  Share& share = shares_[lot.name];
+  open_ -= share.open;
+  sealed_ -= share.sealed;
+  bytes_ -= share.bytes;
+  const Share before = share;
+  share.open = lot.ended ? lot.running : lot.items.size() - lot.sealed - lot.refused;
+  share.sealed = lot.sealed;
+  share.bytes = lot.answerBytes;
+  share.resultsUs = lot.terminalUs > 0 ? lot.terminalUs + keepUs : kNever;
+  const bool mayRetire = lot.retentionUs > 0 && !lot.ended && !lot.finished();
+  share.retentionUs = mayRetire ? lot.createdUs + lot.retentionUs : kNever;
+  open_ += share.open;
+  sealed_ += share.sealed;
+  bytes_ += share.bytes;
+  if (share.resultsUs != before.resultsUs) {
+    results_.erase({before.resultsUs, lot.name});
+    if (share.resultsUs != kNever) results_.insert({share.resultsUs, lot.name});
+  }
+  if (share.retentionUs != before.retentionUs) {
+    retentions_.erase({before.retentionUs, lot.name});
+    if (share.retentionUs != kNever) retentions_.insert({share.retentionUs, lot.name});
+  }
+}
+
+void StoreIndex::forget(const std::string& lot) {
+  auto found = shares_.find(lot);
+  if (found == shares_.end()) return;
+  open_ -= found->second.open;
+  sealed_ -= found->second.sealed;
+  bytes_ -= found->second.bytes;
+  results_.erase({found->second.resultsUs, lot});
+  retentions_.erase({found->second.retentionUs, lot});
+  shares_.erase(found);
+}
+
+// Bodies of standing lots are owed only until their item is listed.
+void StoreIndex::noteFinal(const KeptLot& lot, std::uint32_t place) {
+  const KeptItem& item = lot.items[place];
+  if (lot.standing() && item.final() && !item.given.body.empty())
+    bodies_.insert({item.finalUs + kBodyLingersUs, {lot.name, place}});
+}
+
+std::optional<std::string> StoreIndex::dueResults(Us cutUs) const { return firstDue(results_, cutUs); }
+std::optional<std::string> StoreIndex::dueRetention(Us cutUs) const { return firstDue(retentions_, cutUs); }
+
+std::optional<StoreIndex::ItemName> StoreIndex::takeDueBody(Us cutUs) {
+  std::optional<ItemName> due = firstDue(bodies_, cutUs);
+  if (due) bodies_.erase(bodies_.begin());
+  return due;
+}
+
+std::optional<StoreIndex::Key> StoreIndex::takeDueTombstone(Us cutUs) {
+  std::optional<Key> due = firstDue(tombstones_, cutUs);
+  if (due) tombstones_.erase(tombstones_.begin());
+  return due;
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/store/lot_index.h
@@ -0,0 +1,46 @@
+// What follows from the store's state and is kept beside it, so that no command walks every lot: when what
+// ends, and how much is still owed. Never saved; made anew from a state that was loaded (design.md 7.3).
+#pragma once
+
+#include "store/store_state.h"
+
+namespace stonemount {
+
+class StoreIndex {
+ public:
+  using Key = std::pair<std::string, std::string>;
+  using ItemName = std::pair<std::string, std::uint32_t>;
+  void rebuild(const StoreState& state, Us retentionUs);
+  // After any change of a lot; the same again changes nothing.
+  void note(const KeptLot& lot, Us keepUs);
+  void forget(const std::string& lot);
+  void noteFinal(const KeptLot& lot, std::uint32_t place);
+  void noteTombstone(const Key& key, Us keepUntilUs) { tombstones_.insert({keepUntilUs, key}); }
+  void noteLimit(Us limitUs) { leastLimitUs_ = std::min(leastLimitUs_, limitUs); }
+  void resetLimit() { leastLimitUs_ = kNever; }
+  // The first that is due at that cut.
+  std::optional<std::string> dueResults(Us cutUs) const;
+  std::optional<std::string> dueRetention(Us cutUs) const;
+  std::optional<ItemName> takeDueBody(Us cutUs);
+  std::optional<Key> takeDueTombstone(Us cutUs);
+  bool licencesDue(Us cutUs) const { return leastLimitUs_ <= cutUs; }  // perhaps
+  std::uint64_t openItems() const { return open_; }
+  std::uint64_t sealedItems() const { return sealed_; }
+  std::uint64_t answerBytes() const { return bytes_; }
+
+ private:
+  static constexpr Us kNever = INT64_MAX;
+  struct Share {  // of one lot
+    std::uint64_t open = 0, sealed = 0, bytes = 0;
+    Us resultsUs = kNever, retentionUs = kNever;
+  };
+  absl::flat_hash_map<std::string, Share> shares_;
+  std::uint64_t open_ = 0, sealed_ = 0, bytes_ = 0;
+  std::set<std::pair<Us, std::string>> results_;     // by when they go
+  std::set<std::pair<Us, std::string>> retentions_;  // by when items that are not final may be given up
+  std::set<std::pair<Us, ItemName>> bodies_;         // of final items, by when they go
+  std::set<std::pair<Us, Key>> tombstones_;
+  Us leastLimitUs_ = 0;  // no licence ends before it
+};
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/store/queries.h
@@ -0,0 +1,90 @@
+// What the store chain's tail is asked, and what it answers (design.md 7.3).
+#pragma once
+
+#include "store/commands.h"
+
+namespace stonemount {
+
+struct WorkAsk {  // answered when the list of open work has moved on
+  std::uint64_t since = 0;
+  std::uint32_t most = 0;
+  STONEMOUNT_PACK(since, most)
+};
+struct LotAsk {
+  std::string lot;
+  bool bodies = false;
+  bool results = false;
+  std::uint32_t from = 0;
+  std::uint32_t count = 0;
+  bool listed = false;          // results in the order in which they became final; `from` is a position there
+  bool hold = false;            // until there is one from there on
+  std::uint32_t mostBytes = 0;  // of the results told, but for the first; 0: no bound of the asker's
+  std::string item;             // not empty: that item alone
+  STONEMOUNT_PACK(lot, bodies, results, from, count, listed, hold, mostBytes, item)
+};
+struct EventsAsk {
+  std::string name;  // empty: all
+  STONEMOUNT_PACK(name)
+};
+struct ClockAsk {
+  std::uint8_t unused = 0;
+  STONEMOUNT_PACK(unused)
+};
+using StoreQuery = std::variant<WorkAsk, LotAsk, EventsAsk, ClockAsk>;
+
+struct OpenLot {
+  std::string lot;
+  std::string route;
+  std::vector<std::uint32_t> waiting;
+  std::vector<std::uint64_t> prefixes;  // of the waiting items' bodies; none of a standing lot
+  bool standing = false;
+  std::string host;
+  Us ageUs = 0;  // since it was taken, in cut time
+  STONEMOUNT_PACK(lot, route, waiting, prefixes, standing, host, ageUs)
+};
+struct WorkVerdict {
+  std::uint64_t version = 0;
+  bool certain = false;
+  std::vector<OpenLot> lots;
+  std::map<Address, std::uint32_t> charged;  // slots by worker
+  STONEMOUNT_PACK(version, certain, lots, charged)
+};
+enum class ItemState : std::uint8_t { kWaiting, kRunning, kSealed, kRefused };
+struct ItemSight {
+  std::uint32_t item = 0;
+  std::string id;
+  ItemState state = ItemState::kWaiting;
+  std::uint32_t run = 0;
+  Bytes answer;
+  Bytes body;
+  STONEMOUNT_PACK(item, id, state, run, answer, body)
+};
+struct LotVerdict {
+  StoreOutcome outcome = StoreOutcome::kDone;
+  std::string lot, event, route;
+  bool ended = false;
+  std::uint32_t items = 0, sealed = 0, refused = 0, running = 0;
+  std::vector<ItemSight> sights;
+  std::uint32_t next = 0;  // 0: no more; of listed results: the position after the last one told
+  STONEMOUNT_PACK(outcome, lot, event, route, ended, items, sealed, refused, running, sights, next)
+};
+struct EventSight {
+  std::string name;
+  Us startUs = 0, closeUs = 0;
+  bool open = false, closed = false;
+  std::uint32_t lots = 0, quota = 0;
+  Us windowUs = 0;
+  STONEMOUNT_PACK(name, startUs, closeUs, open, closed, lots, quota, windowUs)
+};
+struct EventsVerdict {
+  std::vector<EventSight> events;
+  STONEMOUNT_PACK(events)
+};
+struct ClockVerdict {
+  CutState cut;
+  std::uint64_t pausedExpiries = 0, lateExpiries = 0, expired = 0;
+  std::uint32_t licences = 0, pendingSlots = 0, tombstones = 0, lots = 0, items = 0;
+  STONEMOUNT_PACK(cut, pausedExpiries, lateExpiries, expired, licences, pendingSlots, tombstones, lots, items)
+};
+
+}  // namespace stonemount
--- a/src/store/runs.cc
+++ b/src/store/runs.cc
@@ -46,21 +46,22 @@
     auto charged = state_.charged.find(wish.worker);
     if (charged != state_.charged.end() && charged->second >= wish.slotCap) continue;
     if (!takeQuota(lot->event)) continue;
-    startRun(*lot, wish.item, command, wish.worker);
-    verdict.granted.push_back({i, item->run, item->body});
+    startRun(*lot, wish.item, command.node, command.licenceUs, wish.worker);
+    verdict.granted.push_back({i, item->run, item->given});
   }
   return verdict;
 }
 
-void StoreMachine::startRun(KeptLot& lot, std::uint32_t place, const GrantRuns& command, const Address& worker) {
+void StoreMachine::startRun(KeptLot& lot, std::uint32_t place, const Address& node, Us licenceUs, const Address& worker) {
   KeptItem& item = lot.items[place];
   STONEMOUNT_INVARIANT(item.state == ItemState::kWaiting && !lot.ended);
   item.state = ItemState::kRunning;
   ++item.run;
-  item.node = command.node;
+  item.node = node;
   item.worker = worker;
-  item.limitUs = fromUs_ + command.licenceUs;
-  termNoted.emit({Term::kLicence, absl::StrCat(lot.name, ".", place, ".", item.run), command.licenceUs, false});
+  item.limitUs = fromUs_ + licenceUs;
+  index_.noteLimit(item.limitUs);
+  termNoted.emit({Term::kLicence, absl::StrCat(lot.name, ".", place, ".", item.run), licenceUs, false});
   lot.waiting.erase(place);
   ++lot.running;
   ++state_.charged[worker];
@@ -79,22 +80,44 @@
   if (--found->second == 0) state_.charged.erase(found);
 }
 
-// What merely never began, or is not known to have, is no reason to give an item up (design.md 7.5).
-void StoreMachine::stopRun(KeptLot& lot, std::uint32_t place, bool isCertain, bool began) {
+// Listed for good, whatever becomes of the lot: its place in the list and its content never change.
+void StoreMachine::endItem(KeptLot& lot, std::uint32_t place, ItemState state, Bytes answer, bool isCertain) {
+  KeptItem& item = lot.items[place];
+  STONEMOUNT_INVARIANT(!item.final());
+  if (item.state == ItemState::kRunning) {
+    releaseSlot(item.worker, isCertain);
+    state_.runningItems.erase({lot.name, place});
+    --lot.running;
+  } else {
+    lot.waiting.erase(place);
+  }
+  item.state = state;
+  item.finalUs = state_.cut.cutUs;
+  item.answer = std::move(answer);
+  lot.answerBytes += item.answer.size();
+  lot.listed.push_back(place);
+  state == ItemState::kSealed ? ++lot.sealed : ++lot.refused;
+  STONEMOUNT_INVARIANT(lot.listed.size() == lot.sealed + lot.refused);
+  index_.noteFinal(lot, place);
+}
+
+// What merely never began, or is not known to have, is no reason to give an item up (design.md 7.5). Of a
+// standing lot only what a worker called its own failure is one.
+void StoreMachine::stopRun(KeptLot& lot, std::uint32_t place, bool isCertain, const DroppedRun& how) {
   KeptItem& item = lot.items[place];
   STONEMOUNT_INVARIANT(item.state == ItemState::kRunning);
-  releaseSlot(item.worker, isCertain);
-  state_.runningItems.erase({lot.name, place});
-  --lot.running;
-  item.spent += began ? 1 : 0;
-  if (item.spent >= plan_.mostRuns) {
-    item.state = ItemState::kRefused;
-    item.answer = "{\"verdict\":\"runs_spent\"}";
-    ++lot.refused;
+  item.spent += how.began || how.failed ? 1 : 0;
+  item.failed += how.failed ? 1 : 0;
+  const bool tooOften = lot.attempts > 0 && item.failed >= lot.attempts;
+  if (tooOften || (!lot.standing() && item.spent >= plan_.mostRuns)) {
+    endItem(lot, place, ItemState::kRefused, lot.standing() ? "" : "{\"verdict\":\"runs_spent\"}", isCertain);
   } else {
+    releaseSlot(item.worker, isCertain);
+    state_.runningItems.erase({lot.name, place});
+    --lot.running;
     item.state = ItemState::kWaiting;
     lot.waiting.insert(place);
-    ++state_.workVersion;
+    if (!lot.standing() || !lot.ended) ++state_.workVersion;
   }
   noteTerminal(lot);
 }
@@ -102,31 +125,26 @@
 // The first sealed answer wins, whichever run brought it, and never changes.
 void StoreMachine::sealItem(KeptLot& lot, std::uint32_t place, const SealedRun& sealed, bool isCertain) {
   KeptItem& item = lot.items[place];
-  if (item.state == ItemState::kSealed || item.state == ItemState::kRefused) return;
+  if (item.final()) return;
   if (sealed.run.run == 0 || sealed.run.run > item.run) return;  // never granted
-  if (item.state == ItemState::kRunning) {
-    releaseSlot(item.worker, isCertain);
-    state_.runningItems.erase({lot.name, place});
-    --lot.running;
-  } else {
-    lot.waiting.erase(place);
-  }
-  item.state = sealed.refused ? ItemState::kRefused : ItemState::kSealed;
   item.run = sealed.run.run;
-  item.answer = sealed.answer;
-  sealed.refused ? ++lot.refused : ++lot.sealed;
+  endItem(lot, place, sealed.refused ? ItemState::kRefused : ItemState::kSealed, sealed.answer, isCertain);
   noteTerminal(lot);
 }
 
 StoreVerdict StoreMachine::run(const RenewRuns& command) {
-  for (const RunName& run : command.runs) {
+  StoreVerdict verdict;
+  for (std::uint32_t i = 0; i < command.runs.size(); ++i) {
+    const RunName& run = command.runs[i];
     KeptLot* lot = nullptr;
     KeptItem* item = findItem(run, lot);
-    if (item == nullptr || item->state != ItemState::kRunning || item->run != run.run) continue;
+    const bool counts = item != nullptr && item->state == ItemState::kRunning && item->run == run.run;
+    if (!counts || lot->ended) verdict.over.push_back(i);  // whoever runs it still may end it
+    if (!counts) continue;
     item->limitUs = renewedLimit(item->limitUs, fromUs_, command.licenceUs);
     termNoted.emit({Term::kLicence, absl::StrCat(run.lot, ".", run.item, ".", run.run), command.licenceUs, false});
   }
-  return {};
+  return verdict;
 }
 
 StoreVerdict StoreMachine::run(const SealRuns& command) {
@@ -142,22 +160,27 @@
     KeptLot* lot = nullptr;
     KeptItem* item = findItem(dropped.run, lot);
     if (item == nullptr || item->state != ItemState::kRunning || item->run != dropped.run.run) continue;
-    stopRun(*lot, dropped.run.item, certain(command.certainHere), dropped.began);
+    stopRun(*lot, dropped.run.item, certain(command.certainHere), dropped);
   }
   return {};
 }
 
 void StoreMachine::expireLicences() {
+  if (!index_.licencesDue(state_.cut.cutUs)) return;
+  index_.resetLimit();
   const std::vector<std::pair<std::string, std::uint32_t>> running(state_.runningItems.begin(),
                                                                    state_.runningItems.end());
   for (const auto& [name, place] : running) {
     KeptLot& lot = state_.lots.at(name);
     const Us limitUs = lot.items[place].limitUs;
-    if (limitUs > state_.cut.cutUs) continue;
+    if (limitUs > state_.cut.cutUs) {
+      index_.noteLimit(limitUs);
+      continue;
+    }
     ++state_.expired;
     termNoted.emit({Term::kLicence, absl::StrCat(name, ".", place, ".", lot.items[place].run), 0, true});
     if (limitUs + kLateUs < state_.cut.cutUs) ++state_.lateExpiries;
-    stopRun(lot, place, true, false);
+    stopRun(lot, place, true, DroppedRun());
   }
 }
 
@@ -171,6 +194,8 @@
   }
   for (const Address& worker : std::exchange(state_.pendingSlots, {})) releaseSlot(worker, true);
   expireLicences();
+  retire();
+  dropBodies();
   collect();
   return verdict;
 }
--- a/src/store/store_machine.cc
+++ b/src/store/store_machine.cc
@@ -7,7 +7,7 @@
 namespace stonemount {
 
 namespace {
-constexpr std::uint8_t kStateFormat = 2;
+constexpr std::uint8_t kStateFormat = 3;
 constexpr std::size_t kLeastAnswer = 256;
 struct SavedOut {
   const StoreState& state;
@@ -42,6 +42,7 @@
   } else if (auto* event = std::get_if<CreateEvent>(command)) {
     event->wallUs = sessions_.wallNowUs(state_.cut.session, sight);
   } else if (auto* lot = std::get_if<SubmitLot>(command)) {
+    lot->certainHere = live;
     lot->wallUs = sessions_.wallNowUs(state_.cut.session, sight);
   } else if (auto* lock = std::get_if<LockWish>(command)) {
     if (!sessions_.stampLock(*lock, sight)) return StampRefused{pack(StoreVerdict{StoreOutcome::kLost})};
@@ -108,13 +109,8 @@
 
 // Answers of items that are accepted and not over: as long as those kept are, on the whole.
 std::size_t StoreMachine::owedBytes() const {
-  std::size_t open = 0, sealed = 0, bytes = 0;
-  for (const auto& [name, lot] : state_.lots) {
-    open += lot.ended ? lot.running : lot.items.size() - lot.sealed - lot.refused;
-    sealed += lot.sealed;
-    for (const KeptItem& item : lot.items) bytes += item.answer.size();
-  }
-  return open * std::max<std::size_t>(kLeastAnswer, sealed > 0 ? bytes / sealed : 0);
+  const std::size_t sealed = index_.sealedItems();
+  return index_.openItems() * std::max<std::size_t>(kLeastAnswer, sealed > 0 ? index_.answerBytes() / sealed : 0);
 }
 
 Bytes StoreMachine::save() const { return pack(SavedOut{state_}); }
@@ -124,6 +120,7 @@
   auto* saved = std::get_if<SavedIn>(&read);
   if (saved == nullptr || saved->format != kStateFormat) return false;
   state_ = std::move(saved->state);
+  index_.rebuild(state_, plan_.retentionUs);
   return true;
 }
 
