Standing lots from end to end: desk, runner, translation

The scheduler carries items by one of two ways behind a port (sealed at one worker, or passed through); leases, renewal and delivery are shared. The node that takes a lot in begins its items at once.

--- /dev/null
+++ b/src/node/lot_leases.cc
@@ -0,0 +1,89 @@
+// What the scheduler does for runs that it has: begins those granted with their lot, renews, gives back.
+#include "node/scheduler.h"
+
+#include <algorithm>
+
+namespace stonemount {
+
+std::uint32_t Scheduler::reserveAtOnce(std::size_t items) {
+  if (runner_ == nullptr || draining_) return 0;
+  const std::size_t used = passed_ + reserved_;
+  const std::size_t most = runner_->plan().mostRunning;
+  const auto reserved = static_cast<std::uint32_t>(std::min(items, most > used ? most - used : 0));
+  reserved_ += reserved;
+  return reserved;
+}
+
+void Scheduler::startTaken(std::uint32_t reserved, const SubmitLot& lot, const std::vector<GrantedRun>& granted, Us askedUs) {
+  STONEMOUNT_INVARIANT(reserved <= reserved_);
+  reserved_ -= reserved;
+  for (const GrantedRun& one : granted) {
+    if (one.wish >= lot.items.size() || running_.contains({lot.name, one.wish})) continue;
+    auto run = std::make_shared<LotRun>();
+    run->name = {lot.name, one.wish, one.run};
+    run->item = lot.items[one.wish];
+    run->route = lot.route;
+    run->host = lot.host;
+    run->takenUs = run->heardUs = askedUs;
+    run->worker = desk_.self();
+    start(std::move(run), *runner_);
+  }
+}
+
+// A task counts as renewed while its request is open at a worker that is still listed. What the store does
+// not want any more is told in its answer, and ended.
+Task Scheduler::renew() {
+  while (true) {
+    Pause pause(ports_.alarms, plan_.renewUs);
+    co_await pause;
+    RenewRuns command;
+    command.node = desk_.self();
+    command.licenceUs = plan_.licenceUs;
+    std::vector<LotRunPtr> runs;
+    for (const auto& [key, run] : running_) {
+      if (!(run->worker == desk_.self() && runner_ != nullptr ? runner_->mayRenew(*run) : sealer_.mayRenew(*run))) continue;
+      command.runs.push_back(run->name);
+      runs.push_back(run);
+    }
+    // Sealed here but not yet told to the store: its licence matters still.
+    for (const SealedRun& sealed : delivery_.undelivered()) command.runs.push_back(sealed.run);
+    if (command.runs.empty()) continue;
+    const Us askedUs = ports_.clock.monoUs();
+    Job<ChainAnswer> sending = store_.submit(pack(StoreCommand(std::move(command))), plan_.renewUs);
+    ChainAnswer answer = co_await sending;
+    if (!std::holds_alternative<Bytes>(answer)) continue;
+    auto read = unpack<StoreVerdict>(std::get<Bytes>(answer));
+    auto* verdict = std::get_if<StoreVerdict>(&read);
+    if (verdict == nullptr || verdict->outcome != StoreOutcome::kDone) continue;
+    for (const LotRunPtr& run : runs) run->heardUs = askedUs;
+    for (const std::uint32_t place : verdict->over) {
+      if (place >= runs.size()) continue;
+      ++counts_.over;
+      runs[place]->heardUs = 0;
+      runs[place]->over = true;
+      runs[place]->knock.ring();
+    }
+  }
+}
+
+// The node is to stop: what is at no worker goes back at once, the rest may end until the time is up.
+void Scheduler::drain() {
+  if (std::exchange(draining_, true)) return;
+  delivery_.hurry();
+  for (const auto& [key, run] : running_) {
+    run->leaving = true;
+    run->knock.ring();
+  }
+  room_.start(endDrain());
+}
+
+Task Scheduler::endDrain() {
+  Pause pause(ports_.alarms, plan_.drainUs);
+  co_await pause;
+  for (const auto& [key, run] : running_) {
+    run->over = true;
+    run->knock.ring();
+  }
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/src/node/lot_sealer.h
@@ -0,0 +1,26 @@
+// Items of the product's own lots: one worker each, nominated before the run is granted, whose parts count
+// once they are sealed (design.md 9.5).
+#pragma once
+
+#include "lathe/exchange.h"
+#include "node/lot_carrier.h"
+
+namespace stonemount {
+
+class LotSealer : public ItemCarrier {
+ public:
+  LotSealer(Ports& ports, WorkerBoard& board, const ControlState& control)
+      : ports_(ports), board_(board), control_(control) {}
+  std::optional<CarrierPlace> reserve(const Route& route, std::uint64_t prefix) override;
+  void release(const CarrierPlace& place) override;
+  bool mayRenew(const LotRun& run) const override { return board_.listed(run.worker); }
+  Job<ItemEnding> carry(LotRunPtr run) override;
+
+ private:
+  class Gathering;
+  Ports& ports_;
+  WorkerBoard& board_;
+  const ControlState& control_;
+};
+
+}  // namespace stonemount
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -19,7 +19,8 @@
       almanac_(ports, desk_, room_, core_, shim_),
       board_(ports.clock, almanac_.state(), {settings_.zone, settings_.wire}), fitness_(ports, room_, board_),
       lathe_(ports, room_, board_, almanac_.state(), plan.lathe, hexText(ports.chance.next())),
-      scheduler_(ports, desk_, room_, store_, board_, almanac_.state(), shim_, settings_.zone, plan.scheduler) {
+      scheduler_(ports, desk_, room_, store_, board_, almanac_.state(), shim_, settings_.zone,
+                 plan.dialect != nullptr ? passingPlan(plan.scheduler, settings_.bounds) : plan.scheduler) {
   if (plan.dialect == nullptr) return;
   PoolBoardPlan board;
   board.zone = settings_.zone;
@@ -27,6 +28,8 @@
   board.coldSlack = settings_.bounds.coldSlack;
   pools_ = std::make_unique<PoolBoard>(ports.clock, almanac_.state(), board);
   gateway_ = std::make_unique<Gateway>(ports, room_, *pools_, almanac_.state(), *plan.dialect, plan.gateway);
+  scheduler_.passThrough(*gateway_);
+  lotDesk_ = std::make_unique<LotDesk>(ports, desk_, store_, scheduler_, almanac_.state(), plan.lotDesk);
 }
 
 Node::~Node() {
@@ -60,7 +63,8 @@
 
 bool Node::idle() const {
   const bool passing = gateway_ != nullptr && (gateway_->holding() > 0 || gateway_->relaying() > 0);
-  return !passing && lathe_.waiting() == 0 && lathe_.relaying() == 0 && scheduler_.idle();
+  const bool taking = lotDesk_ != nullptr && !lotDesk_->idle();
+  return !passing && !taking && lathe_.waiting() == 0 && lathe_.relaying() == 0 && scheduler_.idle();
 }
 
 void Node::onMet(const Card& card) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -8,7 +8,7 @@
 #include "lathe/fitness.h"
 #include "lathe/gateway.h"
 #include "lathe/lathe.h"
-#include "node/scheduler.h"
+#include "node/lot_desk.h"
 
 namespace stonemount {
 
@@ -17,6 +17,7 @@
   LathePlan lathe;
   SchedulerPlan scheduler;
   GatewayPlan gateway;
+  LotDeskPlan lotDesk;
   const WorkerDialect* dialect = nullptr;  // set: requests are passed through to workers that are spoken to in it
 };
 
@@ -30,6 +31,7 @@
   // Takes requests: it knows a configuration, is not leaving, and does not go by news from before a freeze.
   bool ready() const { return almanac_.ready() && !draining_ && board_.awake(); }
   Gateway* gateway() { return gateway_.get(); }  // none: nothing is passed through here
+  LotDesk* lotDesk() { return lotDesk_.get(); }    // none: no standing lots are taken here
   sigc::signal<void()>& almanacNews() { return almanac_.news; }
   const Almanac& almanac() const { return almanac_; }
   const Lathe& lathe() const { return lathe_; }
@@ -91,6 +93,7 @@
   Lathe lathe_;
   std::unique_ptr<PoolBoard> pools_;  // only where requests are passed through
   std::unique_ptr<Gateway> gateway_;
+  std::unique_ptr<LotDesk> lotDesk_;
   Scheduler scheduler_;
   RuleBook rules_;
   sigc::connection asked_;
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -10,34 +10,46 @@
 constexpr Us kHoldUs = 600 * kMilliUs;
 constexpr Us kReadUs = 2 * kSecondUs;
 constexpr Us kGrantUs = 2 * kSecondUs;
-constexpr Us kDeliverUs = 3 * kSecondUs;
 constexpr Us kAgainUs = 150 * kMilliUs;
+constexpr Us kFullUs = 500 * kMilliUs;
+constexpr Us kTurnUs = 250 * kMilliUs;     // an heir waits so long for each that comes before it
+constexpr std::size_t kHeirs = 4;
+constexpr std::uint32_t kBlock = 8;        // items of a standing lot that have one home
 constexpr std::uint32_t kLotsTold = 64;
 constexpr std::size_t kWishes = 32;
-constexpr std::size_t kDeliverBytes = 64 << 10;
-constexpr std::size_t kDeliverRuns = 256;
 }  // namespace
 
-struct Scheduler::Run : public PartSink {
-  void part(const Bytes& data) override { gathered += data; }
-  bool left() const override { return false; }
-  Bell& bell() override { return knock; }
-  RunName name;
-  WorkOrder order;
-  Address worker;
-  Bell knock;
-  Bytes gathered;
+struct Scheduler::Wishes {
+  GrantRuns command;
+  std::vector<CarrierPlace> places;
+  std::vector<const OpenLot*> lots;
+  std::size_t passed = 0;  // of them, in standing lots
+  bool moreToDo = false;
 };
 
 Scheduler::Scheduler(Ports& ports, Desk& desk, TaskRoom& room, ChainClient& store, WorkerBoard& board,
                      const ControlState& control, Shim& shim, std::string zone, SchedulerPlan plan)
     : ports_(ports), desk_(desk), room_(room), store_(store), board_(board), control_(control), shim_(shim),
-      zone_(std::move(zone)), plan_(plan) {}
+      zone_(std::move(zone)), plan_(plan), sealer_(ports, board, control), delivery_(ports, room, store, plan.gatherUs) {}
+
+SchedulerPlan passingPlan(SchedulerPlan plan, const Bounds& bounds) {
+  plan.licenceUs = 3500 * kMilliUs;  // a lost node's items are due soon; the grace after a doubt is no longer
+  plan.renewUs = 700 * kMilliUs;
+  plan.gatherUs = 80 * kMilliUs;
+  plan.drainUs = std::min(4 * kSecondUs, bounds.graceUs / 2);
+  plan.runner.freshUs = std::max<Us>(plan.renewUs, bounds.cancelUs - kSecondUs);
+  return plan;
+}
+
+void Scheduler::passThrough(ItemPasser& passer) {
+  runner_ = std::make_unique<LotRunner>(ports_, room_, passer, control_, desk_.self(), plan_.runner);
+}
 
 void Scheduler::begin() {
   room_.start(follow());
   room_.start(renew());
-  room_.start(deliver());
+  delivery_.begin();
+  if (runner_ != nullptr) runner_->begin();
 }
 
 void Scheduler::refreshRing() {
@@ -52,11 +64,18 @@
 }
 
 // Nodes may disagree for a while on whose lot it is; the store's grants settle it.
-bool Scheduler::atHome(const std::string& lot) {
+bool Scheduler::atHome(const std::string& lot) const {
   const std::vector<Address> heirs = nodes_.heirs(spread(lot), 1);
   return !heirs.empty() && heirs.front() == desk_.self();
 }
 
+// A standing lot is in a hurry: whoever is not at home to a block of its items may take them too, but later.
+Us Scheduler::turnUs(const std::string& lot, std::uint32_t item) const {
+  const std::vector<Address> heirs = nodes_.heirs(spread(lot, 1 + item / kBlock), kHeirs);
+  const auto place = std::find(heirs.begin(), heirs.end(), desk_.self());
+  return kTurnUs * (place - heirs.begin());
+}
+
 Task Scheduler::follow() {
   while (true) {
     WorkAsk wish;
@@ -71,159 +90,125 @@
         seenVersion_ = work->version;
         board_.setLotsWaiting(work->certain && !work->lots.empty());
         const std::uint64_t before = counts_.granted;
-        Job<Done> granting = grant(std::move(*work));
-        co_await granting;
+        Job<bool> granting = grant(std::move(*work));
+        const bool moreToDo = co_await granting;
+        if (moreToDo) seenVersion_ = 0;  // look again soon, news or not
         againUs = counts_.granted > before ? 5 * kMilliUs : 40 * kMilliUs;
       }
     }
-    Hear hear(ports_.alarms, workBell_, againUs);
+    // Whoever can take nothing need not ask until something ends here.
+    const bool full = runner_ != nullptr && passed_ + reserved_ >= runner_->plan().mostRunning;
+    Hear hear(ports_.alarms, workBell_, full ? kFullUs : againUs);
     co_await hear;
   }
 }
 
-Job<Done> Scheduler::grant(WorkVerdict work) {
+// Gathers what of a lot may be taken now.
+void Scheduler::wishFor(const OpenLot& lot, Wishes& wishes) {
+  ItemCarrier* carrier = lot.standing ? static_cast<ItemCarrier*>(runner_.get()) : &sealer_;
+  if (carrier == nullptr || (!lot.standing && (control_.evacuated(zone_) || !atHome(lot.lot)))) return;
+  auto route = control_.routes().find(lot.route);
+  if (route == control_.routes().end()) return;  // it waits until the route is back (design.md 7.5)
+  const Us seenUs = lot.standing ? ports_.clock.monoUs() - firstSeen_.at(lot.lot) : 0;
+  for (std::size_t i = 0; i < lot.waiting.size(); ++i) {
+    if (running_.contains({lot.lot, lot.waiting[i]})) continue;
+    const bool full = lot.standing ? passed_ + reserved_ + wishes.passed >= runner_->plan().mostRunning
+                                   : running_.size() + wishes.places.size() >= plan_.mostRunning;
+    if (full || wishes.places.size() >= kWishes) {
+      wishes.moreToDo = true;
+      return;
+    }
+    if (lot.standing && seenUs < turnUs(lot.lot, lot.waiting[i])) {
+      wishes.moreToDo = true;
+      continue;
+    }
+    const std::optional<CarrierPlace> place = carrier->reserve(route->second, lot.standing ? 0 : lot.prefixes[i]);
+    if (!place) {
+      wishes.moreToDo = true;
+      return;
+    }
+    wishes.command.wishes.push_back({lot.lot, lot.waiting[i], place->worker, place->slotCap});
+    wishes.places.push_back(*place);
+    wishes.lots.push_back(&lot);
+    wishes.passed += lot.standing ? 1 : 0;
+  }
+}
+
+Job<bool> Scheduler::grant(WorkVerdict work) {
   refreshRing();
-  if (draining_ || !work.certain || control_.evacuated(zone_)) co_return Done{};
-  GrantRuns command;
-  command.node = desk_.self();
-  command.licenceUs = plan_.licenceUs;
-  std::vector<Route> routes;
-  bool moreToDo = false;
+  absl::flat_hash_map<std::string, Us> seen;
   for (const OpenLot& lot : work.lots) {
-    if (!atHome(lot.lot)) continue;
-    auto route = control_.routes().find(lot.route);
-    if (route == control_.routes().end()) continue;
-    for (std::size_t i = 0; i < lot.waiting.size(); ++i) {
-      if (running_.contains({lot.lot, lot.waiting[i]})) continue;
-      if (command.wishes.size() >= kWishes || running_.size() + command.wishes.size() >= plan_.mostRunning) {
-        moreToDo = true;
-        break;
-      }
-      NominateWish wish;
-      wish.pool = route->second.pool;
-      wish.adapter = route->second.adapter;
-      wish.spot = lot.prefixes[i];
-      wish.lot = true;
-      const std::optional<Address> chosenWorker = board_.nominate(wish);
-      if (!chosenWorker) {
-        moreToDo = true;
-        break;
-      }
-      board_.take(*chosenWorker, true);
-      const std::uint32_t cap = board_.lotSlots(board_.sights().at(*chosenWorker));
-      command.wishes.push_back({lot.lot, lot.waiting[i], *chosenWorker, cap});
-      routes.push_back(route->second);
-    }
+    auto before = firstSeen_.find(lot.lot);
+    seen.emplace(lot.lot, before != firstSeen_.end() ? before->second : ports_.clock.monoUs());
   }
-  if (moreToDo) seenVersion_ = 0;  // look again soon, news or not
-  if (command.wishes.empty()) co_return Done{};
-  const std::vector<GrantWish> wishes = command.wishes;
-  Job<ChainAnswer> asking = store_.submit(pack(StoreCommand(std::move(command))), kGrantUs);
+  firstSeen_ = std::move(seen);
+  if (draining_ || !work.certain) co_return false;
+  Wishes wishes;
+  wishes.command.node = desk_.self();
+  wishes.command.licenceUs = plan_.licenceUs;
+  for (const OpenLot& lot : work.lots) wishFor(lot, wishes);
+  if (wishes.places.empty()) co_return wishes.moreToDo;
+  const Us askedUs = ports_.clock.monoUs();
+  reserved_ += static_cast<std::uint32_t>(wishes.passed);
+  Job<ChainAnswer> asking = store_.submit(pack(StoreCommand(wishes.command)), kGrantUs);
   ChainAnswer answer = co_await asking;
+  reserved_ -= static_cast<std::uint32_t>(wishes.passed);
   StoreVerdict verdict;
   if (std::holds_alternative<Bytes>(answer)) {
     auto read = unpack<StoreVerdict>(std::get<Bytes>(answer));
     if (auto* given = std::get_if<StoreVerdict>(&read)) verdict = std::move(*given);
   }
-  std::vector<bool> started(wishes.size(), false);
+  std::vector<bool> started(wishes.places.size(), false);
   for (GrantedRun& granted : verdict.granted) {
-    const GrantWish& wish = wishes[granted.wish];
+    const OpenLot& lot = *wishes.lots[granted.wish];
     started[granted.wish] = true;
-    auto run = std::make_shared<Run>();
-    run->name = {wish.lot, wish.item, granted.run};
-    run->worker = wish.worker;
-    run->order.exchange = absl::StrCat(wish.lot, ".", wish.item, ".", granted.run);
-    run->order.route = routes[granted.wish];
-    run->order.prompt = std::move(granted.item.body);
-    run->order.lot = true;
-    running_[{wish.lot, wish.item}] = run;
-    ++counts_.granted;
-    room_.start(runItem(run));
+    auto run = std::make_shared<LotRun>();
+    run->name = {lot.lot, wishes.command.wishes[granted.wish].item, granted.run};
+    run->item = std::move(granted.item);
+    run->route = lot.route;
+    run->host = lot.host;
+    run->takenUs = askedUs - lot.ageUs;
+    run->heardUs = askedUs;
+    run->worker = wishes.places[granted.wish].worker;
+    start(std::move(run), lot.standing ? static_cast<ItemCarrier&>(*runner_) : sealer_);
   }
-  for (std::size_t i = 0; i < wishes.size(); ++i) {
+  for (std::size_t i = 0; i < started.size(); ++i) {
     if (started[i]) continue;
     ++counts_.notGranted;
-    board_.giveBack(wishes[i].worker, true, WorkerBoard::Ending::kLeft);
-    seenVersion_ = 0;
+    ItemCarrier& carrier = wishes.lots[i]->standing ? static_cast<ItemCarrier&>(*runner_) : sealer_;
+    carrier.release(wishes.places[i]);
+    wishes.moreToDo = true;
   }
-  co_return Done{};
+  co_return wishes.moreToDo;
 }
 
-Task Scheduler::runItem(std::shared_ptr<Run> run) {
-  Exchange exchange(ports_, board_);
-  const Us untilUs = ports_.clock.monoUs() + run->order.route.limitUs;
-  Job<WorkEnding> running = exchange.run(run->order, run->worker, untilUs, *run);
-  const WorkEnding ending = co_await running;
-  board_.giveBack(run->worker, true, boardEnding(ending));
-  if (std::holds_alternative<WorkSealed>(ending)) {
+void Scheduler::start(LotRunPtr run, ItemCarrier& carrier) {
+  if (running_.contains({run->name.lot, run->name.item}))  // an older run of it is still under way here
+    return delivery_.drop({run->name, false, false});
+  running_[{run->name.lot, run->name.item}] = run;
+  passed_ += &carrier == runner_.get() ? 1 : 0;
+  run->leaving = draining_;
+  ++counts_.granted;
+  room_.start(carry(std::move(run), &carrier));
+}
+
+Task Scheduler::carry(LotRunPtr run, ItemCarrier* carrier) {
+  Job<ItemEnding> carrying = carrier->carry(run);
+  ItemEnding ending = co_await carrying;
+  if (auto* whole = std::get_if<ItemWhole>(&ending)) {
     ++counts_.sealed;
-    toSeal_.push_back({run->name, false, std::move(run->gathered)});
-  } else if (auto* declined = std::get_if<WorkDeclined>(&ending)) {
+    delivery_.seal({run->name, false, std::move(whole->answer)});
+  } else if (auto* declined = std::get_if<ItemDeclined>(&ending)) {
     ++counts_.refused;
-    toSeal_.push_back({run->name, true, declined->verdict});
+    delivery_.seal({run->name, true, std::move(declined->verdict)});
   } else {
-    ++counts_.dropped;  // partial output goes nowhere
-    auto* broken = std::get_if<WorkBroken>(&ending);
-    auto* lapsed = std::get_if<WorkLapsed>(&ending);
-    toDrop_.push_back({run->name, (broken != nullptr && broken->began) || (lapsed != nullptr && lapsed->began)});
+    ++counts_.dropped;
+    const ItemGivenBack& back = std::get<ItemGivenBack>(ending);
+    delivery_.drop({run->name, back.began, back.failed});
   }
+  passed_ -= carrier == runner_.get() ? 1 : 0;
   running_.erase({run->name.lot, run->name.item});
-  deliverBell_.ring();
   workBell_.ring();
 }
 
-// A task counts as renewed while its request is open at a worker that is still listed.
-Task Scheduler::renew() {
-  while (true) {
-    Pause pause(ports_.alarms, plan_.renewUs);
-    co_await pause;
-    RenewRuns command;
-    command.node = desk_.self();
-    command.licenceUs = plan_.licenceUs;
-    for (const auto& [key, run] : running_)
-      if (board_.listed(run->worker)) command.runs.push_back(run->name);
-    // Sealed here but not yet told to the store: its licence matters still.
-    for (const SealedRun& sealed : toSeal_) command.runs.push_back(sealed.run);
-    if (command.runs.empty()) continue;
-    Job<ChainAnswer> sending = store_.submit(pack(StoreCommand(std::move(command))), plan_.renewUs);
-    co_await sending;
-  }
-}
-
-// What was sealed here is told to the store until the store has it, a part at a time: all that gathered
-// while the store was away may be more than one record holds.
-Task Scheduler::deliver() {
-  while (true) {
-    Hear hear(ports_.alarms, deliverBell_, kSecondUs);
-    co_await hear;
-    while (!toSeal_.empty() || !toDrop_.empty()) {
-      std::size_t sealed = 0;
-      for (std::size_t bytes = 0; sealed < toSeal_.size(); ++sealed) {
-        bytes += toSeal_[sealed].answer.size();
-        if (sealed > 0 && bytes > kDeliverBytes) break;  // a long one goes alone
-      }
-      const std::size_t dropped = sealed > 0 ? 0 : std::min(toDrop_.size(), kDeliverRuns);
-      StoreCommand command;
-      if (sealed > 0) command = SealRuns{{toSeal_.begin(), toSeal_.begin() + static_cast<std::ptrdiff_t>(sealed)}, false};
-      else command = DropRuns{{toDrop_.begin(), toDrop_.begin() + static_cast<std::ptrdiff_t>(dropped)}, false};
-      Job<ChainAnswer> telling = store_.submit(pack(command), kDeliverUs);
-      ChainAnswer answer = co_await telling;
-      auto* failure = std::get_if<ChainFailure>(&answer);
-      if (failure == nullptr) {
-        toSeal_.erase(toSeal_.begin(), toSeal_.begin() + static_cast<std::ptrdiff_t>(sealed));
-        toDrop_.erase(toDrop_.begin(), toDrop_.begin() + static_cast<std::ptrdiff_t>(dropped));
-        continue;
-      }
-      if (failure->trouble == ChainTrouble::kTooLong && sealed == 1) {
-        // No record could ever hold it: the item ends, and its caller is told why.
-        toSeal_.front().refused = true;
-        toSeal_.front().answer = "{\"verdict\":\"answer_too_long\"}";
-        continue;
-      }
-      Pause pause(ports_.alarms, kAgainUs);
-      co_await pause;
-    }
-  }
-}
-
 }  // namespace stonemount
--- a/src/node/scheduler.h
+++ b/src/node/scheduler.h
@@ -1,11 +1,13 @@
-// The scheduler of lots: takes items that are at home here, runs them, seals them in the store
-// (design.md 9.5).
+// The scheduler of lots: takes items that are at home here, has them carried, keeps their leases up, tells the
+// store what became of them (design.md 9.5, 9.8).
 #pragma once
 
-#include "anvil/client.h"
-#include "lathe/exchange.h"
+#include "compass/ring.h"
+#include "jig/settings.h"
+#include "node/lot_delivery.h"
+#include "node/lot_runner.h"
+#include "node/lot_sealer.h"
 #include "shim/shim.h"
-#include "store/queries.h"
 
 namespace stonemount {
 
@@ -13,29 +15,47 @@
   Us licenceUs = 8 * kSecondUs;
   Us renewUs = kSecondUs;
   std::size_t mostRunning = 64;
+  Us gatherUs = 0;                // how long answers are gathered before the store is told them together
+  Us drainUs = 4 * kSecondUs;     // that items at workers have once the node is to stop
+  LotRunnerPlan runner;
 };
+// For a node that passes items through, within what its deployment promises.
+SchedulerPlan passingPlan(SchedulerPlan plan, const Bounds& bounds);
 struct SchedulerCounts {
-  std::uint64_t granted = 0, sealed = 0, dropped = 0, refused = 0, notGranted = 0;
+  std::uint64_t granted = 0, sealed = 0, dropped = 0, refused = 0, notGranted = 0, over = 0;
 };
 
 class Scheduler {
  public:
   Scheduler(Ports& ports, Desk& desk, TaskRoom& room, ChainClient& store, WorkerBoard& board,
             const ControlState& control, Shim& shim, std::string zone, SchedulerPlan plan);
+  // Standing lots are run here too, their items passed through. To be called before begin().
+  void passThrough(ItemPasser& passer);
   void begin();
-  void drain() { draining_ = true; }
+  void drain();
   std::size_t running() const { return running_.size(); }
-  bool idle() const { return running_.empty() && toSeal_.empty() && toDrop_.empty(); }
+  bool idle() const { return running_.empty() && delivery_.idle(); }
   const SchedulerCounts& counts() const { return counts_; }
+  const LotRunner* runner() const { return runner_.get(); }
+
+  // Places for items of a lot that is about to be handed in here; they come back with startTaken.
+  std::uint32_t reserveAtOnce(std::size_t items);
+  std::uint32_t mostPassed() const { return runner_ == nullptr ? 0 : runner_->plan().mostRunning; }
+  Us licenceUs() const { return plan_.licenceUs; }
+  // What was granted with the lot, asked for at `askedUs`; its items as they were handed in.
+  void startTaken(std::uint32_t reserved, const SubmitLot& lot, const std::vector<GrantedRun>& granted, Us askedUs);
 
  private:
-  struct Run;
+  struct Wishes;
   Task follow();
-  Job<Done> grant(WorkVerdict work);
-  Task runItem(std::shared_ptr<Run> run);
+  Job<bool> grant(WorkVerdict work);  // true: there is more that may soon be taken
+  void wishFor(const OpenLot& lot, Wishes& wishes);
+  void start(LotRunPtr run, ItemCarrier& carrier);
+  Task carry(LotRunPtr run, ItemCarrier* carrier);
   Task renew();
-  Task deliver();
-  bool atHome(const std::string& lot);
+  Task endDrain();
+  bool atHome(const std::string& lot) const;
+  Us turnUs(const std::string& lot, std::uint32_t item) const;
   void refreshRing();
   Ports& ports_;
   Desk& desk_;
@@ -47,10 +67,14 @@
   std::string zone_;
   SchedulerPlan plan_;
   Ring nodes_;
-  std::map<std::pair<std::string, std::uint32_t>, std::shared_ptr<Run>> running_;
-  std::vector<SealedRun> toSeal_;
-  std::vector<DroppedRun> toDrop_;
-  Bell deliverBell_, workBell_;
+  LotSealer sealer_;
+  std::unique_ptr<LotRunner> runner_;  // none: standing lots are left to other nodes
+  LotDelivery delivery_;
+  std::map<std::pair<std::string, std::uint32_t>, LotRunPtr> running_;
+  std::size_t passed_ = 0;     // of them, in standing lots
+  std::uint32_t reserved_ = 0;
+  absl::flat_hash_map<std::string, Us> firstSeen_;  // lots with waiting items, and since when it is known here
+  Bell workBell_;
   std::uint64_t seenVersion_ = 0;
   bool draining_ = false;
   SchedulerCounts counts_;
