--- a/src/core/core.h
+++ b/src/core/core.h
@@ -2,8 +2,13 @@
 #pragma once
 
 #include "anvil/member.h"
+#include "clamp/retire.h"
+#include "clamp/steward.h"
 #include "core/control_machine.h"
+#include "core/lister.h"
+#include "core/operator_desk.h"
 #include "gauge/sampler.h"
+#include "jig/platform_list.h"
 #include "jig/settings.h"
 #include "rasp/rebuild.h"
 #include "shim/shim.h"
@@ -14,7 +19,9 @@
   ShimPlan shim;
   MalletPlan mallet;
   GaugePlan gauge;
-  Us listUs = 300 * kMilliUs;
+  Us listUs = 600 * kMilliUs;
+  WorkerListSource* list = nullptr;  // none: the settings' platform, if there is one
+  StewardPlan steward;
 };
 
 class Core {
@@ -27,11 +34,12 @@
   const ControlMachine& machine() const { return machine_; }
   std::uint64_t sentBytes() const { return desk_.sentBytes; }
   const Mallet& mallet() const { return mallet_; }
+  OperatorDesk& operators() { return operators_; }
+  RetireDesk& retireDesk() { return retireDesk_; }
   static constexpr const char* kLister = "lister";
 
  private:
   Task list();
-  Job<Done> carryList();
   Task watchZone();
   void onMet(const Card& card);
   void onView();
@@ -49,7 +57,11 @@
   Mallet mallet_;
   Sampler sampler_;
   Rebuilder rebuilder_;
-  std::uint64_t listedVersion_ = 0;
+  PlatformListSource ownList_;
+  Lister lister_;
+  OperatorDesk operators_;
+  Steward steward_;
+  RetireByOrder retireDesk_;
   sigc::connection asked_;
 };
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jig/almanac.h"
+#include "jig/platform_list.h"
 #include "jig/rule.h"
 #include "jig/settings.h"
 #include "lathe/fitness.h"
@@ -19,6 +20,7 @@
   GatewayPlan gateway;
   LotDeskPlan lotDesk;
   const WorkerDialect* dialect = nullptr;  // set: requests are passed through to workers that are spoken to in it
+  WorkerListSource* list = nullptr;  // none: the settings' platform, if there is one
 };
 
 class Node {
@@ -78,6 +80,7 @@
   void onNews();
   Task keepNodes();
   Task hearPlatform();
+  bool controlSilent(Us begunUs) const;
   void methodRefused(HttpReply& reply, const char* allowed);
 
   Ports& ports_;
@@ -96,6 +99,8 @@
   std::unique_ptr<LotDesk> lotDesk_;
   Scheduler scheduler_;
   RuleBook rules_;
+  PlatformListSource ownList_;
+  WorkerListSource* list_;
   sigc::connection asked_;
   bool draining_ = false;
 };
