--- a/src/bellows/http_text.cc
+++ b/src/bellows/http_text.cc
@@ -83,9 +83,9 @@
   return name == "connection" || name == "keep-alive" || name == "transfer-encoding" || name == "expect";
 }
 
+// Names in a query are told apart by case; those of headers are not.
 void copyPairs(const evkeyvalq* pairs, HeaderMap& out) {
-  for (const evkeyval* pair = pairs->tqh_first; pair != nullptr; pair = pair->next.tqe_next)
-    out[absl::AsciiStrToLower(pair->key)] = pair->value;
+  for (const evkeyval* pair = pairs->tqh_first; pair != nullptr; pair = pair->next.tqe_next) out[pair->key] = pair->value;
 }
 
 void joinPairs(const evkeyvalq* pairs, HeaderMap& out) {
