--- a/src/anvil/client.cc
+++ b/src/anvil/client.cc
@@ -18,7 +18,12 @@
     needed_ = members_.size() / 2 + 1;
   }
   View newest;
-  bool headHeard() const { return !newest.chain.empty() && answered_.contains(newest.chain.front().address); }
+  // The head of the newest view, and most of its voters: a head that is cut off with nobody takes nothing.
+  bool headHeard() const {
+    std::size_t voters = 0;
+    for (const Seat& voter : newest.voters) voters += answered_.contains(voter.address) ? 1 : 0;
+    return !newest.chain.empty() && voters >= newest.majority() && answered_.contains(newest.chain.front().address);
+  }
 
  protected:
   void heard(std::size_t member, const Bytes& body) override {
@@ -28,7 +33,7 @@
     answered_.insert(members_[member]);
     if (verdict->view.revision > newest.revision) newest = std::move(verdict->view);
   }
-  bool enough() const override { return answered_.size() >= needed_ && (!wantsHead_ || headHeard()); }
+  bool enough() const override { return wantsHead_ ? headHeard() : answered_.size() >= needed_; }
 
  private:
   std::vector<Address> members_;
--- a/src/anvil/client.h
+++ b/src/anvil/client.h
@@ -31,7 +31,7 @@
   const View& view() const { return view_; }
   void learnMember(const Address& member) { members_.insert(member); }
   Job<Done> refresh();
-  // Looks for the newest view, and whether its head can be heard. False: a command sent now would be sent in vain.
+  // Looks for the newest view, and whether its head and most voters can be heard. False: a command sent now would be sent in vain.
   Job<bool> findHead();
 
  private:
--- a/src/core/config_merge.cc
+++ b/src/core/config_merge.cc
@@ -90,12 +90,12 @@
   return result;
 }
 
-ConfigFlaw flawOf(const Route& route, const std::map<std::string, const Pool*>& pools) {
+ConfigFlaw flawOf(const Route& route, const std::map<std::string, const Pool*>& pools, bool poolsGiven) {
   if (route.limitUs <= 0) return ConfigFlaw::kNoTime;
   std::uint64_t weight = route.shares.empty() && !route.pool.empty() ? 1 : 0;
   for (const PoolShare& share : route.shares) weight += share.weight;
   if (weight == 0) return ConfigFlaw::kNoWeight;
-  if (pools.empty()) return ConfigFlaw::kNone;  // pools are not configured at all: they are as they are listed
+  if (pools.empty() && !poolsGiven) return ConfigFlaw::kNone;  // pools are as they are listed
   if (!pools.contains(route.pool)) return ConfigFlaw::kUnknownPool;
   for (const PoolShare& share : route.shares)
     if (!pools.contains(share.pool)) return ConfigFlaw::kUnknownPool;
@@ -139,11 +139,11 @@
   return back;
 }
 
-ConfigFlawFound findFlaw(const ControlState& state, const ConfigStep& step) {
+ConfigFlawFound findFlaw(const ControlState& state, const ConfigStep& step, bool poolsGiven) {
   const std::map<std::string, const Pool*> pools = resultOf(state.pools(), step.pools);
   absl::btree_set<std::pair<std::string_view, std::string_view>> places;
   for (const auto& [name, route] : resultOf(state.routes(), step.changes)) {
-    const ConfigFlaw flaw = flawOf(*route, pools);
+    const ConfigFlaw flaw = flawOf(*route, pools, poolsGiven);
     if (flaw != ConfigFlaw::kNone) return {flaw, name};
     const bool placed = !route->host.empty() || !route->prefix.empty();
     if (placed && !places.insert({route->host, route->prefix}).second) return {ConfigFlaw::kSamePlace, name};
--- a/src/core/config_merge.h
+++ b/src/core/config_merge.h
@@ -16,6 +16,6 @@
   std::string route;
 };
 // Of the state as it would be after the step.
-ConfigFlawFound findFlaw(const ControlState& state, const ConfigStep& step);
+ConfigFlawFound findFlaw(const ControlState& state, const ConfigStep& step, bool poolsGiven);
 
 }  // namespace stonemount
--- a/src/core/control_machine.cc
+++ b/src/core/control_machine.cc
@@ -49,7 +49,7 @@
   if (wish.base != state_.configRevision()) return verdict(ControlOutcome::kConflict);
   ConfigStep step = mergeWish(state_, wish);
   if (step.revision <= state_.configRevision()) return verdict(ControlOutcome::kNotAbove);
-  const ConfigFlawFound found = findFlaw(state_, step);
+  const ConfigFlawFound found = findFlaw(state_, step, wish.poolsGiven);
   if (found.flaw != ConfigFlaw::kNone) {
     ControlVerdict refused = verdict(ControlOutcome::kInvalid);
     refused.flaw = found.flaw;
--- a/src/jig/config_check.h
+++ b/src/jig/config_check.h
@@ -17,6 +17,7 @@
   Revision base = 0;
   Revision next = 0;         // the operator's own number for the new revision; 0: the one after the base
   std::uint64_t digest = 0;  // of the wish as it was handed in; 0: sent again, it is another wish
+  bool poolsGiven = false;   // a pool that is not configured is unknown, even where none at all is
   std::string note;
   std::vector<Route> routes;
   std::vector<std::string> removed;
@@ -24,7 +25,7 @@
   std::vector<std::string> removedPools;
   std::optional<CallerLimits> limits;  // absent: a push takes the standing ones away, a patch leaves them
   std::string given;                   // what else the operator's text held; of a push only
-  STONEMOUNT_PACK(whole, base, next, digest, note, routes, removed, pools, removedPools, limits, given)
+  STONEMOUNT_PACK(whole, base, next, digest, poolsGiven, note, routes, removed, pools, removedPools, limits, given)
 };
 // What is wrong with a configuration as a whole.
 enum class ConfigFlaw : std::uint8_t { kNone, kUnknownPool, kSamePlace, kNoWeight, kNoTime };
