--- a/src/anvil/client.cc
+++ b/src/anvil/client.cc
@@ -20,8 +20,13 @@
   }
   View newest;
   absl::btree_set<Address> silent;
-  bool headHeard() const { return !newest.chain.empty() && !silent.contains(newest.chain.front().address); }
-  bool enough() const override { return answered_ >= needed_ && (!wantsHead_ || headHeard()); }
+  // The head of the newest view, and most of its voters: a head that is cut off with nobody takes nothing.
+  bool headHeard() const {
+    std::size_t voters = 0;
+    for (const Seat& voter : newest.voters) voters += silent.contains(voter.address) ? 0 : 1;
+    return !newest.chain.empty() && voters >= newest.majority() && !silent.contains(newest.chain.front().address);
+  }
+  bool enough() const override { return wantsHead_ ? headHeard() : answered_ >= needed_; }
 
  protected:
   void heard(std::size_t member, const Bytes& body) override {
