--- a/tests/gateway_judge.h
+++ b/tests/gateway_judge.h
@@ -107,6 +107,7 @@
       if (!known || bytes.compare(at, event.size(), event) != 0) return hold(false, "ORDER");
       if (number != from) {
         hold(headerOf(run(*number).ask.headers, platform::kAttempt) == asked_->request.exchange, "MIXED: another request's event");
+        hold(run(*number).deed != PassDeed::kForeign, "MIXED: an answer that told another id");
         hold(run(*number).lastEvent == last, "ORDER: it was not asked to go on there");
         hold(!from || asked_->request.route.resumable, "ORDER: two runs joined");
         if (!from && seal != nullptr) hold(*seal == passSeal(*number), "MIXED: not the first worker's head");
@@ -137,6 +138,7 @@
     const bool big = own.deed == PassDeed::kBig || own.deed == PassDeed::kBigForEvents || own.deed == PassDeed::kBreakBetween;
     const Bytes whole = passBody(*number, big);
     hold(headerOf(own.ask.headers, platform::kAttempt) == asked_->request.exchange, "MIXED: another request's answer");
+    hold(headerOf(answer.headers, platform::kAttempt) == asked_->request.exchange, "MIXED: an answer that told another id");
     hold(headerOf(answer.headers, "x-own") == absl::StrCat("of run ", *number), "MIXED: another answer's head");
     hold(complete ? answer.body == whole && own.whole : whole.compare(0, answer.body.size(), answer.body) == 0, "MIXED: not one run's bytes");
     const std::string length = headerOf(answer.headers, "content-length");
--- a/tests/pool_board_test.cc
+++ b/tests/pool_board_test.cc
@@ -84,8 +84,8 @@
     RC_ASSERT(first == other.take(spot));
     small.board->giveBack(*first, false, PoolBoard::Ending::kWhole);
     other.board->giveBack(*first, false, PoolBoard::Ending::kWhole);
-    RC_ASSERT(small.take(spot) == first);
-    small.board->giveBack(*first, false, PoolBoard::Ending::kWhole);
+    for (int i = 0; i < 3; ++i) RC_ASSERT(small.take(spot) == first);  // though the others have less
+    for (int i = 0; i < 3; ++i) small.board->giveBack(*first, false, PoolBoard::Ending::kWhole);
     ++met[*first];
   }
   RC_ASSERT(met.size() >= 3u);
