--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,12 +3,13 @@
 #pragma once
 
 #include "jig/almanac.h"
+#include "jig/platform_list.h"
 #include "jig/rule.h"
 #include "jig/settings.h"
 #include "lathe/fitness.h"
 #include "lathe/gateway.h"
 #include "lathe/lathe.h"
-#include "node/scheduler.h"
+#include "node/lot_desk.h"
 
 namespace stonemount {
 
@@ -17,7 +18,9 @@
   LathePlan lathe;
   SchedulerPlan scheduler;
   GatewayPlan gateway;
+  LotDeskPlan lotDesk;
   const WorkerDialect* dialect = nullptr;  // set: requests are passed through to workers that are spoken to in it
+  WorkerListSource* list = nullptr;  // none: the settings' platform, if there is one
 };
 
 class Node {
@@ -30,6 +33,7 @@
   // Takes requests: it knows a configuration, is not leaving, and does not go by news from before a freeze.
   bool ready() const { return almanac_.ready() && !draining_ && board_.awake(); }
   Gateway* gateway() { return gateway_.get(); }  // none: nothing is passed through here
+  LotDesk* lotDesk() { return lotDesk_.get(); }    // none: no standing lots are taken here
   sigc::signal<void()>& almanacNews() { return almanac_.news; }
   const Almanac& almanac() const { return almanac_; }
   const Lathe& lathe() const { return lathe_; }
@@ -76,6 +80,7 @@
   void onNews();
   Task keepNodes();
   Task hearPlatform();
+  bool controlSilent(Us begunUs) const;
   void methodRefused(HttpReply& reply, const char* allowed);
 
   Ports& ports_;
@@ -91,8 +96,11 @@
   Lathe lathe_;
   std::unique_ptr<PoolBoard> pools_;  // only where requests are passed through
   std::unique_ptr<Gateway> gateway_;
+  std::unique_ptr<LotDesk> lotDesk_;
   Scheduler scheduler_;
   RuleBook rules_;
+  PlatformListSource ownList_;
+  WorkerListSource* list_;
   sigc::connection asked_;
   bool draining_ = false;
 };
