--- a/src/bench/sim_http.cc
+++ b/src/bench/sim_http.cc
@@ -1,5 +1,8 @@
 #include "bench/sim_http.h"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace stonemount {
@@ -16,6 +19,7 @@
   World& world;
   SimHost* client;
   SimHost* server;
+  HttpVia via;
   SimFlow* flow = nullptr;
   SimReply* reply = nullptr;
   std::deque<HttpPiece> toClient;
@@ -25,6 +29,56 @@
 using ChannelPtr = std::shared_ptr<Channel>;
 void carry(const ChannelPtr& channel, HttpPiece piece);
 void tellGone(const ChannelPtr& channel);
+
+bool isEcho(const HttpVia& via, const HttpPiece& piece) {
+  auto* head = std::get_if<HttpHead>(&piece);
+  if (head == nullptr || via.echoName.empty()) return true;
+  const auto echo = head->headers.find(via.echoName);
+  return echo != head->headers.end() && echo->second == via.echoValue;
+}
+
+std::string encoded(const std::string& text) {
+  std::string out;
+  for (const char letter : text) {
+    const bool plain = absl::ascii_isalnum(static_cast<unsigned char>(letter)) || std::string_view("-._~").find(letter) != std::string_view::npos;
+    if (plain) out += letter;
+    else absl::StrAppend(&out, "%", absl::Hex(static_cast<unsigned char>(letter), absl::kZeroPad2));
+  }
+  return out;
+}
+
+std::string decoded(std::string_view text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const bool coded = text[i] == '%' && i + 2 < text.size();
+    if (coded) out += static_cast<char>(std::strtol(std::string(text.substr(i + 1, 2)).c_str(), nullptr, 16));
+    else out += text[i] == '+' ? ' ' : text[i];
+    if (coded) i += 2;
+  }
+  return out;
+}
+
+// As a real server sees it: the target stands over path and query.
+HttpAsk asReceived(HttpAsk ask) {
+  if (ask.target.empty()) {
+    ask.target = ask.path;
+    for (const auto& [name, value] : ask.query)
+      absl::StrAppend(&ask.target, ask.target.size() == ask.path.size() ? "?" : "&", encoded(name), "=", encoded(value));
+    return ask;
+  }
+  const std::string_view target = ask.target;
+  const std::size_t mark = std::min(target.find('?'), target.size());
+  ask.path = target.substr(0, mark);
+  ask.query.clear();
+  std::string_view rest = target.substr(std::min(mark + 1, target.size()));
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(pair.size() + 1, rest.size()));
+    const std::size_t even = std::min(pair.find('='), pair.size());
+    if (even > 0) ask.query[decoded(pair.substr(0, even))] = decoded(pair.substr(std::min(even + 1, pair.size())));
+  }
+  return ask;
+}
 }  // namespace
 
 class SimFlow : public HttpFlow {
@@ -57,7 +111,9 @@
     chunk(body);
     end();
   }
+  void abort() override { carry(channel_, HttpBroken{false}); }
   std::size_t backlogBytes() const override { return 0; }
+
  private:
   ChannelPtr channel_;
 };
@@ -129,6 +185,11 @@
 
 void carry(const ChannelPtr& channel, HttpPiece piece) {
   if (channel->ended) return;
+  const bool ours = isEcho(channel->via, piece);
+  if (!ours) {  // nothing of it is handed on, and the channel is closed
+    piece = HttpBroken{false};
+    tellGone(channel);
+  }
   channel->ended = std::holds_alternative<HttpEnd>(piece) || std::holds_alternative<HttpBroken>(piece);
   if (channel->flow == nullptr) return;
   auto* data = std::get_if<HttpData>(&piece);
@@ -146,9 +207,10 @@
 }
 }  // namespace
 
-std::unique_ptr<HttpFlow> openSimFlow(World& world, SimHost& client, const Address& address, const HttpAsk& ask) {
+std::unique_ptr<HttpFlow> openSimFlow(World& world, SimHost& client, const Address& address, const HttpAsk& ask,
+                                      const HttpVia& via) {
   SimHost* server = world.hostByHttp(address);
-  auto channel = std::make_shared<Channel>(Channel{world, &client, server != nullptr ? server : &client});
+  auto channel = std::make_shared<Channel>(Channel{world, &client, server != nullptr ? server : &client, via});
   auto flow = std::make_unique<SimFlow>(channel);
   const bool cut = server != nullptr && (world.cut(client, *server) || world.cut(*server, client));
   if (server == nullptr || !server->up() || cut) {
@@ -157,7 +219,7 @@
     return flow;
   }
   const Us atUs = world.nowUs() + 3 * world.latency(client, *server);
-  world.schedule(atUs, server, std::make_unique<AskEvent>(channel, ask));
+  world.schedule(atUs, server, std::make_unique<AskEvent>(channel, asReceived(ask)));
   return flow;
 }
 
--- a/src/bench/world.cc
+++ b/src/bench/world.cc
@@ -68,8 +68,8 @@
   world_.schedule(atUs, to, std::make_unique<FrameEvent>(world_, *this, *to, std::move(frame)));
 }
 
-std::unique_ptr<HttpFlow> SimHost::open(const Address& server, const HttpAsk& ask) {
-  return openSimFlow(world_, *this, server, ask);
+std::unique_ptr<HttpFlow> SimHost::open(const Address& server, const HttpAsk& ask, const HttpVia& via) {
+  return openSimFlow(world_, *this, server, ask, via);
 }
 
 void SimHost::rise() {
--- a/src/bench/world.h
+++ b/src/bench/world.h
@@ -29,7 +29,8 @@
   void disarm(Continuation& continuation) override;
   Address self() const override { return wire_; }
   void post(const Address& partner, Bytes frame) override;
-  std::unique_ptr<HttpFlow> open(const Address& server, const HttpAsk& ask) override;
+  std::unique_ptr<HttpFlow> open(const Address& server, const HttpAsk& ask) override { return open(server, ask, {}); }
+  std::unique_ptr<HttpFlow> open(const Address& server, const HttpAsk& ask, const HttpVia& via) override;
 
   Ports ports() { return {*this, *this, *this, *this, *this, disk.get(), chance}; }
   const std::string& name() const { return name_; }
