--- a/src/anvil/member.h
+++ b/src/anvil/member.h
@@ -110,6 +110,7 @@
   bool heardLately(const Address& partner) const;
   bool suspicion(const Seat& one, const Seat& other) const;
   bool aliveSeat(const Seat& seat) const;
+  bool hearsAll() const;
   bool healthySeat(const Seat& seat) const;
   std::optional<View> wantedView() const;
   std::optional<View> viewFromHolder() const;
--- a/src/anvil/mender.cc
+++ b/src/anvil/mender.cc
@@ -76,6 +76,13 @@
   return pong.incarnation == seat.incarnation && pong.standing != Standing::kBroken;
 }
 
+bool Member::hearsAll() const {
+  for (const std::vector<Seat>* seats : {&memory_.view.voters, &memory_.view.guests})
+    for (const Seat& seat : *seats)
+      if (!aliveSeat(seat)) return false;
+  return !memory_.view.voters.empty();
+}
+
 // Neighbours in the chain must reach each other both ways, whatever the proposer itself can reach.
 bool Member::suspicion(const Seat& one, const Seat& other) const {
   const std::vector<Address>& ones = partners_.at(one.address).pong.suspects;
@@ -214,7 +221,8 @@
     // After a freeze everyone looks dead; hear from them again first.
     if (nowUs - lastUs > plan_.suspectUs / 2) blindUntilUs_ = nowUs + plan_.suspectUs;
     lastUs = nowUs;
-    if (nowUs < blindUntilUs_ || proposing_ || !votes(memory_.view.revision)) continue;
+    // (Who has heard from all already suspects nobody: after a restart of the whole chain there is nothing to wait for.)
+    if ((nowUs < blindUntilUs_ && !hearsAll()) || proposing_ || !votes(memory_.view.revision)) continue;
     std::optional<View> wanted = wantedView();
     if (!wanted) {
       needSinceUs_ = -1;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -15,7 +15,7 @@
 
 Node::Node(Ports& ports, Settings settings, NodePlan plan)
     : ports_(ports), settings_(std::move(settings)), desk_(ports.alarms, ports.wire, ports.chance),
-      shim_(ports, desk_, room_, plan.shim), core_(ports, desk_, {}), store_(ports, desk_, {}),
+      shim_(ports, desk_, room_, plan.shim), core_(ports, desk_, plan.dialect != nullptr ? settings_.seeds : std::vector<Address>()), store_(ports, desk_, {}),
       almanac_(ports, desk_, room_, core_, shim_),
       board_(ports.clock, almanac_.state(), {settings_.zone, settings_.wire}), fitness_(ports, room_, board_),
       lathe_(ports, room_, board_, almanac_.state(), plan.lathe, hexText(ports.chance.next())),
