--- a/src/lathe/gateway.h
+++ b/src/lathe/gateway.h
@@ -49,6 +49,8 @@
   void refuse(Caller& caller, const char* why);
   void fail(Caller& caller, int status, const char* why);
   void onRoom();
+  Us againUs() const;
+  static constexpr Us kLeastLeftUs = 5 * kMilliUs;  // no try is begun with less
   std::string poolOf(const Route& route, const std::string& exchange) const;
   Ports& ports_;
   TaskRoom& room_;
--- /dev/null
+++ b/src/lathe/gateway_caller.h
@@ -0,0 +1,66 @@
+// One live request on its way through the gateway (design.md 9.6). For the gateway's own files.
+#pragma once
+
+#include "lathe/gateway.h"
+
+namespace stonemount {
+
+// Headers that concern more than one connection.
+HeaderMap passedOn(const HeaderMap& given);
+
+struct Gateway::Caller : public PassSink, public sigc::trackable {
+  void head(const HttpHead& given) override {
+    if (begun) return;  // where it goes on at another worker, the first one's head stands
+    head_ = given;
+    gathered.clear();
+  }
+  void bytes(const Bytes& data) override {
+    if (begun) {
+      reply->chunk(data);
+      if (left()) knock.ring();
+      return;
+    }
+    gathered += data;
+    if (gathered.size() <= kWholeBound) return;
+    begin();
+    reply->chunk(gathered);
+    gathered.clear();
+  }
+  void event(PassEvent&& event) override {
+    begin();
+    series = true;
+    lastEvent = event.id;
+    reply->chunk(event.raw);
+    if (left()) knock.ring();
+  }
+  bool left() const override { return gone || (begun && reply->backlogBytes() > kBacklogBound); }
+  Bell& bell() override { return knock; }
+  void onGone() {
+    gone = true;
+    knock.ring();
+  }
+  void begin() {
+    if (std::exchange(begun, true)) return;
+    HeaderMap headers = passedOn(head_.headers);
+    auto length = head_.headers.find("content-length");
+    if (length != head_.headers.end()) headers["content-length"] = length->second;
+    reply->begin(head_.status, headers);
+  }
+  static constexpr std::size_t kBacklogBound = 4 << 20;  // a caller that does not read is as good as gone
+  static constexpr std::size_t kWholeBound = 1 << 20;    // an answer up to here is given only once it is whole
+  LiveRequest request;
+  ReplyPtr reply;
+  HttpHead head_;
+  Bytes gathered;
+  Bell knock;
+  PoolWish wish;
+  std::optional<std::uint64_t> lastEvent;
+  std::optional<Address> worker;
+  Us enteredUs = 0, limitAtUs = 0, holdUntilUs = 0;
+  std::uint32_t sends = 0;
+  std::uint64_t number = 0;
+  bool series = false;  // events went out to it
+  bool gone = false, begun = false, mayHaveRun = false;
+};
+
+}  // namespace stonemount
--- a/src/lathe/passage.cc
+++ b/src/lathe/passage.cc
@@ -18,7 +18,8 @@
   worker_ = worker;
   lastEvent_ = order.lastEvent;
   const Us untilUs = ports_.clock.monoUs() + order.limitUs;
-  dialect_.direct(order.ask, board_.lifeOf(worker), order.limitUs, order.lastEvent);
+  const std::string life = board_.lifeOf(worker);
+  dialect_.direct(order.ask, life, order.limitUs, order.lastEvent);
   std::unique_ptr<HttpFlow> flow = ports_.httpOut.open(worker, order.ask, dialect_.via(order.exchange));
   order.ask = HttpAsk();
   flow->piece.connect(sigc::mem_fun(*this, &Passage::put));
@@ -37,6 +38,7 @@
     co_await hear;
   }
   flow.reset();
+  if (board_.lifeOf(worker) != life) told_ = PoolBoard::Ending::kLeft;  // of its former life; says nothing of this one
   board_.giveBack(worker, order.lot, told_);
   co_return std::move(*ending_);
 }
@@ -67,12 +69,15 @@
   if (word_.word == WorkerWord::kForeign) return end(PassBroken{true}, PoolBoard::Ending::kBroken);
   if (word_.word != WorkerWord::kSealed) return;
   series_ = isSeries(head);
+  // Where it goes on after an event, only events can follow.
+  if (lastEvent_ && !series_) return end(PassBroken{true}, PoolBoard::Ending::kBroken);
   sink_->head(head);
 }
 
 void Passage::takeData(const Bytes& bytes) {
   if (word_.word != WorkerWord::kSealed) {
-    if (failure_.size() + bytes.size() <= kFailureBytes) failure_ += bytes;
+    failure_ += bytes;
+    if (failure_.size() > kFailureBytes) end(PassBroken{true}, PoolBoard::Ending::kWhole);  // ran; too long to be kept
     return;
   }
   if (!series_) return sink_->bytes(bytes);
@@ -93,7 +98,7 @@
       return end(PassWhole{head_.status}, PoolBoard::Ending::kWhole);
     case WorkerWord::kNotRun: return end(PassNotRun{}, PoolBoard::Ending::kRefused);
     case WorkerWord::kOtherLife: return end(PassNotRun{}, PoolBoard::Ending::kOtherLife);
-    case WorkerWord::kDeclined: return end(PassDeclined{}, PoolBoard::Ending::kWhole);
+    case WorkerWord::kDeclined: return end(PassDeclined{head_, std::move(failure_)}, PoolBoard::Ending::kWhole);
     case WorkerWord::kFailed: return end(PassFailed{head_.status, head_, std::move(failure_)}, PoolBoard::Ending::kWhole);
     case WorkerWord::kForeign: return end(PassBroken{true}, PoolBoard::Ending::kBroken);
   }
--- a/src/lathe/passage.h
+++ b/src/lathe/passage.h
@@ -22,7 +22,7 @@
 struct PassWhole { int status = 0; };           // a whole 2xx answer with its seal
 struct PassNotRun { Us againUs = 0; };          // proven: no worker ran it (refused, unsent, none had room)
 struct PassFailed { int status = 0; HttpHead head; Bytes body; };  // the worker's own whole failure: it ran
-struct PassDeclined {};                          // 422: it can never be done
+struct PassDeclined { HttpHead head; Bytes body; };  // it can never be done
 struct PassBroken { bool began = true; };        // may have run; not whole
 struct PassLapsed { bool sent = false; };        // limitUs passed
 using PassEnding = std::variant<PassWhole, PassNotRun, PassFailed, PassDeclined, PassBroken, PassLapsed>;
