--- a/src/bellows/http_in.cc
+++ b/src/bellows/http_in.cc
@@ -61,7 +61,6 @@
       release();
       sendBody(503, "{\"verdict\":\"stopping\"}\n");
     }
-    --state_->open;
   }
   void begin(int status, const HeaderMap& headers) override {
     if (standing_ != Standing::kOpen) return;
@@ -110,9 +109,13 @@
     standing_ = Standing::kSent;
     self_ = shared_from_this();  // until the kernel has it, so that a process that ends can wait for that
   }
+  void over() {
+    standing_ = Standing::kOver;
+    --state_->open;
+  }
   // evhttp knows us no more.
   void release() {
-    standing_ = Standing::kOver;
+    over();
     evhttp_connection_set_closecb(channel_, nullptr, nullptr);
     evhttp_request_set_on_complete_cb(request_, nullptr, nullptr);
     awaitNext();
@@ -139,7 +142,7 @@
     ReplyEv& self = *static_cast<ReplyEv*>(given);
     const std::shared_ptr<ReplyEv> kept = std::move(self.self_);
     const bool unsent = self.standing_ != Standing::kSent;
-    self.standing_ = Standing::kOver;
+    self.over();
     self.channel_ = nullptr;
     // A request that evhttp has parted from its channel is ours to free; any other goes with the channel.
     if (unsent && evhttp_request_get_connection(self.request_) == nullptr) evhttp_request_free(self.request_);
