--- a/src/bellows/loop.h
+++ b/src/bellows/loop.h
@@ -7,6 +7,8 @@
 
 namespace stonemount {
 
+// Alarms never come early; they come a few milliseconds late, since libevent's own clock is the coarse one (the
+// precise one costs a system call a turn). Those armed for now come in the same turn of the loop.
 class Loop : public Clock, public Alarms {
  public:
   Loop();
