--- a/src/jig/control_state.h
+++ b/src/jig/control_state.h
@@ -1,7 +1,7 @@
 // What control keeps and carries to all: configuration, zones, workers (design.md 7.1).
 #pragma once
 
-#include "vise/pack.h"
+#include "jig/sparse.h"
 
 namespace stonemount {
 
@@ -39,8 +39,12 @@
   std::string given;               // the operator's own text of it, to be read back
   std::uint64_t order = 0;         // where it stands in the operator's text, beside the others
   Revision changed = 0;
-  STONEMOUNT_PACK(name, kind, pool, limitUs, prefixBytes, adapter, lots, when, otherwise, host, prefix, shares, targetUs,
-                  gapTargetUs, completionUs, retentionUs, attempts, precedence, affinity, resumable, given, order, changed)
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name, kind, limitUs, prefixBytes);
+    packSparse(archive, pool, adapter, lots, when, otherwise, host, prefix, shares, targetUs, gapTargetUs, completionUs,
+               retentionUs, attempts, precedence, affinity, resumable, given, order, changed);
+  }
 };
 
 // What is configured of a pool of workers.
