--- a/src/lathe/worker_board.h
+++ b/src/lathe/worker_board.h
@@ -63,6 +63,7 @@
   void setLiveWaiting(bool waiting) { liveWaiting_ = waiting; }
   std::uint32_t lotSlots(const WorkerSight& sight) const;
   void setLeavingMarks(absl::btree_set<Address> marks, Us askedUs);
+  bool markedLeaving(const Address& worker) const { return leavingMarks_.contains(worker); }
   // Control answered a question that was asked then.
   void controlHeard(Us askedUs) { controlHeardUs_ = std::max(controlHeardUs_, askedUs); }
   void setNodes(std::vector<Address> nodes);
