--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -206,6 +206,23 @@
   const ControlVerdict refused = give(machine, away);
   RC_ASSERT(refused.outcome == ControlOutcome::kInvalid && refused.flaw == ConfigFlaw::kUnknownPool && refused.flawed == "a");
 }
+
+ControlOutcome list(ControlMachine& machine, std::uint64_t number, bool numbered, const std::string& life) {
+  ControlCommand command = PutWorkers{number, numbered, {{{1, 1}, "p", "z", 1, false, life}}};
+  auto read = unpack<ControlVerdict>(machine.apply(pack(command)));
+  return std::get<ControlVerdict>(read).outcome;
+}
+
+// Of two lists from the same number on, only the first is taken: the other may have been heard before it.
+void listsAreFenced() {
+  ControlMachine machine;
+  RC_ASSERT(list(machine, 1, true, "old") == ControlOutcome::kDone);
+  RC_ASSERT(list(machine, 2, true, "new") == ControlOutcome::kDone);
+  RC_ASSERT(list(machine, 2, true, "old") == ControlOutcome::kOlder);
+  RC_ASSERT(list(machine, 1, false, "old") == ControlOutcome::kOlder);
+  RC_ASSERT(machine.state().workers().begin()->second.life == "new");
+  RC_ASSERT(list(machine, 2, false, "new") == ControlOutcome::kUnchanged);
+}
 }  // namespace
 
 int main() {
@@ -215,5 +232,6 @@
   well &= rc::check("the rest is kept", theRestIsKept);
   well &= rc::check("damaged bodies", damagedBodies);
   well &= rc::check("own terms", ownTerms);
+  well &= rc::check("lists are fenced", listsAreFenced);
   return well ? 0 : 1;
 }
