--- a/src/chisel/process.cc
+++ b/src/chisel/process.cc
@@ -67,6 +67,7 @@
  public:
   NodeFarewell(Loop& loop, Node& node, platform::Front* front, Us graceUs)
       : loop_(loop), node_(node), front_(front), graceUs_(graceUs) { loop_.farewell = this; }
+  void watch(HttpInEv& frontIn) { frontIn_ = &frontIn; }  // it is done once every answer has left
   ~NodeFarewell() override {
     loop_.farewell = nullptr;
     loop_.disarm(*this);
@@ -80,7 +81,8 @@
       untilUs_ = nowUs + graceUs_ - kLastUs;
       quietFromUs_ = nowUs + (front_ != nullptr ? std::min(kUnseenUs, graceUs_ / 2) : 0);
     }
-    if ((node_.idle() && nowUs >= quietFromUs_) || nowUs >= untilUs_) loop_.stop();
+    const bool idle = node_.idle() && (frontIn_ == nullptr || frontIn_->openRequests() == 0);
+    if ((idle && nowUs >= quietFromUs_) || nowUs >= untilUs_) loop_.stop();
     else loop_.arm(50 * kMilliUs, *this);
   }
 
@@ -90,6 +92,7 @@
   Loop& loop_;
   Node& node_;
   platform::Front* front_;
+  HttpInEv* frontIn_ = nullptr;
   Us graceUs_;
   Us untilUs_ = 0;
   Us quietFromUs_ = 0;
@@ -138,6 +141,7 @@
   std::unique_ptr<platform::Front> front;
   if (settings.front.set()) front = std::make_unique<platform::Front>(node, frontIn, settings.readiness.set() ? &readinessIn : nullptr);
   NodeFarewell farewell(loop, node, front.get(), settings.bounds.graceUs);
+  if (front != nullptr) farewell.watch(frontIn);
   serve(loop, node);
   return 0;
 }
--- a/src/lathe/gateway_answer.cc
+++ b/src/lathe/gateway_answer.cc
@@ -21,6 +21,7 @@
   HeaderMap kept;
   for (const auto& [name, value] : given)
     if (!concernsChannel(name)) kept.emplace(name, value);
+  kept.try_emplace("content-type", "");  // none came, none goes on
   return kept;
 }
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -29,6 +29,7 @@
   board.coldOverPercent = settings_.bounds.coldOverPercent;
   board.coldSlack = settings_.bounds.coldSlack;
   pools_ = std::make_unique<PoolBoard>(ports.clock, almanac_.state(), board);
+  pools_->gone.connect(sigc::mem_fun(*this, &Node::onWorkerGone));
   gateway_ = std::make_unique<Gateway>(ports, room_, *pools_, almanac_.state(), *plan.dialect, plan.gateway);
   scheduler_.passThrough(*gateway_);
   lotDesk_ = std::make_unique<LotDesk>(ports, desk_, store_, scheduler_, almanac_.state(), plan.lotDesk);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -78,6 +78,7 @@
   void chainFailed(HttpReply& reply, const ChainFailure& failure, bool command);
   void onMet(const Card& card);
   void onNews();
+  void onWorkerGone(const Address& worker) { ports_.httpOut.closeKept(worker); }
   Task keepNodes();
   Task hearPlatform();
   bool controlSilent(Us begunUs) const;
