--- a/src/clamp/seats.cc
+++ b/src/clamp/seats.cc
@@ -93,10 +93,12 @@
   }
   if (staying != members.size() || outlivesZones(need.view.voters)) return {};
   // All are well, but one zone holds too many votes: a newcomer elsewhere takes one of them.
-  for (const Seat& seat : need.fit)
-    for (auto old = need.view.voters.rbegin(); old != need.view.voters.rend(); ++old)
-      if (old->zone != seat.zone && outlivesZones(changed(need, &seat, old->address).voters))
-        return {seat.address, old->address};
+  for (const Seat& seat : need.fit) {
+    for (auto old = need.view.voters.rbegin(); old != need.view.voters.rend(); ++old) {
+      const View after = changed(need, &seat, old->address);
+      if (after.voters.size() >= need.view.voters.size() && outlivesZones(after.voters)) return {seat.address, old->address};
+    }
+  }
   return {};
 }
 
