A checkpoint's own parts no longer call for the next one

Cause: bytes since the checkpoint counted the checkpoint itself, so a state above an eighth of the ring was written over and over, and the head refused all else as ring_full. Seen in lots_test (answersGather).

--- a/src/drawer/ring.cc
+++ b/src/drawer/ring.cc
@@ -46,7 +46,10 @@
   lastSum_ = getNumber<std::uint32_t>(record, kHeaderBytes - 4);
   disk_.write(file_, offset_, std::move(record));
   offset_ += length;
-  sinceCheckpoint_ += length;
+  // A checkpoint's own parts are no reason for the next one: a state above an eighth of the ring would be written
+  // over and over, and all else refused meanwhile.
+  const bool ofCheckpoint = kind == RecordKind::kCheckpointPart || kind == RecordKind::kCheckpointEnd;
+  if (!ofCheckpoint) sinceCheckpoint_ += length;
   lastKind_ = kind;
   if (spans_[file_].first == 0) spans_[file_].first = sequence;
   spans_[file_].last = sequence;
