Retire goes by copies and count: an order stands where one zone would hold most of the rest

The check of seats is as strict: only by order, only without a newcomer that could keep it, and two zones stay.

--- a/src/clamp/retire.cc
+++ b/src/clamp/retire.cc
@@ -47,7 +47,8 @@
   co_return std::get<MemberOrders>(std::move(read));
 }
 
-// Enough must stay that, with another loss right after it is gone, most voters are left, in two zones.
+// Enough must stay that, with another loss right after it is gone, most voters are left, and all that was
+// acknowledged is in two zones. That one zone might hold most of them then is the operator's choice.
 // A live machine that holds no seat yet counts: the order is complete only when it has one.
 Job<RetireOutcome> RetireByOrder::retire(std::string machine) {
   const Card* card = cardOf(machine);
@@ -62,15 +63,13 @@
   command.machine = machine;
   command.address = card->wire;
   command.needed = static_cast<std::uint32_t>(needed_);
-  std::vector<Seat> with, rest;
+  std::vector<Seat> rest;
   for (const Card& other : shim_.alive(Role::kStore)) {
-    with.push_back({other.wire, 0, other.zone});
     if (other.wire == command.address || other.draining) continue;
     command.rest.push_back(other.wire);
-    rest.push_back(with.back());
+    rest.push_back({other.wire, 0, other.zone});
   }
-  const bool spread = outlivesZones(spreadSeats(rest, needed_)) || !outlivesZones(spreadSeats(with, needed_));
-  if (!spread) command.rest.clear();  // the chain still answers, should it have been ordered before
+  if (!spansZones(rest)) command.rest.clear();  // the chain still answers, should it have been ordered before
   ControlCommand wrapped = command;
   Job<ChainAnswer> sending = core_.submit(pack(wrapped), kOrderLimitUs);
   ChainAnswer answer = co_await sending;
--- a/src/clamp/seats.cc
+++ b/src/clamp/seats.cc
@@ -62,8 +62,11 @@
     const View after = changed(need, &seat, old.address);
     if (after.voters.size() >= need.view.voters.size() && keepsZones(need.view, after)) best.weigh(seat, after);
   }
-  if (best.add == nullptr) return {};
-  return {best.add->address, old.address};
+  if (best.add != nullptr) return {best.add->address, old.address};
+  // An operator's order stands even where a zone's loss could stop the rest for a while, as long as what was
+  // acknowledged stays in two zones and enough members remain (design.md 6.10).
+  const bool ordered = need.retired.contains(old.address) && spansZones(alone.voters);
+  return ordered && alone.voters.size() >= floor ? ChangeVoters{Address(), old.address} : ChangeVoters{};
 }
 }  // namespace
 
