--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -32,6 +32,7 @@
   pools_->gone.connect(sigc::mem_fun(*this, &Node::onWorkerGone));
   gateway_ = std::make_unique<Gateway>(ports, room_, *pools_, almanac_.state(), *plan.dialect, plan.gateway);
   scheduler_.passThrough(*gateway_);
+  plan.lotDesk.keepUs = std::max(plan.lotDesk.keepUs, settings_.bounds.statusUs + settings_.bounds.statusUs / 4);
   lotDesk_ = std::make_unique<LotDesk>(ports, desk_, store_, scheduler_, almanac_.state(), plan.lotDesk);
 }
 
