--- a/src/lathe/gateway.cc
+++ b/src/lathe/gateway.cc
@@ -152,10 +152,12 @@
   PoolWish wish;
   wish.pool = order.pool;
   wish.spot = order.spot;
-  wish.lot = order.lot;  // an urgent item yields to nobody
+  wish.lot = true;
+  wish.urgent = order.urgent;
   const std::optional<Address> chosenWorker = board_.choose(wish);
   if (!chosenWorker || order.limitUs < kLeastLeftUs) co_return PassNotRun{50 * kMilliUs};
-  board_.take(*chosenWorker, order.lot);
+  order.lot = true;
+  board_.take(*chosenWorker, true);
   Passage passage(ports_, board_, dialect_);
   Job<PassEnding> passing = passage.run(std::move(order), *chosenWorker, sink);
   PassEnding ending = co_await passing;
--- a/src/lathe/passage.h
+++ b/src/lathe/passage.h
@@ -16,6 +16,7 @@
   std::uint32_t tokens = 0;
   std::optional<std::uint64_t> lastEvent;  // go on after this event
   bool lot = false;
+  bool urgent = false;    // of a lot: short of time
   Us limitUs = 0;         // that it may take from now on
 };
 
--- a/src/lathe/pool_board.cc
+++ b/src/lathe/pool_board.cc
@@ -5,7 +5,9 @@
 namespace stonemount {
 
 namespace {
-constexpr Us kToldHalvesUs = kSecondUs;  // what was told of others' requests counts half after each
+constexpr Us kToldKeepsUs = 2 * kSecondUs;  // what was told of others' requests stands so long,
+constexpr Us kToldHalvesUs = kSecondUs;     // then counts half after each
+constexpr std::uint32_t kLeastLots = 4;     // at workers, whatever the share
 constexpr std::uint32_t kSpareUse = 2;   // over the mean, before a spot's worker is passed over
 }  // namespace
 
@@ -54,7 +56,7 @@
   const std::uint32_t all = worker.told.running + worker.told.waiting;
   std::uint32_t others = all > worker.inFlightAtTold ? all - worker.inFlightAtTold : 0;
   const Us ageUs = clock_.monoUs() - worker.toldUs;
-  others >>= std::min<Us>(ageUs / kToldHalvesUs, 31);
+  if (ageUs > kToldKeepsUs) others >>= std::min<Us>((ageUs - kToldKeepsUs) / kToldHalvesUs + 1, 31);
   return others + worker.inFlight();
 }
 
@@ -75,7 +77,7 @@
 
 // Requests that share a prompt meet where it is kept, unless that worker has clearly more to do than the
 // others; all else goes where least is.
-const PoolWorker* PoolBoard::pickFrom(const Pick& pick, const PoolWish& wish) const {
+const PoolWorker* PoolBoard::pickFrom(const Pick& pick, std::uint64_t spot) const {
   std::uint64_t sum = 0;
   for (const PoolWorker* worker : pick) sum += use(*worker);
   const std::uint64_t most = pick.empty() ? 0 : sum * 5 / (4 * pick.size()) + kSpareUse;
@@ -83,9 +85,9 @@
   std::uint64_t chosenRank = 0;
   for (const PoolWorker* worker : pick) {
     const std::uint64_t hash = spread(std::string_view(reinterpret_cast<const char*>(&worker->listed.address.ip), 4),
-                                      wish.spot + worker->listed.address.port);
+                                      spot + worker->listed.address.port);
     std::uint64_t rank = hash >> 8;
-    if (wish.spot == 0) rank = (static_cast<std::uint64_t>(use(*worker)) * 1000 / slots(*worker) << 32) + (hash >> 40);
+    if (spot == 0) rank = (static_cast<std::uint64_t>(use(*worker)) * 1000 / slots(*worker) << 32) + (hash >> 40);
     else if (use(*worker) > most) rank |= 1ULL << 60;
     if (chosen != nullptr && rank >= chosenRank) continue;
     chosen = worker;
@@ -98,13 +100,15 @@
 std::optional<Address> PoolBoard::choose(const PoolWish& wish) const {
   auto pool = pools_.find(wish.pool);
   if (pool == pools_.end()) return std::nullopt;
+  std::uint32_t roof = wish.lot && !wish.urgent ? plan_.lotPercent : plan_.calmPercent;
+  if (wish.lot && lotsFull(pool->second)) roof = plan_.idlePercent;
   const Us nowUs = clock_.monoUs();
   Pick tiers[5];
   for (const Address& address : pool->second) {
     const PoolWorker& worker = workers_.at(address);
     if (wish.passedOver.contains(address) || !usable(worker) || !bearsMore(worker)) continue;
     const std::uint64_t percent = 100ULL * (use(worker) + 1) / slots(worker);
-    const bool calm = percent <= (wish.lot ? plan_.lotPercent : plan_.calmPercent) || use(worker) == 0;
+    const bool calm = percent <= roof || use(worker) == 0;
     if (wish.lot && !calm) continue;
     if (percent > plan_.fullPercent && use(worker) > 0) continue;
     const bool own = worker.listed.zone == plan_.zone;
@@ -114,11 +118,26 @@
       tiers[calm ? (own ? 0 : 1) : (own ? 2 : 3)].push_back(&worker);
     }
   }
-  for (const Pick& pick : tiers)
-    if (const PoolWorker* chosen = pickFrom(pick, wish)) return chosen->listed.address;
+  for (std::size_t tier = 0; tier < std::size(tiers); ++tier) {
+    // Where none is calm, a short wait is worth more than a prompt that is kept.
+    const PoolWorker* chosen = pickFrom(tiers[tier], tier < 2 ? wish.spot : 0);
+    if (chosen != nullptr) return chosen->listed.address;
+  }
   return std::nullopt;
 }
 
+// Lots can wait and live requests cannot: each node has its share of what lots may take, so that no crowd of
+// lots fills what workers let in as it comes, before anybody has heard of it.
+bool PoolBoard::lotsFull(const std::vector<Address>& pool) const {
+  std::uint64_t slotsThere = 0, lotsHere = 0;
+  for (const Address& address : pool) {
+    const PoolWorker& worker = workers_.at(address);
+    if (usable(worker)) slotsThere += slots(worker);
+    lotsHere += worker.lots;
+  }
+  return lotsHere >= std::max<std::uint64_t>(kLeastLots, slotsThere * plan_.lotPercent / 100 / nodes_);
+}
+
 bool PoolBoard::serves(const std::string& pool) const {
   auto found = pools_.find(pool);
   if (found == pools_.end()) return false;
--- a/src/lathe/pool_board.h
+++ b/src/lathe/pool_board.h
@@ -11,6 +11,7 @@
   std::string pool;
   std::uint64_t spot = 0;  // of its shared prompt: requests of one spot meet at one worker; 0: none
   bool lot = false;
+  bool urgent = false;     // an item of a lot that is short of time: yields less
   absl::flat_hash_set<Address> passedOver;
 };
 
@@ -33,7 +34,8 @@
   std::uint32_t coldOverPercent = 100;
   std::uint32_t coldSlack = 0;
   std::uint32_t calmPercent = 85;    // of a worker's slots: up to here it gets requests before another zone does
-  std::uint32_t lotPercent = 80;     // up to here lots start
+  std::uint32_t lotPercent = 80;     // up to here lots start; of all slots, all nodes' lots together take no more,
+  std::uint32_t idlePercent = 55;    // but for workers that are known to have less to do than this
   std::uint32_t fullPercent = 140;   // from here on it has no room: what waits there would be late
   Us suspectUs = 400 * kMilliUs;     // doubles with each failure in a row
   Us mostSuspectUs = 4 * kSecondUs;
@@ -60,11 +62,12 @@
 
  private:
   using Pick = std::vector<const PoolWorker*>;
+  bool lotsFull(const std::vector<Address>& pool) const;
   bool usable(const PoolWorker& worker) const;
   bool bearsMore(const PoolWorker& worker) const;
   std::uint32_t slots(const PoolWorker& worker) const;
   std::uint32_t use(const PoolWorker& worker) const;  // of its slots, by all, as far as is known
-  const PoolWorker* pickFrom(const Pick& pick, const PoolWish& wish) const;
+  const PoolWorker* pickFrom(const Pick& pick, std::uint64_t spot) const;
   const Clock& clock_;
   const ControlState& control_;
   PoolBoardPlan plan_;
--- a/src/node/lot_runner.cc
+++ b/src/node/lot_runner.cc
@@ -144,7 +144,8 @@
   order.spot = item.spot;
   order.tokens = item.tokens;
   order.lastEvent = trip.last;
-  order.lot = !urgent(trip, nowUs);
+  order.lot = true;
+  order.urgent = urgent(trip, nowUs);
   order.limitUs = plan_.limitUs;
   return order;
 }
