--- a/src/clamp/steward.cc
+++ b/src/clamp/steward.cc
@@ -55,8 +55,9 @@
       if (card.empty) seats.push_back({card.wire, 0, card.zone});
     const bool late = firstEmptyUs_ >= 0 && nowUs - firstEmptyUs_ > plan_.foundWaitUs;
     const bool enough = seats.size() >= plan_.seats && outlivesZones(spreadSeats(seats, plan_.seats));
-    if (seats.empty() || nowUs - emptiesSinceUs_ < plan_.settledUs || !(enough || (late && spansZones(seats))))
-      co_return Done{};
+    // Views are partial: where there are many processes, the set that one of them sees never stands still.
+    const bool settled = late || nowUs - emptiesSinceUs_ >= plan_.settledUs;
+    if (seats.empty() || !settled || !(enough || (late && spansZones(seats)))) co_return Done{};
     FoundStore command;
     for (const Seat& seat : spreadSeats(seats, plan_.seats)) command.founders.push_back(seat.address);
     ControlCommand wrapped = command;
