--- a/src/clamp/steward.cc
+++ b/src/clamp/steward.cc
@@ -87,6 +87,11 @@
   co_return newer;
 }
 
+std::string Steward::nameAt(const Address& wire) const {
+  auto sight = shim_.sights().find(wire);
+  return sight != shim_.sights().end() ? sight->second.card.machine : std::string();
+}
+
 SeatNeed Steward::needOf(const ChainWatch& watch, const View& view, Role role) const {
   SeatNeed need;
   need.view = view;
@@ -97,13 +102,13 @@
       if (seat.address == desk_.self()) continue;
       if (watch.dead(view, seat.address, nowUs)) need.dead.insert(seat.address);
       if (watch.doubted(seat.address, nowUs)) need.doubted.insert(seat.address);
-      if (role == Role::kStore && machine_.orders().retires(seat.address)) need.retired.insert(seat.address);
+      if (role == Role::kStore && machine_.orders().retires(seat.address, nameAt(seat.address))) need.retired.insert(seat.address);
     }
   }
   for (const Card& card : shim_.alive(role)) {
     const Pong* pong = watch.pong(card.wire, nowUs);
     if (pong == nullptr || findMember(view, card.wire) != nullptr || card.draining) continue;
-    if (role == Role::kStore && machine_.orders().retires(card.wire)) continue;
+    if (role == Role::kStore && machine_.orders().retires(card.wire, card.machine)) continue;
     const bool waits = pong->standing == Standing::kOutside || pong->standing == Standing::kFounding;
     if (waits && pong->stalledUs == 0) need.fit.push_back({card.wire, pong->incarnation, card.zone});
   }
@@ -118,7 +123,7 @@
   if (!std::holds_alternative<Bytes>(answer)) co_return false;
   auto read = unpack<MemberOrders>(std::get<Bytes>(answer));
   auto* orders = std::get_if<MemberOrders>(&read);
-  co_return orders != nullptr && !orders->retires(add);
+  co_return orders != nullptr && !orders->retires(add, nameAt(add));
 }
 
 Job<bool> Steward::tend(ChainClient& client, ChainWatch& watch, View view, Role role) {
--- a/src/clamp/steward.h
+++ b/src/clamp/steward.h
@@ -40,6 +40,7 @@
   Job<bool> peek(const View& view);       // the store's members and those who may become one
   Job<bool> tend(ChainClient& client, ChainWatch& watch, View view, Role role);  // true: there is more to do
   Job<bool> ordered(Address add);         // may it be seated, by the control chain's own word?
+  std::string nameAt(const Address& wire) const;  // empty: not known
   SeatNeed needOf(const ChainWatch& watch, const View& view, Role role) const;
   void noteEmpties();
   Ports& ports_;
--- a/src/clamp/watch.cc
+++ b/src/clamp/watch.cc
@@ -39,7 +39,7 @@
 
 const Pong* ChainWatch::pong(const Address& member, Us nowUs) const {
   auto found = sights_.find(member);
-  const bool lately = found != sights_.end() && found->second.asked && nowUs - found->second.heardUs < plan_.doubtUs;
+  const bool lately = found != sights_.end() && found->second.asked && nowUs - found->second.heardUs < plan_.lateUs;
   return lately ? &found->second.pong : nullptr;
 }
 
--- a/src/core/commands.h
+++ b/src/core/commands.h
@@ -85,7 +85,8 @@
 struct MemberOrders {
   std::vector<Address> storeFounders;
   std::deque<RetireOrder> retired;  // newest last
-  bool retires(const Address& address) const;
+  // An address may be another machine's later; a name that is not known (empty) makes no difference.
+  bool retires(const Address& address, const std::string& machine) const;
   STONEMOUNT_PACK(storeFounders, retired)
 };
 enum class OrderOutcome : std::uint8_t { kDone, kAgain, kTooFew };
--- a/src/core/member_orders.cc
+++ b/src/core/member_orders.cc
@@ -9,9 +9,9 @@
 constexpr std::size_t kRetiredKept = 64;
 }
 
-bool MemberOrders::retires(const Address& address) const {
+bool MemberOrders::retires(const Address& address, const std::string& machine) const {
   for (const RetireOrder& order : retired)
-    if (order.address == address) return true;
+    if (order.address == address && (machine.empty() || order.machine == machine)) return true;
   return false;
 }
 
@@ -27,7 +27,7 @@
     if (order.address == command.address && order.machine == command.machine) return {OrderOutcome::kAgain, orders};
   std::size_t rest = 0;
   for (const Address& address : command.rest)
-    rest += address != command.address && !orders.retires(address) ? 1 : 0;
+    rest += address != command.address && !orders.retires(address, "") ? 1 : 0;
   if (rest < command.needed) return {OrderOutcome::kTooFew, orders};
   orders.retired.push_back({command.machine, command.address});
   if (orders.retired.size() > kRetiredKept) orders.retired.pop_front();
--- a/tests/seats_test.cc
+++ b/tests/seats_test.cc
@@ -100,7 +100,8 @@
   RC_ASSERT(applyOrder(orders, one).outcome == OrderOutcome::kDone);
   RC_ASSERT(applyOrder(orders, one).outcome == OrderOutcome::kAgain);
   RC_ASSERT(applyOrder(orders, two).outcome == OrderOutcome::kTooFew);
-  RC_ASSERT(orders.retires(all[0]) && !orders.retires(all[1]));
+  RC_ASSERT(orders.retires(all[0], "one") && orders.retires(all[0], "") && !orders.retires(all[1], "two"));
+  RC_ASSERT(!orders.retires(all[0], "another at its address"));
   RC_ASSERT(applyOrder(orders, FoundStore{{all[0]}}).outcome == OrderOutcome::kDone);
   RC_ASSERT(applyOrder(orders, FoundStore{{all[2]}}).orders.storeFounders == std::vector<Address>{all[0]});
 }
