--- a/src/clamp/seats.cc
+++ b/src/clamp/seats.cc
@@ -57,16 +57,20 @@
   const std::size_t floor = need.retired.contains(old.address) ? std::min(need.wanted, need.view.voters.size())
                                                                : need.view.voters.size();
   if (alone.voters.size() >= floor && keepsZones(need.view, alone)) return {Address(), old.address};
-  Best best;
+  // An operator's order stands even where a zone's loss could stop the rest for a while, as long as what was
+  // acknowledged stays in two zones and enough members remain (design.md 6.10).
+  const bool ordered = need.retired.contains(old.address);
+  Best best, narrow;
   for (const Seat& seat : need.fit) {
     const View after = changed(need, &seat, old.address);
-    if (after.voters.size() >= need.view.voters.size() && keepsZones(need.view, after)) best.weigh(seat, after);
+    if (after.voters.size() < need.view.voters.size()) continue;
+    if (keepsZones(need.view, after)) best.weigh(seat, after);
+    else if (ordered && spansZones(after.voters)) narrow.weigh(seat, after);
   }
   if (best.add != nullptr) return {best.add->address, old.address};
-  // An operator's order stands even where a zone's loss could stop the rest for a while, as long as what was
-  // acknowledged stays in two zones and enough members remain (design.md 6.10).
-  const bool ordered = need.retired.contains(old.address) && spansZones(alone.voters);
-  return ordered && alone.voters.size() >= floor ? ChangeVoters{Address(), old.address} : ChangeVoters{};
+  if (ordered && alone.voters.size() >= floor && spansZones(alone.voters)) return {Address(), old.address};
+  if (narrow.add != nullptr) return {narrow.add->address, old.address};
+  return {};
 }
 }  // namespace
 
