--- a/src/anvil/member.cc
+++ b/src/anvil/member.cc
@@ -37,12 +37,12 @@
 
 Member::Member(Ports& ports, Desk& desk, TaskRoom& room, Machine& machine, MemberPlan plan)
     : ports_(ports), desk_(desk), room_(room), machine_(machine), plan_(std::move(plan)),
-      self_(desk.self()), drawer_(*ports.disk, ports.alarms, ports.clock),
-      press_(drawer_, ports.alarms, room) {}
+      self_(desk.self()), drawer_(*ports.disk, ports.alarms, ports.clock), press_(drawer_, ports.alarms, room) {}
 
-Member::~Member() = default;
+Member::~Member() { refused_.disconnect(); }
 
 void Member::begin() {
+  refused_ = ports_.wire.refused.connect(sigc::mem_fun(*this, &Member::onRefused));
   desk_.serve(Ping::kKind, sigc::mem_fun(*this, &Member::onPing));
   desk_.serve(Peek::kKind, sigc::mem_fun(*this, &Member::onPeek));
   desk_.serve(ViewAsk::kKind, sigc::mem_fun(*this, &Member::onViewAsk));
--- a/src/anvil/member.h
+++ b/src/anvil/member.h
@@ -111,6 +111,7 @@
   bool suspicion(const Seat& one, const Seat& other) const;
   bool aliveSeat(const Seat& seat) const;
   bool hearsAll() const;
+  void onRefused(const Address& partner);
   bool healthySeat(const Seat& seat) const;
   std::optional<View> wantedView() const;
   std::optional<View> viewFromHolder() const;
@@ -197,6 +198,7 @@
   std::size_t fetchBytes_ = 0;    // asked for at a time; less over a slow link
   bool imageLoose_ = false;       // a fetched state is in memory and not yet on the disk
   Us heldUntilUs_ = 0;            // sealed as a holder: fetches nothing meanwhile
+  sigc::connection refused_;
   std::uint64_t pictureToken_ = 0;
   Us pictureUsedUs_ = 0;
   Revision pictureRevision_ = 0;
--- a/src/anvil/voter.cc
+++ b/src/anvil/voter.cc
@@ -48,6 +48,14 @@
   return sight;
 }
 
+// No process listens at its address: there is no need to wait for its silence.
+void Member::onRefused(const Address& partner) {
+  auto found = partners_.find(partner);
+  if (found == partners_.end() || found->second.heardUs < 0) return;
+  found->second.heardUs = -1;
+  mendBell_.ring();
+}
+
 void Member::onPeek(const Asked& asked) { desk_.reply(asked, pong()); }
 
 void Member::onPing(const Asked& asked) {
--- a/src/bellows/wire_tcp.cc
+++ b/src/bellows/wire_tcp.cc
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <cerrno>
 #include <cstring>
 
 #include "bellows/socket_address.h"
@@ -88,6 +89,7 @@
   Partner& partner = *static_cast<Partner*>(given);
   if (what & BEV_EVENT_CONNECTED) partner.connected = true;
   if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) partner.broken = true;
+  if ((what & BEV_EVENT_ERROR) && EVUTIL_SOCKET_ERROR() == ECONNREFUSED) partner.refused = true;
   partner.bell.ring();
 }
 
@@ -100,12 +102,14 @@
   while (true) {
     Hear hear(loop_, partner.bell, 3600 * kSecondUs);
     co_await hear;
+    const bool wasBroken = partner.broken;
     if (partner.broken) {
       bufferevent_free(partner.channel);
       partner.channel = nullptr;
-      partner.broken = partner.connected = false;
+      partner.broken = partner.connected = partner.refused = false;
     }
-    if (partner.queue.empty()) continue;
+    // What broke is opened anew at once: a process that is gone shows by it before its silence would.
+    if (partner.queue.empty() && !wasBroken) continue;
     if (partner.channel == nullptr) {
       partner.channel = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
       bufferevent_setcb(partner.channel, &WireTcp::onPartnerReadable, nullptr, &WireTcp::onPartnerEvent, &partner);
@@ -119,9 +123,11 @@
       if (!partner.connected || partner.broken) {
         bufferevent_free(partner.channel);
         partner.channel = nullptr;
+        const bool gone = std::exchange(partner.refused, false);
         partner.broken = partner.connected = false;
         partner.queue.clear();
         partner.queuedBytes = 0;
+        if (gone) refused.emit(address);
         Pause pause(loop_, kConnectAgainUs);
         co_await pause;
         continue;
--- a/src/bellows/wire_tcp.h
+++ b/src/bellows/wire_tcp.h
@@ -27,6 +27,7 @@
     bufferevent* channel = nullptr;
     bool connected = false;
     bool broken = false;
+    bool refused = false;  // its machine answers that nobody listens
   };
   struct Incoming {
     bufferevent* channel = nullptr;
--- a/src/stonemount.h
+++ b/src/stonemount.h
@@ -86,6 +86,8 @@
   virtual Address self() const = 0;
   virtual void post(const Address& partner, Bytes frame) = 0;
   sigc::signal<void(const Address&, const Bytes&)> heard;
+  // Its machine says that no process listens there: what was sent and not answered will not be.
+  sigc::signal<void(const Address&)> refused;
 };
 
 // A ring of preallocated files. Writes last only once a later sync has completed (design.md 5).
--- a/src/vise/desk.cc
+++ b/src/vise/desk.cc
@@ -5,9 +5,20 @@
 Desk::Desk(Alarms& alarms, Wire& wire, Chance& chance)
     : alarms_(alarms), wire_(wire), lastExchange_(chance.next()) {
   heard_ = wire_.heard.connect(sigc::mem_fun(*this, &Desk::heard));
+  refused_ = wire_.refused.connect(sigc::mem_fun(*this, &Desk::onRefused));
 }
 
-Desk::~Desk() { heard_.disconnect(); }
+Desk::~Desk() {
+  heard_.disconnect();
+  refused_.disconnect();
+}
+
+// Whoever waits for a partner whose process is gone need not wait out the limit.
+void Desk::onRefused(const Address& partner) {
+  const std::vector<std::pair<std::uint64_t, VerdictSink*>> waiting(sinks_.begin(), sinks_.end());
+  for (const auto& [exchange, sink] : waiting)
+    if (sinks_.contains(exchange)) sink->lose(exchange, partner);
+}
 
 void Desk::send(const Address& partner, std::uint16_t kind, bool verdict, std::uint64_t exchange,
                 Bytes body) {
--- a/src/vise/desk.h
+++ b/src/vise/desk.h
@@ -31,6 +31,7 @@
  public:
   virtual ~VerdictSink() = default;
   virtual void deliver(std::uint64_t exchange, Bytes body) = 0;
+  virtual void lose(std::uint64_t exchange, const Address& partner) = 0;  // no process listens there any more
 };
 
 class Desk {
@@ -61,10 +62,11 @@
   friend class Poll;
   void send(const Address& partner, std::uint16_t kind, bool verdict, std::uint64_t exchange, Bytes body);
   void heard(const Address& partner, const Bytes& frame);
+  void onRefused(const Address& partner);
   Alarms& alarms_;
   Wire& wire_;
   std::uint64_t lastExchange_;
-  sigc::connection heard_;
+  sigc::connection heard_, refused_;
   absl::flat_hash_map<std::uint16_t, Slot> slots_;
   absl::flat_hash_map<std::uint64_t, VerdictSink*> sinks_;
 };
@@ -95,6 +97,9 @@
     verdict_ = std::move(body);
     wake();
   }
+  void lose(std::uint64_t, const Address& partner) override {
+    if (partner == partner_) wake();
+  }
   Desk& desk_;
   Address partner_;
   std::uint16_t kind_;
@@ -141,6 +146,13 @@
     heard(partner, body);
     if (exchanges_.empty() || enough()) wake();
   }
+  void lose(std::uint64_t exchange, const Address& partner) override {
+    auto found = exchanges_.find(exchange);
+    if (found == exchanges_.end() || partners_[found->second] != partner) return;
+    exchanges_.erase(found);
+    desk_.sinks_.erase(exchange);
+    if (exchanges_.empty()) wake();
+  }
   Desk& desk_;
   std::uint16_t kind_;
   Bytes body_;
