--- a/src/node/doctor.cc
+++ b/src/node/doctor.cc
@@ -115,9 +115,12 @@
       findings.push_back({"D402", absl::StrCat("node ", addressText(card.wire), " is at control revision ", card.control,
                                                " of ", newest), "normal for a second; else see its way to the core"});
   absl::btree_set<std::string> pools;
+  // Where requests are passed through, workers are asked nothing: the list and their answers tell.
+  for (const auto& [name, pool] : control.pools())
+    if (pools_ != nullptr && pools_->serves(name)) pools.insert(name);
   for (const auto& [address, sight] : board_.sights()) {
     const std::string who = "worker " + addressText(address);
-    if (!board_.listed(address)) continue;
+    if (pools_ != nullptr || !board_.listed(address)) continue;
     const bool silent = sight.reportedUs < 0 || ports_.clock.monoUs() - sight.reportedUs > 3 * kSecondUs;
     if (silent) findings.push_back({"D501", who + " reports no fitness", "see its process; the platform lists it"});
     else if (sight.listed.leaving || sight.report.leaving)
--- a/src/vise/pack.h
+++ b/src/vise/pack.h
@@ -33,6 +33,7 @@
   std::size_t left() const { return bytes_.size() - at_; }
   void get(void* data, std::size_t size) {
     if (size > left()) throw cereal::Exception("too short");
+    if (size == 0) return;  // of an empty one there may be no place to copy to
     std::memcpy(data, bytes_.data() + at_, size);
     at_ += size;
   }
