--- a/src/anvil/client.cc
+++ b/src/anvil/client.cc
@@ -12,8 +12,8 @@
 
 class ViewPoll : public Poll {
  public:
-  ViewPoll(Desk& desk, const absl::btree_set<Address>& members, bool wantsHead)
-      : Poll(desk, ViewAsk::kKind, pack(ViewAsk{}), kViewUs), silent(members), members_(members.begin(), members.end()),
+  ViewPoll(RpcEndpoint& rpc, const absl::btree_set<Address>& members, bool wantsHead)
+      : Poll(rpc, ViewAsk::kKind, pack(ViewAsk{}), kViewUs), silent(members), members_(members.begin(), members.end()),
         wantsHead_(wantsHead) {
     for (const Address& member : members_) add(member);
     needed_ = members_.size() / 2 + 1;
@@ -57,13 +57,13 @@
   return "unknown";
 }
 
-ChainClient::ChainClient(Ports& ports, Desk& desk, std::vector<Address> members)
-    : ports_(ports), desk_(desk), members_(members.begin(), members.end()), clientId_(ports.chance.next()) {}
+ChainClient::ChainClient(Ports& ports, RpcEndpoint& rpc, std::vector<Address> members)
+    : ports_(ports), rpc_(rpc), members_(members.begin(), members.end()), clientId_(ports.chance.next()) {}
 
 Job<Done> ChainClient::refresh() {
   if (!refreshing_) {
     refreshing_ = true;
-    ViewPoll poll(desk_, members_, false);
+    ViewPoll poll(rpc_, members_, false);
     co_await poll;
     refreshing_ = false;
     takeView(poll.newest);
@@ -72,7 +72,7 @@
       for (const Address& gone : poll.silent) members_.erase(gone);
     keepSeats();
   } else {
-    Pause pause(ports_.alarms, kAgainUs);
+    Pause pause(ports_.timers, kAgainUs);
     co_await pause;
   }
   co_return Done{};
@@ -90,7 +90,7 @@
 }
 
 Job<bool> ChainClient::findHead() {
-  ViewPoll poll(desk_, members_, true);
+  ViewPoll poll(rpc_, members_, true);
   co_await poll;
   takeView(poll.newest);
   co_return poll.newest.revision == view_.revision && poll.headHeard();
@@ -109,9 +109,9 @@
       submit.revision = view_.revision;
       const Us leftUs = untilUs - ports_.clock.monoUs();
       if (leftUs <= 0) break;
-      Job<std::variant<ChainVerdict, PartnerSilent>> job =
-          ask<ChainVerdict>(desk_, view_.chain.front().address, submit, std::min(leftUs, kTryUs));
-      std::variant<ChainVerdict, PartnerSilent> verdict = co_await job;
+      Job<std::variant<ChainVerdict, PeerSilent>> job =
+          ask<ChainVerdict>(rpc_, view_.chain.front().address, submit, std::min(leftUs, kTryUs));
+      std::variant<ChainVerdict, PeerSilent> verdict = co_await job;
       auto* answered = std::get_if<ChainVerdict>(&verdict);
       trouble = ChainTrouble::kUnreachable;
       if (answered == nullptr) {
@@ -127,7 +127,7 @@
     if (ports_.clock.monoUs() + kAgainUs >= (unsure ? untilUs : sureUntilUs)) break;
     Job<Done> refreshing = refresh();
     co_await refreshing;
-    Pause pause(ports_.alarms, kAgainUs);
+    Pause pause(ports_.timers, kAgainUs);
     co_await pause;
   }
   co_return ChainFailure{unsure ? ChainTrouble::kUnreachable : trouble, unsure};
@@ -143,9 +143,9 @@
       read.holdUs = tailSilent_ ? 0 : holdUs;  // where the tail may be gone, ask it for a short answer only
       const Us leftUs = untilUs - ports_.clock.monoUs();
       if (leftUs <= 0) break;
-      Job<std::variant<ChainVerdict, PartnerSilent>> job =
-          ask<ChainVerdict>(desk_, view_.chain.back().address, read, std::min(leftUs, holdUs > 0 ? kHeldUs + read.holdUs : kTryUs));
-      std::variant<ChainVerdict, PartnerSilent> verdict = co_await job;
+      Job<std::variant<ChainVerdict, PeerSilent>> job =
+          ask<ChainVerdict>(rpc_, view_.chain.back().address, read, std::min(leftUs, holdUs > 0 ? kHeldUs + read.holdUs : kTryUs));
+      std::variant<ChainVerdict, PeerSilent> verdict = co_await job;
       auto* answered = std::get_if<ChainVerdict>(&verdict);
       tailSilent_ = answered == nullptr;
       if (answered != nullptr && answered->outcome == ChainOutcome::kDone)
@@ -154,22 +154,22 @@
     if (ports_.clock.monoUs() + kAgainUs >= untilUs) break;
     Job<Done> refreshing = refresh();
     co_await refreshing;
-    Pause pause(ports_.alarms, kAgainUs);
+    Pause pause(ports_.timers, kAgainUs);
     co_await pause;
   }
   co_return ChainFailure{ChainTrouble::kUnreachable};
 }
 
-Job<std::variant<ChangeVerdict, PartnerSilent>> ChainClient::changeVoters(ChangeVoters wish, Us limitUs) {
+Job<std::variant<ChangeVerdict, PeerSilent>> ChainClient::changeVoters(ChangeVoters wish, Us limitUs) {
   Job<Done> refreshing = refresh();
   co_await refreshing;
   for (const Seat& seat : std::vector<Seat>(view_.chain)) {
     if (seat.address == wish.remove || findSeat(view_.voters, seat.address) == nullptr) continue;
-    Job<std::variant<ChangeVerdict, PartnerSilent>> job = ask<ChangeVerdict>(desk_, seat.address, wish, limitUs);
-    std::variant<ChangeVerdict, PartnerSilent> verdict = co_await job;
+    Job<std::variant<ChangeVerdict, PeerSilent>> job = ask<ChangeVerdict>(rpc_, seat.address, wish, limitUs);
+    std::variant<ChangeVerdict, PeerSilent> verdict = co_await job;
     if (std::holds_alternative<ChangeVerdict>(verdict)) co_return verdict;
   }
-  co_return PartnerSilent{};
+  co_return PeerSilent{};
 }
 
 }  // namespace stonemount
--- a/src/anvil/client.h
+++ b/src/anvil/client.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "anvil/messages.h"
-#include "vise/desk.h"
+#include "runtime/rpc_endpoint.h"
 
 namespace stonemount {
 
@@ -22,12 +22,12 @@
 
 class ChainClient {
  public:
-  ChainClient(Ports& ports, Desk& desk, std::vector<Address> members);
+  ChainClient(Ports& ports, RpcEndpoint& rpc, std::vector<Address> members);
   // The same command is sent again until it is known to be applied, and is applied once.
   // While it is sure not to have been taken it is given up after `sureUs` already, if that is given.
   Job<ChainAnswer> submit(Bytes command, Us limitUs, Us sureUs = 0);
   Job<ChainAnswer> read(Bytes query, Us holdUs, Us limitUs);
-  Job<std::variant<ChangeVerdict, PartnerSilent>> changeVoters(ChangeVoters wish, Us limitUs);
+  Job<std::variant<ChangeVerdict, PeerSilent>> changeVoters(ChangeVoters wish, Us limitUs);
   const View& view() const { return view_; }
   void learnMember(const Address& member) { members_.insert(member); }
   Job<Done> refresh();
@@ -38,7 +38,7 @@
   void takeView(const View& view);
   void keepSeats();
   Ports& ports_;
-  Desk& desk_;
+  RpcEndpoint& rpc_;
   absl::btree_set<Address> members_;
   View view_;
   std::uint64_t clientId_;
--- a/src/anvil/found.cc
+++ b/src/anvil/found.cc
@@ -7,7 +7,7 @@
 
 Task Member::found() {
   while (standing_ == Standing::kFounding) {
-    Pause pause(ports_.alarms, plan_.pingUs);
+    Pause pause(ports_.timers, plan_.pingUs);
     co_await pause;
     Address lowest = self_;
     View first;
@@ -17,7 +17,7 @@
     for (const Address& founder : plan_.founders) {
       Seat seat{founder, memory_.incarnation, plan_.zone};
       if (founder != self_) {
-        const PartnerSight& sight = partners_[founder];
+        const PeerSight& sight = peers_[founder];
         allEmpty &= sight.heardUs >= 0 && nowUs - sight.heardUs < plan_.suspectUs &&
                     sight.pong.revision == 0 && sight.pong.standing == Standing::kFounding;
         seat.incarnation = sight.pong.incarnation;
@@ -36,7 +36,7 @@
     if (!durable) co_return;
     Found message{first};
     for (const Seat& seat : first.voters)
-      if (seat.address != self_) desk_.tell(seat.address, message);
+      if (seat.address != self_) rpc_.tell(seat.address, message);
   }
 }
 
--- a/src/anvil/member.cc
+++ b/src/anvil/member.cc
@@ -35,32 +35,32 @@
   return "unknown";
 }
 
-Member::Member(Ports& ports, Desk& desk, TaskRoom& room, Machine& machine, MemberPlan plan)
-    : ports_(ports), desk_(desk), room_(room), machine_(machine), plan_(std::move(plan)),
-      self_(desk.self()), drawer_(*ports.disk, ports.alarms, ports.clock), press_(drawer_, ports.alarms, room) {}
+Member::Member(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Machine& machine, MemberPlan plan)
+    : ports_(ports), rpc_(rpc), room_(room), machine_(machine), plan_(std::move(plan)),
+      self_(rpc.self()), drawer_(*ports.disk, ports.timers, ports.clock), press_(drawer_, ports.timers, room) {}
 
 Member::~Member() { refused_.disconnect(); }
 
 void Member::begin() {
   refused_ = ports_.wire.refused.connect(sigc::mem_fun(*this, &Member::onRefused));
-  desk_.serve(Ping::kKind, sigc::mem_fun(*this, &Member::onPing));
-  desk_.serve(Peek::kKind, sigc::mem_fun(*this, &Member::onPeek));
-  desk_.serve(ViewAsk::kKind, sigc::mem_fun(*this, &Member::onViewAsk));
-  desk_.serve(Found::kKind, sigc::mem_fun(*this, &Member::onFound));
-  desk_.serve(Seal::kKind, sigc::mem_fun(*this, &Member::onSeal));
-  desk_.serve(Prepare::kKind, sigc::mem_fun(*this, &Member::onPrepare));
-  desk_.serve(Accept::kKind, sigc::mem_fun(*this, &Member::onAccept));
-  desk_.serve(Confirm::kKind, sigc::mem_fun(*this, &Member::onConfirm));
-  desk_.serve(Decided::kKind, sigc::mem_fun(*this, &Member::onDecided));
-  desk_.serve(Append::kKind, sigc::mem_fun(*this, &Member::onAppend));
-  desk_.serve(FetchState::kKind, sigc::mem_fun(*this, &Member::onFetchState));
-  desk_.serve(FetchLog::kKind, sigc::mem_fun(*this, &Member::onFetchLog));
-  desk_.serve(CatchUp::kKind, sigc::mem_fun(*this, &Member::onCatchUp));
-  desk_.serve(ChangeVoters::kKind, sigc::mem_fun(*this, &Member::onChangeVoters));
-  desk_.serve(Submit::kKind, sigc::mem_fun(*this, &Member::onSubmit));
-  desk_.serve(Read::kKind, sigc::mem_fun(*this, &Member::onRead));
-  desk_.serve(Invite::kKind, sigc::mem_fun(*this, &Member::onInvite));
-  desk_.serve(FoundersTold::kKind, sigc::mem_fun(*this, &Member::onFoundersTold));
+  rpc_.serve(Ping::kKind, sigc::mem_fun(*this, &Member::onPing));
+  rpc_.serve(Peek::kKind, sigc::mem_fun(*this, &Member::onPeek));
+  rpc_.serve(ViewAsk::kKind, sigc::mem_fun(*this, &Member::onViewAsk));
+  rpc_.serve(Found::kKind, sigc::mem_fun(*this, &Member::onFound));
+  rpc_.serve(Seal::kKind, sigc::mem_fun(*this, &Member::onSeal));
+  rpc_.serve(Prepare::kKind, sigc::mem_fun(*this, &Member::onPrepare));
+  rpc_.serve(Accept::kKind, sigc::mem_fun(*this, &Member::onAccept));
+  rpc_.serve(Confirm::kKind, sigc::mem_fun(*this, &Member::onConfirm));
+  rpc_.serve(Decided::kKind, sigc::mem_fun(*this, &Member::onDecided));
+  rpc_.serve(Append::kKind, sigc::mem_fun(*this, &Member::onAppend));
+  rpc_.serve(FetchState::kKind, sigc::mem_fun(*this, &Member::onFetchState));
+  rpc_.serve(FetchLog::kKind, sigc::mem_fun(*this, &Member::onFetchLog));
+  rpc_.serve(CatchUp::kKind, sigc::mem_fun(*this, &Member::onCatchUp));
+  rpc_.serve(ChangeVoters::kKind, sigc::mem_fun(*this, &Member::onChangeVoters));
+  rpc_.serve(Submit::kKind, sigc::mem_fun(*this, &Member::onSubmit));
+  rpc_.serve(Read::kKind, sigc::mem_fun(*this, &Member::onRead));
+  rpc_.serve(Invite::kKind, sigc::mem_fun(*this, &Member::onInvite));
+  rpc_.serve(FoundersTold::kKind, sigc::mem_fun(*this, &Member::onFoundersTold));
   if (!plan_.mayFound) plan_.founders.clear();
   room_.start(open());
 }
@@ -79,10 +79,10 @@
   verified_ = next == Standing::kActive && memory_.view.chain.front().address == self_;
   verifiedEnd_ = end_;
   if (next != Standing::kActive) wakeHeld();
-  passBell_.ring();
-  readBell_.ring();
-  mendBell_.ring();
-  refillBell_.ring();
+  passEvent_.notify();
+  readEvent_.notify();
+  mendEvent_.notify();
+  refillEvent_.notify();
   viewMoved.emit();
 }
 
@@ -153,7 +153,7 @@
   co_await taken;
 }
 
-void Member::onViewAsk(const Asked& asked) { desk_.reply(asked, ViewVerdict{memory_.view}); }
+void Member::onViewAsk(const Asked& asked) { rpc_.reply(asked, ViewVerdict{memory_.view}); }
 
 Job<bool> Member::keepMemory() {
   AppendVerdict appended = drawer_.append(RecordKind::kMeta, pack(MetaRecord{kImageFormat, memory_}));
--- a/src/anvil/member.h
+++ b/src/anvil/member.h
@@ -4,7 +4,7 @@
 #include "anvil/machine.h"
 #include "anvil/messages.h"
 #include "drawer/press.h"
-#include "vise/desk.h"
+#include "runtime/rpc_endpoint.h"
 
 namespace stonemount {
 
@@ -22,7 +22,7 @@
 };
 
 // What is known of another member from its last pong.
-struct PartnerSight {
+struct PeerSight {
   Us heardUs = -1;
   Pong pong;
 };
@@ -34,10 +34,10 @@
 
 class Member {
  public:
-  Member(Ports& ports, Desk& desk, TaskRoom& room, Machine& machine, MemberPlan plan);
+  Member(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Machine& machine, MemberPlan plan);
   ~Member();
   void begin();
-  void meet(const Address& partner);  // another process of this chain
+  void meet(const Address& peer);  // another process of this chain
 
   const View& view() const { return memory_.view; }
   Standing standing() const { return standing_; }
@@ -48,7 +48,7 @@
   bool tail() const { return active() && memory_.view.chain.back().address == self_; }
   HeadSight sight() const;
   const MemberCounts& counts() const { return counts_; }
-  const absl::btree_map<Address, PartnerSight>& partners() const { return partners_; }
+  const absl::btree_map<Address, PeerSight>& peers() const { return peers_; }
   const Drawer& drawer() const { return drawer_; }
   sigc::signal<void()> viewMoved;
   sigc::signal<void(const Entry&)> taken;          // at the head, as it stamped it
@@ -104,20 +104,20 @@
   bool votes(Revision revision) const;
   bool holds() const;
   // mender.cc: detection and proposals
-  Task ping(Address partner);
+  Task ping(Address peer);
   Task pingAll();
   Task mend();
-  bool heardLately(const Address& partner) const;
+  bool heardLately(const Address& peer) const;
   bool suspicion(const Seat& one, const Seat& other) const;
   bool aliveSeat(const Seat& seat) const;
   bool hearsAll() const;
-  void onRefused(const Address& partner);
+  void onRefused(const Address& peer);
   bool healthySeat(const Seat& seat) const;
   std::optional<View> wantedView() const;
   std::optional<View> viewFromHolder() const;
-  bool addReadyPartner(View& wanted) const;
-  bool ready(const Address& partner) const;
-  bool close(const Address& partner) const;
+  bool addReadyPeer(View& wanted) const;
+  bool ready(const Address& peer) const;
+  bool close(const Address& peer) const;
   std::size_t turn() const;
   Us voterSyncUs() const;
   void onChangeVoters(const Asked& asked);
@@ -140,7 +140,7 @@
   bool invited() const;
 
   Ports& ports_;
-  Desk& desk_;
+  RpcEndpoint& rpc_;
   TaskRoom& room_;
   Machine& machine_;
   MemberPlan plan_;
@@ -162,7 +162,7 @@
   std::uint64_t appended_ = 0;   // last entry handed to the disk, durable or not
   Revision endRevision_ = 0;     // of the entry at end_
   std::uint64_t received() const;
-  Bell inboxBell_, passBell_, readBell_, mendBell_;
+  Event inboxEvent_, passEvent_, readEvent_, mendEvent_;
   std::optional<std::uint64_t> successorEnd_;  // once its log is known to be the beginning of ours
   bool successorTold_ = false;
   std::uint64_t successorPeak_ = 0;  // the most that it said to hold in this view
@@ -177,8 +177,8 @@
   // reads
   std::deque<Waiting> reads_;
   std::vector<Waiting> held_;
-  // partners
-  absl::btree_map<Address, PartnerSight> partners_;
+  // peers
+  absl::btree_map<Address, PeerSight> peers_;
   absl::btree_set<Address> pinged_;
   std::uint64_t highestRound_ = 0;
   Us needSinceUs_ = -1;
@@ -191,7 +191,7 @@
   Address tooFarBehind_;  // a successor left behind, until the next view
   // refill
   Us invitedUntilUs_ = 0;  // by who wants it in; else a member without a seat copies nothing
-  Bell refillBell_;
+  Event refillEvent_;
   bool refilled_ = false;
   bool fetching_ = false;
   bool fetchRefused_ = false;
--- a/src/anvil/member_face.cc
+++ b/src/anvil/member_face.cc
@@ -10,7 +10,7 @@
   return plan;
 }
 
-void answerMemberMetrics(const HttpAsk& ask, HttpReply& reply, JsonOut& out, const Member& member, const Desk& desk) {
+void answerMemberMetrics(const HttpAsk& ask, HttpReply& reply, JsonOut& out, const Member& member, const RpcEndpoint& rpc) {
   if (ask.path != "/metrics") {
     JsonOut unknown;
     unknown.object().field("verdict", "unknown_path").field("path", ask.path).closeObject();
@@ -21,7 +21,7 @@
   out.field("end", member.end()).field("applied", counts.applied).field("reads", counts.reads);
   out.field("confirms", counts.confirms).field("ballots", counts.ballots).field("viewChanges", counts.viewChanges);
   out.field("refusedOld", counts.refusedOld).field("syncs", member.drawer().syncs);
-  out.field("frames", desk.sentFrames).field("frameBytes", desk.sentBytes).closeObject();
+  out.field("frames", rpc.sentFrames).field("frameBytes", rpc.sentBytes).closeObject();
   reply.whole(200, {}, out.take() + "\n");
 }
 
--- a/src/anvil/member_face.h
+++ b/src/anvil/member_face.h
@@ -8,6 +8,6 @@
 
 MemberPlan memberPlanOf(const Settings& settings);
 // Answers /metrics; the role's own fields are already in `out`, whose object is open.
-void answerMemberMetrics(const HttpAsk& ask, HttpReply& reply, JsonOut& out, const Member& member, const Desk& desk);
+void answerMemberMetrics(const HttpAsk& ask, HttpReply& reply, JsonOut& out, const Member& member, const RpcEndpoint& rpc);
 
 }  // namespace stonemount
--- a/src/anvil/mender.cc
+++ b/src/anvil/mender.cc
@@ -18,34 +18,34 @@
   while (standing_ != Standing::kBroken) {
     for (const Seat& seat : memory_.view.voters) known.insert(seat.address);
     for (const Seat& seat : memory_.view.guests) known.insert(seat.address);
-    for (const Address& partner : known)
-      if (pinged_.insert(partner).second) room_.start(ping(partner));
-    Pause pause(ports_.alarms, plan_.pingUs);
+    for (const Address& peer : known)
+      if (pinged_.insert(peer).second) room_.start(ping(peer));
+    Pause pause(ports_.timers, plan_.pingUs);
     co_await pause;
   }
 }
 
-void Member::meet(const Address& partner) {
-  if (standing_ != Standing::kOpening && pinged_.insert(partner).second) room_.start(ping(partner));
+void Member::meet(const Address& peer) {
+  if (standing_ != Standing::kOpening && pinged_.insert(peer).second) room_.start(ping(peer));
 }
 
-Task Member::ping(Address partner) {
+Task Member::ping(Address peer) {
   while (standing_ != Standing::kBroken) {
     Ping message{memory_.view.revision, memory_.incarnation};
     // Just started, or woken, it is in a hurry to hear of everyone: a question that met a closed port is soon put again.
-    const bool hurries = ports_.clock.monoUs() < blindUntilUs_ && !heardLately(partner);
-    Call call(desk_, partner, Ping::kKind, pack(message), hurries ? plan_.pingUs : plan_.pingLimitUs);
+    const bool hurries = ports_.clock.monoUs() < blindUntilUs_ && !heardLately(peer);
+    Call call(rpc_, peer, Ping::kKind, pack(message), hurries ? plan_.pingUs : plan_.pingLimitUs);
     auto raw = co_await call;
     if (auto* body = std::get_if<Bytes>(&raw)) {
       auto read = unpack<Pong>(*body);
       if (auto* pong = std::get_if<Pong>(&read)) {
-        PartnerSight& sight = partners_[partner];
+        PeerSight& sight = peers_[peer];
         sight.heardUs = ports_.clock.monoUs();
         sight.pong = std::move(*pong);
         if (sight.pong.revision > memory_.view.revision && standing_ != Standing::kOpening) {
-          Job<std::variant<ViewVerdict, PartnerSilent>> job =
-              ask<ViewVerdict>(desk_, partner, ViewAsk{}, plan_.suspectUs);
-          std::variant<ViewVerdict, PartnerSilent> verdict = co_await job;
+          Job<std::variant<ViewVerdict, PeerSilent>> job =
+              ask<ViewVerdict>(rpc_, peer, ViewAsk{}, plan_.suspectUs);
+          std::variant<ViewVerdict, PeerSilent> verdict = co_await job;
           if (auto* found = std::get_if<ViewVerdict>(&verdict)) {
             Job<bool> taken = takeView(found->view);
             co_await taken;
@@ -54,27 +54,27 @@
       }
     }
     // Who holds no seat is looked at now and then: it costs each of us as much as a member would.
-    Pause pause(ports_.alarms, hurries ? plan_.pingUs / 4 : close(partner) ? plan_.pingUs : plan_.farPingUs);
+    Pause pause(ports_.timers, hurries ? plan_.pingUs / 4 : close(peer) ? plan_.pingUs : plan_.farPingUs);
     co_await pause;
   }
 }
 
 // Do the two of us have to know of each other at once?
-bool Member::close(const Address& partner) const {
-  if (standing_ == Standing::kFounding || (wish_ && wish_->add == partner)) return true;
+bool Member::close(const Address& peer) const {
+  if (standing_ == Standing::kFounding || (wish_ && wish_->add == peer)) return true;
   const bool mine = findMember(memory_.view, self_) != nullptr || invited();
-  return mine && findMember(memory_.view, partner) != nullptr;
+  return mine && findMember(memory_.view, peer) != nullptr;
 }
 
-bool Member::heardLately(const Address& partner) const {
-  auto found = partners_.find(partner);
-  return found != partners_.end() && found->second.heardUs >= 0 &&
+bool Member::heardLately(const Address& peer) const {
+  auto found = peers_.find(peer);
+  return found != peers_.end() && found->second.heardUs >= 0 &&
          ports_.clock.monoUs() - found->second.heardUs < plan_.suspectUs;
 }
 
 bool Member::aliveSeat(const Seat& seat) const {
   if (!heardLately(seat.address)) return false;
-  const Pong& pong = partners_.at(seat.address).pong;
+  const Pong& pong = peers_.at(seat.address).pong;
   return pong.incarnation == seat.incarnation && pong.standing != Standing::kBroken;
 }
 
@@ -87,30 +87,30 @@
 
 // Neighbours in the chain must reach each other both ways, whatever the proposer itself can reach.
 bool Member::suspicion(const Seat& one, const Seat& other) const {
-  const std::vector<Address>& ones = partners_.at(one.address).pong.suspects;
-  const std::vector<Address>& others = partners_.at(other.address).pong.suspects;
+  const std::vector<Address>& ones = peers_.at(one.address).pong.suspects;
+  const std::vector<Address>& others = peers_.at(other.address).pong.suspects;
   return std::find(ones.begin(), ones.end(), other.address) != ones.end() ||
          std::find(others.begin(), others.end(), one.address) != others.end();
 }
 
 bool Member::healthySeat(const Seat& seat) const {
   if (!aliveSeat(seat)) return false;
-  const Pong& pong = partners_.at(seat.address).pong;
+  const Pong& pong = peers_.at(seat.address).pong;
   return pong.stalledUs < plan_.slowDiskUs && pong.worstSyncUs < plan_.slowDiskUs;
 }
 
 // Refilled, healthy and waiting outside in the current view.
-bool Member::ready(const Address& partner) const {
-  auto found = partners_.find(partner);
-  if (found == partners_.end()) return false;
+bool Member::ready(const Address& peer) const {
+  auto found = peers_.find(peer);
+  if (found == peers_.end()) return false;
   const Pong& pong = found->second.pong;
   return pong.refilled && pong.revision == memory_.view.revision && pong.standing == Standing::kOutside &&
-         healthySeat({partner, pong.incarnation, pong.zone});
+         healthySeat({peer, pong.incarnation, pong.zone});
 }
 
 // A voter's place that is empty in the chain, and a refilled member to take it; or an operator's wish.
-bool Member::addReadyPartner(View& wanted) const {
-  for (const auto& [address, sight] : partners_) {
+bool Member::addReadyPeer(View& wanted) const {
+  for (const auto& [address, sight] : peers_) {
     const Seat seat{address, sight.pong.incarnation, sight.pong.zone};
     if (findSeat(wanted.chain, address) != nullptr || !ready(address)) continue;
     bool allowed = false;
@@ -144,12 +144,12 @@
     if (!aliveSeat(seat)) continue;
     if (!alive.empty() && suspicion(alive.back(), seat)) continue;
     alive.push_back(seat);
-    const Pong& pong = partners_.at(seat.address).pong;
+    const Pong& pong = peers_.at(seat.address).pong;
     needed |= pong.revision == now.revision && pong.standing == Standing::kSealed;
   }
   for (const Seat& voter : now.voters)
-    needed |= aliveSeat(voter) && partners_.at(voter.address).pong.ballotOpen &&
-              partners_.at(voter.address).pong.revision == now.revision;
+    needed |= aliveSeat(voter) && peers_.at(voter.address).pong.ballotOpen &&
+              peers_.at(voter.address).pong.revision == now.revision;
   std::vector<Seat> healthy;
   for (const Seat& seat : alive)
     if (healthySeat(seat)) healthy.push_back(seat);
@@ -166,7 +166,7 @@
     std::erase_if(wanted.guests, SeatAt{wish_->remove});
     if (wanted.chain.empty()) return std::nullopt;
   }
-  const bool added = addReadyPartner(wanted);
+  const bool added = addReadyPeer(wanted);
   if (wish_ && wish_->add.set() && findMember(wanted, wish_->add) == nullptr) {
     if (removing) return std::nullopt;
   } else if (removing) {
@@ -189,9 +189,9 @@
   const Seat* chosenHolder = nullptr;
   for (const Seat& seat : now.wide) {
     if (!healthySeat(seat) || findMember(now, seat.address) == nullptr) continue;
-    const Pong& pong = partners_.at(seat.address).pong;
+    const Pong& pong = peers_.at(seat.address).pong;
     if (pong.standing != Standing::kOutside || pong.revision != now.revision) continue;
-    if (chosenHolder == nullptr || partners_.at(chosenHolder->address).pong.end < pong.end) chosenHolder = &seat;
+    if (chosenHolder == nullptr || peers_.at(chosenHolder->address).pong.end < pong.end) chosenHolder = &seat;
   }
   if (chosenHolder == nullptr) return std::nullopt;
   View wanted;
@@ -217,7 +217,7 @@
   Us lastUs = ports_.clock.monoUs();
   blindUntilUs_ = lastUs + plan_.suspectUs;
   while (standing_ != Standing::kBroken) {
-    Hear hear(ports_.alarms, mendBell_, plan_.pingUs);
+    EventWait hear(ports_.timers, mendEvent_, plan_.pingUs);
     co_await hear;
     const Us nowUs = ports_.clock.monoUs();
     // After a freeze everyone looks dead; hear from them again first.
@@ -240,7 +240,7 @@
     proposing_ = false;
     lastUs = ports_.clock.monoUs();
     if (outcome == ChangeOutcome::kDone) continue;
-    Pause pause(ports_.alarms, 50 * kMilliUs + static_cast<Us>(ports_.chance.below(200 * kMilliUs)));
+    Pause pause(ports_.timers, 50 * kMilliUs + static_cast<Us>(ports_.chance.below(200 * kMilliUs)));
     co_await pause;
     lastUs = ports_.clock.monoUs();
   }
--- a/src/anvil/polls.h
+++ b/src/anvil/polls.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "anvil/messages.h"
-#include "vise/desk.h"
+#include "runtime/rpc_endpoint.h"
 
 namespace stonemount {
 
@@ -10,8 +10,8 @@
 class SeatPoll : public Poll {
  public:
   template <class Message>
-  SeatPoll(Desk& desk, const Message& message, std::vector<Seat> seats, std::size_t needed, Us limitUs)
-      : Poll(desk, Message::kKind, pack(message), limitUs), seats_(std::move(seats)), needed_(needed),
+  SeatPoll(RpcEndpoint& rpc, const Message& message, std::vector<Seat> seats, std::size_t needed, Us limitUs)
+      : Poll(rpc, Message::kKind, pack(message), limitUs), seats_(std::move(seats)), needed_(needed),
         verdicts_(seats_.size()) {
     for (const Seat& seat : seats_) add(seat.address);
   }
@@ -19,12 +19,12 @@
   const std::vector<std::optional<Verdict>>& verdicts() const { return verdicts_; }
 
  protected:
-  void heard(std::size_t partner, const Bytes& body) override {
+  void heard(std::size_t peer, const Bytes& body) override {
     auto read = unpack<Verdict>(body);
     auto* verdict = std::get_if<Verdict>(&read);
-    if (verdict == nullptr || verdict->incarnation != seats_[partner].incarnation) return;
+    if (verdict == nullptr || verdict->incarnation != seats_[peer].incarnation) return;
     if (verdict->granted) ++granted_;
-    verdicts_[partner] = std::move(*verdict);
+    verdicts_[peer] = std::move(*verdict);
   }
 
  private:
--- a/src/anvil/propose.cc
+++ b/src/anvil/propose.cc
@@ -53,7 +53,7 @@
       lost |= verdicts[j]->end > verdicts[i]->end && beginning(*verdicts[i], *verdicts[j]);
     const bool fits = sound.empty() || beginning(*verdicts[i], *verdicts[last]);
     if (lost || !fits) {
-      logDoubt("member_left_out", {{"partner", addressText(stays[i].address)}, {"lost", lost ? "yes" : "no"}});
+      logDoubt("member_left_out", {{"peer", addressText(stays[i].address)}, {"lost", lost ? "yes" : "no"}});
       continue;
     }
     sound.push_back(stays[i]);
@@ -76,7 +76,7 @@
     const bool sealed = co_await sealing;
     co_return sealed;
   }
-  SeatPoll<SealVerdict> poll(desk_, Seal{memory_.view.revision}, stays, stays.size(), kSealLimitUs);
+  SeatPoll<SealVerdict> poll(rpc_, Seal{memory_.view.revision}, stays, stays.size(), kSealLimitUs);
   co_await poll;
   if (!poll.enough()) co_return false;
   const std::vector<Seat> sound = soundOrder(stays, poll.verdicts());
@@ -87,16 +87,16 @@
   for (std::size_t i = 0; i < stays.size(); ++i)
     if (stays[i] == last) tailEnd = poll.verdicts()[i]->end;
   CatchUp wish{memory_.view.revision, last.address, tailEnd};
-  Job<std::variant<SealVerdict, PartnerSilent>> job =
-      ask<SealVerdict>(desk_, joiner->address, wish, kCatchUpLimitUs);
-  std::variant<SealVerdict, PartnerSilent> verdict = co_await job;
+  Job<std::variant<SealVerdict, PeerSilent>> job =
+      ask<SealVerdict>(rpc_, joiner->address, wish, kCatchUpLimitUs);
+  std::variant<SealVerdict, PeerSilent> verdict = co_await job;
   auto* caught = std::get_if<SealVerdict>(&verdict);
   if (caught != nullptr && caught->granted && caught->incarnation == joiner->incarnation) {
     target.chain.push_back(*joiner);
     co_return true;
   }
   // Without the joiner the sealed members still need a view; the seats stay as they were.
-  logDoubt("joiner_not_caught_up", {{"partner", addressText(joiner->address)}});
+  logDoubt("joiner_not_caught_up", {{"peer", addressText(joiner->address)}});
   if (!wish_ || !wish_->remove.set()) target.voters = memory_.view.voters, target.guests = memory_.view.guests;
   else co_return false;
   co_return true;
@@ -105,11 +105,11 @@
 // The chain is left behind for one of its holders (mender.cc, viewFromHolder).
 Job<bool> Member::sealHolder(View& target) {
   if (target.chain.size() != 1) co_return false;
-  SeatPoll<SealVerdict> poll(desk_, Seal{memory_.view.revision}, target.chain, 1, kSealLimitUs);
+  SeatPoll<SealVerdict> poll(rpc_, Seal{memory_.view.revision}, target.chain, 1, kSealLimitUs);
   co_await poll;
   if (!poll.enough()) co_return false;
   ++counts_.restartedNarrow;
-  logDoubt("chain_restarted_from_holder", {{"partner", addressText(target.chain.front().address)},
+  logDoubt("chain_restarted_from_holder", {{"peer", addressText(target.chain.front().address)},
                                            {"end", absl::StrCat(poll.verdicts().front()->end)}});
   co_return true;
 }
@@ -119,7 +119,7 @@
   Us slowestUs = 0;
   for (const Seat& voter : memory_.view.voters) {
     if (!aliveSeat(voter)) continue;
-    const Pong& pong = partners_.at(voter.address).pong;
+    const Pong& pong = peers_.at(voter.address).pong;
     slowestUs = std::max({slowestUs, pong.worstSyncUs, pong.stalledUs});
   }
   return std::min(slowestUs, kSlowestUs);
@@ -131,7 +131,7 @@
   const Us limitUs = kBallotLimitUs + 2 * voterSyncUs();
   ++counts_.ballots;
   Ballot mine{++highestRound_, self_};
-  SeatPoll<VoterVerdict> prepared(desk_, Prepare{now.revision, mine}, now.voters, now.majority(), limitUs);
+  SeatPoll<VoterVerdict> prepared(rpc_, Prepare{now.revision, mine}, now.voters, now.majority(), limitUs);
   co_await prepared;
   Ballot best;
   for (const std::optional<VoterVerdict>& verdict : prepared.verdicts()) {
@@ -142,7 +142,7 @@
     target = *verdict->accepted;
   }
   if (!prepared.enough() || memory_.view.revision != now.revision) co_return false;
-  SeatPoll<VoterVerdict> accepted(desk_, Accept{now.revision, mine, target}, now.voters, now.majority(), limitUs);
+  SeatPoll<VoterVerdict> accepted(rpc_, Accept{now.revision, mine, target}, now.voters, now.majority(), limitUs);
   co_await accepted;
   if (!accepted.enough()) co_return false;
   absl::btree_set<Address> listeners;
@@ -150,7 +150,7 @@
   for (const Seat& seat : target.voters) listeners.insert(seat.address);
   for (const Seat& seat : target.chain) listeners.insert(seat.address);
   for (const Address& listener : listeners)
-    if (listener != self_) desk_.tell(listener, Decided{target});
+    if (listener != self_) rpc_.tell(listener, Decided{target});
   Job<bool> taken = takeView(target);
   const bool durable = co_await taken;
   co_return durable;
--- a/src/anvil/reader.cc
+++ b/src/anvil/reader.cc
@@ -20,12 +20,12 @@
   if (reads_.size() >= kReadBound) return refuse(asked, ChainOutcome::kBusy);
   ++counts_.reads;
   reads_.push_back({asked, std::move(read.query), ports_.clock.monoUs() + read.holdUs});
-  readBell_.ring();
+  readEvent_.notify();
 }
 
 Task Member::readBatches() {
   while (standing_ != Standing::kBroken) {
-    Hear hear(ports_.alarms, readBell_, held_.empty() ? kIdleUs : kHeldLookUs);
+    EventWait hear(ports_.timers, readEvent_, held_.empty() ? kIdleUs : kHeldLookUs);
     co_await hear;
     std::vector<Waiting> batch(std::make_move_iterator(reads_.begin()), std::make_move_iterator(reads_.end()));
     reads_.clear();
@@ -41,7 +41,7 @@
     bool confirmed = false;
     if (tail() && verified_ && spansZones(view.chain)) {
       ++counts_.confirms;
-      SeatPoll<VoterVerdict> poll(desk_, Confirm{view.revision}, view.voters, view.majority(), kConfirmLimitUs);
+      SeatPoll<VoterVerdict> poll(rpc_, Confirm{view.revision}, view.voters, view.majority(), kConfirmLimitUs);
       co_await poll;
       confirmed = poll.enough();
     }
@@ -61,7 +61,7 @@
       held_.push_back(std::move(waiting));
       continue;
     }
-    desk_.reply(waiting.asked,
+    rpc_.reply(waiting.asked,
                 ChainVerdict{ChainOutcome::kDone, memory_.view.revision, std::get<Bytes>(std::move(verdict))});
   }
 }
@@ -76,7 +76,7 @@
       reads_.push_back(std::move(waiting));
   }
   held_ = std::move(stillHeld);
-  if (!reads_.empty()) readBell_.ring();
+  if (!reads_.empty()) readEvent_.notify();
 }
 
 }  // namespace stonemount
--- a/src/anvil/refill.cc
+++ b/src/anvil/refill.cc
@@ -23,7 +23,7 @@
 
 // Without a seat it copies only while somebody wants it in: a machine to spare costs nobody anything.
 void Member::onInvite(const Asked&) {
-  if (!invited()) refillBell_.ring();
+  if (!invited()) refillEvent_.notify();
   invitedUntilUs_ = ports_.clock.monoUs() + kInvitedUs;
 }
 
@@ -31,7 +31,7 @@
   while (standing_ != Standing::kBroken) {
     const bool follows = standing_ == Standing::kOutside && (findMember(memory_.view, self_) != nullptr || invited());
     if (!follows) refilled_ &= standing_ != Standing::kOutside;
-    Hear hear(ports_.alarms, refillBell_, follows ? kFollowUs : kIdleUs);
+    EventWait hear(ports_.timers, refillEvent_, follows ? kFollowUs : kIdleUs);
     co_await hear;
     const Us nowUs = ports_.clock.monoUs();
     if (pictureToken_ != 0 && nowUs - pictureUsedUs_ > kPictureUs) {
@@ -64,8 +64,8 @@
   int silent = 0;
   while (true) {
     wish.most = static_cast<std::uint32_t>(fetchBytes_);
-    Job<std::variant<StatePart, PartnerSilent>> job = ask<StatePart>(desk_, source, wish, kFetchLimitUs);
-    std::variant<StatePart, PartnerSilent> verdict = co_await job;
+    Job<std::variant<StatePart, PeerSilent>> job = ask<StatePart>(rpc_, source, wish, kFetchLimitUs);
+    std::variant<StatePart, PeerSilent> verdict = co_await job;
     if (standing_ != Standing::kOutside) co_return false;
     auto* part = std::get_if<StatePart>(&verdict);
     fetchBytes_ = part != nullptr ? std::min(fetchBytes_ * 2, kPartBytes) : std::max(fetchBytes_ / 2, kLeastBytes);
@@ -107,8 +107,8 @@
   fetchRefused_ = false;
   while (standing_ == Standing::kOutside) {
     FetchLog wish{memory_.view.revision, end_, endRevision_, static_cast<std::uint32_t>(fetchBytes_)};
-    Job<std::variant<LogPart, PartnerSilent>> job = ask<LogPart>(desk_, source, wish, kFetchLimitUs);
-    std::variant<LogPart, PartnerSilent> verdict = co_await job;
+    Job<std::variant<LogPart, PeerSilent>> job = ask<LogPart>(rpc_, source, wish, kFetchLimitUs);
+    std::variant<LogPart, PeerSilent> verdict = co_await job;
     auto* part = std::get_if<LogPart>(&verdict);
     if (standing_ != Standing::kOutside) co_return false;
     fetchBytes_ = part != nullptr ? std::min(fetchBytes_ * 2, kPartBytes) : std::max(fetchBytes_ / 2, kLeastBytes);
@@ -169,7 +169,7 @@
     part.revision = pictureRevision_;
     part.bytes = picture_.substr(wish.offset, std::min<std::size_t>(wish.most, kPartBytes));
   }
-  desk_.reply(asked, part);
+  rpc_.reply(asked, part);
 }
 
 void Member::onFetchLog(const Asked& asked) {
@@ -195,7 +195,7 @@
     }
   }
   part.parted = holds && !part.granted;
-  desk_.reply(asked, part);
+  rpc_.reply(asked, part);
 }
 
 void Member::onCatchUp(const Asked& asked) {
@@ -207,7 +207,7 @@
   SealVerdict verdict;
   verdict.incarnation = memory_.incarnation;
   while (fetching_) {
-    Pause pause(ports_.alarms, 5 * kMilliUs);
+    Pause pause(ports_.timers, 5 * kMilliUs);
     co_await pause;
   }
   if (standing_ == Standing::kOutside && refilled_ && memory_.view.revision == wish.revision && appended_ <= end_) {
@@ -224,7 +224,7 @@
   }
   verdict.granted &= memory_.view.revision == wish.revision && standing_ == Standing::kOutside;
   verdict.end = end_;
-  desk_.reply(asked, verdict);
+  rpc_.reply(asked, verdict);
 }
 
 }  // namespace stonemount
--- a/src/anvil/relay.cc
+++ b/src/anvil/relay.cc
@@ -25,7 +25,7 @@
 }
 
 void Member::refuse(const Asked& asked, ChainOutcome outcome) {
-  desk_.reply(asked, ChainVerdict{outcome, memory_.view.revision, Bytes()});
+  rpc_.reply(asked, ChainVerdict{outcome, memory_.view.revision, Bytes()});
 }
 
 void Member::onSubmit(const Asked& asked) {
@@ -44,24 +44,24 @@
   if (full) return refuse(asked, ChainOutcome::kRingFull);
   StampVerdict stamped = machine_.stamp(submit.command, sight());
   if (auto* refused = std::get_if<StampRefused>(&stamped)) {
-    desk_.reply(asked, ChainVerdict{ChainOutcome::kDone, memory_.view.revision, refused->verdict});
+    rpc_.reply(asked, ChainVerdict{ChainOutcome::kDone, memory_.view.revision, refused->verdict});
     return;
   }
   Entry entry;
   entry.index = received() + 1;
   entry.revision = memory_.view.revision;
   entry.id = submit.id;
-  entry.client = asked.partner;
+  entry.client = asked.peer;
   entry.exchange = asked.exchange;
   entry.command = std::move(std::get<Stamped>(stamped).command);
   inboxBytes_ += entry.command.size();
   taken.emit(entry);
   inbox_.push_back(std::move(entry));
-  inboxBell_.ring();
+  inboxEvent_.notify();
 }
 
 void Member::answerAppend(const Asked& asked, bool granted) {
-  desk_.reply(asked, PassedOn{granted, active(), end_, endRevision_, tail() ? end_ : committed_});
+  rpc_.reply(asked, PassedOn{granted, active(), end_, endRevision_, tail() ? end_ : committed_});
 }
 
 // Is the successor's log the beginning of ours? A joiner may have followed another member since it
@@ -78,13 +78,13 @@
   Append& append = std::get<Append>(message);
   if (!active() || append.revision != memory_.view.revision) {
     ++counts_.refusedOld;
-    desk_.reply(asked, PassedOn{false, false, end_, endRevision_, committed_});
+    rpc_.reply(asked, PassedOn{false, false, end_, endRevision_, committed_});
     return;
   }
   if (append.verified && !std::exchange(verified_, true)) {
     verifiedEnd_ = end_;
-    readBell_.ring();
-    passBell_.ring();
+    readEvent_.notify();
+    passEvent_.notify();
   }
   if (append.after > received()) return answerAppend(asked, false);
   for (Entry& entry : append.entries) {
@@ -95,13 +95,13 @@
   }
   if (received() == end_) return answerAppend(asked, true);
   appendsWaiting_.push_back(asked);
-  inboxBell_.ring();
+  inboxEvent_.notify();
 }
 
 Task Member::write() {
   while (standing_ != Standing::kBroken) {
     const bool slow = drawer_.worstSyncUs() > plan_.slowDiskUs / 2;
-    Hear hear(ports_.alarms, inboxBell_, slow ? kSlowTryUs : kIdleUs);
+    EventWait hear(ports_.timers, inboxEvent_, slow ? kSlowTryUs : kIdleUs);
     co_await hear;
     if (inbox_.empty() && slow) {
       // A disk that was slow and has nothing to do would be called slow for ever: try it.
@@ -140,7 +140,7 @@
       for (const Entry& entry : batch) applyEntry(entry, release);
       const bool same = active() && memory_.view.revision == revision;
       for (const Asked& asked : appends) answerAppend(asked, same);
-      if (!batch.empty()) passBell_.ring();
+      if (!batch.empty()) passEvent_.notify();
     } while (!inbox_.empty() || drawer_.checkpointing());
   }
 }
@@ -173,7 +173,7 @@
   }
   if (release) {
     committed_ = end_;
-    desk_.replyTo(entry.client, Submit::kKind, entry.exchange,
+    rpc_.replyTo(entry.client, Submit::kKind, entry.exchange,
                   pack(ChainVerdict{ChainOutcome::kDone, memory_.view.revision, known->second}));
     wakeHeld();
   }
@@ -182,7 +182,7 @@
 
 // Its log parted from ours, or it lacks more than we keep: a new view will have it refilled.
 void Member::leaveBehind(const Address& successor, std::uint64_t itsEnd) {
-  logDoubt("successor_left_behind", {{"partner", addressText(successor)}, {"its_end", absl::StrCat(itsEnd)},
+  logDoubt("successor_left_behind", {{"peer", addressText(successor)}, {"its_end", absl::StrCat(itsEnd)},
                                      {"end", absl::StrCat(end_)}});
   ++counts_.leftBehind;
   changeStanding(Standing::kSealed);
@@ -191,7 +191,7 @@
 
 Task Member::passOn() {
   while (standing_ != Standing::kBroken) {
-    Hear hear(ports_.alarms, passBell_, kIdleUs);
+    EventWait hear(ports_.timers, passEvent_, kIdleUs);
     co_await hear;
     while (active() && !tail()) {
       if (successorEnd_ && (successorTold_ || !verified_) && *successorEnd_ >= end_) break;
@@ -215,7 +215,7 @@
           append.entries.push_back(recent_[i]);
         }
       }
-      Call call(desk_, successor, Append::kKind, pack(append), kPassLimitUs);
+      Call call(rpc_, successor, Append::kKind, pack(append), kPassLimitUs);
       auto raw = co_await call;
       if (memory_.view.revision != append.revision || !active()) continue;
       auto read = std::holds_alternative<Bytes>(raw) ? unpack<PassedOn>(std::get<Bytes>(raw))
@@ -223,7 +223,7 @@
       auto* passed = std::get_if<PassedOn>(&read);
       if (passed == nullptr || !passed->sameView) {
         successorEnd_.reset();
-        Pause pause(ports_.alarms, kPassAgainUs);
+        Pause pause(ports_.timers, kPassAgainUs);
         co_await pause;
         continue;
       }
--- a/src/anvil/view.h
+++ b/src/anvil/view.h
@@ -1,7 +1,7 @@
 // The view of a chain: who votes, and who passes commands on, in order (design.md 6.1).
 #pragma once
 
-#include "vise/pack.h"
+#include "runtime/pack.h"
 
 namespace stonemount {
 
--- a/src/anvil/voter.cc
+++ b/src/anvil/voter.cc
@@ -41,7 +41,7 @@
     if (voter.address == self_) {
       sight.wallsUs.push_back(sight.wallUs);
     } else if (heardLately(voter.address)) {
-      const PartnerSight& heard = partners_.at(voter.address);  // late by the way here, never early
+      const PeerSight& heard = peers_.at(voter.address);  // late by the way here, never early
       sight.wallsUs.push_back(heard.pong.wallUs + nowUs - heard.heardUs);
     }
   }
@@ -49,20 +49,20 @@
 }
 
 // No process listens at its address: there is no need to wait for its silence.
-void Member::onRefused(const Address& partner) {
-  auto found = partners_.find(partner);
-  if (found == partners_.end() || found->second.heardUs < 0) return;
+void Member::onRefused(const Address& peer) {
+  auto found = peers_.find(peer);
+  if (found == peers_.end() || found->second.heardUs < 0) return;
   found->second.heardUs = -1;
-  mendBell_.ring();
+  mendEvent_.notify();
 }
 
-void Member::onPeek(const Asked& asked) { desk_.reply(asked, pong()); }
+void Member::onPeek(const Asked& asked) { rpc_.reply(asked, pong()); }
 
 void Member::onPing(const Asked& asked) {
   auto message = unpack<Ping>(asked.body);
   if (!std::holds_alternative<Ping>(message)) return;
-  desk_.reply(asked, pong());
-  if (pinged_.insert(asked.partner).second) room_.start(ping(asked.partner));
+  rpc_.reply(asked, pong());
+  if (pinged_.insert(asked.peer).second) room_.start(ping(asked.peer));
 }
 
 // May this incarnation vote on what follows the given view?
@@ -93,13 +93,13 @@
   }
   verdict.end = end_;
   verdict.names = logNames();
-  desk_.reply(asked, verdict);
+  rpc_.reply(asked, verdict);
 }
 
 Task Member::answerDurably(Asked asked, VoterVerdict verdict) {
   Job<bool> kept = keepMemory();
   const bool durable = co_await kept;
-  if (durable) desk_.reply(asked, verdict);
+  if (durable) rpc_.reply(asked, verdict);
 }
 
 void Member::onPrepare(const Asked& asked) {
@@ -118,7 +118,7 @@
   verdict.acceptedBallot = memory_.acceptedBallot;
   verdict.accepted = memory_.accepted;
   if (verdict.granted) room_.start(answerDurably(asked, verdict));
-  else desk_.reply(asked, verdict);
+  else rpc_.reply(asked, verdict);
 }
 
 void Member::onAccept(const Asked& asked) {
@@ -136,7 +136,7 @@
   }
   verdict.promised = memory_.promised;
   if (verdict.granted) room_.start(answerDurably(asked, verdict));
-  else desk_.reply(asked, verdict);
+  else rpc_.reply(asked, verdict);
 }
 
 // "Yes" only while no later view can have been decided with this voter's vote.
@@ -146,7 +146,7 @@
   VoterVerdict verdict;
   verdict.incarnation = memory_.incarnation;
   verdict.granted = votes(std::get<Confirm>(message).revision) && !memory_.accepted;
-  desk_.reply(asked, verdict);
+  rpc_.reply(asked, verdict);
 }
 
 }  // namespace stonemount
--- a/src/anvil/wish.cc
+++ b/src/anvil/wish.cc
@@ -37,13 +37,13 @@
         verdict.outcome = ChangeOutcome::kDone;
         break;
       }
-      if (!added) desk_.tell(wish.add, Invite{});
-      Pause pause(ports_.alarms, plan_.pingUs);
+      if (!added) rpc_.tell(wish.add, Invite{});
+      Pause pause(ports_.timers, plan_.pingUs);
       co_await pause;
     }
     if (--wishers_ == 0) wish_.reset();
   }
-  desk_.reply(asked, verdict);
+  rpc_.reply(asked, verdict);
 }
 
 }  // namespace stonemount
--- a/src/bellows/http_channels.cc
+++ b/src/bellows/http_channels.cc
@@ -113,7 +113,7 @@
   channel->idleUntilUs_ = loop_.monoUs() + idleUs;
   const bool mayStay = channel->tenancy_ == of.tenancy && idleUs > 0;
   (mayStay ? of.kept : buried_).push_back(std::move(channel));
-  if (alarmKey == 0) loop_.arm(kSweepUs, *this);
+  if (timerKey == 0) loop_.arm(kSweepUs, *this);
 }
 
 void HttpChannels::closeKept(const Address& server) {
--- a/src/bellows/http_out.cc
+++ b/src/bellows/http_out.cc
@@ -96,7 +96,7 @@
     if (ended_) return;
     ended_ = std::holds_alternative<HttpEnd>(next) || std::holds_alternative<HttpBroken>(next);
     pieces_.push_back(std::move(next));
-    if (alarmKey == 0) loop_.arm(0, *this);
+    if (timerKey == 0) loop_.arm(0, *this);
   }
   void broken() {
     loop_.disarm(connectLimit_);
--- a/src/bellows/loop.cc
+++ b/src/bellows/loop.cc
@@ -35,7 +35,7 @@
   base_ = event_base_new_with_config(config);
   event_config_free(config);
   STONEMOUNT_INVARIANT(base_ != nullptr);
-  timer_ = event_new(base_, -1, 0, &Loop::onAlarm, this);
+  timer_ = event_new(base_, -1, 0, &Loop::onTimer, this);
   signal(SIGPIPE, SIG_IGN);
   for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
     event* made = evsignal_new(base_, number, &Loop::onSignal, this);
@@ -54,19 +54,19 @@
 Us Loop::wallUs() const { return readClock(CLOCK_REALTIME); }
 
 void Loop::arm(Us delayUs, Continuation& continuation) {
-  STONEMOUNT_INVARIANT(continuation.alarmKey == 0);
-  continuation.alarmKey = ++lastKey_;
-  continuation.alarmDueUs = monoUs() + std::max<Us>(delayUs, 0);
-  queue_[{continuation.alarmDueUs, continuation.alarmKey}] = &continuation;
+  STONEMOUNT_INVARIANT(continuation.timerKey == 0);
+  continuation.timerKey = ++lastKey_;
+  continuation.timerDueUs = monoUs() + std::max<Us>(delayUs, 0);
+  queue_[{continuation.timerDueUs, continuation.timerKey}] = &continuation;
   if (firing_ || queue_.begin()->second != &continuation) return;
   if (delayUs <= 0) event_active(timer_, EV_TIMEOUT, 0);  // at the end of this turn, without another wait
   else rearm();
 }
 
 void Loop::disarm(Continuation& continuation) {
-  if (continuation.alarmKey == 0) return;
-  queue_.erase({continuation.alarmDueUs, continuation.alarmKey});
-  continuation.alarmKey = 0;
+  if (continuation.timerKey == 0) return;
+  queue_.erase({continuation.timerDueUs, continuation.timerKey});
+  continuation.timerKey = 0;
 }
 
 void Loop::rearm() {
@@ -76,7 +76,7 @@
   event_add(timer_, &delay);
 }
 
-void Loop::onAlarm(evutil_socket_t, short, void* self) { static_cast<Loop*>(self)->fire(); }
+void Loop::onTimer(evutil_socket_t, short, void* self) { static_cast<Loop*>(self)->fire(); }
 
 void Loop::fire() {
   firing_ = true;
@@ -96,7 +96,7 @@
     if (first->first.first > nowUs || first->first.second > lastBefore) break;
     Continuation* continuation = first->second;
     queue_.erase(first);
-    continuation->alarmKey = 0;
+    continuation->timerKey = 0;
     continuation->proceed();
     ran = true;
   }
--- a/src/bellows/loop.h
+++ b/src/bellows/loop.h
@@ -7,9 +7,9 @@
 
 namespace stonemount {
 
-// Alarms never come early; they come a few milliseconds late, since libevent's own clock is the coarse one (the
+// Timers never come early; they come a few milliseconds late, since libevent's own clock is the coarse one (the
 // precise one costs a system call a turn). Those armed for now come in the same turn of the loop.
-class Loop : public Clock, public Alarms {
+class Loop : public Clock, public Timers {
  public:
   Loop();
   ~Loop() override;
@@ -26,7 +26,7 @@
   Continuation* hangup = nullptr;
 
  private:
-  static void onAlarm(evutil_socket_t, short, void* self);
+  static void onTimer(evutil_socket_t, short, void* self);
   static void onSignal(evutil_socket_t number, short, void* self);
   void fire();
   bool fireDue();
--- a/src/bellows/wire_tcp.cc
+++ b/src/bellows/wire_tcp.cc
@@ -22,7 +22,7 @@
 constexpr int kUnheardMilli = 1000;  // sent and not acknowledged for so long: the channel is given up
 constexpr int kIdleSeconds = 5;
 
-// A partner that was cut off is reached again at once when it is back: a channel on which nothing is
+// A peer that was cut off is reached again at once when it is back: a channel on which nothing is
 // acknowledged would only try again after ever longer waits, so it is closed and opened anew. One that
 // only listens asks now and then whether the other end is still there.
 void tune(int socket) {
@@ -41,8 +41,8 @@
 WireTcp::~WireTcp() {
   if (listener_ != nullptr) evconnlistener_free(listener_);
   room_.clear();
-  for (auto& [address, partner] : partners_)
-    if (partner->channel != nullptr) bufferevent_free(partner->channel);
+  for (auto& [address, peer] : peers_)
+    if (peer->channel != nullptr) bufferevent_free(peer->channel);
 }
 
 WireTcp::Incoming::~Incoming() {
@@ -61,23 +61,23 @@
 void WireTcp::post(const Address& address, Bytes frame) {
   if (address == self_) {
     ownFrames_.push_back(std::move(frame));
-    ownBell_.ring();
+    ownEvent_.notify();
     return;
   }
-  std::unique_ptr<Partner>& partner = partners_[address];
-  if (partner == nullptr) {
-    partner = std::make_unique<Partner>();
-    room_.start(writeTo(address, *partner));
+  std::unique_ptr<Peer>& peer = peers_[address];
+  if (peer == nullptr) {
+    peer = std::make_unique<Peer>();
+    room_.start(writeTo(address, *peer));
   }
-  if (partner->queuedBytes + frame.size() > kQueueBytes) return;  // the desk's limits see to the rest
-  partner->queuedBytes += frame.size();
-  partner->queue.push_back(std::move(frame));
-  partner->bell.ring();
+  if (peer->queuedBytes + frame.size() > kQueueBytes) return;  // the rpc's limits see to the rest
+  peer->queuedBytes += frame.size();
+  peer->queue.push_back(std::move(frame));
+  peer->bell.ring();
 }
 
 Task WireTcp::loopBack() {
   while (true) {
-    Hear hear(loop_, ownBell_, 3600 * kSecondUs);
+    EventWait hear(loop_, ownEvent_, 3600 * kSecondUs);
     co_await hear;
     std::deque<Bytes> frames;
     frames.swap(ownFrames_);
@@ -85,68 +85,68 @@
   }
 }
 
-void WireTcp::onPartnerEvent(bufferevent*, short what, void* given) {
-  Partner& partner = *static_cast<Partner*>(given);
-  if (what & BEV_EVENT_CONNECTED) partner.connected = true;
-  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) partner.broken = true;
-  if ((what & BEV_EVENT_ERROR) && EVUTIL_SOCKET_ERROR() == ECONNREFUSED) partner.refused = true;
-  partner.bell.ring();
+void WireTcp::onPeerEvent(bufferevent*, short what, void* given) {
+  Peer& peer = *static_cast<Peer*>(given);
+  if (what & BEV_EVENT_CONNECTED) peer.connected = true;
+  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) peer.broken = true;
+  if ((what & BEV_EVENT_ERROR) && EVUTIL_SOCKET_ERROR() == ECONNREFUSED) peer.refused = true;
+  peer.bell.ring();
 }
 
-void WireTcp::onPartnerReadable(bufferevent* channel, void*) {
+void WireTcp::onPeerReadable(bufferevent* channel, void*) {
   evbuffer* input = bufferevent_get_input(channel);
   evbuffer_drain(input, evbuffer_get_length(input));
 }
 
-Task WireTcp::writeTo(Address address, Partner& partner) {
+Task WireTcp::writeTo(Address address, Peer& peer) {
   while (true) {
-    Hear hear(loop_, partner.bell, 3600 * kSecondUs);
+    EventWait hear(loop_, peer.bell, 3600 * kSecondUs);
     co_await hear;
-    const bool wasBroken = partner.broken;
-    if (partner.broken) {
-      bufferevent_free(partner.channel);
-      partner.channel = nullptr;
-      partner.broken = partner.connected = partner.refused = false;
+    const bool wasBroken = peer.broken;
+    if (peer.broken) {
+      bufferevent_free(peer.channel);
+      peer.channel = nullptr;
+      peer.broken = peer.connected = peer.refused = false;
     }
     // What broke is opened anew at once: a process that is gone shows by it before its silence would.
-    if (partner.queue.empty() && !wasBroken) continue;
-    if (partner.channel == nullptr) {
-      partner.channel = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-      bufferevent_setcb(partner.channel, &WireTcp::onPartnerReadable, nullptr, &WireTcp::onPartnerEvent, &partner);
+    if (peer.queue.empty() && !wasBroken) continue;
+    if (peer.channel == nullptr) {
+      peer.channel = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+      bufferevent_setcb(peer.channel, &WireTcp::onPeerReadable, nullptr, &WireTcp::onPeerEvent, &peer);
       const sockaddr_in where = socketAddress(address);
-      bufferevent_socket_connect(partner.channel, reinterpret_cast<const sockaddr*>(&where), sizeof(where));
+      bufferevent_socket_connect(peer.channel, reinterpret_cast<const sockaddr*>(&where), sizeof(where));
       const Us untilUs = loop_.monoUs() + kConnectUs;
-      while (!partner.connected && !partner.broken && loop_.monoUs() < untilUs) {
-        Hear connecting(loop_, partner.bell, untilUs - loop_.monoUs());
+      while (!peer.connected && !peer.broken && loop_.monoUs() < untilUs) {
+        EventWait connecting(loop_, peer.bell, untilUs - loop_.monoUs());
         co_await connecting;
       }
-      if (!partner.connected || partner.broken) {
-        bufferevent_free(partner.channel);
-        partner.channel = nullptr;
-        const bool gone = std::exchange(partner.refused, false);
-        partner.broken = partner.connected = false;
-        partner.queue.clear();
-        partner.queuedBytes = 0;
+      if (!peer.connected || peer.broken) {
+        bufferevent_free(peer.channel);
+        peer.channel = nullptr;
+        const bool gone = std::exchange(peer.refused, false);
+        peer.broken = peer.connected = false;
+        peer.queue.clear();
+        peer.queuedBytes = 0;
         if (gone) refused.emit(address);
         Pause pause(loop_, kConnectAgainUs);
         co_await pause;
         continue;
       }
-      tune(bufferevent_getfd(partner.channel));
-      bufferevent_enable(partner.channel, EV_READ | EV_WRITE);
+      tune(bufferevent_getfd(peer.channel));
+      bufferevent_enable(peer.channel, EV_READ | EV_WRITE);
       Bytes hello(reinterpret_cast<const char*>(&kHello), 4);
       hello.append(reinterpret_cast<const char*>(&self_.ip), 4);
       hello.append(reinterpret_cast<const char*>(&self_.port), 2);
-      bufferevent_write(partner.channel, hello.data(), hello.size());
+      bufferevent_write(peer.channel, hello.data(), hello.size());
     }
-    while (!partner.queue.empty()) {
-      Bytes frame = std::move(partner.queue.front());
-      partner.queue.pop_front();
-      partner.queuedBytes -= frame.size();
-      if (evbuffer_get_length(bufferevent_get_output(partner.channel)) > kQueueBytes) continue;
+    while (!peer.queue.empty()) {
+      Bytes frame = std::move(peer.queue.front());
+      peer.queue.pop_front();
+      peer.queuedBytes -= frame.size();
+      if (evbuffer_get_length(bufferevent_get_output(peer.channel)) > kQueueBytes) continue;
       const std::uint32_t header[2] = {static_cast<std::uint32_t>(frame.size()), checksum(frame)};
-      bufferevent_write(partner.channel, header, sizeof(header));
-      bufferevent_write(partner.channel, frame.data(), frame.size());
+      bufferevent_write(peer.channel, header, sizeof(header));
+      bufferevent_write(peer.channel, frame.data(), frame.size());
     }
   }
 }
@@ -171,20 +171,20 @@
   bufferevent_setcb(incoming.channel, &WireTcp::onReadable, nullptr, &WireTcp::onIncomingEvent, &incoming);
   bufferevent_enable(incoming.channel, EV_READ | EV_WRITE);
   evbuffer* input = bufferevent_get_input(incoming.channel);
-  Address partner;
+  Address peer;
   while (true) {
-    Hear hear(loop_, incoming.bell, 3600 * kSecondUs);
+    EventWait hear(loop_, incoming.bell, 3600 * kSecondUs);
     co_await hear;
-    if (!partner.set() && evbuffer_get_length(input) >= kHelloBytes) {
+    if (!peer.set() && evbuffer_get_length(input) >= kHelloBytes) {
       unsigned char hello[kHelloBytes];
       evbuffer_remove(input, hello, kHelloBytes);
       std::uint32_t magic = 0;
       std::memcpy(&magic, hello, 4);
       if (magic != kHello) co_return;  // another format: refused whole
-      std::memcpy(&partner.ip, hello + 4, 4);
-      std::memcpy(&partner.port, hello + 8, 2);
+      std::memcpy(&peer.ip, hello + 4, 4);
+      std::memcpy(&peer.port, hello + 8, 2);
       // Who opens a channel anew has given up the old one, whose end may never be heard of here.
-      Incoming*& current = incoming_[partner];
+      Incoming*& current = incoming_[peer];
       if (current != nullptr) {
         current->superseded = true;
         current->bell.ring();
@@ -194,7 +194,7 @@
     }
     if (incoming.superseded) co_return;
     std::uint32_t header[2];
-    while (partner.set() && evbuffer_get_length(input) >= sizeof(header)) {
+    while (peer.set() && evbuffer_get_length(input) >= sizeof(header)) {
       evbuffer_copyout(input, header, sizeof(header));
       if (header[0] > kFrameBound) co_return;
       if (evbuffer_get_length(input) < sizeof(header) + header[0]) break;
@@ -202,7 +202,7 @@
       Bytes frame(header[0], '\0');
       evbuffer_remove(input, frame.data(), frame.size());
       if (checksum(frame) != header[1]) co_return;
-      heard.emit(partner, frame);
+      heard.emit(peer, frame);
     }
     if (incoming.broken) co_return;
   }
--- a/src/bellows/wire_tcp.h
+++ b/src/bellows/wire_tcp.h
@@ -1,4 +1,4 @@
-// The wire port over TCP: one task for each partner written to, one for each channel read (design.md 3.2).
+// The wire port over TCP: one task for each peer written to, one for each channel read (design.md 3.2).
 #pragma once
 
 #include <event2/bufferevent.h>
@@ -7,7 +7,7 @@
 #include <map>
 
 #include "bellows/loop.h"
-#include "vise/await.h"
+#include "runtime/await.h"
 
 namespace stonemount {
 
@@ -17,13 +17,13 @@
   ~WireTcp() override;
   bool listen();
   Address self() const override { return self_; }
-  void post(const Address& partner, Bytes frame) override;
+  void post(const Address& peer, Bytes frame) override;
 
  private:
-  struct Partner {
+  struct Peer {
     std::deque<Bytes> queue;
     std::size_t queuedBytes = 0;
-    Bell bell;
+    Event bell;
     bufferevent* channel = nullptr;
     bool connected = false;
     bool broken = false;
@@ -31,27 +31,27 @@
   };
   struct Incoming {
     bufferevent* channel = nullptr;
-    Bell bell;
+    Event bell;
     bool broken = false;
-    bool superseded = false;     // its partner opened another
+    bool superseded = false;     // its peer opened another
     Incoming** place = nullptr;  // among those that are open
     ~Incoming();
   };
-  Task writeTo(Address address, Partner& partner);
+  Task writeTo(Address address, Peer& peer);
   Task readFrom(int socket);
   Task loopBack();
   static void onAccept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self);
   static void onReadable(bufferevent*, void* incoming);
   static void onIncomingEvent(bufferevent*, short what, void* incoming);
-  static void onPartnerEvent(bufferevent*, short what, void* partner);
-  static void onPartnerReadable(bufferevent* channel, void*);
+  static void onPeerEvent(bufferevent*, short what, void* peer);
+  static void onPeerReadable(bufferevent* channel, void*);
   Loop& loop_;
   Address self_;
   evconnlistener* listener_ = nullptr;
-  absl::btree_map<Address, std::unique_ptr<Partner>> partners_;
-  std::map<Address, Incoming*> incoming_;  // by partner, the newest; its places stay put
+  absl::btree_map<Address, std::unique_ptr<Peer>> peers_;
+  std::map<Address, Incoming*> incoming_;  // by peer, the newest; its places stay put
   std::deque<Bytes> ownFrames_;
-  Bell ownBell_;
+  Event ownEvent_;
   TaskRoom room_;
 };
 
--- a/src/bench/operators.cc
+++ b/src/bench/operators.cc
@@ -83,7 +83,7 @@
     const HttpVerdict verdict = co_await asking;
     auto* whole = std::get_if<HttpWhole>(&verdict);
     if (whole != nullptr && whole->status < 300) co_return;
-    Pause pause(ports_.alarms, 300 * kMilliUs);
+    Pause pause(ports_.timers, 300 * kMilliUs);
     co_await pause;
   }
 }
--- a/src/bench/sim_disk.cc
+++ b/src/bench/sim_disk.cc
@@ -51,8 +51,8 @@
   gathered_.clear();
   Us waitUs = kSyncUs + static_cast<Us>(host_.chance.below(kSyncUs)) + extraUs;
   waitUs = std::max(waitUs, stalledUntilUs - host_.monoUs());
-  alarm_ = std::make_unique<SyncEvent>(*this, host_);
-  host_.arm(waitUs, *alarm_);
+  timer_ = std::make_unique<SyncEvent>(*this, host_);
+  host_.arm(waitUs, *timer_);
 }
 
 void SimDisk::forget(SyncDone& done) {
@@ -76,7 +76,7 @@
 }
 
 void SimDisk::losePower(Chance& chance) {
-  alarm_.reset();
+  timer_.reset();
   waiting_ = nullptr;
   for (Piece& piece : gathered_) syncing_.push_back(std::move(piece));
   gathered_.clear();
--- a/src/bench/sim_disk.h
+++ b/src/bench/sim_disk.h
@@ -42,7 +42,7 @@
   std::vector<Piece> gathered_;
   std::vector<Piece> syncing_;
   SyncDone* waiting_ = nullptr;
-  std::unique_ptr<Continuation> alarm_;
+  std::unique_ptr<Continuation> timer_;
 };
 
 }  // namespace stonemount
--- a/src/bench/world.cc
+++ b/src/bench/world.cc
@@ -47,19 +47,19 @@
 bool SimHost::frozen() const { return world_.nowUs() < frozenUntilUs; }
 
 void SimHost::arm(Us delayUs, Continuation& continuation) {
-  STONEMOUNT_INVARIANT(continuation.alarmKey == 0);
-  continuation.alarmDueUs = world_.nowUs() + std::max<Us>(delayUs, 0);
-  continuation.alarmKey = world_.enqueue(continuation.alarmDueUs, *this, continuation);
+  STONEMOUNT_INVARIANT(continuation.timerKey == 0);
+  continuation.timerDueUs = world_.nowUs() + std::max<Us>(delayUs, 0);
+  continuation.timerKey = world_.enqueue(continuation.timerDueUs, *this, continuation);
 }
 
 void SimHost::disarm(Continuation& continuation) {
-  if (continuation.alarmKey == 0) return;
-  world_.dequeue(continuation.alarmDueUs, continuation.alarmKey);
-  continuation.alarmKey = 0;
+  if (continuation.timerKey == 0) return;
+  world_.dequeue(continuation.timerDueUs, continuation.timerKey);
+  continuation.timerKey = 0;
 }
 
-void SimHost::post(const Address& partner, Bytes frame) {
-  SimHost* to = world_.hostByWire(partner);
+void SimHost::post(const Address& peer, Bytes frame) {
+  SimHost* to = world_.hostByWire(peer);
   if (to == nullptr || !to->up()) return;
   Us atUs = world_.nowUs() + world_.latency(*this, *to);
   Us& last = world_.lastDelivery_[{place_, to->place()}];
@@ -148,7 +148,7 @@
     const Us freeUs = host == nullptr ? 0 : std::max(host->frozenUntilUs, host->slowUs > 0 ? host->busyUntilUs : 0);
     if (nowUs_ < freeUs) {
       // Whatever comes while it is frozen, or busy, waits, in order, until it is free.
-      if (entry.continuation != nullptr) entry.continuation->alarmDueUs = freeUs;
+      if (entry.continuation != nullptr) entry.continuation->timerDueUs = freeUs;
       queue_.emplace(std::make_pair(freeUs, key), std::move(entry));
       continue;
     }
@@ -157,7 +157,7 @@
     ++steps_;
     current_ = host;
     if (entry.continuation != nullptr) {
-      entry.continuation->alarmKey = 0;
+      entry.continuation->timerKey = 0;
       entry.continuation->proceed();
     } else if (host == nullptr || (host->up() && host->life() == entry.life)) {
       entry.event->happen();
--- a/src/bench/world.h
+++ b/src/bench/world.h
@@ -17,7 +17,7 @@
 };
 
 // One machine with at most one process on it. It outlives its processes, as its disk does.
-class SimHost : public Clock, public Alarms, public Wire, public HttpIn, public HttpOut {
+class SimHost : public Clock, public Timers, public Wire, public HttpIn, public HttpOut {
  public:
   SimHost(World& world, std::size_t place, std::string name, std::string zone, Address wire, Address http);
   ~SimHost() override;
@@ -28,7 +28,7 @@
   void arm(Us delayUs, Continuation& continuation) override;
   void disarm(Continuation& continuation) override;
   Address self() const override { return wire_; }
-  void post(const Address& partner, Bytes frame) override;
+  void post(const Address& peer, Bytes frame) override;
   std::unique_ptr<HttpFlow> open(const Address& server, const HttpAsk& ask) override { return open(server, ask, {}); }
   std::unique_ptr<HttpFlow> open(const Address& server, const HttpAsk& ask, const HttpVia& via) override;
 
--- a/src/chisel/operator.cc
+++ b/src/chisel/operator.cc
@@ -6,7 +6,7 @@
 #include "bellows/http.h"
 #include "chisel/flags.h"
 #include "jig/json.h"
-#include "vise/http_call.h"
+#include "runtime/http_call.h"
 
 namespace stonemount {
 
--- a/src/chisel/process.cc
+++ b/src/chisel/process.cc
@@ -155,7 +155,7 @@
   HttpInEv controlIn(loop, settings.control);
   if (settings.control.set() && !controlIn.listen()) return say(Exit::kUsage, "settings: cannot listen on " + addressText(settings.control));
   Core core(ports, settings, plan);
-  PlatformOperator operators(core.operators(), &core.retireDesk(), {settings.zones.begin(), settings.zones.end()});
+  PlatformOperator operators(core.operators(), &core.retireService(), {settings.zones.begin(), settings.zones.end()});
   if (settings.control.set()) operators.begin(controlIn);
   serve(loop, core);
   return 0;
--- a/src/clamp/retire.cc
+++ b/src/clamp/retire.cc
@@ -18,9 +18,9 @@
 }
 }  // namespace
 
-RetireByOrder::RetireByOrder(Ports& ports, Desk& desk, Shim& shim, ChainClient& core, ChainClient& store,
+RetireByOrder::RetireByOrder(Ports& ports, RpcEndpoint& rpc, Shim& shim, ChainClient& core, ChainClient& store,
                              std::uint32_t lostMachines)
-    : ports_(ports), desk_(desk), shim_(shim), core_(core), store_(store),
+    : ports_(ports), rpc_(rpc), shim_(shim), core_(core), store_(store),
       needed_(2 * static_cast<std::size_t>(lostMachines) + 1), begunUs_(ports.clock.monoUs()) {}
 
 bool RetireByOrder::young() const { return ports_.clock.monoUs() - begunUs_ < kYoungUs; }
@@ -93,7 +93,7 @@
   if (view.chain.size() < needed_ || !spansZones(view.chain)) co_return false;
   absl::btree_set<Address> asked;
   for (const Seat& seat : view.chain) asked.insert(seat.address);
-  PeekPoll poll(desk_, asked, kPeekUs);
+  PeekPoll poll(rpc_, asked, kPeekUs);
   co_await poll;
   std::size_t active = 0;
   std::vector<Seat> sound;
--- a/src/clamp/retire.h
+++ b/src/clamp/retire.h
@@ -10,9 +10,9 @@
 
 namespace stonemount {
 
-class RetireByOrder : public RetireDesk {
+class RetireByOrder : public RetireService {
  public:
-  RetireByOrder(Ports& ports, Desk& desk, Shim& shim, ChainClient& core, ChainClient& store, std::uint32_t lostMachines);
+  RetireByOrder(Ports& ports, RpcEndpoint& rpc, Shim& shim, ChainClient& core, ChainClient& store, std::uint32_t lostMachines);
   Job<RetireOutcome> retire(std::string machine) override;
   Job<RetireState> stateOf(std::string machine) override;
 
@@ -22,7 +22,7 @@
   Job<std::optional<MemberOrders>> readOrders();
   Job<bool> restHolds(Address retired);  // without it, with a loss right after
   Ports& ports_;
-  Desk& desk_;
+  RpcEndpoint& rpc_;
   Shim& shim_;
   ChainClient& core_;
   ChainClient& store_;
--- a/src/clamp/retire_desk.h
+++ b/src/clamp/retire_desk.h
@@ -1,7 +1,7 @@
 // What an operator may ask of a store machine, whichever process is asked (design.md 6.10).
 #pragma once
 
-#include "vise/task.h"
+#include "runtime/task.h"
 
 namespace stonemount {
 
@@ -14,9 +14,9 @@
 };
 enum class RetireState : std::uint8_t { kServing, kComplete, kUnknown, kUnsure };
 
-class RetireDesk {
+class RetireService {
  public:
-  virtual ~RetireDesk() = default;
+  virtual ~RetireService() = default;
   virtual Job<RetireOutcome> retire(std::string machine) = 0;
   virtual Job<RetireState> stateOf(std::string machine) = 0;
 };
--- a/src/clamp/steward.cc
+++ b/src/clamp/steward.cc
@@ -15,9 +15,9 @@
   return plan;
 }
 
-Steward::Steward(Ports& ports, Desk& desk, TaskRoom& room, Mallet& mallet, Shim& shim, const Member& control,
+Steward::Steward(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, Shim& shim, const Member& control,
                  const ControlMachine& machine, ChainClient& core, ChainClient& store, StewardPlan plan)
-    : ports_(ports), desk_(desk), room_(room), mallet_(mallet), shim_(shim), control_(control), machine_(machine),
+    : ports_(ports), rpc_(rpc), room_(room), mallet_(mallet), shim_(shim), control_(control), machine_(machine),
       core_(core), store_(store), plan_(plan), controlWatch_(plan.watch), storeWatch_(plan.watch) {}
 
 void Steward::begin() {
@@ -68,7 +68,7 @@
     if (auto* verdict = std::get_if<OrderVerdict>(&read)) founders_ = verdict->orders.storeFounders;
     logEvent("store_founders", {{"count", absl::StrCat(founders_.size())}});
   }
-  for (const Address& founder : founders_) desk_.tell(founder, FoundersTold{founders_});
+  for (const Address& founder : founders_) rpc_.tell(founder, FoundersTold{founders_});
   co_return Done{};
 }
 
@@ -77,7 +77,7 @@
   for (const std::vector<Seat>* seats : {&view.voters, &view.guests})
     for (const Seat& seat : *seats) asked.insert(seat.address);
   for (const Card& card : shim_.alive(Role::kStore)) asked.insert(card.wire);
-  PeekPoll poll(desk_, asked, plan_.peekUs);
+  PeekPoll poll(rpc_, asked, plan_.peekUs);
   co_await poll;
   bool newer = false;
   const Us nowUs = ports_.clock.monoUs();
@@ -100,7 +100,7 @@
   const Us nowUs = ports_.clock.monoUs();
   for (const std::vector<Seat>* seats : {&view.voters, &view.guests}) {
     for (const Seat& seat : *seats) {
-      if (seat.address == desk_.self()) continue;
+      if (seat.address == rpc_.self()) continue;
       if (watch.dead(view, seat.address, nowUs)) need.dead.insert(seat.address);
       if (watch.doubted(seat.address, nowUs)) need.doubted.insert(seat.address);
       if (role == Role::kStore && machine_.orders().retires(seat.address, nameAt(seat.address))) need.retired.insert(seat.address);
@@ -130,7 +130,7 @@
 Job<bool> Steward::tend(ChainClient& client, ChainWatch& watch, View view, Role role) {
   const Us nowUs = ports_.clock.monoUs();
   const SeatNeed need = needOf(watch, view, role);
-  for (const Address& wanted : wantedIn(need)) desk_.tell(wanted, Invite{});
+  for (const Address& wanted : wantedIn(need)) rpc_.tell(wanted, Invite{});
   const ChangeVoters change = nextChange(need);
   if (!change.add.set() && !change.remove.set()) co_return !need.doubted.empty() || !need.retired.empty();
   if (change.add.set()) {
@@ -144,19 +144,19 @@
   }
   logEvent("seat_change", {{"chain", roleText(role)}, {"add", addressText(change.add)},
                            {"remove", addressText(change.remove)}});
-  Job<std::variant<ChangeVerdict, PartnerSilent>> job = client.changeVoters(change, plan_.changeUs);
+  Job<std::variant<ChangeVerdict, PeerSilent>> job = client.changeVoters(change, plan_.changeUs);
   co_await job;
   co_return true;
 }
 
 Task Steward::tendControl() {
   while (true) {
-    Pause pause(ports_.alarms, plan_.restUs);
+    Pause pause(ports_.timers, plan_.restUs);
     co_await pause;
     const View view = control_.view();
     // Every core watches, so that whoever becomes steward knows since when one has been silent.
     controlWatch_.look(view, ports_.clock.monoUs());
-    for (const auto& [address, sight] : control_.partners())
+    for (const auto& [address, sight] : control_.peers())
       if (sight.heardUs >= 0) controlWatch_.heard(address, sight.pong, sight.heardUs);
     if (!mallet_.holds(kDuty) || view.revision == 0) continue;
     Job<bool> tending = tend(core_, controlWatch_, view, Role::kCore);
@@ -167,7 +167,7 @@
 Task Steward::tendStore() {
   bool busy = true;
   while (true) {
-    Pause pause(ports_.alarms, busy ? plan_.roundUs : plan_.restUs);
+    Pause pause(ports_.timers, busy ? plan_.roundUs : plan_.restUs);
     co_await pause;
     const bool founded = store_.view().revision != 0;
     if (!founded) noteEmpties();
--- a/src/clamp/steward.h
+++ b/src/clamp/steward.h
@@ -27,7 +27,7 @@
 
 class Steward {
  public:
-  Steward(Ports& ports, Desk& desk, TaskRoom& room, Mallet& mallet, Shim& shim, const Member& control,
+  Steward(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, Shim& shim, const Member& control,
           const ControlMachine& machine, ChainClient& core, ChainClient& store, StewardPlan plan);
   void begin();
   static constexpr const char* kDuty = "steward";
@@ -44,7 +44,7 @@
   SeatNeed needOf(const ChainWatch& watch, const View& view, Role role) const;
   void noteEmpties();
   Ports& ports_;
-  Desk& desk_;
+  RpcEndpoint& rpc_;
   TaskRoom& room_;
   Mallet& mallet_;
   Shim& shim_;
--- a/src/clamp/watch.cc
+++ b/src/clamp/watch.cc
@@ -4,14 +4,14 @@
 
 namespace stonemount {
 
-PeekPoll::PeekPoll(Desk& desk, const absl::btree_set<Address>& members, Us limitUs)
-    : Poll(desk, Peek::kKind, pack(Peek{}), limitUs), members_(members.begin(), members.end()) {
+PeekPoll::PeekPoll(RpcEndpoint& rpc, const absl::btree_set<Address>& members, Us limitUs)
+    : Poll(rpc, Peek::kKind, pack(Peek{}), limitUs), members_(members.begin(), members.end()) {
   for (const Address& member : members_) add(member);
 }
 
-void PeekPoll::heard(std::size_t partner, const Bytes& body) {
+void PeekPoll::heard(std::size_t peer, const Bytes& body) {
   auto read = unpack<Pong>(body);
-  if (auto* pong = std::get_if<Pong>(&read)) pongs_[members_[partner]] = std::move(*pong);
+  if (auto* pong = std::get_if<Pong>(&read)) pongs_[members_[peer]] = std::move(*pong);
 }
 
 void ChainWatch::look(const View& view, Us nowUs) {
--- a/src/clamp/watch.h
+++ b/src/clamp/watch.h
@@ -2,18 +2,18 @@
 #pragma once
 
 #include "anvil/messages.h"
-#include "vise/desk.h"
+#include "runtime/rpc_endpoint.h"
 
 namespace stonemount {
 
 // Asks each for its pong, whether it is a member or not.
 class PeekPoll : public Poll {
  public:
-  PeekPoll(Desk& desk, const absl::btree_set<Address>& members, Us limitUs);
+  PeekPoll(RpcEndpoint& rpc, const absl::btree_set<Address>& members, Us limitUs);
   const absl::btree_map<Address, Pong>& pongs() const { return pongs_; }
 
  protected:
-  void heard(std::size_t partner, const Bytes& body) override;
+  void heard(std::size_t peer, const Bytes& body) override;
   bool enough() const override { return false; }
 
  private:
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -7,14 +7,14 @@
 namespace stonemount {
 
 Core::Core(Ports& ports, Settings settings, CorePlan plan)
-    : ports_(ports), settings_(std::move(settings)), plan_(plan), desk_(ports.alarms, ports.wire, ports.chance),
-      shim_(ports, desk_, room_, plan.shim), member_(ports, desk_, room_, machine_, memberPlanOf(settings_)),
-      core_(ports, desk_, settings_.founders), store_(ports, desk_, {}), mallet_(ports, desk_, room_, plan.mallet),
-      sampler_(ports, desk_, room_, mallet_, store_, member_, plan.gauge), rebuilder_(ports, desk_, shim_, core_, machine_),
+    : ports_(ports), settings_(std::move(settings)), plan_(plan), rpc_(ports.timers, ports.wire, ports.chance),
+      shim_(ports, rpc_, room_, plan.shim), member_(ports, rpc_, room_, machine_, memberPlanOf(settings_)),
+      core_(ports, rpc_, settings_.founders), store_(ports, rpc_, {}), mallet_(ports, rpc_, room_, plan.mallet),
+      sampler_(ports, rpc_, room_, mallet_, store_, member_, plan.gauge), rebuilder_(ports, rpc_, shim_, core_, machine_),
       ownList_(ports, settings_.platform), lister_(core_, machine_, plan.list != nullptr ? plan.list : &ownList_),
       operators_(ports, core_),
-      steward_(ports, desk_, room_, mallet_, shim_, member_, machine_, core_, store_, stewardPlanOf(settings_, plan.steward)),
-      retireDesk_(ports, desk_, shim_, core_, store_, settings_.bounds.lostMachines) {}
+      steward_(ports, rpc_, room_, mallet_, shim_, member_, machine_, core_, store_, stewardPlanOf(settings_, plan.steward)),
+      retireService_(ports, rpc_, shim_, core_, store_, settings_.bounds.lostMachines) {}
 
 Core::~Core() {
   asked_.disconnect();
@@ -54,7 +54,7 @@
 Task Core::watchZone() {
   while (true) {
     mallet_.setReluctant(machine_.state().evacuated(settings_.zone));
-    Pause pause(ports_.alarms, kSecondUs);
+    Pause pause(ports_.timers, kSecondUs);
     co_await pause;
   }
 }
@@ -72,7 +72,7 @@
     } else {
       lister_.forget();
     }
-    Pause pause(ports_.alarms, plan_.listUs);
+    Pause pause(ports_.timers, plan_.listUs);
     co_await pause;
   }
 }
@@ -80,7 +80,7 @@
 void Core::onAsked(const HttpAsk& ask, ReplyPtr reply) {
   JsonOut out;
   out.object().field("role", "core").field("sampler", mallet_.holds(Sampler::kDuty)).field("lister", mallet_.holds(kLister));
-  answerMemberMetrics(ask, *reply, out, member_, desk_);
+  answerMemberMetrics(ask, *reply, out, member_, rpc_);
 }
 
 }  // namespace stonemount
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -32,10 +32,10 @@
   const Member& member() const { return member_; }
   Member& member() { return member_; }
   const ControlMachine& machine() const { return machine_; }
-  std::uint64_t sentBytes() const { return desk_.sentBytes; }
+  std::uint64_t sentBytes() const { return rpc_.sentBytes; }
   const Mallet& mallet() const { return mallet_; }
-  OperatorDesk& operators() { return operators_; }
-  RetireDesk& retireDesk() { return retireDesk_; }
+  OperatorService& operators() { return operators_; }
+  RetireService& retireService() { return retireService_; }
   static constexpr const char* kLister = "lister";
 
  private:
@@ -48,7 +48,7 @@
   Settings settings_;
   CorePlan plan_;
   TaskRoom room_;
-  Desk desk_;
+  RpcEndpoint rpc_;
   Shim shim_;
   ControlMachine machine_;
   Member member_;
@@ -59,9 +59,9 @@
   Rebuilder rebuilder_;
   PlatformListSource ownList_;
   Lister lister_;
-  OperatorDesk operators_;
+  OperatorService operators_;
   Steward steward_;
-  RetireByOrder retireDesk_;
+  RetireByOrder retireService_;
   sigc::connection asked_;
 };
 
--- a/src/core/operator_desk.cc
+++ b/src/core/operator_desk.cc
@@ -19,14 +19,14 @@
 }  // namespace
 
 // Nothing is sent before the head has been heard: until then it is sure that nothing was taken.
-Job<OperatorDesk::CommandAnswer> OperatorDesk::command(ControlCommand command) {
+Job<OperatorService::CommandAnswer> OperatorService::command(ControlCommand command) {
   const Us askedUs = ports_.clock.monoUs();
   while (true) {
     Job<bool> finding = core_.findHead();
     const bool found = co_await finding;
     if (found) break;
     if (ports_.clock.monoUs() - askedUs + kAgainUs + kPollUs > kSureUs) co_return ChainFailure{};
-    Pause pause(ports_.alarms, kAgainUs);
+    Pause pause(ports_.timers, kAgainUs);
     co_await pause;
   }
   const Us passedUs = ports_.clock.monoUs() - askedUs;
@@ -39,7 +39,7 @@
   co_return std::move(*verdict);
 }
 
-Job<PushVerdict> OperatorDesk::push(ConfigWish wish) {
+Job<PushVerdict> OperatorService::push(ConfigWish wish) {
   ControlCommand wished = PutConfig{std::move(wish)};
   Job<CommandAnswer> sending = command(std::move(wished));
   CommandAnswer answer = co_await sending;
@@ -59,7 +59,7 @@
   co_return CallUntaken{};  // the machine could not read it
 }
 
-Job<ConfigAnswer> OperatorDesk::current() {
+Job<ConfigAnswer> OperatorService::current() {
   ControlQuery query = NewsAsk{0};
   Job<ChainAnswer> reading = core_.read(pack(query), 0, kSureUs);
   ChainAnswer answer = co_await reading;
@@ -74,7 +74,7 @@
                         std::move(news->given)};
 }
 
-Job<ZoneVerdict> OperatorDesk::setZone(std::string zone, bool evacuated) {
+Job<ZoneVerdict> OperatorService::setZone(std::string zone, bool evacuated) {
   ControlCommand wished = SetZone{std::move(zone), evacuated};
   Job<CommandAnswer> sending = command(std::move(wished));
   CommandAnswer answer = co_await sending;
--- a/src/core/operator_desk.h
+++ b/src/core/operator_desk.h
@@ -41,9 +41,9 @@
 struct ZoneTaken {};
 using ZoneVerdict = std::variant<ZoneTaken, CallUntaken, CallUnsure>;
 
-class OperatorDesk {
+class OperatorService {
  public:
-  OperatorDesk(Ports& ports, ChainClient& core) : ports_(ports), core_(core) {}
+  OperatorService(Ports& ports, ChainClient& core) : ports_(ports), core_(core) {}
   Job<PushVerdict> push(ConfigWish wish);
   Job<ConfigAnswer> current();  // as of now: nothing acknowledged before is missing
   Job<ZoneVerdict> setZone(std::string zone, bool evacuated);
--- a/src/drawer/press.h
+++ b/src/drawer/press.h
@@ -7,19 +7,19 @@
 
 class Press {
  public:
-  Press(Drawer& drawer, Alarms& alarms, TaskRoom& room) : drawer_(drawer), alarms_(alarms) {
+  Press(Drawer& drawer, Timers& timers, TaskRoom& room) : drawer_(drawer), timers_(timers) {
     room.start(run());
   }
   class Wait : public Waiter {
    public:
-    explicit Wait(Press& press) : Waiter(press.alarms_), press_(press) {}
+    explicit Wait(Press& press) : Waiter(press.timers_), press_(press) {}
     ~Wait() override { press_.waits_.erase(key_); }
     bool await_ready() const { return false; }
     void await_suspend(std::coroutine_handle<> handle) {
       sleep(handle);
       key_ = ++press_.lastKey_;
       press_.waits_[key_] = this;
-      press_.bell_.ring();
+      press_.event_.notify();
     }
     bool await_resume() const { return durable_; }
 
@@ -33,7 +33,7 @@
  private:
   Task run() {
     while (true) {
-      Hear hear(alarms_, bell_, 3600 * kSecondUs);
+      EventWait hear(timers_, event_, 3600 * kSecondUs);
       co_await hear;
       while (!waits_.empty()) {
         const std::uint64_t upTo = lastKey_;
@@ -50,8 +50,8 @@
     }
   }
   Drawer& drawer_;
-  Alarms& alarms_;
-  Bell bell_;
+  Timers& timers_;
+  Event event_;
   std::uint64_t lastKey_ = 0;
   absl::btree_map<std::uint64_t, Wait*> waits_;
 };
--- a/src/drawer/ring.cc
+++ b/src/drawer/ring.cc
@@ -9,8 +9,8 @@
 constexpr std::size_t kPartBytes = 64 * 1024;
 }  // namespace
 
-Drawer::Drawer(Disk& disk, Alarms& alarms, Clock& clock)
-    : disk_(disk), alarms_(alarms), clock_(clock), spans_(disk.fileCount()) {}
+Drawer::Drawer(Disk& disk, Timers& timers, Clock& clock)
+    : disk_(disk), timers_(timers), clock_(clock), spans_(disk.fileCount()) {}
 
 void Drawer::wipe() {
   for (std::size_t i = 0; i < disk_.fileCount(); ++i) disk_.write(i, 0, Bytes(disk_.fileBytes(), '\0'));
--- a/src/drawer/ring.h
+++ b/src/drawer/ring.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "drawer/record.h"
-#include "vise/await.h"
-#include "vise/pack.h"
+#include "runtime/await.h"
+#include "runtime/pack.h"
 
 namespace stonemount {
 
@@ -25,7 +25,7 @@
 
 class Drawer {
  public:
-  Drawer(Disk& disk, Alarms& alarms, Clock& clock);
+  Drawer(Disk& disk, Timers& timers, Clock& clock);
   OpenVerdict open();
   void wipe();  // starts anew after damage; what was there is gone
   AppendVerdict append(RecordKind kind, const Bytes& body);
@@ -64,7 +64,7 @@
   Scan scanFile(const Bytes& bytes, std::uint64_t& synced) const;
   std::variant<Done, RingFull> turnFile();
   Disk& disk_;
-  Alarms& alarms_;
+  Timers& timers_;
   Clock& clock_;
   std::vector<FileSpan> spans_;
   std::size_t file_ = 0;
@@ -86,7 +86,7 @@
   bool failed_ = false;
   Us syncBeganUs_ = 0;
   Us slowUs_ = 0;
-  Bell syncedBell_;
+  Event syncedEvent_;
 };
 
 }  // namespace stonemount
--- a/src/gauge/cut.h
+++ b/src/gauge/cut.h
@@ -1,7 +1,7 @@
 // The safe expiry cut: the only time by which anything expires (design.md 8).
 #pragma once
 
-#include "vise/pack.h"
+#include "runtime/pack.h"
 
 namespace stonemount {
 
--- a/src/gauge/sampler.cc
+++ b/src/gauge/sampler.cc
@@ -11,21 +11,21 @@
 constexpr Us kAgainUs = 200 * kMilliUs;
 }  // namespace
 
-Sampler::Sampler(Ports& ports, Desk& desk, TaskRoom& room, Mallet& mallet, ChainClient& store, const Member& clocks,
+Sampler::Sampler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, ChainClient& store, const Member& clocks,
                  GaugePlan plan)
-    : ports_(ports), desk_(desk), room_(room), mallet_(mallet), store_(store), clocks_(clocks), plan_(plan) {}
+    : ports_(ports), rpc_(rpc), room_(room), mallet_(mallet), store_(store), clocks_(clocks), plan_(plan) {}
 
 Task Sampler::run() {
   while (true) {
     if (!mallet_.holds(kDuty)) {
-      Pause pause(ports_.alarms, kAgainUs);
+      Pause pause(ports_.timers, kAgainUs);
       co_await pause;
       continue;
     }
     Job<bool> pinning = pin();
     bool leading = co_await pinning;
     while (leading && mallet_.holds(kDuty)) {
-      Pause pause(ports_.alarms, plan_.sampleUs);
+      Pause pause(ports_.timers, plan_.sampleUs);
       co_await pause;
       Job<bool> sampling = round();
       leading = co_await sampling;
@@ -35,7 +35,7 @@
     }
     if (session_ != 0) logEvent("sampler_ended", {{"epoch", absl::StrCat(epoch_)}});
     session_ = 0;
-    Pause pause(ports_.alarms, kAgainUs);
+    Pause pause(ports_.timers, kAgainUs);
     co_await pause;
   }
 }
@@ -45,16 +45,16 @@
   co_await refreshing;
   if (store_.view().chain.empty()) co_return false;
   const Address head = store_.view().chain.front().address;
-  Job<std::variant<SessionVerdict, PartnerSilent>> opening =
-      ask<SessionVerdict>(desk_, head, SessionAsk{desk_.self()}, kStoreLimitUs);
-  std::variant<SessionVerdict, PartnerSilent> opened = co_await opening;
+  Job<std::variant<SessionVerdict, PeerSilent>> opening =
+      ask<SessionVerdict>(rpc_, head, SessionAsk{rpc_.self()}, kStoreLimitUs);
+  std::variant<SessionVerdict, PeerSilent> opened = co_await opening;
   auto* session = std::get_if<SessionVerdict>(&opened);
   if (session == nullptr || !session->granted) co_return false;
   session_ = session->session;
   lastMonoUs_ = ports_.clock.monoUs();
   lastWallUs_ = ports_.clock.wallUs();
   round_ = 0;
-  Bytes command = pack(StoreCommand(LockWish{desk_.self(), session_}));
+  Bytes command = pack(StoreCommand(LockWish{rpc_.self(), session_}));
   Job<ChainAnswer> locking = store_.submit(std::move(command), kStoreLimitUs);
   ChainAnswer answer = co_await locking;
   if (!std::holds_alternative<Bytes>(answer)) co_return false;
--- a/src/gauge/sampler.h
+++ b/src/gauge/sampler.h
@@ -10,7 +10,7 @@
 
 class Sampler {
  public:
-  Sampler(Ports& ports, Desk& desk, TaskRoom& room, Mallet& mallet, ChainClient& store, const Member& clocks,
+  Sampler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, ChainClient& store, const Member& clocks,
           GaugePlan plan);
   void begin() { room_.start(run()); }
   static constexpr const char* kDuty = "sampler";
@@ -22,7 +22,7 @@
   Job<bool> round();      // false: the leadership is over
   Job<Done> sweep();
   Ports& ports_;
-  Desk& desk_;
+  RpcEndpoint& rpc_;
   TaskRoom& room_;
   Mallet& mallet_;
   ChainClient& store_;
--- a/src/jig/almanac.cc
+++ b/src/jig/almanac.cc
@@ -7,14 +7,14 @@
 namespace {
 constexpr Us kHoldUs = 500 * kMilliUs;  // a tail lost right after it took news is asked for in vain so long
 constexpr Us kLimitUs = 2 * kSecondUs;
-constexpr Us kPartnerUs = 400 * kMilliUs;
+constexpr Us kPeerUs = 400 * kMilliUs;
 }  // namespace
 
-Almanac::Almanac(Ports& ports, Desk& desk, TaskRoom& room, ChainClient& core, Shim& shim)
-    : ports_(ports), desk_(desk), room_(room), core_(core), shim_(shim) {}
+Almanac::Almanac(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& core, Shim& shim)
+    : ports_(ports), rpc_(rpc), room_(room), core_(core), shim_(shim) {}
 
 void Almanac::begin() {
-  desk_.serve(AlmanacAsk::kKind, sigc::mem_fun(*this, &Almanac::onAlmanacAsk));
+  rpc_.serve(AlmanacAsk::kKind, sigc::mem_fun(*this, &Almanac::onAlmanacAsk));
   shim_.met.connect(sigc::mem_fun(*this, &Almanac::onMet));
   room_.start(follow());
 }
@@ -45,22 +45,22 @@
         take(*given);
       }
     }
-    Pause pause(ports_.alarms, static_cast<Us>(5 + ports_.chance.below(20)) * kMilliUs);
+    Pause pause(ports_.timers, static_cast<Us>(5 + ports_.chance.below(20)) * kMilliUs);
     co_await pause;
   }
 }
 
-// A partner's card tells of newer news than ours: ask it, whatever became of the core.
+// A peer's card tells of newer news than ours: ask it, whatever became of the core.
 void Almanac::onMet(const Card& card) {
   if (card.role != Role::kNode || card.control <= state_.revision() || asking_) return;
   asking_ = true;
-  room_.start(catchUpFromPartner(card.wire));
+  room_.start(catchUpFromPeer(card.wire));
 }
 
-Task Almanac::catchUpFromPartner(Address partner) {
-  Job<std::variant<ControlNews, PartnerSilent>> job =
-      ask<ControlNews>(desk_, partner, AlmanacAsk{state_.revision()}, kPartnerUs);
-  std::variant<ControlNews, PartnerSilent> verdict = co_await job;
+Task Almanac::catchUpFromPeer(Address peer) {
+  Job<std::variant<ControlNews, PeerSilent>> job =
+      ask<ControlNews>(rpc_, peer, AlmanacAsk{state_.revision()}, kPeerUs);
+  std::variant<ControlNews, PeerSilent> verdict = co_await job;
   if (auto* given = std::get_if<ControlNews>(&verdict)) take(*given);
   asking_ = false;
 }
@@ -68,7 +68,7 @@
 void Almanac::onAlmanacAsk(const Asked& asked) {
   auto message = unpack<AlmanacAsk>(asked.body);
   if (!std::holds_alternative<AlmanacAsk>(message) || !ready()) return;
-  desk_.reply(asked, state_.newsSince(std::get<AlmanacAsk>(message).since));
+  rpc_.reply(asked, state_.newsSince(std::get<AlmanacAsk>(message).since));
 }
 
 }  // namespace stonemount
--- a/src/jig/almanac.h
+++ b/src/jig/almanac.h
@@ -16,7 +16,7 @@
 
 class Almanac {
  public:
-  Almanac(Ports& ports, Desk& desk, TaskRoom& room, ChainClient& core, Shim& shim);
+  Almanac(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& core, Shim& shim);
   void begin();
   const ControlState& state() const { return state_; }
   bool ready() const { return state_.revision() != 0; }
@@ -26,12 +26,12 @@
 
  private:
   Task follow();
-  Task catchUpFromPartner(Address partner);
+  Task catchUpFromPeer(Address peer);
   void take(const ControlNews& given);
   void onAlmanacAsk(const Asked& asked);
   void onMet(const Card& card);
   Ports& ports_;
-  Desk& desk_;
+  RpcEndpoint& rpc_;
   TaskRoom& room_;
   ChainClient& core_;
   Shim& shim_;
--- a/src/jig/platform_list.cc
+++ b/src/jig/platform_list.cc
@@ -1,7 +1,7 @@
 #include "jig/platform_list.h"
 
 #include "jig/json.h"
-#include "vise/http_call.h"
+#include "runtime/http_call.h"
 
 namespace stonemount {
 
--- a/src/jig/sparse.h
+++ b/src/jig/sparse.h
@@ -1,7 +1,7 @@
 // Packing of what is mostly as it is by default: fields that are nothing are left out (design.md 3.3).
 #pragma once
 
-#include "vise/pack.h"
+#include "runtime/pack.h"
 
 namespace stonemount {
 
--- a/src/jig/worker_list.h
+++ b/src/jig/worker_list.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "jig/control_state.h"
-#include "vise/task.h"
+#include "runtime/task.h"
 
 namespace stonemount {
 
--- a/src/lathe/exchange.cc
+++ b/src/lathe/exchange.cc
@@ -8,7 +8,7 @@
 // Collects the flow's pieces for the task that reads them.
 class PieceBox : public sigc::trackable {
  public:
-  PieceBox(HttpFlow& flow, Bell& bell) : bell_(bell) {
+  PieceBox(HttpFlow& flow, Event& bell) : event_(bell) {
     flow.piece.connect(sigc::mem_fun(*this, &PieceBox::put));
   }
   std::deque<HttpPiece> pieces;
@@ -16,9 +16,9 @@
  private:
   void put(HttpPiece piece) {
     pieces.push_back(std::move(piece));
-    bell_.ring();
+    event_.notify();
   }
-  Bell& bell_;
+  Event& event_;
 };
 
 HttpAsk workAsk(const WorkOrder& order) {
@@ -47,7 +47,7 @@
 // or an answer that is not ours ends it.
 Job<WorkEnding> Exchange::run(WorkOrder order, Address worker, Us untilUs, PartSink& sink) {
   std::unique_ptr<HttpFlow> flow = ports_.httpOut.open(worker, workAsk(order));
-  PieceBox box(*flow, sink.bell());
+  PieceBox box(*flow, sink.event());
   SealedReader reader(order.exchange);
   int status = 0;
   bool echoed = false;
@@ -83,7 +83,7 @@
     if (sink.left()) co_return WorkLeft{};
     const Us leftUs = untilUs - ports_.clock.monoUs();
     if (leftUs <= 0) co_return WorkLapsed{status != 0};
-    Hear hear(ports_.alarms, sink.bell(), leftUs);
+    EventWait hear(ports_.timers, sink.event(), leftUs);
     co_await hear;
   }
 }
--- a/src/lathe/exchange.h
+++ b/src/lathe/exchange.h
@@ -37,7 +37,7 @@
   virtual void part(const Bytes& data) = 0;
   virtual void alive() {}      // any bytes at all
   virtual bool left() const = 0;
-  virtual Bell& bell() = 0;    // rung when the caller leaves
+  virtual Event& event() = 0;    // rung when the caller leaves
 };
 
 class Exchange {
--- a/src/lathe/fitness.cc
+++ b/src/lathe/fitness.cc
@@ -44,7 +44,7 @@
       if (report) board_.report(worker, std::move(*report), askedUs);
     }
     if (std::holds_alternative<HttpFailed>(verdict)) board_.reportLost(worker);
-    Pause pause(ports_.alarms, kEveryUs + static_cast<Us>(ports_.chance.below(100)) * kMilliUs);
+    Pause pause(ports_.timers, kEveryUs + static_cast<Us>(ports_.chance.below(100)) * kMilliUs);
     co_await pause;
   }
   watched_.erase(worker);
--- a/src/lathe/fitness.h
+++ b/src/lathe/fitness.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "lathe/worker_board.h"
-#include "vise/http_call.h"
+#include "runtime/http_call.h"
 
 namespace stonemount {
 
--- a/src/lathe/gateway.cc
+++ b/src/lathe/gateway.cc
@@ -23,7 +23,7 @@
   for (auto& [pool, queue] : queues_) {
     std::size_t woken = 0;
     for (const auto& [place, caller] : queue) {
-      caller->knock.ring();
+      caller->knock.notify();
       if (++woken >= kFirst) break;
     }
   }
@@ -92,7 +92,7 @@
     ++held_;
     if (looks) leftUs = std::min(leftUs, kLookUs);  // some room is made by time alone
     if (std::exchange(givesWay, false)) leftUs = 0;
-    Hear hear(ports_.alarms, caller->knock, leftUs);
+    EventWait hear(ports_.timers, caller->knock, leftUs);
     co_await hear;
     --held_;
     auto queue = queues_.find(caller->wish.pool);
--- a/src/lathe/gateway_caller.h
+++ b/src/lathe/gateway_caller.h
@@ -17,7 +17,7 @@
   void bytes(const Bytes& data) override {
     if (begun) {
       reply->chunk(data);
-      if (left()) knock.ring();
+      if (left()) knock.notify();
       return;
     }
     gathered += data;
@@ -31,13 +31,13 @@
     series = true;
     lastEvent = event.id;
     reply->chunk(event.raw);
-    if (left()) knock.ring();
+    if (left()) knock.notify();
   }
   bool left() const override { return gone || (begun && reply->backlogBytes() > kBacklogBound); }
-  Bell& bell() override { return knock; }
+  Event& event() override { return knock; }
   void onGone() {
     gone = true;
-    knock.ring();
+    knock.notify();
   }
   void begin() {
     if (std::exchange(begun, true)) return;
@@ -52,7 +52,7 @@
   ReplyPtr reply;
   HttpHead head_;
   Bytes gathered;
-  Bell knock;
+  Event knock;
   PoolWish wish;
   std::optional<std::uint64_t> lastEvent;
   std::optional<Address> worker;
--- a/src/lathe/lathe.cc
+++ b/src/lathe/lathe.cc
@@ -26,18 +26,18 @@
     reply->chunk(out.take() + "\n");
   }
   bool left() const override { return gone || reply->backlogBytes() > kBacklogBound; }
-  Bell& bell() override { return knock; }
+  Event& event() override { return knock; }
   void onGone() {
     gone = true;
-    knock.ring();
-    lathe.waitingBell_.ring();
+    knock.notify();
+    lathe.waitingEvent_.notify();
   }
   static constexpr std::size_t kBacklogBound = 4 << 20;  // a caller that does not read is as good as gone
   Lathe& lathe;
   WorkOrder order;
   NominateWish wish;
   ReplyPtr reply;
-  Bell knock;
+  Event knock;
   Us limitAtUs = 0;
   Us waitUntilUs = 0;
   bool gone = false;
@@ -67,7 +67,7 @@
              std::string exchangePrefix)
     : ports_(ports), room_(room), board_(board), control_(control), plan_(plan),
       exchangePrefix_(std::move(exchangePrefix)) {
-  roomMade_ = board_.roomMade.connect(sigc::mem_fun(waitingBell_, &Bell::ring));
+  roomMade_ = board_.roomMade.connect(sigc::mem_fun(waitingEvent_, &Event::notify));
 }
 
 Lathe::~Lathe() { roomMade_.disconnect(); }
@@ -119,9 +119,9 @@
   caller->worker.reset();
   caller->waiting = true;
   waiting_.push_back(caller);
-  waitingBell_.ring();
+  waitingEvent_.notify();
   while (caller->waiting && !caller->gone && ports_.clock.monoUs() < caller->waitUntilUs) {
-    Hear hear(ports_.alarms, caller->knock, caller->waitUntilUs - ports_.clock.monoUs());
+    EventWait hear(ports_.timers, caller->knock, caller->waitUntilUs - ports_.clock.monoUs());
     co_await hear;
   }
   if (caller->waiting) {
@@ -136,7 +136,7 @@
 
 Task Lathe::nominateWaiting() {
   while (true) {
-    Hear hear(ports_.alarms, waitingBell_, 100 * kMilliUs);
+    EventWait hear(ports_.timers, waitingEvent_, 100 * kMilliUs);
     co_await hear;
     absl::flat_hash_set<std::string> fullPools;  // do not ask the same full pool for each
     std::deque<std::shared_ptr<Caller>> still;
@@ -152,7 +152,7 @@
       board_.take(*chosenWorker, false);
       caller->worker = chosenWorker;
       caller->waiting = false;
-      caller->knock.ring();
+      caller->knock.notify();
     }
     waiting_ = std::move(still);
     board_.setLiveWaiting(!waiting_.empty());
--- a/src/lathe/lathe.h
+++ b/src/lathe/lathe.h
@@ -49,7 +49,7 @@
   std::uint64_t lastExchange_ = 0;
   std::deque<std::shared_ptr<Caller>> waiting_;
   std::size_t relaying_ = 0;
-  Bell waitingBell_;
+  Event waitingEvent_;
   sigc::connection roomMade_;
   LatheCounts counts_;
   Us lastSealedUs_ = 0;
--- a/src/lathe/passage.cc
+++ b/src/lathe/passage.cc
@@ -34,7 +34,7 @@
       if (!headSeen_) told_ = PoolBoard::Ending::kBroken;  // for the choice of workers only
       break;
     }
-    Hear hear(ports_.alarms, sink.bell(), leftUs);
+    EventWait hear(ports_.timers, sink.event(), leftUs);
     co_await hear;
   }
   flow.reset();
@@ -47,7 +47,7 @@
   if (ending_) return;
   ending_ = std::move(ending);
   told_ = told;
-  sink_->bell().ring();
+  sink_->event().notify();
 }
 
 void Passage::put(HttpPiece piece) {
--- a/src/lathe/passage.h
+++ b/src/lathe/passage.h
@@ -4,7 +4,7 @@
 #include "lathe/event_reader.h"
 #include "lathe/pool_board.h"
 #include "lathe/worker_dialect.h"
-#include "vise/await.h"
+#include "runtime/await.h"
 
 namespace stonemount {
 
@@ -35,7 +35,7 @@
   virtual void bytes(const Bytes&) {}            // of an answer that is no series of events
   virtual void event(PassEvent&& event) = 0;     // in order, each once
   virtual bool left() const = 0;                  // nobody wants it any more: end it
-  virtual Bell& bell() = 0;                       // rung when that changes
+  virtual Event& event() = 0;                       // rung when that changes
 };
 
 class ItemPasser {                                // implemented by the live path
--- a/src/lathe/worker_board.h
+++ b/src/lathe/worker_board.h
@@ -3,7 +3,7 @@
 
 #include "compass/ring.h"
 #include "jig/control_state.h"
-#include "vise/await.h"
+#include "runtime/await.h"
 
 namespace stonemount {
 
--- a/src/mallet/mallet.cc
+++ b/src/mallet/mallet.cc
@@ -8,12 +8,12 @@
 
 namespace stonemount {
 
-Mallet::Mallet(Ports& ports, Desk& desk, TaskRoom& room, MalletPlan plan)
-    : ports_(ports), desk_(desk), room_(room), plan_(plan) {}
+Mallet::Mallet(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, MalletPlan plan)
+    : ports_(ports), rpc_(rpc), room_(room), plan_(plan) {}
 
 void Mallet::begin(const std::vector<std::string>& duties) {
-  desk_.serve(DutyBallot::kKind, sigc::mem_fun(*this, &Mallet::onBallot));
-  desk_.serve(DutyBeat::kKind, sigc::mem_fun(*this, &Mallet::onBeat));
+  rpc_.serve(DutyBallot::kKind, sigc::mem_fun(*this, &Mallet::onBallot));
+  rpc_.serve(DutyBeat::kKind, sigc::mem_fun(*this, &Mallet::onBeat));
   for (const std::string& duty : duties) {
     duties_[duty].heardUs = ports_.clock.monoUs();  // first see whether somebody does it
     room_.start(keep(duty));
@@ -42,7 +42,7 @@
 void Mallet::take(const std::string& name, Duty& duty, std::uint64_t term) {
   duty.mine = true;
   duty.term = term;
-  duty.holder = desk_.self();
+  duty.holder = rpc_.self();
   duty.heardUs = duty.noddedUs = ports_.clock.monoUs();
   logEvent("duty_taken", {{"duty", name}, {"term", absl::StrCat(term)}});
 }
@@ -57,24 +57,24 @@
     if (duties_[name].mine) {
       Job<Done> beating = beat(name);
       co_await beating;
-    } else if (vacant(duties_[name]) && holdsSeat(electors_, desk_.self(), incarnation_)) {
+    } else if (vacant(duties_[name]) && holdsSeat(electors_, rpc_.self(), incarnation_)) {
       // Who lost waits longer and less alike, or an even number could split their votes for ever.
       const std::uint64_t spanMilli = 200 + 300 * std::min<std::uint64_t>(duties_[name].failures, 6);
       const Us waitUs = static_cast<Us>(ports_.chance.below(spanMilli)) * kMilliUs + (reluctant_ ? kSecondUs : 0);
-      Pause aside(ports_.alarms, waitUs);
+      Pause aside(ports_.timers, waitUs);
       co_await aside;
       Job<Done> contending = contend(name);
       co_await contending;
     }
-    Pause pause(ports_.alarms, plan_.beatUs);
+    Pause pause(ports_.timers, plan_.beatUs);
     co_await pause;
   }
 }
 
 Job<Done> Mallet::beat(std::string name) {
   const std::vector<Seat> electors = electors_;
-  DutyBeat message{name, duties_[name].term, desk_.self()};
-  SeatPoll<DutyNod> poll(desk_, message, electors, electors.size() / 2 + 1, plan_.beatUs);
+  DutyBeat message{name, duties_[name].term, rpc_.self()};
+  SeatPoll<DutyNod> poll(rpc_, message, electors, electors.size() / 2 + 1, plan_.beatUs);
   co_await poll;
   Duty& duty = duties_[name];
   const Us nowUs = ports_.clock.monoUs();
@@ -90,7 +90,7 @@
   if (!vacant(duties_[name]) || electors_.empty()) co_return Done{};
   const std::vector<Seat> electors = electors_;
   const std::uint64_t term = std::max(duties_[name].term, duties_[name].voted) + 1;
-  SeatPoll<DutyNod> poll(desk_, DutyBallot{name, term, desk_.self()}, electors, electors.size() / 2 + 1,
+  SeatPoll<DutyNod> poll(rpc_, DutyBallot{name, term, rpc_.self()}, electors, electors.size() / 2 + 1,
                          plan_.beatUs * 2);
   co_await poll;
   Duty& duty = duties_[name];
@@ -118,7 +118,7 @@
     duty.heardUs = ports_.clock.monoUs() - plan_.vacantUs + plan_.voteUs;
   }
   nod.term = std::max(duty.voted, duty.term);
-  desk_.reply(asked, nod);
+  rpc_.reply(asked, nod);
 }
 
 void Mallet::onBeat(const Asked& asked) {
@@ -133,13 +133,13 @@
   nod.granted = beat.term >= duty.term;
   if (nod.granted) {
     duty.failures = 0;
-    if (duty.mine && beat.holder != desk_.self()) letGo(beat.duty, duty);
+    if (duty.mine && beat.holder != rpc_.self()) letGo(beat.duty, duty);
     duty.term = beat.term;
     duty.holder = beat.holder;
     duty.heardUs = ports_.clock.monoUs();
   }
   nod.term = duty.term;
-  desk_.reply(asked, nod);
+  rpc_.reply(asked, nod);
 }
 
 }  // namespace stonemount
--- a/src/mallet/mallet.h
+++ b/src/mallet/mallet.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "anvil/view.h"
-#include "vise/desk.h"
+#include "runtime/rpc_endpoint.h"
 
 namespace stonemount {
 
@@ -37,7 +37,7 @@
 // Two holders for a moment do no harm: what a duty writes is fenced where it is written.
 class Mallet {
  public:
-  Mallet(Ports& ports, Desk& desk, TaskRoom& room, MalletPlan plan);
+  Mallet(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, MalletPlan plan);
   void begin(const std::vector<std::string>& duties);
   void setElectors(std::vector<Seat> electors, std::uint64_t incarnation);
   void setReluctant(bool reluctant) { reluctant_ = reluctant; }  // in an evacuated zone
@@ -63,7 +63,7 @@
   void onBeat(const Asked& asked);
   bool vacant(const Duty& duty) const;
   Ports& ports_;
-  Desk& desk_;
+  RpcEndpoint& rpc_;
   TaskRoom& room_;
   MalletPlan plan_;
   std::vector<Seat> electors_;
--- a/src/node/doctor.cc
+++ b/src/node/doctor.cc
@@ -84,10 +84,10 @@
 
 Task Node::doctor(ReplyPtr reply) {
   Findings findings;
-  Job<ChainSight> peekingCore = peekChain(desk_, core_);
+  Job<ChainSight> peekingCore = peekChain(rpc_, core_);
   const ChainSight core = co_await peekingCore;
   lookAtChain("core", core, findings);
-  Job<ChainSight> peekingStore = peekChain(desk_, store_);
+  Job<ChainSight> peekingStore = peekChain(rpc_, store_);
   const ChainSight store = co_await peekingStore;
   lookAtChain("store", store, findings);
   Job<ChainAnswer> asking = store_.read(pack(StoreQuery(ClockAsk{})), 0, 2 * kSecondUs);
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -95,7 +95,7 @@
   out.field("lotGranted", lots.granted).field("lotSealed", lots.sealed).field("lotDropped", lots.dropped);
   out.field("lotRefused", lots.refused).field("lotNotGranted", lots.notGranted);
   out.field("lotRunning", scheduler_.running());
-  out.field("frames", desk_.sentFrames).field("frameBytes", desk_.sentBytes).field("controlAsks", almanac_.asks);
+  out.field("frames", rpc_.sentFrames).field("frameBytes", rpc_.sentBytes).field("controlAsks", almanac_.asks);
   out.field("config", almanac_.state().configRevision());
   out.field("controlRevision", almanac_.state().revision()).closeObject();
   reply->whole(200, {}, out.take() + "\n");
--- a/src/node/inspect.cc
+++ b/src/node/inspect.cc
@@ -45,9 +45,9 @@
 }
 
 Task Node::showStatus(ReplyPtr reply) {
-  Job<ChainSight> peekingCore = peekChain(desk_, core_);
+  Job<ChainSight> peekingCore = peekChain(rpc_, core_);
   const ChainSight core = co_await peekingCore;
-  Job<ChainSight> peekingStore = peekChain(desk_, store_);
+  Job<ChainSight> peekingStore = peekChain(rpc_, store_);
   const ChainSight store = co_await peekingStore;
   Job<ChainAnswer> askingCore = askCore(NewsAsk{0});
   ChainAnswer control = co_await askingCore;
@@ -83,7 +83,7 @@
 }
 
 Task Node::showStore(ReplyPtr reply) {
-  Job<ChainSight> peeking = peekChain(desk_, store_);
+  Job<ChainSight> peeking = peekChain(rpc_, store_);
   const ChainSight store = co_await peeking;
   JsonOut out;
   writeChain(out, store);
@@ -154,9 +154,9 @@
     sendVerdict(*reply, 400, "bad_request", {{"field", "add, remove"}, {"why", "are not IP numbers with ports"}});
     co_return;
   }
-  Job<std::variant<ChangeVerdict, PartnerSilent>> sending =
+  Job<std::variant<ChangeVerdict, PeerSilent>> sending =
       (core ? core_ : store_).changeVoters(wish, 8 * kSecondUs);
-  const std::variant<ChangeVerdict, PartnerSilent> answer = co_await sending;
+  const std::variant<ChangeVerdict, PeerSilent> answer = co_await sending;
   auto* verdict = std::get_if<ChangeVerdict>(&answer);
   if (verdict == nullptr) {
     sendVerdict(*reply, 503, "chain_silent", {{"taken", "unknown"}}, 1);
--- a/src/node/lot_carrier.h
+++ b/src/node/lot_carrier.h
@@ -4,7 +4,7 @@
 
 #include "jig/control_state.h"
 #include "store/queries.h"
-#include "vise/await.h"
+#include "runtime/await.h"
 
 namespace stonemount {
 
@@ -19,7 +19,7 @@
   Address worker;     // whose slot it takes
   bool over = false;      // nobody wants it any more, or this node has no more time: end it
   bool leaving = false;   // the node is to stop: what is not at a worker goes back
-  Bell knock;             // rung when either changes
+  Event knock;             // rung when either changes
 };
 using LotRunPtr = std::shared_ptr<LotRun>;
 
--- a/src/node/lot_delivery.cc
+++ b/src/node/lot_delivery.cc
@@ -13,21 +13,21 @@
 
 void LotDelivery::seal(SealedRun run) {
   toSeal_.push_back(std::move(run));
-  bell_.ring();
+  event_.notify();
 }
 
 void LotDelivery::drop(DroppedRun run) {
   toDrop_.push_back(std::move(run));
-  bell_.ring();
+  event_.notify();
 }
 
 // A part at a time: all that gathered while the store was away may be more than one record holds.
 Task LotDelivery::deliver() {
   while (true) {
-    Hear hear(ports_.alarms, bell_, kSecondUs);
+    EventWait hear(ports_.timers, event_, kSecondUs);
     co_await hear;
     if (gatherUs_ > 0 && !idle()) {
-      Pause gathering(ports_.alarms, gatherUs_);
+      Pause gathering(ports_.timers, gatherUs_);
       co_await gathering;
     }
     while (!idle()) {
@@ -54,7 +54,7 @@
         toSeal_.front().answer = "{\"verdict\":\"answer_too_long\"}";
         continue;
       }
-      Pause pause(ports_.alarms, kAgainUs);
+      Pause pause(ports_.timers, kAgainUs);
       co_await pause;
     }
   }
--- a/src/node/lot_delivery.h
+++ b/src/node/lot_delivery.h
@@ -25,7 +25,7 @@
   Us gatherUs_;  // how long answers are gathered before they are told together
   std::vector<SealedRun> toSeal_;
   std::vector<DroppedRun> toDrop_;
-  Bell bell_;
+  Event event_;
 };
 
 }  // namespace stonemount
--- a/src/node/lot_desk.cc
+++ b/src/node/lot_desk.cc
@@ -13,7 +13,7 @@
 }
 }  // namespace
 
-class LotDesk::OpenCall {
+class LotService::OpenCall {
  public:
   explicit OpenCall(std::size_t& calls) : calls_(calls) { ++calls_; }
   OpenCall(const OpenCall&) = delete;
@@ -23,7 +23,7 @@
   std::size_t& calls_;
 };
 
-Job<LotSubmitted> LotDesk::submit(StandingLot lot) {
+Job<LotSubmitted> LotService::submit(StandingLot lot) {
   const OpenCall open(calls_);
   auto route = control_.routes().find(lot.route);
   const std::size_t bytes = bytesOf(lot.items);
@@ -38,7 +38,7 @@
   command.retentionUs = route->second.retentionUs;
   command.keepUs = plan_.keepUs;
   command.keyUs = plan_.keyUs;
-  command.node = desk_.self();
+  command.node = rpc_.self();
   command.licenceUs = scheduler_.licenceUs();
   command.atOnce = scheduler_.reserveAtOnce(command.items.size());
   command.slotCap = scheduler_.mostPassed();
@@ -67,7 +67,7 @@
 }
 
 // A page's state in the outcome, what else was told in `verdict`.
-Job<LotRead> LotDesk::ask(LotAsk wish, Us holdUs, LotVerdict& verdict) {
+Job<LotRead> LotService::ask(LotAsk wish, Us holdUs, LotVerdict& verdict) {
   const OpenCall open(calls_);
   Job<ChainAnswer> asking = store_.read(pack(StoreQuery(std::move(wish))), holdUs, holdUs + plan_.readUs);
   ChainAnswer answer = co_await asking;
@@ -84,7 +84,7 @@
   co_return page;
 }
 
-Job<LotRead> LotDesk::read(std::string lot, std::uint32_t from, Us holdUs, std::uint32_t mostBytes) {
+Job<LotRead> LotService::read(std::string lot, std::uint32_t from, Us holdUs, std::uint32_t mostBytes) {
   LotAsk wish;
   wish.lot = std::move(lot);
   wish.listed = true;
@@ -103,7 +103,7 @@
   co_return read;
 }
 
-Job<LotBodyRead> LotDesk::body(std::string lot, std::string item) {
+Job<LotBodyRead> LotService::body(std::string lot, std::string item) {
   LotAsk wish;
   wish.lot = std::move(lot);
   wish.item = std::move(item);
@@ -121,7 +121,7 @@
   co_return LotBody{std::move(sight.body)};
 }
 
-Job<LotEnding> LotDesk::end(std::string lot) {
+Job<LotEnding> LotService::end(std::string lot) {
   const OpenCall open(calls_);
   Job<ChainAnswer> sending = store_.submit(pack(StoreCommand(EndLot{std::move(lot)})), plan_.submitUs);
   ChainAnswer answer = co_await sending;
--- a/src/node/lot_desk.h
+++ b/src/node/lot_desk.h
@@ -12,7 +12,7 @@
   std::string host;
   std::vector<LotItem> items;
 };
-struct LotDeskPlan {
+struct LotServicePlan {
   Us submitUs = 2500 * kMilliUs;
   Us readUs = 1200 * kMilliUs;              // beside the time for which a read is held
   Us keepUs = 150 * kSecondUs;              // results, after the last of them or the lot's end
@@ -47,10 +47,10 @@
 struct LotEnded {};
 using LotEnding = std::variant<LotEnded, LotUnknown, LotUnreachable>;
 
-class LotDesk {
+class LotService {
  public:
-  LotDesk(Ports& ports, Desk& desk, ChainClient& store, Scheduler& scheduler, const ControlState& control, LotDeskPlan plan)
-      : ports_(ports), desk_(desk), store_(store), scheduler_(scheduler), control_(control), plan_(plan) {}
+  LotService(Ports& ports, RpcEndpoint& rpc, ChainClient& store, Scheduler& scheduler, const ControlState& control, LotServicePlan plan)
+      : ports_(ports), rpc_(rpc), store_(store), scheduler_(scheduler), control_(control), plan_(plan) {}
   Job<LotSubmitted> submit(StandingLot lot);
   // Results from a position on, at least one if there is one, then as far as `mostBytes` reach; held for
   // `holdUs` until there is one.
@@ -63,11 +63,11 @@
  private:
   Job<LotRead> ask(LotAsk wish, Us holdUs, LotVerdict& verdict);
   Ports& ports_;
-  Desk& desk_;
+  RpcEndpoint& rpc_;
   ChainClient& store_;
   Scheduler& scheduler_;
   const ControlState& control_;
-  LotDeskPlan plan_;
+  LotServicePlan plan_;
   class OpenCall;
   std::size_t bytesIn_ = 0;
   std::size_t calls_ = 0;  // not answered yet
--- a/src/node/lot_leases.cc
+++ b/src/node/lot_leases.cc
@@ -25,7 +25,7 @@
     run->route = lot.route;
     run->host = lot.host;
     run->takenUs = run->heardUs = askedUs;
-    run->worker = desk_.self();
+    run->worker = rpc_.self();
     start(std::move(run), *runner_);
   }
 }
@@ -34,14 +34,14 @@
 // not want any more is told in its answer, and ended.
 Task Scheduler::renew() {
   while (true) {
-    Pause pause(ports_.alarms, plan_.renewUs);
+    Pause pause(ports_.timers, plan_.renewUs);
     co_await pause;
     RenewRuns command;
-    command.node = desk_.self();
+    command.node = rpc_.self();
     command.licenceUs = plan_.licenceUs;
     std::vector<LotRunPtr> runs;
     for (const auto& [key, run] : running_) {
-      if (!(run->worker == desk_.self() && runner_ != nullptr ? runner_->mayRenew(*run) : sealer_.mayRenew(*run))) continue;
+      if (!(run->worker == rpc_.self() && runner_ != nullptr ? runner_->mayRenew(*run) : sealer_.mayRenew(*run))) continue;
       command.runs.push_back(run->name);
       runs.push_back(run);
     }
@@ -61,7 +61,7 @@
       ++counts_.over;
       runs[place]->heardUs = 0;
       runs[place]->over = true;
-      runs[place]->knock.ring();
+      runs[place]->knock.notify();
     }
   }
 }
@@ -72,17 +72,17 @@
   delivery_.hurry();
   for (const auto& [key, run] : running_) {
     run->leaving = true;
-    run->knock.ring();
+    run->knock.notify();
   }
   room_.start(endDrain());
 }
 
 Task Scheduler::endDrain() {
-  Pause pause(ports_.alarms, plan_.drainUs);
+  Pause pause(ports_.timers, plan_.drainUs);
   co_await pause;
   for (const auto& [key, run] : running_) {
     run->over = true;
-    run->knock.ring();
+    run->knock.notify();
   }
 }
 
--- a/src/node/lot_runner.cc
+++ b/src/node/lot_runner.cc
@@ -41,7 +41,7 @@
     heardUs = runner_.ports_.clock.monoUs();
     if (unusable || (last && event.id != *last + 1)) {
       unusable = true;
-      run->knock.ring();
+      run->knock.notify();
       return;
     }
     if (last) text += '\n';
@@ -52,11 +52,11 @@
   void head(const HttpHead&) override { heardUs = runner_.ports_.clock.monoUs(); }
   void bytes(const Bytes&) override { unusable = true; }  // no series of events
   bool left() const override { return run->over || silent || unusable; }
-  Bell& bell() override { return run->knock; }
+  Event& event() override { return run->knock; }
   void wait(bool on) {
     if (std::exchange(waits, on) == on) return;
     on ? ++runner_.waiting_ : --runner_.waiting_;
-    if (on) runner_.pumpBell_.ring();
+    if (on) runner_.pumpEvent_.notify();
   }
   void startAnew() {
     text.clear();
@@ -103,7 +103,7 @@
       --room->second;
     }
     trip->go = true;
-    trip->run->knock.ring();
+    trip->run->knock.notify();
   }
 }
 
@@ -115,7 +115,7 @@
     if (nowUs - trip->heardUs <= (trip->anyHere ? trip->gapLimitUs : trip->firstLimitUs)) continue;
     trip->silent = true;
     ++counts_.silent;
-    trip->run->knock.ring();
+    trip->run->knock.notify();
   }
 }
 
@@ -124,7 +124,7 @@
     startWaiting(false);
     startWaiting(true);
     endSilent();
-    Hear hear(ports_.alarms, pumpBell_, waiting_ > 0 ? kPumpUs : trips_.empty() ? 4 * kSecondUs : kWatchUs);
+    EventWait hear(ports_.timers, pumpEvent_, waiting_ > 0 ? kPumpUs : trips_.empty() ? 4 * kSecondUs : kWatchUs);
     co_await hear;
   }
 }
@@ -159,7 +159,7 @@
   while (true) {
     trip.wait(true);
     while (!trip.go && !run->over && !run->leaving) {
-      Hear hear(ports_.alarms, run->knock, kSecondUs);
+      EventWait hear(ports_.timers, run->knock, kSecondUs);
       co_await hear;
     }
     trip.wait(false);
--- a/src/node/lot_runner.h
+++ b/src/node/lot_runner.h
@@ -48,7 +48,7 @@
   Trips trips_;
   std::uint64_t lastTrip_ = 0;
   std::size_t waiting_ = 0;
-  Bell pumpBell_;
+  Event pumpEvent_;
   LotRunnerCounts counts_;
 };
 
--- a/src/node/lot_sealer.cc
+++ b/src/node/lot_sealer.cc
@@ -9,7 +9,7 @@
   explicit Gathering(LotRunPtr run) : run_(std::move(run)) {}
   void part(const Bytes& data) override { gathered += data; }
   bool left() const override { return false; }
-  Bell& bell() override { return run_->knock; }
+  Event& event() override { return run_->knock; }
   Bytes gathered;
 
  private:
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -14,12 +14,12 @@
 }  // namespace
 
 Node::Node(Ports& ports, Settings settings, NodePlan plan)
-    : ports_(ports), settings_(std::move(settings)), desk_(ports.alarms, ports.wire, ports.chance),
-      shim_(ports, desk_, room_, plan.shim), core_(ports, desk_, plan.dialect != nullptr ? settings_.seeds : std::vector<Address>()), store_(ports, desk_, {}),
-      almanac_(ports, desk_, room_, core_, shim_),
+    : ports_(ports), settings_(std::move(settings)), rpc_(ports.timers, ports.wire, ports.chance),
+      shim_(ports, rpc_, room_, plan.shim), core_(ports, rpc_, plan.dialect != nullptr ? settings_.seeds : std::vector<Address>()), store_(ports, rpc_, {}),
+      almanac_(ports, rpc_, room_, core_, shim_),
       board_(ports.clock, almanac_.state(), {settings_.zone, settings_.wire}), fitness_(ports, room_, board_),
       lathe_(ports, room_, board_, almanac_.state(), plan.lathe, hexText(ports.chance.next())),
-      scheduler_(ports, desk_, room_, store_, board_, almanac_.state(), shim_, settings_.zone,
+      scheduler_(ports, rpc_, room_, store_, board_, almanac_.state(), shim_, settings_.zone,
                  plan.dialect != nullptr ? passingPlan(plan.scheduler, settings_.bounds) : plan.scheduler),
       ownList_(ports, settings_.platform), list_(plan.list) {
   if (list_ == nullptr && settings_.platform.set()) list_ = &ownList_;
@@ -32,8 +32,8 @@
   pools_->gone.connect(sigc::mem_fun(*this, &Node::onWorkerGone));
   gateway_ = std::make_unique<Gateway>(ports, room_, *pools_, almanac_.state(), *plan.dialect, plan.gateway);
   scheduler_.passThrough(*gateway_);
-  plan.lotDesk.keepUs = std::max(plan.lotDesk.keepUs, settings_.bounds.statusUs + settings_.bounds.statusUs / 4);
-  lotDesk_ = std::make_unique<LotDesk>(ports, desk_, store_, scheduler_, almanac_.state(), plan.lotDesk);
+  plan.lotService.keepUs = std::max(plan.lotService.keepUs, settings_.bounds.statusUs + settings_.bounds.statusUs / 4);
+  lotService_ = std::make_unique<LotService>(ports, rpc_, store_, scheduler_, almanac_.state(), plan.lotService);
 }
 
 Node::~Node() {
@@ -67,7 +67,7 @@
 
 bool Node::idle() const {
   const bool passing = gateway_ != nullptr && (gateway_->holding() > 0 || gateway_->relaying() > 0);
-  const bool taking = lotDesk_ != nullptr && !lotDesk_->idle();
+  const bool taking = lotService_ != nullptr && !lotService_->idle();
   return !passing && !taking && lathe_.waiting() == 0 && lathe_.relaying() == 0 && scheduler_.idle();
 }
 
@@ -90,7 +90,7 @@
     board_.setNodes(std::move(nodes));
     board_.tick();
     board_.controlHeard(almanac_.freshUs());
-    Pause pause(ports_.alarms, 200 * kMilliUs);
+    Pause pause(ports_.timers, 200 * kMilliUs);
     co_await pause;
   }
 }
@@ -129,7 +129,7 @@
       board_.setLeavingMarks({}, -1);
       marked = false;
     }
-    Pause pause(ports_.alarms, againUs);
+    Pause pause(ports_.timers, againUs);
     co_await pause;
   }
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -1,4 +1,4 @@
-// A data-plane node: the HTTP front, live traffic, the scheduler of lots, the operators' desk
+// A data-plane node: the HTTP front, live traffic, the scheduler of lots, the operators' rpc
 // (design.md 9).
 #pragma once
 
@@ -18,7 +18,7 @@
   LathePlan lathe;
   SchedulerPlan scheduler;
   GatewayPlan gateway;
-  LotDeskPlan lotDesk;
+  LotServicePlan lotService;
   const WorkerDialect* dialect = nullptr;  // set: requests are passed through to workers that are spoken to in it
   WorkerListSource* list = nullptr;  // none: the settings' platform, if there is one
 };
@@ -33,7 +33,7 @@
   // Takes requests: it knows a configuration, is not leaving, and does not go by news from before a freeze.
   bool ready() const { return almanac_.ready() && !draining_ && board_.awake(); }
   Gateway* gateway() { return gateway_.get(); }  // none: nothing is passed through here
-  LotDesk* lotDesk() { return lotDesk_.get(); }    // none: no standing lots are taken here
+  LotService* lotService() { return lotService_.get(); }    // none: no standing lots are taken here
   sigc::signal<void()>& almanacNews() { return almanac_.news; }
   const Almanac& almanac() const { return almanac_; }
   const Lathe& lathe() const { return lathe_; }
@@ -87,7 +87,7 @@
   Ports& ports_;
   Settings settings_;
   TaskRoom room_;
-  Desk desk_;
+  RpcEndpoint rpc_;
   Shim shim_;
   ChainClient core_;
   ChainClient store_;
@@ -97,7 +97,7 @@
   Lathe lathe_;
   std::unique_ptr<PoolBoard> pools_;  // only where requests are passed through
   std::unique_ptr<Gateway> gateway_;
-  std::unique_ptr<LotDesk> lotDesk_;
+  std::unique_ptr<LotService> lotService_;
   Scheduler scheduler_;
   RuleBook rules_;
   PlatformListSource ownList_;
--- a/src/node/operators.cc
+++ b/src/node/operators.cc
@@ -1,4 +1,4 @@
-// The operators' desk: the same answers from whichever node is asked (docs/operators/commands.md).
+// The operators' rpc: the same answers from whichever node is asked (docs/operators/commands.md).
 #include <absl/strings/str_cat.h>
 
 #include "jig/json.h"
--- a/src/node/peek.cc
+++ b/src/node/peek.cc
@@ -7,14 +7,14 @@
 
 class PeekPoll : public Poll {
  public:
-  PeekPoll(Desk& desk, ChainSight& sight) : Poll(desk, Peek::kKind, pack(Peek{}), kPeekUs), sight_(sight) {
+  PeekPoll(RpcEndpoint& rpc, ChainSight& sight) : Poll(rpc, Peek::kKind, pack(Peek{}), kPeekUs), sight_(sight) {
     for (const MemberLine& line : sight.members) add(line.seat.address);
   }
 
  protected:
-  void heard(std::size_t partner, const Bytes& body) override {
+  void heard(std::size_t peer, const Bytes& body) override {
     auto read = unpack<Pong>(body);
-    if (auto* pong = std::get_if<Pong>(&read)) sight_.members[partner].pong = std::move(*pong);
+    if (auto* pong = std::get_if<Pong>(&read)) sight_.members[peer].pong = std::move(*pong);
   }
   bool enough() const override { return false; }
 
@@ -23,7 +23,7 @@
 };
 }  // namespace
 
-Job<ChainSight> peekChain(Desk& desk, ChainClient& client) {
+Job<ChainSight> peekChain(RpcEndpoint& rpc, ChainClient& client) {
   Job<Done> refreshing = client.refresh();
   co_await refreshing;
   ChainSight sight;
@@ -36,7 +36,7 @@
     line.inChain = holdsSeat(sight.view.chain, seat.address, seat.incarnation);
     sight.members.push_back(line);
   }
-  PeekPoll poll(desk, sight);
+  PeekPoll poll(rpc, sight);
   co_await poll;
   co_return sight;
 }
--- a/src/node/peek.h
+++ b/src/node/peek.h
@@ -14,6 +14,6 @@
   View view;
   std::vector<MemberLine> members;
 };
-Job<ChainSight> peekChain(Desk& desk, ChainClient& client);
+Job<ChainSight> peekChain(RpcEndpoint& rpc, ChainClient& client);
 
 }  // namespace stonemount
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -28,9 +28,9 @@
   bool moreToDo = false;
 };
 
-Scheduler::Scheduler(Ports& ports, Desk& desk, TaskRoom& room, ChainClient& store, WorkerBoard& board,
+Scheduler::Scheduler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& store, WorkerBoard& board,
                      const ControlState& control, Shim& shim, std::string zone, SchedulerPlan plan)
-    : ports_(ports), desk_(desk), room_(room), store_(store), board_(board), control_(control), shim_(shim),
+    : ports_(ports), rpc_(rpc), room_(room), store_(store), board_(board), control_(control), shim_(shim),
       zone_(std::move(zone)), plan_(plan), sealer_(ports, board, control), delivery_(ports, room, store, plan.gatherUs) {}
 
 SchedulerPlan passingPlan(SchedulerPlan plan, const Bounds& bounds) {
@@ -43,7 +43,7 @@
 }
 
 void Scheduler::passThrough(ItemPasser& passer) {
-  runner_ = std::make_unique<LotRunner>(ports_, room_, passer, control_, desk_.self(), plan_.runner);
+  runner_ = std::make_unique<LotRunner>(ports_, room_, passer, control_, rpc_.self(), plan_.runner);
 }
 
 void Scheduler::begin() {
@@ -67,13 +67,13 @@
 // Nodes may disagree for a while on whose lot it is; the store's grants settle it.
 bool Scheduler::atHome(const std::string& lot) const {
   const std::vector<Address> heirs = nodes_.heirs(spread(lot), 1);
-  return !heirs.empty() && heirs.front() == desk_.self();
+  return !heirs.empty() && heirs.front() == rpc_.self();
 }
 
 // A standing lot is in a hurry: whoever is not at home to a block of its items may take them too, but later.
 Us Scheduler::turnUs(const std::string& lot, std::uint32_t item) const {
   const std::vector<Address> heirs = nodes_.heirs(spread(lot, 1 + item / kBlock), kHeirs);
-  const auto place = std::find(heirs.begin(), heirs.end(), desk_.self());
+  const auto place = std::find(heirs.begin(), heirs.end(), rpc_.self());
   return kTurnUs * (place - heirs.begin());
 }
 
@@ -100,10 +100,10 @@
     }
     // Whoever can take nothing need not ask until something ends here.
     const bool full = runner_ != nullptr && passed_ + reserved_ >= runner_->plan().mostRunning;
-    Hear hear(ports_.alarms, workBell_, full ? kFullUs : againUs);
+    EventWait hear(ports_.timers, workEvent_, full ? kFullUs : againUs);
     co_await hear;
     if (runner_ == nullptr || !moreToDo) continue;
-    Pause gathering(ports_.alarms, kGatherUs);  // places that come free one after the other are asked for together
+    Pause gathering(ports_.timers, kGatherUs);  // places that come free one after the other are asked for together
     co_await gathering;
   }
 }
@@ -149,7 +149,7 @@
   firstSeen_ = std::move(seen);
   if (draining_ || !work.certain) co_return false;
   Wishes wishes;
-  wishes.command.node = desk_.self();
+  wishes.command.node = rpc_.self();
   wishes.command.licenceUs = plan_.licenceUs;
   for (const OpenLot& lot : work.lots) wishFor(lot, wishes);
   if (wishes.places.empty()) co_return wishes.moreToDo;
@@ -213,7 +213,7 @@
   }
   passed_ -= carrier == runner_.get() ? 1 : 0;
   running_.erase({run->name.lot, run->name.item});
-  workBell_.ring();
+  workEvent_.notify();
 }
 
 }  // namespace stonemount
--- a/src/node/scheduler.h
+++ b/src/node/scheduler.h
@@ -27,7 +27,7 @@
 
 class Scheduler {
  public:
-  Scheduler(Ports& ports, Desk& desk, TaskRoom& room, ChainClient& store, WorkerBoard& board,
+  Scheduler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& store, WorkerBoard& board,
             const ControlState& control, Shim& shim, std::string zone, SchedulerPlan plan);
   // Standing lots are run here too, their items passed through. To be called before begin().
   void passThrough(ItemPasser& passer);
@@ -58,7 +58,7 @@
   Us turnUs(const std::string& lot, std::uint32_t item) const;
   void refreshRing();
   Ports& ports_;
-  Desk& desk_;
+  RpcEndpoint& rpc_;
   TaskRoom& room_;
   ChainClient& store_;
   WorkerBoard& board_;
@@ -74,7 +74,7 @@
   std::size_t passed_ = 0;     // of them, in standing lots
   std::uint32_t reserved_ = 0;
   absl::flat_hash_map<std::string, Us> firstSeen_;  // lots with waiting items, and since when it is known here
-  Bell workBell_;
+  Event workEvent_;
   std::uint64_t seenVersion_ = 0;
   bool draining_ = false;
   SchedulerCounts counts_;
--- a/src/rasp/rebuild.cc
+++ b/src/rasp/rebuild.cc
@@ -17,8 +17,8 @@
   for (const Card& card : shim_.alive(Role::kNode))
     if (card.control > newest.control) newest = card;
   if (newest.control <= machine_.state().revision()) co_return Done{};
-  Job<std::variant<ControlNews, PartnerSilent>> asking = ask<ControlNews>(desk_, newest.wire, AlmanacAsk{0}, kAskUs);
-  std::variant<ControlNews, PartnerSilent> verdict = co_await asking;
+  Job<std::variant<ControlNews, PeerSilent>> asking = ask<ControlNews>(rpc_, newest.wire, AlmanacAsk{0}, kAskUs);
+  std::variant<ControlNews, PeerSilent> verdict = co_await asking;
   auto* told = std::get_if<ControlNews>(&verdict);
   if (told == nullptr || told->configRevision == 0) co_return Done{};
   logDoubt("control_rebuilt", {{"from", addressText(newest.wire)}, {"config", absl::StrCat(told->configRevision)}});
--- a/src/rasp/rebuild.h
+++ b/src/rasp/rebuild.h
@@ -10,14 +10,14 @@
 
 class Rebuilder {
  public:
-  Rebuilder(Ports& ports, Desk& desk, Shim& shim, ChainClient& core, const ControlMachine& machine)
-      : ports_(ports), desk_(desk), shim_(shim), core_(core), machine_(machine) {}
+  Rebuilder(Ports& ports, RpcEndpoint& rpc, Shim& shim, ChainClient& core, const ControlMachine& machine)
+      : ports_(ports), rpc_(rpc), shim_(shim), core_(core), machine_(machine) {}
   // One look; does nothing unless control is empty and some node knows more.
   Job<Done> look();
 
  private:
   Ports& ports_;
-  Desk& desk_;
+  RpcEndpoint& rpc_;
   Shim& shim_;
   ChainClient& core_;
   const ControlMachine& machine_;
--- a/src/vise/await.h
+++ b/src/runtime/await.h
@@ -1,15 +1,15 @@
 // Awaiters: each is a named continuation that leaves its port alone once destroyed (design.md 3.1).
 #pragma once
 
-#include "vise/task.h"
+#include "runtime/task.h"
 
 namespace stonemount {
 
 // Base of awaiters: woken through the alarm port, so that no one is resumed inside another's call.
 class Waiter : public Continuation {
  public:
-  explicit Waiter(Alarms& alarms) : alarms_(alarms) {}
-  ~Waiter() override { alarms_.disarm(*this); }
+  explicit Waiter(Timers& timers) : timers_(timers) {}
+  ~Waiter() override { timers_.disarm(*this); }
   void proceed() override {
     auto handle = std::exchange(handle_, nullptr);
     if (handle) handle.resume();
@@ -19,23 +19,23 @@
   void sleep(std::coroutine_handle<> handle) { handle_ = handle; }
   void sleepFor(std::coroutine_handle<> handle, Us limitUs) {
     handle_ = handle;
-    alarms_.arm(limitUs, *this);
+    timers_.arm(limitUs, *this);
   }
   void wake() {
     if (!handle_) return;
-    alarms_.disarm(*this);
-    alarms_.arm(0, *this);
+    timers_.disarm(*this);
+    timers_.arm(0, *this);
   }
   bool asleep() const { return handle_ != nullptr; }
 
  private:
-  Alarms& alarms_;
+  Timers& timers_;
   std::coroutine_handle<> handle_ = nullptr;
 };
 
 class Pause : public Waiter {
  public:
-  Pause(Alarms& alarms, Us lengthUs) : Waiter(alarms), lengthUs_(lengthUs) {}
+  Pause(Timers& timers, Us lengthUs) : Waiter(timers), lengthUs_(lengthUs) {}
   bool await_ready() const { return false; }
   void await_suspend(std::coroutine_handle<> handle) { sleepFor(handle, lengthUs_); }
   void await_resume() const {}
@@ -45,38 +45,38 @@
 };
 
 // Something to wait on that many may knock at; a knock while nobody waits is kept.
-class Bell {
+class Event {
  public:
-  void ring();
+  void notify();
 
  private:
-  friend class Hear;
+  friend class EventWait;
   bool rung_ = false;
-  class Hear* ear_ = nullptr;
+  class EventWait* ear_ = nullptr;
 };
-class Hear : public Waiter {
+class EventWait : public Waiter {
  public:
-  Hear(Alarms& alarms, Bell& bell, Us limitUs) : Waiter(alarms), bell_(bell), limitUs_(limitUs) {}
-  ~Hear() override {
-    if (bell_.ear_ == this) bell_.ear_ = nullptr;
+  EventWait(Timers& timers, Event& bell, Us limitUs) : Waiter(timers), event_(bell), limitUs_(limitUs) {}
+  ~EventWait() override {
+    if (event_.ear_ == this) event_.ear_ = nullptr;
   }
-  bool await_ready() { return std::exchange(bell_.rung_, false); }
+  bool await_ready() { return std::exchange(event_.rung_, false); }
   void await_suspend(std::coroutine_handle<> handle) {
-    STONEMOUNT_INVARIANT(bell_.ear_ == nullptr);
-    bell_.ear_ = this;
+    STONEMOUNT_INVARIANT(event_.ear_ == nullptr);
+    event_.ear_ = this;
     sleepFor(handle, limitUs_);
   }
   void await_resume() {
-    if (bell_.ear_ == this) bell_.ear_ = nullptr;
-    bell_.rung_ = false;
+    if (event_.ear_ == this) event_.ear_ = nullptr;
+    event_.rung_ = false;
   }
 
  private:
-  friend class Bell;
-  Bell& bell_;
+  friend class Event;
+  Event& event_;
   Us limitUs_;
 };
-inline void Bell::ring() {
+inline void Event::notify() {
   rung_ = true;
   if (ear_ != nullptr) ear_->wake();
 }
@@ -89,7 +89,7 @@
   bool put(Item item) {
     if (items_.size() >= bound_) return false;
     items_.push_back(std::move(item));
-    bell_.ring();
+    event_.notify();
     return true;
   }
   std::optional<Item> take() {
@@ -100,12 +100,12 @@
   }
   std::size_t size() const { return items_.size(); }
   std::size_t bound() const { return bound_; }
-  Bell& bell() { return bell_; }
+  Event& event() { return event_; }
 
  private:
   std::size_t bound_;
   std::deque<Item> items_;
-  Bell bell_;
+  Event event_;
 };
 
 }  // namespace stonemount
--- a/src/vise/http_call.h
+++ b/src/runtime/http_call.h
@@ -1,7 +1,7 @@
 // One whole HTTP exchange, awaited (design.md 3.2).
 #pragma once
 
-#include "vise/await.h"
+#include "runtime/await.h"
 
 namespace stonemount {
 
@@ -18,7 +18,7 @@
 class HttpCall : public Waiter, public sigc::trackable {
  public:
   HttpCall(Ports& ports, const Address& server, HttpAsk ask, Us limitUs)
-      : Waiter(ports.alarms), ports_(ports), server_(server), ask_(std::move(ask)), limitUs_(limitUs) {}
+      : Waiter(ports.timers), ports_(ports), server_(server), ask_(std::move(ask)), limitUs_(limitUs) {}
   bool await_ready() const { return false; }
   void await_suspend(std::coroutine_handle<> handle) {
     sleepFor(handle, limitUs_);
--- a/src/sawhorse/caller.cc
+++ b/src/sawhorse/caller.cc
@@ -29,7 +29,7 @@
 
 Task RehearseCaller::every(Kind kind, Us periodUs) {
   while (!stopped_) {
-    Pause pause(ports_.alarms, periodUs / 2 + static_cast<Us>(ports_.chance.below(static_cast<std::uint64_t>(periodUs))));
+    Pause pause(ports_.timers, periodUs / 2 + static_cast<Us>(ports_.chance.below(static_cast<std::uint64_t>(periodUs))));
     co_await pause;
     if (!stopped_) room_.start(call(kind));
   }
--- a/src/sawhorse/caller.h
+++ b/src/sawhorse/caller.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "jig/json.h"
-#include "vise/http_call.h"
+#include "runtime/http_call.h"
 
 namespace stonemount {
 
--- a/src/sawhorse/caller_lots.cc
+++ b/src/sawhorse/caller_lots.cc
@@ -40,7 +40,7 @@
         break;
       }
       if (whole != nullptr && whole->status == 409 && !whole->headers.contains("retry-after")) break;
-      Pause pause(ports_.alarms, 500 * kMilliUs);
+      Pause pause(ports_.timers, 500 * kMilliUs);
       co_await pause;
     }
     if (accepted) {
@@ -50,7 +50,7 @@
     } else {
       --open_;
     }
-    Pause pause(ports_.alarms, plan_.lotEveryUs);
+    Pause pause(ports_.timers, plan_.lotEveryUs);
     co_await pause;
   }
 }
@@ -60,13 +60,13 @@
   while (!record.complete && ports_.clock.monoUs() - record.acceptedUs < plan_.lotPatienceUs) {
     Job<bool> reading = readLot(record);
     co_await reading;
-    Pause pause(ports_.alarms, 700 * kMilliUs);
+    Pause pause(ports_.timers, 700 * kMilliUs);
     co_await pause;
   }
   // Again, for two minutes from the handing in: what was read must not change, nor go away, though runs
   // that were thought lost may yet bring their answers.
   for (int i = 0; i < 3 || ports_.clock.monoUs() - record.acceptedUs < kReadsUs; ++i) {
-    Pause later(ports_.alarms, 6 * kSecondUs);
+    Pause later(ports_.timers, 6 * kSecondUs);
     co_await later;
     Job<bool> again = readLot(record);
     co_await again;
--- a/src/sawhorse/pass_worker.cc
+++ b/src/sawhorse/pass_worker.cc
@@ -170,22 +170,22 @@
   reply->gone.connect(sigc::mem_fun(departure, &Departure::onGone));
   const bool goesOn = plan_.oddsGoesOn > 0 && ports_.chance.oneIn(plan_.oddsGoesOn);
   ++load_;
-  Pause queued(ports_.alarms, static_cast<Us>(ports_.chance.below(static_cast<std::uint64_t>(plan_.queueUs) + 1)));
+  Pause queued(ports_.timers, static_cast<Us>(ports_.chance.below(static_cast<std::uint64_t>(plan_.queueUs) + 1)));
   co_await queued;
   if (!departure.gone || goesOn) {
     record.ran = true;
     const Script script = scriptFor(record, number);
-    Pause thinking(ports_.alarms, plan_.stepUs);
+    Pause thinking(ports_.timers, plan_.stepUs);
     co_await thinking;
     if (script.status != 0) reply->begin(script.status, script.headers);
     for (const Bytes& piece : script.pieces) {
-      Pause pause(ports_.alarms, plan_.stepUs);
+      Pause pause(ports_.timers, plan_.stepUs);
       co_await pause;
       if (departure.gone && !goesOn) break;
       reply->chunk(piece);
     }
     while (script.end == ScriptEnd::kHang && !departure.gone) {
-      Pause pause(ports_.alarms, plan_.stepUs);
+      Pause pause(ports_.timers, plan_.stepUs);
       co_await pause;
     }
     if (!departure.gone && script.end == ScriptEnd::kEnd) {
--- a/src/sawhorse/pass_worker.h
+++ b/src/sawhorse/pass_worker.h
@@ -2,7 +2,7 @@
 // writes down all that it was asked (design.md 9.6, 13.3). How its words are spelt is told to it.
 #pragma once
 
-#include "vise/await.h"
+#include "runtime/await.h"
 
 namespace stonemount {
 
--- a/src/sawhorse/platform.h
+++ b/src/sawhorse/platform.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "jig/control_state.h"
-#include "vise/await.h"
+#include "runtime/await.h"
 
 namespace stonemount {
 
--- a/src/sawhorse/worker.cc
+++ b/src/sawhorse/worker.cc
@@ -59,7 +59,7 @@
     ask.body = out.take();
     HttpCall call(ports_, plan_.platform, ask, kSecondUs);
     co_await call;
-    Pause pause(ports_.alarms, kSecondUs);
+    Pause pause(ports_.timers, kSecondUs);
     co_await pause;
   }
 }
@@ -145,7 +145,7 @@
   Bytes gathered;
   bool begun = false;
   for (std::uint32_t i = 0; i < parts && !departure.gone; ++i) {
-    Pause pause(ports_.alarms, waitUs);
+    Pause pause(ports_.timers, waitUs);
     co_await pause;
     if (departure.gone) break;
     waitUs = plan_.partUs;
--- a/src/sawhorse/worker.h
+++ b/src/sawhorse/worker.h
@@ -2,7 +2,7 @@
 // (docs/worker-contract.md).
 #pragma once
 
-#include "vise/http_call.h"
+#include "runtime/http_call.h"
 
 namespace stonemount {
 
--- a/src/shim/shim.cc
+++ b/src/shim/shim.cc
@@ -14,15 +14,15 @@
   return "unknown";
 }
 
-Shim::Shim(Ports& ports, Desk& desk, TaskRoom& room, ShimPlan plan)
-    : ports_(ports), desk_(desk), room_(room), plan_(std::move(plan)) {}
+Shim::Shim(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ShimPlan plan)
+    : ports_(ports), rpc_(rpc), room_(room), plan_(std::move(plan)) {}
 
 void Shim::begin(Card self) {
   self_ = std::move(self);
-  self_.wire = desk_.self();
+  self_.wire = rpc_.self();
   // Wall time only orders the lives of one process; nothing expires by it.
   self_.life = static_cast<std::uint64_t>(std::max<Us>(ports_.clock.wallUs(), 1));
-  desk_.serve(Shuffle::kKind, sigc::mem_fun(*this, &Shim::onShuffle));
+  rpc_.serve(Shuffle::kKind, sigc::mem_fun(*this, &Shim::onShuffle));
   youngUntilUs_ = ports_.clock.monoUs() + plan_.youngForUs;
   room_.start(shuffle());
 }
@@ -54,7 +54,7 @@
 void Shim::absorb(const std::vector<Card>& cards) {
   const Us nowUs = ports_.clock.monoUs();
   for (const Card& card : cards) {
-    if (card.wire == desk_.self()) {
+    if (card.wire == rpc_.self()) {
       // Our own card from a former life whose clock ran ahead: step past it.
       if (card.life > self_.life) self_.life = card.life + 1;
       continue;
@@ -85,29 +85,29 @@
 void Shim::onShuffle(const Asked& asked) {
   auto message = unpack<Shuffle>(asked.body);
   if (!std::holds_alternative<Shuffle>(message)) return;
-  desk_.reply(asked, Shuffle{hand()});
+  rpc_.reply(asked, Shuffle{hand()});
   absorb(std::get<Shuffle>(message).cards);
 }
 
-Address Shim::nominatePartner() {
-  std::vector<Address> partners;
+Address Shim::nominatePeer() {
+  std::vector<Address> peers;
   const Sight* oldest = nullptr;
   for (const auto& [address, sight] : sights_) {
     if (!isAlive(sight)) continue;
-    partners.push_back(address);
+    peers.push_back(address);
     if (oldest == nullptr || sight.heardUs < oldest->heardUs) oldest = &sight;
   }
   // Now and then a seed, known or not: two halves that forgot each other meet again there.
-  const bool seed = partners.empty() || ports_.chance.oneIn(8);
+  const bool seed = peers.empty() || ports_.chance.oneIn(8);
   if (seed && !plan_.seeds.empty()) return plan_.seeds[ports_.chance.below(plan_.seeds.size())];
   // Every other time the one heard of least lately: it is alive or it is not, and we shall know.
   if (oldest != nullptr && ports_.chance.oneIn(2)) return oldest->card.wire;
-  return partners.empty() ? Address() : partners[ports_.chance.below(partners.size())];
+  return peers.empty() ? Address() : peers[ports_.chance.below(peers.size())];
 }
 
-Task Shim::shuffleWith(Address partner) {
-  Job<std::variant<Shuffle, PartnerSilent>> job = ask<Shuffle>(desk_, partner, Shuffle{hand()}, plan_.shuffleUs);
-  std::variant<Shuffle, PartnerSilent> verdict = co_await job;
+Task Shim::shuffleWith(Address peer) {
+  Job<std::variant<Shuffle, PeerSilent>> job = ask<Shuffle>(rpc_, peer, Shuffle{hand()}, plan_.shuffleUs);
+  std::variant<Shuffle, PeerSilent> verdict = co_await job;
   if (auto* shuffled = std::get_if<Shuffle>(&verdict)) absorb(shuffled->cards);
 }
 
@@ -122,14 +122,14 @@
     ++self_.beat;
     if (alone()) {  // seeds may be gone: who knows nobody asks them all at once
       for (const Address& seed : plan_.seeds)
-        if (seed != desk_.self()) room_.start(shuffleWith(seed));
+        if (seed != rpc_.self()) room_.start(shuffleWith(seed));
     } else {
-      const Address partner = nominatePartner();
-      if (partner.set() && partner != desk_.self()) room_.start(shuffleWith(partner));
+      const Address peer = nominatePeer();
+      if (peer.set() && peer != rpc_.self()) room_.start(shuffleWith(peer));
     }
     // A newcomer hurries to know others, and to be known.
     const Us everyUs = ports_.clock.monoUs() < youngUntilUs_ ? plan_.youngUs : plan_.shuffleUs;
-    Pause pause(ports_.alarms, everyUs + static_cast<Us>(ports_.chance.below(50)) * kMilliUs);
+    Pause pause(ports_.timers, everyUs + static_cast<Us>(ports_.chance.below(50)) * kMilliUs);
     co_await pause;
   }
 }
--- a/src/shim/shim.h
+++ b/src/shim/shim.h
@@ -1,7 +1,7 @@
-// How processes know each other: partial views, shuffled between partners (design.md 4).
+// How processes know each other: partial views, shuffled between peers (design.md 4).
 #pragma once
 
-#include "vise/desk.h"
+#include "runtime/rpc_endpoint.h"
 
 namespace stonemount {
 
@@ -40,7 +40,7 @@
 
 class Shim {
  public:
-  Shim(Ports& ports, Desk& desk, TaskRoom& room, ShimPlan plan);
+  Shim(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ShimPlan plan);
   void begin(Card self);
   Card& self() { return self_; }
   struct Sight {
@@ -54,15 +54,15 @@
 
  private:
   Task shuffle();
-  Task shuffleWith(Address partner);
+  Task shuffleWith(Address peer);
   bool alone() const;
   std::vector<Card> hand();
   void absorb(const std::vector<Card>& cards);
   void onShuffle(const Asked& asked);
-  Address nominatePartner();
+  Address nominatePeer();
   void trim();
   Ports& ports_;
-  Desk& desk_;
+  RpcEndpoint& rpc_;
   TaskRoom& room_;
   ShimPlan plan_;
   Card self_;
--- a/src/stonemount.h
+++ b/src/stonemount.h
@@ -61,8 +61,8 @@
   Continuation& operator=(const Continuation&) = delete;
   virtual ~Continuation() = default;
   virtual void proceed() = 0;
-  std::uint64_t alarmKey = 0;  // kept by the alarm port while armed
-  Us alarmDueUs = 0;
+  std::uint64_t timerKey = 0;  // kept by the alarm port while armed
+  Us timerDueUs = 0;
 };
 
 class Clock {
@@ -72,9 +72,9 @@
   virtual Us wallUs() const = 0;  // may step; nothing expires by it (design.md 8)
 };
 
-class Alarms {
+class Timers {
  public:
-  virtual ~Alarms() = default;
+  virtual ~Timers() = default;
   virtual void arm(Us delayUs, Continuation& continuation) = 0;
   virtual void disarm(Continuation& continuation) = 0;
 };
@@ -84,7 +84,7 @@
  public:
   virtual ~Wire() = default;
   virtual Address self() const = 0;
-  virtual void post(const Address& partner, Bytes frame) = 0;
+  virtual void post(const Address& peer, Bytes frame) = 0;
   sigc::signal<void(const Address&, const Bytes&)> heard;
   // Its machine says that no process listens there: what was sent and not answered will not be.
   sigc::signal<void(const Address&)> refused;
@@ -203,7 +203,7 @@
 // Everything a process touches outside itself.
 struct Ports {
   Clock& clock;
-  Alarms& alarms;
+  Timers& timers;
   Wire& wire;
   HttpIn& httpIn;
   HttpOut& httpOut;
--- a/src/store/store.cc
+++ b/src/store/store.cc
@@ -7,9 +7,9 @@
 namespace stonemount {
 
 Store::Store(Ports& ports, Settings settings, ShimPlan shim, StorePlan plan)
-    : ports_(ports), settings_(std::move(settings)), desk_(ports.alarms, ports.wire, ports.chance),
-      shim_(ports, desk_, room_, std::move(shim)), machine_(ports.chance, plan),
-      member_(ports, desk_, room_, machine_, memberPlanOf(settings_)), client_(ports, desk_, settings_.founders) {}
+    : ports_(ports), settings_(std::move(settings)), rpc_(ports.timers, ports.wire, ports.chance),
+      shim_(ports, rpc_, room_, std::move(shim)), machine_(ports.chance, plan),
+      member_(ports, rpc_, room_, machine_, memberPlanOf(settings_)), client_(ports, rpc_, settings_.founders) {}
 
 Store::~Store() {
   asked_.disconnect();
@@ -25,7 +25,7 @@
   shim_.met.connect(sigc::mem_fun(*this, &Store::onMet));
   member_.viewMoved.connect(sigc::mem_fun(*this, &Store::onView));
   shim_.begin(card);
-  desk_.serve(SessionAsk::kKind, sigc::mem_fun(*this, &Store::onSession));
+  rpc_.serve(SessionAsk::kKind, sigc::mem_fun(*this, &Store::onSession));
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Store::onAsked));
   member_.begin();
   room_.start(watchSession());
@@ -58,7 +58,7 @@
 // stop by its own stamp anyway; this shows it to all (design.md 8.3).
 Task Store::watchSession() {
   while (true) {
-    Pause pause(ports_.alarms, 500 * kMilliUs);
+    Pause pause(ports_.timers, 500 * kMilliUs);
     co_await pause;
     const CutState& cut = machine_.state().cut;
     tellCut();
@@ -73,14 +73,14 @@
   if (!std::holds_alternative<SessionAsk>(message)) return;
   SessionVerdict verdict;
   if (member_.head()) verdict = machine_.sessions().open(std::get<SessionAsk>(message).holder, member_.sight());
-  desk_.reply(asked, verdict);
+  rpc_.reply(asked, verdict);
 }
 
 void Store::onAsked(const HttpAsk& ask, ReplyPtr reply) {
   const CutState& cut = machine_.state().cut;
   JsonOut out;
   out.object().field("role", "store").field("cutUs", cut.cutUs).field("certain", cut.certain).field("epoch", cut.epoch);
-  answerMemberMetrics(ask, *reply, out, member_, desk_);
+  answerMemberMetrics(ask, *reply, out, member_, rpc_);
 }
 
 }  // namespace stonemount
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -29,7 +29,7 @@
   Ports& ports_;
   Settings settings_;
   TaskRoom room_;
-  Desk desk_;
+  RpcEndpoint rpc_;
   Shim shim_;
   StoreMachine machine_;
   Member member_;
--- a/tests/chain_loss_test.cc
+++ b/tests/chain_loss_test.cc
@@ -128,8 +128,8 @@
 // A tail that slept through the end of its view, and a reader that knows no newer one.
 struct Asker {
   Task run(Rig& rig, Address tail, Revision revision) {
-    Job<std::variant<ChainVerdict, PartnerSilent>> job = ask<ChainVerdict>(*rig.desk, tail, Read{revision, "all", 0}, 6 * kSecondUs);
-    std::variant<ChainVerdict, PartnerSilent> verdict = co_await job;
+    Job<std::variant<ChainVerdict, PeerSilent>> job = ask<ChainVerdict>(*rig.rpc, tail, Read{revision, "all", 0}, 6 * kSecondUs);
+    std::variant<ChainVerdict, PeerSilent> verdict = co_await job;
     auto* given = std::get_if<ChainVerdict>(&verdict);
     answered = given != nullptr && given->outcome == ChainOutcome::kDone;
   }
--- a/tests/chain_rig.h
+++ b/tests/chain_rig.h
@@ -39,8 +39,8 @@
 
 struct Process {
   Process(SimHost& host, MemberPlan plan, Views& given)
-      : views(given), ports(host.ports()), desk(host, host, host.chance),
-        member(ports, desk, room, machine, std::move(plan)) {
+      : views(given), ports(host.ports()), rpc(host, host, host.chance),
+        member(ports, rpc, room, machine, std::move(plan)) {
     member.viewMoved.connect(sigc::mem_fun(*this, &Process::onView));
     member.begin();
   }
@@ -53,7 +53,7 @@
   Views& views;
   Ports ports;
   TaskRoom room;
-  Desk desk;
+  RpcEndpoint rpc;
   ListMachine machine;
   Member member;
 };
@@ -73,8 +73,8 @@
     clientHost = &world.addHost("client", "zone-0", kClientWire, {2, 99});
     clientHost->rise();
     clientPorts = std::make_unique<Ports>(clientHost->ports());
-    desk = std::make_unique<Desk>(*clientHost, *clientHost, clientHost->chance);
-    client = std::make_unique<ChainClient>(*clientPorts, *desk, addresses);
+    rpc = std::make_unique<RpcEndpoint>(*clientHost, *clientHost, clientHost->chance);
+    client = std::make_unique<ChainClient>(*clientPorts, *rpc, addresses);
   }
   ~Rig() {
     room.clear();
@@ -134,7 +134,7 @@
   std::vector<std::unique_ptr<Process>> processes;
   SimHost* clientHost = nullptr;
   std::unique_ptr<Ports> clientPorts;
-  std::unique_ptr<Desk> desk;
+  std::unique_ptr<RpcEndpoint> rpc;
   std::unique_ptr<ChainClient> client;
   TaskRoom room;
   // what the client saw
--- a/tests/decoder_test.cc
+++ b/tests/decoder_test.cc
@@ -9,7 +9,7 @@
 #include "jig/settings.h"
 #include "lathe/sealed_reader.h"
 #include "store/store_machine.h"
-#include "vise/desk.h"
+#include "runtime/rpc_endpoint.h"
 
 using namespace stonemount;
 
--- a/tests/doctor_test.cc
+++ b/tests/doctor_test.cc
@@ -108,7 +108,7 @@
   found(fleet, "D701");
   for (Part* core : fleet.fleet.of(PartKind::kCore)) fleet.fleet.start(*core);
   gone(fleet, "D701");
-  // One node hears neither core nor partners for a while, and news comes.
+  // One node hears neither core nor peers for a while, and news comes.
   Part& deaf = *fleet.fleet.of(PartKind::kNode)[3];
   for (auto& other : fleet.fleet.world().hosts())
     if (other->zone() != "outside") fleet.fleet.world().setCut(*other, *deaf.host, true);
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -93,11 +93,11 @@
   void event(PassEvent&& event) override { raw += event.raw; }
   void bytes(const Bytes& bytes) override { body += bytes; }
   bool left() const override { return leaves; }
-  Bell& bell() override { return knock; }
+  Event& event() override { return knock; }
   Bytes raw;
   Bytes body;  // of an answer that is no series of events
   bool leaves = false;
-  Bell knock;
+  Event knock;
 };
 
 // A caller's try, or an item, and what became of it.
@@ -183,7 +183,7 @@
     caller.leftUs = world.nowUs();
     if (caller.item) {
       caller.item->leaves = true;
-      caller.item->knock.ring();
+      caller.item->knock.notify();
     } else {
       caller.answer->gone.emit();
     }
--- a/tests/lots_rig.h
+++ b/tests/lots_rig.h
@@ -55,13 +55,13 @@
     // Now and then one skips what it should have said: it must not be joined on.
     if (order.lastEvent && number < until && oddsSkips > 0 && ports_.chance.oneIn(oddsSkips)) ++number;
     for (; number <= until && !sink.left(); ++number) {
-      Hear hear(ports_.alarms, sink.bell(), eventUs);
+      EventWait hear(ports_.timers, sink.event(), eventUs);
       co_await hear;
       if (sink.left()) break;
       sink.event({number, eventText(item, number), {}});
     }
     while (dark && !sink.left()) {
-      Hear hear(ports_.alarms, sink.bell(), kSecondUs);
+      EventWait hear(ports_.timers, sink.event(), kSecondUs);
       co_await hear;
     }
     if (sink.left() || breaks) co_return PassBroken{true};
@@ -96,10 +96,10 @@
 // A node as far as standing lots go.
 struct LotNode {
   LotNode(SimHost& given, ShimPlan shimPlan, const ControlState& control, WorkLog& log)
-      : host(given), ports(given.ports()), desk(given, given, given.chance), shim(ports, desk, room, std::move(shimPlan)),
-        store(ports, desk, {}), board(given, control, {given.zone(), given.wire()}), workers(ports, log),
-        scheduler(ports, desk, room, store, board, control, shim, given.zone(), passingPlan({}, Bounds())),
-        lotDesk(ports, desk, store, scheduler, control, {}), lots(lotDesk) {
+      : host(given), ports(given.ports()), rpc(given, given, given.chance), shim(ports, rpc, room, std::move(shimPlan)),
+        store(ports, rpc, {}), board(given, control, {given.zone(), given.wire()}), workers(ports, log),
+        scheduler(ports, rpc, room, store, board, control, shim, given.zone(), passingPlan({}, Bounds())),
+        lotService(ports, rpc, store, scheduler, control, {}), lots(lotService) {
     Card card;
     card.role = Role::kNode;
     card.zone = given.zone();
@@ -115,13 +115,13 @@
   SimHost& host;
   Ports ports;
   TaskRoom room;
-  Desk desk;
+  RpcEndpoint rpc;
   Shim shim;
   ChainClient store;
   WorkerBoard board;
   PlayedWorkers workers;
   Scheduler scheduler;
-  LotDesk lotDesk;
+  LotService lotService;
   platform::Lots lots;
 };
 
--- a/tests/members_stage.h
+++ b/tests/members_stage.h
@@ -120,9 +120,9 @@
     while (!result) run(20 * kMilliUs);
     return *result;
   }
-  RetireDesk& anyDesk() {
+  RetireService& anyService() {
     std::vector<Part*> cores = fleet.standing(PartKind::kCore);
-    return cores[chance.below(cores.size())]->core->retireDesk();
+    return cores[chance.below(cores.size())]->core->retireService();
   }
   void conclude() {
     const Us backUs = fleet.world().nowUs();
--- a/tests/members_test.cc
+++ b/tests/members_test.cc
@@ -62,17 +62,17 @@
 void retired(std::uint64_t seed) {
   Stage stage(seed);
   stage.serve();
-  expect(stage.ask(stage.anyDesk().retire("nobody")) == RetireOutcome::kUnknown, seed, "an unknown machine is unknown");
-  expect(stage.ask(stage.anyDesk().stateOf("nobody")) == RetireState::kUnknown, seed, "and has no state");
+  expect(stage.ask(stage.anyService().retire("nobody")) == RetireOutcome::kUnknown, seed, "an unknown machine is unknown");
+  expect(stage.ask(stage.anyService().stateOf("nobody")) == RetireState::kUnknown, seed, "and has no state");
   Part& old = stage.seated(PartKind::kStore);
   if (stage.fleet.standing(PartKind::kStore).size() == 3) {
-    expect(stage.ask(stage.anyDesk().retire(old.settings.name)) == RetireOutcome::kTooFew, seed, "three are too few");
+    expect(stage.ask(stage.anyService().retire(old.settings.name)) == RetireOutcome::kTooFew, seed, "three are too few");
     stage.arrive(PartKind::kStore, old.host->zone());
     stage.run(2 * kSecondUs);
   }
-  expect(stage.ask(stage.anyDesk().stateOf(old.settings.name)) == RetireState::kServing, seed, "it serves");
-  expect(stage.ask(stage.anyDesk().retire(old.settings.name)) == RetireOutcome::kTaken, seed, "it is retired");
-  expect(stage.ask(stage.anyDesk().retire(old.settings.name)) == RetireOutcome::kUnderWay, seed, "it was asked before");
+  expect(stage.ask(stage.anyService().stateOf(old.settings.name)) == RetireState::kServing, seed, "it serves");
+  expect(stage.ask(stage.anyService().retire(old.settings.name)) == RetireOutcome::kTaken, seed, "it is retired");
+  expect(stage.ask(stage.anyService().retire(old.settings.name)) == RetireOutcome::kUnderWay, seed, "it was asked before");
   if (Part* steward = stage.steward(); seed % 3 == 0 && steward != nullptr) {
     stage.fleet.kill(*steward, true);
     stage.run(kSecondUs);
@@ -81,7 +81,7 @@
   RetireState state = RetireState::kServing;
   const Us sinceUs = stage.fleet.world().nowUs();
   while (state != RetireState::kComplete && stage.fleet.world().nowUs() < sinceUs + 10 * kSecondUs)
-    state = stage.ask(stage.anyDesk().stateOf(old.settings.name));
+    state = stage.ask(stage.anyService().stateOf(old.settings.name));
   std::printf("retired seed=%d us=%lld\n", static_cast<int>(seed), static_cast<long long>(stage.fleet.world().nowUs() - sinceUs));
   expect(state == RetireState::kComplete, seed, "it may be taken away");
   stage.lose(old);
--- a/tests/views_test.cc
+++ b/tests/views_test.cc
@@ -19,7 +19,7 @@
 
 struct Process {
   Process(SimHost& given, ShimPlan plan)
-      : host(given), ports(given.ports()), desk(given, given, given.chance), shim(ports, desk, room, std::move(plan)) {
+      : host(given), ports(given.ports()), rpc(given, given, given.chance), shim(ports, rpc, room, std::move(plan)) {
     Card card;
     card.role = Role::kNode;
     card.zone = given.zone();
@@ -30,7 +30,7 @@
   SimHost& host;
   Ports ports;
   TaskRoom room;
-  Desk desk;
+  RpcEndpoint rpc;
   Shim shim;
 };
 
@@ -103,15 +103,15 @@
   while (crowd.reached(late) < kProcesses && crowd.world.nowUs() < healedUs + 60 * kSecondUs) crowd.run(100 * kMilliUs);
   const Us healUs = crowd.world.nowUs() - healedUs;
   std::uint64_t bytes = 0, frames = 0;
-  for (auto& process : crowd.processes) bytes -= process->desk.sentBytes, frames -= process->desk.sentFrames;
+  for (auto& process : crowd.processes) bytes -= process->rpc.sentBytes, frames -= process->rpc.sentFrames;
   crowd.run(10 * kSecondUs);
-  for (auto& process : crowd.processes) bytes += process->desk.sentBytes, frames += process->desk.sentFrames;
+  for (auto& process : crowd.processes) bytes += process->rpc.sentBytes, frames += process->rpc.sentFrames;
   std::printf("seed=%d processes=%d start_us=%lld spread_us=%lld heal_us=%lld wrong_share=%.4f frames_s_each=%.1f bytes_s_each=%.0f\n",
               static_cast<int>(seed), static_cast<int>(kProcesses), static_cast<long long>(startUs),
               static_cast<long long>(spreadUs), static_cast<long long>(healUs),
               static_cast<double>(wrong) / static_cast<double>(looks), static_cast<double>(frames) / 10.0 / kProcesses,
               static_cast<double>(bytes) / 10.0 / kProcesses);
-  expect(startUs < 10 * kSecondUs, "everyone knows twenty partners within 10 s of a common start");
+  expect(startUs < 10 * kSecondUs, "everyone knows twenty peers within 10 s of a common start");
   expect(spreadUs < 4 * kSecondUs, "a card's news reaches all within 4 s");
   expect(healUs < 20 * kSecondUs, "halves that forgot each other are one again within 20 s");
 }
