--- a/src/anvil/member.cc
+++ b/src/anvil/member.cc
@@ -37,7 +37,7 @@
 
 Member::Member(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Machine& machine, MemberPlan plan)
     : ports_(ports), rpc_(rpc), room_(room), machine_(machine), plan_(std::move(plan)),
-      self_(rpc.self()), drawer_(*ports.disk, ports.timers, ports.clock), press_(drawer_, ports.timers, room) {}
+      self_(rpc.self()), wal_(*ports.disk, ports.timers, ports.clock), groupCommit_(wal_, ports.timers, room) {}
 
 Member::~Member() { refused_.disconnect(); }
 
@@ -87,17 +87,17 @@
 }
 
 Task Member::open() {
-  OpenVerdict opened = drawer_.open();
+  OpenResult opened = wal_.open();
   if (std::holds_alternative<DiskFailure>(opened)) {
     changeStanding(Standing::kBroken);
     co_return;
   }
-  if (std::holds_alternative<DrawerDamaged>(opened)) {
+  if (std::holds_alternative<LogDamaged>(opened)) {
     // What it had sworn to is gone: as good as wiped (design.md 5.5).
-    logDoubt("drawer_damaged", {{"sequence", absl::StrCat(std::get<DrawerDamaged>(opened).atSequence)}});
-    drawer_.wipe();
+    logDoubt("drawer_damaged", {{"sequence", absl::StrCat(std::get<LogDamaged>(opened).atSequence)}});
+    wal_.wipe();
   }
-  if (auto* content = std::get_if<DrawerContent>(&opened)) {
+  if (auto* content = std::get_if<LogContent>(&opened)) {
     bool sound = !content->hasCheckpoint || loadImage(content->checkpoint, true);
     for (const Record& record : content->records) {
       if (!sound) break;
@@ -156,12 +156,12 @@
 void Member::onViewAsk(const Asked& asked) { rpc_.reply(asked, ViewVerdict{memory_.view}); }
 
 Job<bool> Member::keepMemory() {
-  AppendVerdict appended = drawer_.append(RecordKind::kMeta, pack(MetaRecord{kImageFormat, memory_}));
+  AppendResult appended = wal_.append(RecordKind::kMeta, pack(MetaRecord{kImageFormat, memory_}));
   if (!std::holds_alternative<std::uint64_t>(appended)) {
     diskBroke();
     co_return false;
   }
-  Press::Wait wait(press_);
+  GroupCommit::Wait wait(groupCommit_);
   const bool durable = co_await wait;
   if (!durable) diskBroke();
   co_return durable;
@@ -233,13 +233,13 @@
 }
 
 void Member::maybeCheckpoint() {
-  if (!drawer_.checkpointing() && drawer_.bytesSinceCheckpoint() > drawer_.ringBytes() / 8) {
+  if (!wal_.checkpointing() && wal_.bytesSinceCheckpoint() > wal_.ringBytes() / 8) {
     STONEMOUNT_INVARIANT(appended_ <= end_);  // what lies before it on the disk must be in it
     Bytes whole = image();
     imageBytes_ = whole.size();
-    drawer_.beginCheckpoint(std::move(whole));
+    wal_.beginCheckpoint(std::move(whole));
   }
-  if (drawer_.checkpointing() && !drawer_.pumpCheckpoint(8)) diskBroke();
+  if (wal_.checkpointing() && !wal_.pumpCheckpoint(8)) diskBroke();
 }
 
 void Member::diskBroke() {
--- a/src/anvil/member.h
+++ b/src/anvil/member.h
@@ -3,7 +3,7 @@
 
 #include "anvil/machine.h"
 #include "anvil/messages.h"
-#include "drawer/press.h"
+#include "write_ahead_log/group_commit.h"
 #include "runtime/rpc_endpoint.h"
 
 namespace stonemount {
@@ -49,7 +49,7 @@
   HeadSight sight() const;
   const MemberCounts& counts() const { return counts_; }
   const absl::btree_map<Address, PeerSight>& peers() const { return peers_; }
-  const Drawer& drawer() const { return drawer_; }
+  const WriteAheadLog& wal() const { return wal_; }
   sigc::signal<void()> viewMoved;
   sigc::signal<void(const Entry&)> taken;          // at the head, as it stamped it
   sigc::signal<void(const Entry&, bool)> applied;  // here; and whether it was acknowledged
@@ -145,8 +145,8 @@
   Machine& machine_;
   MemberPlan plan_;
   Address self_;
-  Drawer drawer_;
-  Press press_;
+  WriteAheadLog wal_;
+  GroupCommit groupCommit_;
   Standing standing_ = Standing::kOpening;
   VoterMemory memory_;
   MemberCounts counts_;
--- a/src/anvil/member_face.cc
+++ b/src/anvil/member_face.cc
@@ -20,7 +20,7 @@
   out.field("standing", standingText(member.standing())).field("view", member.view().revision);
   out.field("end", member.end()).field("applied", counts.applied).field("reads", counts.reads);
   out.field("confirms", counts.confirms).field("ballots", counts.ballots).field("viewChanges", counts.viewChanges);
-  out.field("refusedOld", counts.refusedOld).field("syncs", member.drawer().syncs);
+  out.field("refusedOld", counts.refusedOld).field("syncs", member.wal().syncs);
   out.field("frames", rpc.sentFrames).field("frameBytes", rpc.sentBytes).closeObject();
   reply.whole(200, {}, out.take() + "\n");
 }
--- a/src/anvil/refill.cc
+++ b/src/anvil/refill.cc
@@ -82,14 +82,14 @@
   }
   imageLoose_ = true;
   if (!loadImage(state, false)) co_return false;
-  drawer_.dropCheckpoint();
-  drawer_.beginCheckpoint(image());
-  while (drawer_.checkpointing()) {
-    if (!drawer_.pumpCheckpoint(16)) {
+  wal_.dropCheckpoint();
+  wal_.beginCheckpoint(image());
+  while (wal_.checkpointing()) {
+    if (!wal_.pumpCheckpoint(16)) {
       diskBroke();
       co_return false;
     }
-    Press::Wait wait(press_);
+    GroupCommit::Wait wait(groupCommit_);
     const bool durable = co_await wait;
     if (!durable) {
       diskBroke();
@@ -119,7 +119,7 @@
     }
     for (const Entry& entry : part->entries) {
       STONEMOUNT_INVARIANT(entry.index == std::max(appended_, end_) + 1);
-      AppendVerdict kept = drawer_.append(RecordKind::kEntry, pack(entry));
+      AppendResult kept = wal_.append(RecordKind::kEntry, pack(entry));
       if (!std::holds_alternative<std::uint64_t>(kept)) {
         diskBroke();
         co_return false;
@@ -127,7 +127,7 @@
       appended_ = entry.index;
     }
     if (!part->entries.empty()) {
-      Press::Wait wait(press_);
+      GroupCommit::Wait wait(groupCommit_);
       const bool durable = co_await wait;
       if (!durable) {
         diskBroke();
--- a/src/anvil/relay.cc
+++ b/src/anvil/relay.cc
@@ -35,12 +35,12 @@
   if (!head() || submit.revision != memory_.view.revision) return refuse(asked, ChainOutcome::kNotMine);
   if (!spansZones(memory_.view.chain)) return refuse(asked, ChainOutcome::kTooFewCopies);
   if (inbox_.size() >= kInboxBound || inboxBytes_ >= kInboxBytesBound) return refuse(asked, ChainOutcome::kBusy);
-  if (submit.command.size() > drawer_.longestRecord()) return refuse(asked, ChainOutcome::kTooLong);
+  if (submit.command.size() > wal_.longestRecord()) return refuse(asked, ChainOutcome::kTooLong);
   // The ring must hold the old checkpoint, the new one and the entries between (design.md 5.2).
-  const std::size_t bytes = imageBytes_ + drawer_.bytesSinceCheckpoint() + inboxBytes_ + submit.command.size();
-  const std::size_t quarter = drawer_.ringBytes() / 4;  // near it, it is worth reading the command
+  const std::size_t bytes = imageBytes_ + wal_.bytesSinceCheckpoint() + inboxBytes_ + submit.command.size();
+  const std::size_t quarter = wal_.ringBytes() / 4;  // near it, it is worth reading the command
   const bool tight = bytes > quarter || (bytes > quarter / 2 && bytes + machine_.owedBytes() > quarter);
-  const bool full = bytes > drawer_.ringBytes() / 3 || (tight && machine_.enlarges(submit.command));
+  const bool full = bytes > wal_.ringBytes() / 3 || (tight && machine_.enlarges(submit.command));
   if (full) return refuse(asked, ChainOutcome::kRingFull);
   StampVerdict stamped = machine_.stamp(submit.command, sight());
   if (auto* refused = std::get_if<StampRefused>(&stamped)) {
@@ -100,7 +100,7 @@
 
 Task Member::write() {
   while (standing_ != Standing::kBroken) {
-    const bool slow = drawer_.worstSyncUs() > plan_.slowDiskUs / 2;
+    const bool slow = wal_.worstSyncUs() > plan_.slowDiskUs / 2;
     EventWait hear(ports_.timers, inboxEvent_, slow ? kSlowTryUs : kIdleUs);
     co_await hear;
     if (inbox_.empty() && slow) {
@@ -121,15 +121,15 @@
       if (inbox_.empty()) appends.swap(appendsWaiting_);
       const Revision revision = memory_.view.revision;
       if (!fetching_) maybeCheckpoint();
-      if (batch.empty() && appends.empty() && !drawer_.checkpointing()) break;
+      if (batch.empty() && appends.empty() && !wal_.checkpointing()) break;
       if (!batch.empty()) appended_ = batch.back().index;
       for (const Entry& entry : batch) {
-        AppendVerdict appended = drawer_.append(RecordKind::kEntry, pack(entry));
+        AppendResult appended = wal_.append(RecordKind::kEntry, pack(entry));
         if (std::holds_alternative<std::uint64_t>(appended)) continue;
         diskBroke();
         co_return;
       }
-      Press::Wait wait(press_);
+      GroupCommit::Wait wait(groupCommit_);
       const bool durable = co_await wait;
       if (!durable) {
         diskBroke();
@@ -141,7 +141,7 @@
       const bool same = active() && memory_.view.revision == revision;
       for (const Asked& asked : appends) answerAppend(asked, same);
       if (!batch.empty()) passEvent_.notify();
-    } while (!inbox_.empty() || drawer_.checkpointing());
+    } while (!inbox_.empty() || wal_.checkpointing());
   }
 }
 
--- a/src/anvil/voter.cc
+++ b/src/anvil/voter.cc
@@ -12,8 +12,8 @@
   pong.end = end_;
   pong.refilled = refilled_ && standing_ != Standing::kBroken;
   pong.ballotOpen = memory_.accepted.has_value();
-  pong.stalledUs = drawer_.stalledUs();
-  pong.worstSyncUs = drawer_.worstSyncUs();
+  pong.stalledUs = wal_.stalledUs();
+  pong.worstSyncUs = wal_.worstSyncUs();
   pong.wallUs = ports_.clock.wallUs();
   if (tooFarBehind_.set()) pong.suspects.push_back(tooFarBehind_);
   if (ports_.clock.monoUs() < blindUntilUs_) return pong;
@@ -25,9 +25,9 @@
 
 // With nothing to do it marks what was synced last, so that damage to the newest records shows too.
 Job<bool> Member::markSynced() {
-  if (!inbox_.empty() || fetching_ || !drawer_.wantsMark()) co_return true;
-  drawer_.append(RecordKind::kMark, Bytes());
-  Press::Wait wait(press_);
+  if (!inbox_.empty() || fetching_ || !wal_.wantsMark()) co_return true;
+  wal_.append(RecordKind::kMark, Bytes());
+  GroupCommit::Wait wait(groupCommit_);
   const bool durable = co_await wait;
   co_return durable;
 }
--- a/src/drawer/press.h
+++ b/src/write_ahead_log/group_commit.h
@@ -1,31 +1,31 @@
 // One sync at a time, shared by all who wait for it (design.md 5.3).
 #pragma once
 
-#include "drawer/ring.h"
+#include "write_ahead_log/write_ahead_log.h"
 
 namespace stonemount {
 
-class Press {
+class GroupCommit {
  public:
-  Press(Drawer& drawer, Timers& timers, TaskRoom& room) : drawer_(drawer), timers_(timers) {
+  GroupCommit(WriteAheadLog& wal, Timers& timers, TaskRoom& room) : wal_(wal), timers_(timers) {
     room.start(run());
   }
   class Wait : public Waiter {
    public:
-    explicit Wait(Press& press) : Waiter(press.timers_), press_(press) {}
-    ~Wait() override { press_.waits_.erase(key_); }
+    explicit Wait(GroupCommit& groupCommit) : Waiter(groupCommit.timers_), groupCommit_(groupCommit) {}
+    ~Wait() override { groupCommit_.waits_.erase(key_); }
     bool await_ready() const { return false; }
     void await_suspend(std::coroutine_handle<> handle) {
       sleep(handle);
-      key_ = ++press_.lastKey_;
-      press_.waits_[key_] = this;
-      press_.event_.notify();
+      key_ = ++groupCommit_.lastKey_;
+      groupCommit_.waits_[key_] = this;
+      groupCommit_.event_.notify();
     }
     bool await_resume() const { return durable_; }
 
    private:
-    friend class Press;
-    Press& press_;
+    friend class GroupCommit;
+    GroupCommit& groupCommit_;
     std::uint64_t key_ = 0;
     bool durable_ = false;
   };
@@ -37,8 +37,8 @@
       co_await hear;
       while (!waits_.empty()) {
         const std::uint64_t upTo = lastKey_;
-        Job<SyncVerdict> job = drawer_.sync();
-        SyncVerdict verdict = co_await job;
+        Job<SyncResult> job = wal_.sync();
+        SyncResult verdict = co_await job;
         const bool durable = std::holds_alternative<Synced>(verdict);
         while (!waits_.empty() && waits_.begin()->first <= upTo) {
           Wait* wait = waits_.begin()->second;
@@ -49,7 +49,7 @@
       }
     }
   }
-  Drawer& drawer_;
+  WriteAheadLog& wal_;
   Timers& timers_;
   Event event_;
   std::uint64_t lastKey_ = 0;
--- a/src/drawer/record.cc
+++ b/src/write_ahead_log/record.cc
@@ -1,5 +1,5 @@
 // The bytes of one record (design.md 5.1).
-#include "drawer/record.h"
+#include "write_ahead_log/record.h"
 
 namespace stonemount {
 
--- a/src/drawer/record.h
+++ b/src/write_ahead_log/record.h
@@ -1,4 +1,4 @@
-// One record of the drawer, as bytes (design.md 5.1).
+// One record of the wal, as bytes (design.md 5.1).
 #pragma once
 
 #include "stonemount.h"
--- a/src/drawer/open.cc
+++ b/src/write_ahead_log/recovery_scan.cc
@@ -2,7 +2,7 @@
 // that neither time nor memory grow with the ring (design.md 5.6).
 #include <algorithm>
 
-#include "drawer/ring.h"
+#include "write_ahead_log/write_ahead_log.h"
 
 namespace stonemount {
 
@@ -44,8 +44,8 @@
   }
   bool whole() const { return whole_; }
   std::uint64_t from() const { return whole_ ? from_ : 0; }
-  DrawerContent take() {
-    DrawerContent content;
+  LogContent take() {
+    LogContent content;
     content.hasCheckpoint = whole_;
     content.checkpoint = std::move(checkpoint_);
     for (auto record = kept_.rbegin(); record != kept_.rend(); ++record)
@@ -68,7 +68,7 @@
 // but they tell what had been synced (design.md 5.5). Nor is one read that does not name the one before it:
 // a loss of power may have kept what was written behind a write that was lost, and when that place is
 // written anew, what an earlier life left behind it must not come back to life.
-Drawer::Scan Drawer::scanFile(const Bytes& bytes, std::uint64_t& synced) const {
+WriteAheadLog::Scan WriteAheadLog::scanFile(const Bytes& bytes, std::uint64_t& synced) const {
   Scan scan;
   const std::string_view view(bytes);
   while (std::optional<FoundRecord> found = recordAt(view, scan.end)) {
@@ -94,7 +94,7 @@
 //   that begins before another holds nothing newer than that one's first.
 // - Any other head may be a torn write, an old file that was just turned, or damage: that file is read
 //   whole, for records that did not fit into the head and for what they say was synced.
-std::variant<std::vector<Drawer::Head>, DiskFailure> Drawer::readHeads(std::uint64_t& synced) {
+std::variant<std::vector<WriteAheadLog::Head>, DiskFailure> WriteAheadLog::readHeads(std::uint64_t& synced) {
   std::vector<Head> heads;
   for (std::size_t i = 0; i < disk_.fileCount(); ++i) {
     auto read = disk_.readHead(i, std::min(kHeadBytes, disk_.fileBytes()));
@@ -114,13 +114,13 @@
   return heads;
 }
 
-OpenVerdict Drawer::open() {
+OpenResult WriteAheadLog::open() {
   std::uint64_t synced = 0;  // the newest sequence that any record says was synced
   auto read = readHeads(synced);
   if (std::holds_alternative<DiskFailure>(read)) return DiskFailure{};
   const std::vector<Head>& heads = std::get<std::vector<Head>>(read);
-  if (heads.empty() && synced > 0) return DrawerDamaged{synced};
-  if (heads.empty()) return DrawerEmpty{};
+  if (heads.empty() && synced > 0) return LogDamaged{synced};
+  if (heads.empty()) return LogEmpty{};
   for (std::size_t i = 0; i + 1 < heads.size(); ++i) spans_[heads[i].file] = {heads[i].first, heads[i + 1].first - 1};
   Gathering gathering;
   std::uint64_t last = 0, next = 0;  // the newest record, and the first of the file read before
@@ -142,8 +142,8 @@
     if (gathering.add(std::move(scan.records))) break;
   }
   // A torn end is what was never synced. Anything else that is missing was sworn to.
-  if (last < synced) return DrawerDamaged{last};
-  if (!gathering.whole() && next != 1) return DrawerDamaged{next};
+  if (last < synced) return LogDamaged{last};
+  if (!gathering.whole() && next != 1) return LogDamaged{next};
   nextSequence_ = last + 1;
   keepFrom_ = gathering.whole() ? gathering.from() : 1;
   return gathering.take();
--- a/src/drawer/ring.cc
+++ b/src/write_ahead_log/write_ahead_log.cc
@@ -1,4 +1,4 @@
-#include "drawer/ring.h"
+#include "write_ahead_log/write_ahead_log.h"
 
 #include <algorithm>
 
@@ -9,10 +9,10 @@
 constexpr std::size_t kPartBytes = 64 * 1024;
 }  // namespace
 
-Drawer::Drawer(Disk& disk, Timers& timers, Clock& clock)
+WriteAheadLog::WriteAheadLog(Disk& disk, Timers& timers, Clock& clock)
     : disk_(disk), timers_(timers), clock_(clock), spans_(disk.fileCount()) {}
 
-void Drawer::wipe() {
+void WriteAheadLog::wipe() {
   for (std::size_t i = 0; i < disk_.fileCount(); ++i) disk_.write(i, 0, Bytes(disk_.fileBytes(), '\0'));
   spans_.assign(disk_.fileCount(), FileSpan());
   file_ = offset_ = 0;
@@ -21,7 +21,7 @@
   checkpointOpen_ = false;
 }
 
-std::variant<Done, RingFull> Drawer::turnFile() {
+std::variant<Done, RingFull> WriteAheadLog::turnFile() {
   const std::size_t next = (file_ + 1) % spans_.size();
   const bool needed = spans_[next].last >= keepFrom_ && spans_[next].last != 0;
   if (needed) return RingFull{};
@@ -34,7 +34,7 @@
   return Done{};
 }
 
-AppendVerdict Drawer::append(RecordKind kind, const Bytes& body) {
+AppendResult WriteAheadLog::append(RecordKind kind, const Bytes& body) {
   const std::size_t length = kHeaderBytes + body.size();
   if (length > disk_.fileBytes()) return RecordTooLong{};
   if (offset_ + length > disk_.fileBytes()) {
@@ -56,7 +56,7 @@
   return sequence;
 }
 
-void Drawer::beginCheckpoint(Bytes state) {
+void WriteAheadLog::beginCheckpoint(Bytes state) {
   STONEMOUNT_INVARIANT(!checkpointOpen_);
   checkpointOpen_ = true;
   checkpointEnded_ = false;
@@ -67,7 +67,7 @@
   sinceCheckpoint_ = 0;
 }
 
-bool Drawer::pumpCheckpoint(std::size_t parts) {
+bool WriteAheadLog::pumpCheckpoint(std::size_t parts) {
   if (!checkpointOpen_ || checkpointEnded_) return true;
   for (std::size_t i = 0; i < parts; ++i) {
     Bytes body;
@@ -81,7 +81,7 @@
       continue;
     }
     putNumber(body, checkpointSum_);
-    AppendVerdict ended = append(RecordKind::kCheckpointEnd, body);
+    AppendResult ended = append(RecordKind::kCheckpointEnd, body);
     if (!std::holds_alternative<std::uint64_t>(ended)) return false;
     checkpointLast_ = std::get<std::uint64_t>(ended);
     checkpointEnded_ = true;
@@ -90,7 +90,7 @@
   return true;
 }
 
-Us Drawer::stalledUs() const { return syncing_ ? clock_.monoUs() - syncBeganUs_ : 0; }
+Us WriteAheadLog::stalledUs() const { return syncing_ ? clock_.monoUs() - syncBeganUs_ : 0; }
 
 namespace {
 class SyncWait : public SyncDone {
@@ -111,7 +111,7 @@
 };
 }  // namespace
 
-Job<SyncVerdict> Drawer::sync() {
+Job<SyncResult> WriteAheadLog::sync() {
   if (failed_) co_return DiskFailure{};
   STONEMOUNT_INVARIANT(!syncing_);
   const std::uint64_t upTo = nextSequence_ - 1;
--- a/src/drawer/ring.h
+++ b/src/write_ahead_log/write_ahead_log.h
@@ -1,7 +1,7 @@
-// The drawer: records in a ring of preallocated files (design.md 5).
+// The wal: records in a ring of preallocated files (design.md 5).
 #pragma once
 
-#include "drawer/record.h"
+#include "write_ahead_log/record.h"
 #include "runtime/await.h"
 #include "runtime/pack.h"
 
@@ -9,28 +9,28 @@
 
 struct RingFull {};
 struct RecordTooLong {};
-using AppendVerdict = std::variant<std::uint64_t, RingFull, RecordTooLong>;
+using AppendResult = std::variant<std::uint64_t, RingFull, RecordTooLong>;
 
-struct DrawerEmpty {};                 // a fresh or wiped disk
-struct DrawerDamaged { std::uint64_t atSequence = 0; };  // synced records are missing or altered
-struct DrawerContent {
+struct LogEmpty {};                 // a fresh or wiped disk
+struct LogDamaged { std::uint64_t atSequence = 0; };  // synced records are missing or altered
+struct LogContent {
   Bytes checkpoint;  // empty: none yet
   bool hasCheckpoint = false;
   std::vector<Record> records;  // entries and metas after the checkpoint began
 };
-using OpenVerdict = std::variant<DrawerContent, DrawerEmpty, DrawerDamaged, DiskFailure>;
+using OpenResult = std::variant<LogContent, LogEmpty, LogDamaged, DiskFailure>;
 
 struct Synced {};
-using SyncVerdict = std::variant<Synced, DiskFailure>;
+using SyncResult = std::variant<Synced, DiskFailure>;
 
-class Drawer {
+class WriteAheadLog {
  public:
-  Drawer(Disk& disk, Timers& timers, Clock& clock);
-  OpenVerdict open();
+  WriteAheadLog(Disk& disk, Timers& timers, Clock& clock);
+  OpenResult open();
   void wipe();  // starts anew after damage; what was there is gone
-  AppendVerdict append(RecordKind kind, const Bytes& body);
+  AppendResult append(RecordKind kind, const Bytes& body);
   // All that was appended before the call is durable when it returns.
-  Job<SyncVerdict> sync();
+  Job<SyncResult> sync();
   // Writes state in parts; what lies before it may be written over once it is synced.
   void beginCheckpoint(Bytes state);
   bool pumpCheckpoint(std::size_t parts);  // false: the ring is too small for the state
--- a/tests/drawer_test.cc
+++ b/tests/drawer_test.cc
@@ -1,9 +1,9 @@
-// The drawer against a plain model: whatever was synced is there again after any loss of power;
+// The wal against a plain model: whatever was synced is there again after any loss of power;
 // what was not synced may be missing only from the end (design.md 5).
 #include <rapidcheck.h>
 
 #include "bench/world.h"
-#include "drawer/press.h"
+#include "write_ahead_log/group_commit.h"
 
 using namespace stonemount;
 
@@ -21,9 +21,9 @@
   SimHost& host;
 };
 
-Task syncOnce(Drawer& drawer, bool& done) {
-  Job<SyncVerdict> job = drawer.sync();
-  const SyncVerdict verdict = co_await job;
+Task syncOnce(WriteAheadLog& wal, bool& done) {
+  Job<SyncResult> job = wal.sync();
+  const SyncResult verdict = co_await job;
   done = std::holds_alternative<Synced>(verdict);
 }
 
@@ -38,14 +38,14 @@
 };
 
 // What comes back must be the model's, cut somewhere after what was synced.
-void agree(const OpenVerdict& opened, Model& model, bool lost) {
-  if (std::holds_alternative<DrawerEmpty>(opened)) {
+void agree(const OpenResult& opened, Model& model, bool lost) {
+  if (std::holds_alternative<LogEmpty>(opened)) {
     RC_ASSERT(model.synced == 0 && !model.hasCheckpoint);
     model = Model();
     return;
   }
-  RC_ASSERT(std::holds_alternative<DrawerContent>(opened));
-  const DrawerContent& content = std::get<DrawerContent>(opened);
+  RC_ASSERT(std::holds_alternative<LogContent>(opened));
+  const LogContent& content = std::get<LogContent>(opened);
   // The next checkpoint may just have become whole.
   if (model.nextOpen && content.hasCheckpoint && content.checkpoint == model.nextCheckpoint &&
       (!model.hasCheckpoint || model.checkpoint != model.nextCheckpoint)) {
@@ -68,44 +68,44 @@
 void keepsWhatWasSynced(std::uint64_t seed) {
   Bench bench(seed);
   Chance chance(seed);
-  auto drawer = std::make_unique<Drawer>(*bench.host.disk, bench.host, bench.host);
+  auto wal = std::make_unique<WriteAheadLog>(*bench.host.disk, bench.host, bench.host);
   Model model;
-  agree(drawer->open(), model, true);
+  agree(wal->open(), model, true);
   for (int step = 0; step < 400; ++step) {
     const std::uint64_t pick = chance.below(20);
     if (pick < 12) {
       Bytes body = hexText(chance.next()) + Bytes(chance.below(600), 'x');
-      const AppendVerdict verdict = drawer->append(RecordKind::kEntry, body);
+      const AppendResult verdict = wal->append(RecordKind::kEntry, body);
       if (std::holds_alternative<std::uint64_t>(verdict)) model.appended.push_back(body);
     } else if (pick < 16) {
       bool done = false;
       TaskRoom room;
-      room.start(syncOnce(*drawer, done));
+      room.start(syncOnce(*wal, done));
       bench.world.runUntil(bench.world.nowUs() + kSecondUs);
       RC_ASSERT(done);
       model.synced = model.appended.size();
-      if (model.nextOpen && !drawer->checkpointing()) {
+      if (model.nextOpen && !wal->checkpointing()) {
         model.checkpoint = model.nextCheckpoint;
         model.hasCheckpoint = true;
         model.appended.erase(model.appended.begin(), model.appended.begin() + static_cast<std::ptrdiff_t>(model.nextFrom));
         model.synced = model.appended.size();
         model.nextOpen = false;
       }
-    } else if (pick == 16 && !drawer->checkpointing()) {
+    } else if (pick == 16 && !wal->checkpointing()) {
       model.nextCheckpoint = hexText(chance.next()) + Bytes(chance.below(9000), 'c');
       model.nextFrom = model.appended.size();
       model.nextOpen = true;
-      drawer->beginCheckpoint(model.nextCheckpoint);
-      drawer->pumpCheckpoint(chance.below(2) == 0 ? 1 : 100);
-    } else if (pick == 17 && drawer->checkpointing()) {
-      drawer->pumpCheckpoint(100);
+      wal->beginCheckpoint(model.nextCheckpoint);
+      wal->pumpCheckpoint(chance.below(2) == 0 ? 1 : 100);
+    } else if (pick == 17 && wal->checkpointing()) {
+      wal->pumpCheckpoint(100);
     } else if (pick == 18) {
-      drawer.reset();
+      wal.reset();
       bench.host.fall();
       bench.host.disk->losePower(chance);
       bench.host.rise();
-      drawer = std::make_unique<Drawer>(*bench.host.disk, bench.host, bench.host);
-      agree(drawer->open(), model, true);
+      wal = std::make_unique<WriteAheadLog>(*bench.host.disk, bench.host, bench.host);
+      agree(wal->open(), model, true);
     }
   }
 }
@@ -116,21 +116,21 @@
   Chance chance(seed);
   std::set<Bytes> written;
   {
-    Drawer drawer(*bench.host.disk, bench.host, bench.host);
-    drawer.open();
+    WriteAheadLog wal(*bench.host.disk, bench.host, bench.host);
+    wal.open();
     for (int i = 0; i < 40; ++i) {
       Bytes body = hexText(chance.next()) + Bytes(chance.below(900), 'y');
-      if (std::holds_alternative<std::uint64_t>(drawer.append(RecordKind::kEntry, body))) written.insert(body);
+      if (std::holds_alternative<std::uint64_t>(wal.append(RecordKind::kEntry, body))) written.insert(body);
     }
     bool done = false;
     TaskRoom room;
-    room.start(syncOnce(drawer, done));
+    room.start(syncOnce(wal, done));
     bench.world.runUntil(kSecondUs);
   }
   for (int i = 0; i < 3; ++i) bench.host.disk->corrupt(chance);
-  Drawer again(*bench.host.disk, bench.host, bench.host);
-  const OpenVerdict opened = again.open();
-  if (auto* content = std::get_if<DrawerContent>(&opened))
+  WriteAheadLog again(*bench.host.disk, bench.host, bench.host);
+  const OpenResult opened = again.open();
+  if (auto* content = std::get_if<LogContent>(&opened))
     for (const Record& record : content->records) RC_ASSERT(written.contains(record.body));
 }
 // One byte rots anywhere in what was synced, and the mark after it: all of it is read, or the loss is seen.
@@ -139,25 +139,25 @@
   Chance chance(seed);
   std::size_t written = 0;
   {
-    Drawer drawer(*bench.host.disk, bench.host, bench.host);
-    drawer.open();
+    WriteAheadLog wal(*bench.host.disk, bench.host, bench.host);
+    wal.open();
     for (int round = 0; round < 3; ++round) {
       for (std::uint64_t i = 1 + chance.below(20); i > 0; --i)
-        written += std::holds_alternative<std::uint64_t>(drawer.append(RecordKind::kEntry, Bytes(chance.below(900), 'y'))) ? 1 : 0;
+        written += std::holds_alternative<std::uint64_t>(wal.append(RecordKind::kEntry, Bytes(chance.below(900), 'y'))) ? 1 : 0;
       for (int again = 0; again < 2; ++again) {
         bool done = false;
         TaskRoom room;
-        room.start(syncOnce(drawer, done));
+        room.start(syncOnce(wal, done));
         bench.world.runUntil(bench.world.nowUs() + kSecondUs);
-        if (drawer.wantsMark()) drawer.append(RecordKind::kMark, Bytes());
+        if (wal.wantsMark()) wal.append(RecordKind::kMark, Bytes());
       }
     }
   }
   bench.host.disk->corrupt(chance);
-  Drawer again(*bench.host.disk, bench.host, bench.host);
-  const OpenVerdict opened = again.open();
-  if (auto* content = std::get_if<DrawerContent>(&opened)) RC_ASSERT(content->records.size() == written);
-  else RC_ASSERT(std::holds_alternative<DrawerDamaged>(opened));
+  WriteAheadLog again(*bench.host.disk, bench.host, bench.host);
+  const OpenResult opened = again.open();
+  if (auto* content = std::get_if<LogContent>(&opened)) RC_ASSERT(content->records.size() == written);
+  else RC_ASSERT(std::holds_alternative<LogDamaged>(opened));
 }
 // A ring that was filled many times over opens from its newest files: time and memory go with the state
 // and what came since, not with the ring.
@@ -171,33 +171,33 @@
   Bytes state;
   std::vector<Bytes> since;
   {
-    Drawer drawer(*host.disk, host, host);
-    drawer.open();
+    WriteAheadLog wal(*host.disk, host, host);
+    wal.open();
     const std::uint64_t rounds = 10 + chance.below(400);
     for (std::uint64_t round = 0; round < rounds; ++round) {
       for (int i = 0; i < 10; ++i) {
         Bytes body = hexText(chance.next()) + Bytes(chance.below(9000), 'z');
-        RC_ASSERT(std::holds_alternative<std::uint64_t>(drawer.append(RecordKind::kEntry, body)));
+        RC_ASSERT(std::holds_alternative<std::uint64_t>(wal.append(RecordKind::kEntry, body)));
         since.push_back(body);
       }
-      if (drawer.bytesSinceCheckpoint() > drawer.ringBytes() / 8) {
+      if (wal.bytesSinceCheckpoint() > wal.ringBytes() / 8) {
         state = hexText(chance.next()) + Bytes(300 << 10, 's');
         since.clear();
-        drawer.beginCheckpoint(state);
-        RC_ASSERT(drawer.pumpCheckpoint(1000));
+        wal.beginCheckpoint(state);
+        RC_ASSERT(wal.pumpCheckpoint(1000));
       }
       bool done = false;
       TaskRoom room;
-      room.start(syncOnce(drawer, done));
+      room.start(syncOnce(wal, done));
       world.runUntil(world.nowUs() + kSecondUs);
       RC_ASSERT(done);
     }
   }
   host.disk->readBytes = 0;
-  Drawer again(*host.disk, host, host);
-  const OpenVerdict opened = again.open();
-  RC_ASSERT(std::holds_alternative<DrawerContent>(opened));
-  const DrawerContent& content = std::get<DrawerContent>(opened);
+  WriteAheadLog again(*host.disk, host, host);
+  const OpenResult opened = again.open();
+  RC_ASSERT(std::holds_alternative<LogContent>(opened));
+  const LogContent& content = std::get<LogContent>(opened);
   RC_ASSERT(content.checkpoint == state);
   RC_ASSERT(content.records.size() == since.size());
   for (std::size_t i = 0; i < since.size(); ++i) RC_ASSERT(content.records[i].body == since[i]);
