--- a/src/bellows/http_in.cc
+++ b/src/bellows/http_in.cc
@@ -28,7 +28,7 @@
   return {static_cast<time_t>(limits.idleUs / kSecondUs), static_cast<suseconds_t>(limits.idleUs % kSecondUs)};
 }
 
-enum class Standing {
+enum class ReplicaState {
   kOpen,   // nothing of the answer was begun
   kBegun,  // head sent, more to come
   kSent,   // all of it handed to evhttp, not yet to the kernel
@@ -55,21 +55,21 @@
     bufferevent_enable(channel, EV_READ);
   }
   ~ReplyEv() override {
-    if (standing_ == Standing::kBegun) abort();
-    if (standing_ == Standing::kOpen) {
+    if (standing_ == ReplicaState::kBegun) abort();
+    if (standing_ == ReplicaState::kOpen) {
       putHeaders({{"retry-after", "1"}}, false);
       release();
       sendBody(503, "{\"verdict\":\"stopping\"}\n");
     }
   }
   void begin(int status, const HeaderMap& headers) override {
-    if (standing_ != Standing::kOpen) return;
-    standing_ = Standing::kBegun;
+    if (standing_ != ReplicaState::kOpen) return;
+    standing_ = ReplicaState::kBegun;
     putHeaders(headers, true);
     evhttp_send_reply_start(request_, status, httpReason(status));
   }
   void chunk(const Bytes& bytes) override {
-    if (standing_ != Standing::kBegun || bytes.empty()) return;
+    if (standing_ != ReplicaState::kBegun || bytes.empty()) return;
     if (declared_ && bytes.size() > leftBytes_) return abort();  // would be taken for another answer's bytes
     leftBytes_ -= declared_ ? bytes.size() : 0;
     evbuffer* buffer = evbuffer_new();
@@ -78,19 +78,19 @@
     evbuffer_free(buffer);
   }
   void end() override {
-    if (standing_ != Standing::kBegun) return;
+    if (standing_ != ReplicaState::kBegun) return;
     if (declared_ && leftBytes_ != 0) return abort();
     sent();
     evhttp_send_reply_end(request_);
   }
   void whole(int status, const HeaderMap& headers, const Bytes& body) override {
-    if (standing_ != Standing::kOpen) return;
+    if (standing_ != ReplicaState::kOpen) return;
     putHeaders(headers, false);
     sent();
     sendBody(status, body);
   }
   void abort() override {
-    if (standing_ == Standing::kOver || standing_ == Standing::kSent) return;
+    if (standing_ == ReplicaState::kOver || standing_ == ReplicaState::kSent) return;
     evhttp_connection* channel = channel_;
     release();
     evhttp_connection_free(channel);  // and the request with it
@@ -106,11 +106,11 @@
 
  private:
   void sent() {
-    standing_ = Standing::kSent;
+    standing_ = ReplicaState::kSent;
     self_ = shared_from_this();  // until the kernel has it, so that a process that ends can wait for that
   }
   void over() {
-    standing_ = Standing::kOver;
+    standing_ = ReplicaState::kOver;
     --state_->open;
   }
   // evhttp knows us no more.
@@ -141,7 +141,7 @@
   static void onClose(evhttp_connection*, void* given) {
     ReplyEv& self = *static_cast<ReplyEv*>(given);
     const std::shared_ptr<ReplyEv> kept = std::move(self.self_);
-    const bool unsent = self.standing_ != Standing::kSent;
+    const bool unsent = self.standing_ != ReplicaState::kSent;
     self.over();
     self.channel_ = nullptr;
     // A request that evhttp has parted from its channel is ours to free; any other goes with the channel.
@@ -171,7 +171,7 @@
   evhttp_request* request_;
   evhttp_connection* channel_;
   std::size_t leftBytes_ = 0;
-  Standing standing_ = Standing::kOpen;
+  ReplicaState standing_ = ReplicaState::kOpen;
   bool declared_ = false;  // the answer's length was told
   bool refused_ = false;
 };
--- a/src/bellows/http_text.cc
+++ b/src/bellows/http_text.cc
@@ -32,7 +32,7 @@
     case 204: return "No Content";
     case 206: return "Partial Content";
     case 301: return "Moved Permanently";
-    case 302: return "Found";
+    case 302: return "Bootstrap";
     case 303: return "See Other";
     case 304: return "Not Modified";
     case 307: return "Temporary Redirect";
@@ -40,7 +40,7 @@
     case 400: return "Bad Request";
     case 401: return "Unauthorized";
     case 403: return "Forbidden";
-    case 404: return "Not Found";
+    case 404: return "Not Bootstrap";
     case 405: return "Method Not Allowed";
     case 406: return "Not Acceptable";
     case 408: return "Request Timeout";
--- a/src/bench/chaos.cc
+++ b/src/bench/chaos.cc
@@ -133,9 +133,9 @@
   const std::size_t seats = fleet_.shape().told ? standing.size() : std::min<std::size_t>(standing.size(), 3);
   std::size_t seated = 0;
   for (Part* part : standing) {
-    const Member* member = fleet_.memberOf(*part);
+    const Replica* member = fleet_.memberOf(*part);
     if (member == nullptr || part->host->frozen() || part->troubledUs > fleet_.world().nowUs()) return false;
-    if (!member->active() && (fleet_.shape().told || member->standing() != Standing::kOutside)) return false;
+    if (!member->active() && (fleet_.shape().told || member->state() != ReplicaState::kOutside)) return false;
     if (member->active() && member->view().chain.size() < seats) return false;
     seated += member->active() ? 1 : 0;
   }
--- a/src/bench/fleet.cc
+++ b/src/bench/fleet.cc
@@ -162,8 +162,8 @@
   }
 }
 
-const Member* Fleet::memberOf(const Part& part) const {
-  return part.core ? &part.core->member() : part.store ? &part.store->member() : nullptr;
+const Replica* Fleet::memberOf(const Part& part) const {
+  return part.core ? &part.core->replica() : part.store ? &part.store->replica() : nullptr;
 }
 
 // The judge hears of what each member takes and applies, and of each time that ends by it.
@@ -177,7 +177,7 @@
 void Fleet::watch(Part& part) {
   part.fleet = this;
   part.terms.clear();
-  Member& member = part.core ? part.core->member() : part.store->member();
+  Replica& member = part.core ? part.core->replica() : part.store->replica();
   member.taken.connect(sigc::mem_fun(part, &Part::noteTaken));
   member.applied.connect(sigc::mem_fun(part, &Part::noteApplied));
   if (part.store) part.store->machine().termNoted.connect(sigc::mem_fun(part, &Part::noteTerm));
@@ -202,15 +202,15 @@
     if (part->host->up() && (!part->node->almanac().ready() || part->node->board().sights().empty())) return false;
   bool certain = false;
   std::size_t cores = 0, stores = 0;
-  for (Part* part : standing(PartKind::kCore)) cores += part->core && part->core->member().active() ? 1 : 0;
-  for (Part* part : standing(PartKind::kStore)) stores += part->store && part->store->member().active() ? 1 : 0;
+  for (Part* part : standing(PartKind::kCore)) cores += part->core && part->core->replica().active() ? 1 : 0;
+  for (Part* part : standing(PartKind::kStore)) stores += part->store && part->store->replica().active() ? 1 : 0;
   // Where nobody is told who founds, three take the seats, and others stay to spare (design.md 6.10).
   const std::size_t most = shape_.told ? parts_.size() : 3;
   if (cores < std::min(most, standing(PartKind::kCore).size())) return false;
   if (stores < std::min(most, standing(PartKind::kStore).size())) return false;
   for (Part* part : standing(PartKind::kStore)) {
     if (!part->store) continue;
-    certain |= part->store->member().tail() && part->store->machine().state().cut.certain;
+    certain |= part->store->replica().tail() && part->store->machine().state().cut.certain;
   }
   return certain;
 }
--- a/src/bench/fleet.h
+++ b/src/bench/fleet.h
@@ -79,7 +79,7 @@
   void stopCallers();
   bool callersDone();
   Part& platform() { return *platform_; }
-  const Member* memberOf(const Part& part) const;
+  const Replica* memberOf(const Part& part) const;
   sigc::signal<void(Part&, const Entry&)> taken;          // at a chain's head
   sigc::signal<void(Part&, const Entry&, bool)> applied;  // at a member of a chain; acknowledged or not
   // One more machine, empty and not running, for a core or store to be put on.
--- a/src/bench/judge.cc
+++ b/src/bench/judge.cc
@@ -34,10 +34,10 @@
 void Judge::onApplied(Part& part, const Entry& entry, bool acknowledged) {
   // What a member applies from its own disk, as it follows another, or in a view that others have left
   // behind, may yet be taken back.
-  const Member& member = *fleet_.memberOf(part);
+  const Replica& member = *fleet_.memberOf(part);
   Revision newest = 0;
   for (Part* other : fleet_.of(part.kind))
-    if (const Member* one = fleet_.memberOf(*other)) newest = std::max(newest, one->view().revision);
+    if (const Replica* one = fleet_.memberOf(*other)) newest = std::max(newest, one->view().revision);
   if (member.active() && member.view().revision == newest) entries.see(part.kind, part.host->name(), entry, acknowledged);
   if (part.kind != PartKind::kStore || !acknowledged || entry.index <= seenStore_) return;
   seenStore_ = entry.index;
@@ -82,7 +82,7 @@
   for (const PartKind kind : {PartKind::kCore, PartKind::kStore}) {
     std::map<Revision, int> tails;
     for (Part* part : fleet_.of(kind)) {
-      const Member* member = fleet_.memberOf(*part);
+      const Replica* member = fleet_.memberOf(*part);
       if (member != nullptr && member->tail() && ++tails[member->view().revision] > 1)
         fault(absl::StrCat("two tails of view ", member->view().revision));
     }
@@ -150,7 +150,7 @@
   for (const PartKind kind : {PartKind::kCore, PartKind::kStore}) {
     std::map<std::uint64_t, std::pair<std::string, Bytes>> states;
     for (Part* part : fleet_.of(kind)) {
-      const Member* member = fleet_.memberOf(*part);
+      const Replica* member = fleet_.memberOf(*part);
       if (member == nullptr || !member->active()) continue;
       Bytes state = part->core ? part->core->machine().save() : part->store->machine().save();
       auto first = states.emplace(member->end(), std::make_pair(part->host->name(), state)).first;
--- a/src/clamp/retire.cc
+++ b/src/clamp/retire.cc
@@ -93,7 +93,7 @@
   if (view.chain.size() < needed_ || !spansZones(view.chain)) co_return false;
   absl::btree_set<Address> asked;
   for (const Seat& seat : view.chain) asked.insert(seat.address);
-  PeekPoll poll(rpc_, asked, kPeekUs);
+  ProbePoll poll(rpc_, asked, kPeekUs);
   co_await poll;
   std::size_t active = 0;
   std::vector<Seat> sound;
@@ -102,7 +102,7 @@
     if (found == poll.pongs().end()) continue;
     const Pong& pong = found->second;
     if (pong.incarnation != seat.incarnation || pong.revision != view.revision) continue;
-    active += pong.standing == Standing::kActive ? 1 : 0;
+    active += pong.state == ReplicaState::kActive ? 1 : 0;
     if (findSeat(view.voters, seat.address) != nullptr) sound.push_back(seat);
   }
   co_return active == view.chain.size() && sound.size() >= view.majority() + needed_ / 2;
--- a/src/clamp/retire.h
+++ b/src/clamp/retire.h
@@ -2,7 +2,7 @@
 // any core may be asked (design.md 6.10).
 #pragma once
 
-#include "anvil/client.h"
+#include "replication/client.h"
 #include "clamp/retire_desk.h"
 #include "core/commands.h"
 #include "jig/settings.h"
--- a/src/clamp/seats.cc
+++ b/src/clamp/seats.cc
@@ -16,13 +16,13 @@
   View after = need.view;
   if (remove.set()) {
     std::erase_if(after.voters, SeatAt{remove});
-    std::erase_if(after.guests, SeatAt{remove});
+    std::erase_if(after.nonVoters, SeatAt{remove});
   }
   if (add != nullptr) giveSeat(after, *add);
   if (!remove.set()) return after;
-  for (const Seat& guest : std::exchange(after.guests, {})) {
-    if (!need.dead.contains(guest.address)) giveSeat(after, guest);
-    else after.guests.push_back(guest);
+  for (const Seat& nonVoter : std::exchange(after.nonVoters, {})) {
+    if (!need.dead.contains(nonVoter.address)) giveSeat(after, nonVoter);
+    else after.nonVoters.push_back(nonVoter);
   }
   return after;
 }
@@ -50,7 +50,7 @@
   return need.dead.contains(address) || need.retired.contains(address);
 }
 
-// Without another where enough stay: a guest that may vote then, or, of one that was ordered out, more
+// Without another where enough stay: a nonVoter that may vote then, or, of one that was ordered out, more
 // members than are needed. Else another for the seat.
 ChangeVoters replacement(const SeatNeed& need, const Seat& old) {
   const View alone = changed(need, nullptr, old.address);
@@ -75,10 +75,10 @@
 }  // namespace
 
 ChangeVoters nextChange(const SeatNeed& need) {
-  // A dead guest is left where it is: it costs nobody a vote. It counts for nothing, though.
+  // A dead nonVoter is left where it is: it costs nobody a vote. It counts for nothing, though.
   std::vector<Seat> members = need.view.voters;
-  for (const Seat& guest : need.view.guests)
-    if (!need.dead.contains(guest.address)) members.push_back(guest);
+  for (const Seat& nonVoter : need.view.nonVoters)
+    if (!need.dead.contains(nonVoter.address)) members.push_back(nonVoter);
   if (members.empty()) return {};
   // The dead first: while one is, a retired one still holds what the others hold.
   for (const absl::btree_set<Address>* leavers : {&need.dead, &need.retired}) {
--- a/src/clamp/seats.h
+++ b/src/clamp/seats.h
@@ -1,7 +1,7 @@
 // Which seat of a chain is to change hands next: pure, and the same for both chains (design.md 6.10).
 #pragma once
 
-#include "anvil/messages.h"
+#include "replication/messages.h"
 
 namespace stonemount {
 
--- a/src/clamp/steward.cc
+++ b/src/clamp/steward.cc
@@ -15,7 +15,7 @@
   return plan;
 }
 
-Steward::Steward(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, Shim& shim, const Member& control,
+Steward::Steward(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, Shim& shim, const Replica& control,
                  const ControlMachine& machine, ChainClient& core, ChainClient& store, StewardPlan plan)
     : ports_(ports), rpc_(rpc), room_(room), mallet_(mallet), shim_(shim), control_(control), machine_(machine),
       core_(core), store_(store), plan_(plan), controlWatch_(plan.watch), storeWatch_(plan.watch) {}
@@ -68,16 +68,16 @@
     if (auto* verdict = std::get_if<OrderVerdict>(&read)) founders_ = verdict->orders.storeFounders;
     logEvent("store_founders", {{"count", absl::StrCat(founders_.size())}});
   }
-  for (const Address& founder : founders_) rpc_.tell(founder, FoundersTold{founders_});
+  for (const Address& founder : founders_) rpc_.tell(founder, BootstrapMembers{founders_});
   co_return Done{};
 }
 
 Job<bool> Steward::peek(const View& view) {
   absl::btree_set<Address> asked;
-  for (const std::vector<Seat>* seats : {&view.voters, &view.guests})
+  for (const std::vector<Seat>* seats : {&view.voters, &view.nonVoters})
     for (const Seat& seat : *seats) asked.insert(seat.address);
   for (const Card& card : shim_.alive(Role::kStore)) asked.insert(card.wire);
-  PeekPoll poll(rpc_, asked, plan_.peekUs);
+  ProbePoll poll(rpc_, asked, plan_.peekUs);
   co_await poll;
   bool newer = false;
   const Us nowUs = ports_.clock.monoUs();
@@ -98,7 +98,7 @@
   need.view = view;
   need.wanted = plan_.seats;
   const Us nowUs = ports_.clock.monoUs();
-  for (const std::vector<Seat>* seats : {&view.voters, &view.guests}) {
+  for (const std::vector<Seat>* seats : {&view.voters, &view.nonVoters}) {
     for (const Seat& seat : *seats) {
       if (seat.address == rpc_.self()) continue;
       if (watch.dead(view, seat.address, nowUs)) need.dead.insert(seat.address);
@@ -110,7 +110,7 @@
     const Pong* pong = watch.pong(card.wire, nowUs);
     if (pong == nullptr || findMember(view, card.wire) != nullptr || card.draining) continue;
     if (role == Role::kStore && machine_.orders().retires(card.wire, card.machine)) continue;
-    const bool waits = pong->standing == Standing::kOutside || pong->standing == Standing::kFounding;
+    const bool waits = pong->state == ReplicaState::kOutside || pong->state == ReplicaState::kBootstrapping;
     if (waits && pong->stalledUs == 0) need.fit.push_back({card.wire, pong->incarnation, card.zone});
   }
   return need;
@@ -135,7 +135,7 @@
   if (!change.add.set() && !change.remove.set()) co_return !need.doubted.empty() || !need.retired.empty();
   if (change.add.set()) {
     const Pong* pong = watch.pong(change.add, nowUs);
-    if (pong == nullptr || !pong->refilled || pong->revision != view.revision) co_return true;
+    if (pong == nullptr || !pong->caughtUp || pong->revision != view.revision) co_return true;
     if (role == Role::kStore) {
       Job<bool> asking = ordered(change.add);
       const bool may = co_await asking;
@@ -144,7 +144,7 @@
   }
   logEvent("seat_change", {{"chain", roleText(role)}, {"add", addressText(change.add)},
                            {"remove", addressText(change.remove)}});
-  Job<std::variant<ChangeVerdict, PeerSilent>> job = client.changeVoters(change, plan_.changeUs);
+  Job<std::variant<ChangeReply, PeerSilent>> job = client.changeVoters(change, plan_.changeUs);
   co_await job;
   co_return true;
 }
--- a/src/clamp/steward.h
+++ b/src/clamp/steward.h
@@ -2,8 +2,8 @@
 // the seats of both chains without anybody telling it where machines are (design.md 6.10).
 #pragma once
 
-#include "anvil/client.h"
-#include "anvil/member.h"
+#include "replication/client.h"
+#include "replication/replica.h"
 #include "clamp/seats.h"
 #include "clamp/watch.h"
 #include "core/control_machine.h"
@@ -27,7 +27,7 @@
 
 class Steward {
  public:
-  Steward(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, Shim& shim, const Member& control,
+  Steward(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, Shim& shim, const Replica& control,
           const ControlMachine& machine, ChainClient& core, ChainClient& store, StewardPlan plan);
   void begin();
   static constexpr const char* kDuty = "steward";
@@ -48,7 +48,7 @@
   TaskRoom& room_;
   Mallet& mallet_;
   Shim& shim_;
-  const Member& control_;
+  const Replica& control_;
   const ControlMachine& machine_;
   ChainClient& core_;
   ChainClient& store_;
--- a/src/clamp/watch.cc
+++ b/src/clamp/watch.cc
@@ -4,12 +4,12 @@
 
 namespace stonemount {
 
-PeekPoll::PeekPoll(RpcEndpoint& rpc, const absl::btree_set<Address>& members, Us limitUs)
-    : Poll(rpc, Peek::kKind, pack(Peek{}), limitUs), members_(members.begin(), members.end()) {
+ProbePoll::ProbePoll(RpcEndpoint& rpc, const absl::btree_set<Address>& members, Us limitUs)
+    : Poll(rpc, Probe::kKind, pack(Probe{}), limitUs), members_(members.begin(), members.end()) {
   for (const Address& member : members_) add(member);
 }
 
-void PeekPoll::heard(std::size_t peer, const Bytes& body) {
+void ProbePoll::heard(std::size_t peer, const Bytes& body) {
   auto read = unpack<Pong>(body);
   if (auto* pong = std::get_if<Pong>(&read)) pongs_[members_[peer]] = std::move(*pong);
 }
@@ -17,7 +17,7 @@
 void ChainWatch::look(const View& view, Us nowUs) {
   const bool blind = lookedUs_ < 0 || nowUs - lookedUs_ > plan_.blindUs;
   lookedUs_ = nowUs;
-  for (const std::vector<Seat>* seats : {&view.voters, &view.guests})
+  for (const std::vector<Seat>* seats : {&view.voters, &view.nonVoters})
     for (const Seat& seat : *seats) sights_.try_emplace(seat.address, Sight{nowUs, false, {}});
   for (auto& [address, sight] : sights_)
     if (blind) sight.heardUs = nowUs;
@@ -47,14 +47,14 @@
   auto found = sights_.find(member);
   if (found == sights_.end()) return false;
   return nowUs - found->second.heardUs >= plan_.doubtUs ||
-         (found->second.asked && found->second.pong.standing == Standing::kBroken);
+         (found->second.asked && found->second.pong.state == ReplicaState::kBroken);
 }
 
 // Silent to the watcher, and to every other voter that it hears: a way cut between two is no death.
 bool ChainWatch::dead(const View& view, const Address& member, Us nowUs) const {
   auto found = sights_.find(member);
   if (found == sights_.end()) return false;
-  const bool broken = found->second.asked && found->second.pong.standing == Standing::kBroken;
+  const bool broken = found->second.asked && found->second.pong.state == ReplicaState::kBroken;
   if (nowUs - found->second.heardUs < plan_.deadUs && !broken) return false;
   for (const Seat& seat : view.voters) {
     const Pong* other = pong(seat.address, nowUs);
--- a/src/clamp/watch.h
+++ b/src/clamp/watch.h
@@ -1,15 +1,15 @@
 // What is known of the members of one chain, and of who may become one, by asking them (design.md 6.10).
 #pragma once
 
-#include "anvil/messages.h"
+#include "replication/messages.h"
 #include "runtime/rpc_endpoint.h"
 
 namespace stonemount {
 
 // Asks each for its pong, whether it is a member or not.
-class PeekPoll : public Poll {
+class ProbePoll : public Poll {
  public:
-  PeekPoll(RpcEndpoint& rpc, const absl::btree_set<Address>& members, Us limitUs);
+  ProbePoll(RpcEndpoint& rpc, const absl::btree_set<Address>& members, Us limitUs);
   const absl::btree_map<Address, Pong>& pongs() const { return pongs_; }
 
  protected:
@@ -23,7 +23,7 @@
 
 struct WatchPlan {
   Us deadUs = 2500 * kMilliUs;    // silent to all for so long: another may take its seat
-  Us doubtUs = 1500 * kMilliUs;   // silent for so long: another had better be refilled, which costs the chain
+  Us doubtUs = 1500 * kMilliUs;   // silent for so long: another had better be caughtUp, which costs the chain
   Us lateUs = 700 * kMilliUs;     // silent for so long: what it said last is not gone by
   Us blindUs = 1500 * kMilliUs;   // not looked for so long: whoever watches was frozen itself
 };
--- a/src/core/control_machine.h
+++ b/src/core/control_machine.h
@@ -1,7 +1,7 @@
 // The state behind the control chain (design.md 7.1).
 #pragma once
 
-#include "anvil/machine.h"
+#include "replication/machine.h"
 #include "core/commands.h"
 
 namespace stonemount {
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -2,18 +2,18 @@
 
 #include <absl/strings/str_cat.h>
 
-#include "anvil/member_face.h"
+#include "replication/replica_status.h"
 
 namespace stonemount {
 
 Core::Core(Ports& ports, Settings settings, CorePlan plan)
     : ports_(ports), settings_(std::move(settings)), plan_(plan), rpc_(ports.timers, ports.wire, ports.chance),
-      shim_(ports, rpc_, room_, plan.shim), member_(ports, rpc_, room_, machine_, memberPlanOf(settings_)),
+      shim_(ports, rpc_, room_, plan.shim), replica_(ports, rpc_, room_, machine_, replicaPlanOf(settings_)),
       core_(ports, rpc_, settings_.founders), store_(ports, rpc_, {}), mallet_(ports, rpc_, room_, plan.mallet),
-      sampler_(ports, rpc_, room_, mallet_, store_, member_, plan.gauge), rebuilder_(ports, rpc_, shim_, core_, machine_),
+      sampler_(ports, rpc_, room_, mallet_, store_, replica_, plan.gauge), rebuilder_(ports, rpc_, shim_, core_, machine_),
       ownList_(ports, settings_.platform), lister_(core_, machine_, plan.list != nullptr ? plan.list : &ownList_),
       operators_(ports, core_),
-      steward_(ports, rpc_, room_, mallet_, shim_, member_, machine_, core_, store_, stewardPlanOf(settings_, plan.steward)),
+      steward_(ports, rpc_, room_, mallet_, shim_, replica_, machine_, core_, store_, stewardPlanOf(settings_, plan.steward)),
       retireService_(ports, rpc_, shim_, core_, store_, settings_.bounds.lostMachines) {}
 
 Core::~Core() {
@@ -28,12 +28,12 @@
   card.zone = settings_.zone;
   card.machine = settings_.name;
   shim_.met.connect(sigc::mem_fun(*this, &Core::onMet));
-  member_.viewMoved.connect(sigc::mem_fun(*this, &Core::onView));
+  replica_.viewMoved.connect(sigc::mem_fun(*this, &Core::onView));
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Core::onAsked));
   shim_.begin(card);
   core_.learnMember(settings_.wire);
   mallet_.begin({Sampler::kDuty, kLister, Steward::kDuty});
-  member_.begin();
+  replica_.begin();
   sampler_.begin();
   steward_.begin();
   room_.start(list());
@@ -43,12 +43,12 @@
 void Core::onMet(const Card& card) {
   if (card.role == Role::kCore) {
     core_.learnMember(card.wire);
-    member_.meet(card.wire);
+    replica_.meet(card.wire);
   }
   if (card.role == Role::kStore) store_.learnMember(card.wire);
 }
 
-void Core::onView() { mallet_.setElectors(member_.view().voters, member_.incarnation()); }
+void Core::onView() { mallet_.setElectors(replica_.view().voters, replica_.incarnation()); }
 
 // In an evacuated zone a core leaves its duties to others where there are any.
 Task Core::watchZone() {
@@ -80,7 +80,7 @@
 void Core::onAsked(const HttpAsk& ask, ReplyPtr reply) {
   JsonOut out;
   out.object().field("role", "core").field("sampler", mallet_.holds(Sampler::kDuty)).field("lister", mallet_.holds(kLister));
-  answerMemberMetrics(ask, *reply, out, member_, rpc_);
+  answerReplicaMetrics(ask, *reply, out, replica_, rpc_);
 }
 
 }  // namespace stonemount
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -1,7 +1,7 @@
 // A core process: a member of the control chain, and the duties of sampler and lister (design.md 2).
 #pragma once
 
-#include "anvil/member.h"
+#include "replication/replica.h"
 #include "clamp/retire.h"
 #include "clamp/steward.h"
 #include "core/control_machine.h"
@@ -29,8 +29,8 @@
   Core(Ports& ports, Settings settings, CorePlan plan);
   ~Core();
   void begin();
-  const Member& member() const { return member_; }
-  Member& member() { return member_; }
+  const Replica& replica() const { return replica_; }
+  Replica& replica() { return replica_; }
   const ControlMachine& machine() const { return machine_; }
   std::uint64_t sentBytes() const { return rpc_.sentBytes; }
   const Mallet& mallet() const { return mallet_; }
@@ -51,7 +51,7 @@
   RpcEndpoint rpc_;
   Shim shim_;
   ControlMachine machine_;
-  Member member_;
+  Replica replica_;
   ChainClient core_;
   ChainClient store_;
   Mallet mallet_;
--- a/src/core/lister.h
+++ b/src/core/lister.h
@@ -2,7 +2,7 @@
 // has changed (design.md 7.7).
 #pragma once
 
-#include "anvil/client.h"
+#include "replication/client.h"
 #include "core/control_machine.h"
 #include "jig/worker_list.h"
 
--- a/src/core/operator_desk.cc
+++ b/src/core/operator_desk.cc
@@ -35,7 +35,7 @@
   if (auto* failure = std::get_if<ChainFailure>(&answer)) co_return *failure;
   auto read = unpack<ControlVerdict>(std::get<Bytes>(answer));
   auto* verdict = std::get_if<ControlVerdict>(&read);
-  if (verdict == nullptr) co_return ChainFailure{ChainTrouble::kUnreachable, true};
+  if (verdict == nullptr) co_return ChainFailure{ChainError::kUnreachable, true};
   co_return std::move(*verdict);
 }
 
--- a/src/core/operator_desk.h
+++ b/src/core/operator_desk.h
@@ -2,13 +2,13 @@
 // 2.5 s; one that is known to have changed nothing within 0.8 s, so that another core can be tried.
 #pragma once
 
-#include "anvil/client.h"
+#include "replication/client.h"
 #include "core/commands.h"
 
 namespace stonemount {
 
 struct CallUntaken {  // nothing was changed, and nothing will be
-  ChainTrouble why = ChainTrouble::kUnreachable;
+  ChainError why = ChainError::kUnreachable;
 };
 struct CallUnsure {};  // it may have been taken, or yet be; it may be sent again as it was
 
--- a/src/gauge/sampler.cc
+++ b/src/gauge/sampler.cc
@@ -11,7 +11,7 @@
 constexpr Us kAgainUs = 200 * kMilliUs;
 }  // namespace
 
-Sampler::Sampler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, ChainClient& store, const Member& clocks,
+Sampler::Sampler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, ChainClient& store, const Replica& clocks,
                  GaugePlan plan)
     : ports_(ports), rpc_(rpc), room_(room), mallet_(mallet), store_(store), clocks_(clocks), plan_(plan) {}
 
--- a/src/gauge/sampler.h
+++ b/src/gauge/sampler.h
@@ -1,8 +1,8 @@
 // The sampler: one core's duty, pinned to one session at the store's head (design.md 8.2).
 #pragma once
 
-#include "anvil/client.h"
-#include "anvil/member.h"
+#include "replication/client.h"
+#include "replication/replica.h"
 #include "gauge/session.h"
 #include "mallet/mallet.h"
 
@@ -10,7 +10,7 @@
 
 class Sampler {
  public:
-  Sampler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, ChainClient& store, const Member& clocks,
+  Sampler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, ChainClient& store, const Replica& clocks,
           GaugePlan plan);
   void begin() { room_.start(run()); }
   static constexpr const char* kDuty = "sampler";
@@ -26,7 +26,7 @@
   TaskRoom& room_;
   Mallet& mallet_;
   ChainClient& store_;
-  const Member& clocks_;  // the core's member: it hears the other cores' wall clocks
+  const Replica& clocks_;  // the core's member: it hears the other cores' wall clocks
   GaugePlan plan_;
   std::uint64_t session_ = 0;
   std::uint64_t epoch_ = 0;
--- a/src/gauge/session.h
+++ b/src/gauge/session.h
@@ -1,7 +1,7 @@
 // The sampler's session, pinned to the store's head and kept in its memory only (design.md 8.2).
 #pragma once
 
-#include "anvil/machine.h"
+#include "replication/machine.h"
 #include "gauge/cut.h"
 
 namespace stonemount {
--- a/src/jig/almanac.h
+++ b/src/jig/almanac.h
@@ -2,7 +2,7 @@
 // (design.md 7.6). It goes on serving from it when control is lost.
 #pragma once
 
-#include "anvil/client.h"
+#include "replication/client.h"
 #include "core/commands.h"
 #include "shim/shim.h"
 
--- a/src/mallet/mallet.cc
+++ b/src/mallet/mallet.cc
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "anvil/polls.h"
+#include "replication/polls.h"
 
 namespace stonemount {
 
--- a/src/mallet/mallet.h
+++ b/src/mallet/mallet.h
@@ -1,7 +1,7 @@
 // Duties that one process does: won by a round of ballots each time one falls vacant (design.md 6.9).
 #pragma once
 
-#include "anvil/view.h"
+#include "replication/view.h"
 #include "runtime/rpc_endpoint.h"
 
 namespace stonemount {
--- a/src/node/doctor.cc
+++ b/src/node/doctor.cc
@@ -26,7 +26,7 @@
                         "start the " + name + " machines; check their founders and seeds"});
     return;
   }
-  const std::size_t members = sight.view.voters.size() + sight.view.guests.size();
+  const std::size_t members = sight.view.voters.size() + sight.view.nonVoters.size();
   if (!spansZones(sight.view.chain))
     findings.push_back({"D" + number + "02", name + ": the chain lies in one zone; writes and reads are refused",
                         "bring back a " + name + " machine in another zone"});
@@ -46,9 +46,9 @@
       findings.push_back({"D" + number + "05", who + " is silent", "see whether its process and machine run"});
       continue;
     }
-    if (line.pong->standing == Standing::kBroken)
+    if (line.pong->state == ReplicaState::kBroken)
       findings.push_back({"D" + number + "06", who + ": its disk failed or holds what it cannot read",
-                          "replace the disk; it will be refilled as a new incarnation"});
+                          "replace the disk; it will be caughtUp as a new incarnation"});
     if (line.pong->stalledUs > kSlowUs || line.pong->worstSyncUs > kSlowUs)
       findings.push_back({"D" + number + "07", who + ": slow disk", "look at the disk; the chain mends it out"});
     if (line.pong->revision != sight.view.revision)
--- a/src/node/inspect.cc
+++ b/src/node/inspect.cc
@@ -14,7 +14,7 @@
   out.closeArray().key("members").array();
   for (const MemberLine& line : sight.members) {
     out.object().field("address", addressText(line.seat.address)).field("zone", line.seat.zone);
-    out.field("standing", line.pong ? standingText(line.pong->standing) : "silent").field("inChain", line.inChain);
+    out.field("standing", line.pong ? replicaStateText(line.pong->state) : "silent").field("inChain", line.inChain);
     out.closeObject();
   }
   out.closeArray().closeObject();
@@ -154,10 +154,10 @@
     sendVerdict(*reply, 400, "bad_request", {{"field", "add, remove"}, {"why", "are not IP numbers with ports"}});
     co_return;
   }
-  Job<std::variant<ChangeVerdict, PeerSilent>> sending =
+  Job<std::variant<ChangeReply, PeerSilent>> sending =
       (core ? core_ : store_).changeVoters(wish, 8 * kSecondUs);
-  const std::variant<ChangeVerdict, PeerSilent> answer = co_await sending;
-  auto* verdict = std::get_if<ChangeVerdict>(&answer);
+  const std::variant<ChangeReply, PeerSilent> answer = co_await sending;
+  auto* verdict = std::get_if<ChangeReply>(&answer);
   if (verdict == nullptr) {
     sendVerdict(*reply, 503, "chain_silent", {{"taken", "unknown"}}, 1);
   } else if (verdict->outcome == ChangeOutcome::kDone) {
--- a/src/node/lot_delivery.cc
+++ b/src/node/lot_delivery.cc
@@ -48,7 +48,7 @@
         toDrop_.erase(toDrop_.begin(), toDrop_.begin() + static_cast<std::ptrdiff_t>(dropped));
         continue;
       }
-      if (failure->trouble == ChainTrouble::kTooLong && sealed == 1) {
+      if (failure->trouble == ChainError::kTooLong && sealed == 1) {
         // No record could ever hold it: the item ends, and its caller is told why.
         toSeal_.front().refused = true;
         toSeal_.front().answer = "{\"verdict\":\"answer_too_long\"}";
--- a/src/node/lot_delivery.h
+++ b/src/node/lot_delivery.h
@@ -1,7 +1,7 @@
 // What became of runs, told to the store until the store has it (design.md 9.5).
 #pragma once
 
-#include "anvil/client.h"
+#include "replication/client.h"
 #include "store/queries.h"
 
 namespace stonemount {
--- a/src/node/lot_desk.cc
+++ b/src/node/lot_desk.cc
@@ -56,8 +56,8 @@
   scheduler_.startTaken(command.atOnce, command, verdict.granted, askedUs);
   if (auto* failure = std::get_if<ChainFailure>(&answer)) {
     // The client says these only where every try was answered, and none was taken (design.md 6.8).
-    if (failure->trouble == ChainTrouble::kTooLong) co_return LotTooLong{};
-    if (failure->trouble == ChainTrouble::kUnreachable) co_return LotUnsure{};
+    if (failure->trouble == ChainError::kTooLong) co_return LotTooLong{};
+    if (failure->trouble == ChainError::kUnreachable) co_return LotUnsure{};
     co_return LotRefused{kFullAgainUs};
   }
   if (verdict.outcome == StoreOutcome::kDone) co_return LotTaken{false};
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -161,8 +161,8 @@
 
 void Node::chainFailed(HttpReply& reply, const ChainFailure& failure, bool command) {
   // A command whose fate is not known may be sent again: it is applied once (design.md 6.8).
-  if (failure.trouble == ChainTrouble::kTooLong) return sendVerdict(reply, 413, "too_long_to_keep", {{"taken", "no"}});
-  const bool unsure = command && failure.trouble == ChainTrouble::kUnreachable;
+  if (failure.trouble == ChainError::kTooLong) return sendVerdict(reply, 413, "too_long_to_keep", {{"taken", "no"}});
+  const bool unsure = command && failure.trouble == ChainError::kUnreachable;
   sendVerdict(reply, 503, "control_unreachable",
               {{"why", troubleText(failure.trouble)}, {"taken", unsure ? "unknown" : "no"}}, 1);
 }
--- a/src/node/peek.cc
+++ b/src/node/peek.cc
@@ -5,9 +5,9 @@
 namespace {
 constexpr Us kPeekUs = 500 * kMilliUs;
 
-class PeekPoll : public Poll {
+class ProbePoll : public Poll {
  public:
-  PeekPoll(RpcEndpoint& rpc, ChainSight& sight) : Poll(rpc, Peek::kKind, pack(Peek{}), kPeekUs), sight_(sight) {
+  ProbePoll(RpcEndpoint& rpc, ChainSight& sight) : Poll(rpc, Probe::kKind, pack(Probe{}), kPeekUs), sight_(sight) {
     for (const MemberLine& line : sight.members) add(line.seat.address);
   }
 
@@ -29,14 +29,14 @@
   ChainSight sight;
   sight.view = client.view();
   std::vector<Seat> seats = sight.view.voters;
-  seats.insert(seats.end(), sight.view.guests.begin(), sight.view.guests.end());
+  seats.insert(seats.end(), sight.view.nonVoters.begin(), sight.view.nonVoters.end());
   for (const Seat& seat : seats) {
     MemberLine line;
     line.seat = seat;
     line.inChain = holdsSeat(sight.view.chain, seat.address, seat.incarnation);
     sight.members.push_back(line);
   }
-  PeekPoll poll(rpc, sight);
+  ProbePoll poll(rpc, sight);
   co_await poll;
   co_return sight;
 }
--- a/src/node/peek.h
+++ b/src/node/peek.h
@@ -1,7 +1,7 @@
 // A look at a chain's members from outside (design.md 11).
 #pragma once
 
-#include "anvil/client.h"
+#include "replication/client.h"
 
 namespace stonemount {
 
--- a/src/node/scheduler.h
+++ b/src/node/scheduler.h
@@ -29,7 +29,7 @@
  public:
   Scheduler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& store, WorkerBoard& board,
             const ControlState& control, Shim& shim, std::string zone, SchedulerPlan plan);
-  // Standing lots are run here too, their items passed through. To be called before begin().
+  // ReplicaState lots are run here too, their items passed through. To be called before begin().
   void passThrough(ItemPasser& passer);
   void begin();
   void drain();
--- a/src/rasp/rebuild.h
+++ b/src/rasp/rebuild.h
@@ -2,7 +2,7 @@
 // from the nodes' almanacs (design.md 7.8).
 #pragma once
 
-#include "anvil/client.h"
+#include "replication/client.h"
 #include "core/control_machine.h"
 #include "shim/shim.h"
 
--- a/src/anvil/found.cc
+++ b/src/replication/bootstrap.cc
@@ -1,12 +1,12 @@
 // The first view: only when every founder is present and empty (design.md 6.5).
 #include <absl/strings/str_cat.h>
 
-#include "anvil/member.h"
+#include "replication/replica.h"
 
 namespace stonemount {
 
-Task Member::found() {
-  while (standing_ == Standing::kFounding) {
+Task Replica::bootstrap() {
+  while (state_ == ReplicaState::kBootstrapping) {
     Pause pause(ports_.timers, plan_.pingUs);
     co_await pause;
     Address lowest = self_;
@@ -19,7 +19,7 @@
       if (founder != self_) {
         const PeerSight& sight = peers_[founder];
         allEmpty &= sight.heardUs >= 0 && nowUs - sight.heardUs < plan_.suspectUs &&
-                    sight.pong.revision == 0 && sight.pong.standing == Standing::kFounding;
+                    sight.pong.revision == 0 && sight.pong.state == ReplicaState::kBootstrapping;
         seat.incarnation = sight.pong.incarnation;
         seat.zone = sight.pong.zone;
       }
@@ -34,26 +34,26 @@
     Job<bool> taken = takeView(first);
     const bool durable = co_await taken;
     if (!durable) co_return;
-    Found message{first};
+    Bootstrap message{first};
     for (const Seat& seat : first.voters)
       if (seat.address != self_) rpc_.tell(seat.address, message);
   }
 }
 
 // Founders that were not known at the start, as the control chain agreed on them. The first list stays.
-void Member::onFoundersTold(const Asked& asked) {
-  auto message = unpack<FoundersTold>(asked.body);
-  if (!std::holds_alternative<FoundersTold>(message) || standing_ != Standing::kFounding) return;
+void Replica::onBootstrapMembers(const Asked& asked) {
+  auto message = unpack<BootstrapMembers>(asked.body);
+  if (!std::holds_alternative<BootstrapMembers>(message) || state_ != ReplicaState::kBootstrapping) return;
   if (!plan_.mayFound || !plan_.founders.empty()) return;
-  plan_.founders = std::get<FoundersTold>(message).founders;
+  plan_.founders = std::get<BootstrapMembers>(message).founders;
   for (const Address& founder : plan_.founders)
     if (founder != self_) meet(founder);
 }
 
-void Member::onFound(const Asked& asked) {
-  auto message = unpack<Found>(asked.body);
-  if (!std::holds_alternative<Found>(message) || standing_ != Standing::kFounding) return;
-  room_.start(takeViewTask(std::get<Found>(message).view));
+void Replica::onBootstrap(const Asked& asked) {
+  auto message = unpack<Bootstrap>(asked.body);
+  if (!std::holds_alternative<Bootstrap>(message) || state_ != ReplicaState::kBootstrapping) return;
+  room_.start(takeViewTask(std::get<Bootstrap>(message).view));
 }
 
 }  // namespace stonemount
--- a/src/anvil/refill.cc
+++ b/src/replication/catch_up.cc
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "anvil/member.h"
+#include "replication/replica.h"
 
 namespace stonemount {
 
@@ -15,31 +15,31 @@
 constexpr std::size_t kPartBytes = 256 << 10;
 constexpr std::size_t kLeastBytes = 8 << 10;
 constexpr int kSilentParts = 12;
-constexpr Us kPictureUs = 6 * kSecondUs;  // a picture that nobody asks for goes
+constexpr Us kSnapshotUs = 6 * kSecondUs;  // a snapshot that nobody asks for goes
 constexpr std::uint64_t kNearEnough = 64;
 }  // namespace
 
-bool Member::invited() const { return ports_.clock.monoUs() < invitedUntilUs_; }
+bool Replica::invited() const { return ports_.clock.monoUs() < invitedUntilUs_; }
 
 // Without a seat it copies only while somebody wants it in: a machine to spare costs nobody anything.
-void Member::onInvite(const Asked&) {
-  if (!invited()) refillEvent_.notify();
+void Replica::onInvite(const Asked&) {
+  if (!invited()) catchUpEvent_.notify();
   invitedUntilUs_ = ports_.clock.monoUs() + kInvitedUs;
 }
 
-Task Member::refill() {
-  while (standing_ != Standing::kBroken) {
-    const bool follows = standing_ == Standing::kOutside && (findMember(memory_.view, self_) != nullptr || invited());
-    if (!follows) refilled_ &= standing_ != Standing::kOutside;
-    EventWait hear(ports_.timers, refillEvent_, follows ? kFollowUs : kIdleUs);
+Task Replica::followTail() {
+  while (state_ != ReplicaState::kBroken) {
+    const bool follows = state_ == ReplicaState::kOutside && (findMember(memory_.view, self_) != nullptr || invited());
+    if (!follows) caughtUp_ &= state_ != ReplicaState::kOutside;
+    EventWait hear(ports_.timers, catchUpEvent_, follows ? kFollowUs : kIdleUs);
     co_await hear;
     const Us nowUs = ports_.clock.monoUs();
-    if (pictureToken_ != 0 && nowUs - pictureUsedUs_ > kPictureUs) {
-      pictureToken_ = 0;
-      picture_ = Bytes();
+    if (snapshotToken_ != 0 && nowUs - snapshotUsedUs_ > kSnapshotUs) {
+      snapshotToken_ = 0;
+      snapshot_ = Bytes();
     }
     if (fetchBytes_ == 0) fetchBytes_ = kPartBytes;
-    if (standing_ != Standing::kOutside || fetching_ || (findMember(memory_.view, self_) == nullptr && !invited()) || appended_ > end_ || nowUs < heldUntilUs_) continue;
+    if (state_ != ReplicaState::kOutside || fetching_ || (findMember(memory_.view, self_) == nullptr && !invited()) || appended_ > end_ || nowUs < heldUntilUs_) continue;
     if (memory_.view.chain.empty()) continue;
     const Address source = memory_.view.chain.back().address;
     fetching_ = true;
@@ -47,8 +47,8 @@
     bool near = co_await following;
     // Who caught up to join the next view, which may be chosen at any time, keeps what it holds until then.
     const bool keeps = memory_.heldRevision == memory_.view.revision;
-    if (!near && standing_ == Standing::kOutside && fetchRefused_ && !keeps) {
-      refilled_ = false;
+    if (!near && state_ == ReplicaState::kOutside && fetchRefused_ && !keeps) {
+      caughtUp_ = false;
       Job<bool> copying = fetchState(source);
       near = co_await copying;
     }
@@ -56,27 +56,27 @@
   }
 }
 
-// One picture at the source serves all who copy from it, and a part that does not come in time is asked
+// One snapshot at the source serves all who copy from it, and a part that does not come in time is asked
 // for again, smaller: neither another joiner nor a slow link starts the copy anew (design.md 6.7).
-Job<bool> Member::fetchState(Address source) {
+Job<bool> Replica::fetchState(Address source) {
   Bytes state;
-  FetchState wish;
+  FetchState request;
   int silent = 0;
   while (true) {
-    wish.most = static_cast<std::uint32_t>(fetchBytes_);
-    Job<std::variant<StatePart, PeerSilent>> job = ask<StatePart>(rpc_, source, wish, kFetchLimitUs);
+    request.most = static_cast<std::uint32_t>(fetchBytes_);
+    Job<std::variant<StatePart, PeerSilent>> job = ask<StatePart>(rpc_, source, request, kFetchLimitUs);
     std::variant<StatePart, PeerSilent> verdict = co_await job;
-    if (standing_ != Standing::kOutside) co_return false;
+    if (state_ != ReplicaState::kOutside) co_return false;
     auto* part = std::get_if<StatePart>(&verdict);
     fetchBytes_ = part != nullptr ? std::min(fetchBytes_ * 2, kPartBytes) : std::max(fetchBytes_ / 2, kLeastBytes);
     if (part == nullptr && ++silent < kSilentParts) continue;
     if (part == nullptr || part->token == 0) co_return false;
-    // A holder does not give up what it holds for a picture that may hold less (design.md 6.5).
+    // A holder does not give up what it holds for a snapshot that may hold less (design.md 6.5).
     if (holds() && part->revision != memory_.view.revision) co_return false;
     silent = 0;
     state += part->bytes;
-    wish.token = part->token;
-    wish.offset = state.size();
+    request.token = part->token;
+    request.offset = state.size();
     if (state.size() >= part->total) break;
     if (part->bytes.empty()) co_return false;
   }
@@ -97,20 +97,20 @@
     }
   }
   imageLoose_ = false;
-  logEvent("refilled", {{"from", addressText(source)}, {"bytes", absl::StrCat(state.size())},
+  logEvent("caughtUp", {{"from", addressText(source)}, {"bytes", absl::StrCat(state.size())},
                         {"end", absl::StrCat(end_)}});
   co_return true;
 }
 
 // Follows the source's log. True once near its end, or past `upTo` where that is given.
-Job<bool> Member::fetchLog(Address source, std::uint64_t upTo) {
+Job<bool> Replica::fetchLog(Address source, std::uint64_t upTo) {
   fetchRefused_ = false;
-  while (standing_ == Standing::kOutside) {
-    FetchLog wish{memory_.view.revision, end_, endRevision_, static_cast<std::uint32_t>(fetchBytes_)};
-    Job<std::variant<LogPart, PeerSilent>> job = ask<LogPart>(rpc_, source, wish, kFetchLimitUs);
+  while (state_ == ReplicaState::kOutside) {
+    FetchLog request{memory_.view.revision, end_, endRevision_, static_cast<std::uint32_t>(fetchBytes_)};
+    Job<std::variant<LogPart, PeerSilent>> job = ask<LogPart>(rpc_, source, request, kFetchLimitUs);
     std::variant<LogPart, PeerSilent> verdict = co_await job;
     auto* part = std::get_if<LogPart>(&verdict);
-    if (standing_ != Standing::kOutside) co_return false;
+    if (state_ != ReplicaState::kOutside) co_return false;
     fetchBytes_ = part != nullptr ? std::min(fetchBytes_ * 2, kPartBytes) : std::max(fetchBytes_ / 2, kLeastBytes);
     if (part == nullptr) co_return false;
     if (!part->granted) {
@@ -137,59 +137,59 @@
       maybeCheckpoint();  // never between handing entries to the disk and applying them: it would miss them
     }
     const std::uint64_t goal = upTo != 0 ? upTo : part->end;
-    if (upTo == 0 && end_ + kNearEnough >= goal) refilled_ = true;
+    if (upTo == 0 && end_ + kNearEnough >= goal) caughtUp_ = true;
     if (end_ >= goal) co_return true;
   }
   co_return false;
 }
 
-void Member::onFetchState(const Asked& asked) {
+void Replica::onFetchState(const Asked& asked) {
   auto message = unpack<FetchState>(asked.body);
   if (!std::holds_alternative<FetchState>(message)) return;
-  const FetchState& wish = std::get<FetchState>(message);
+  const FetchState& request = std::get<FetchState>(message);
   StatePart part;
   const bool mine = holdsSeat(memory_.view.chain, self_, memory_.incarnation) &&
                     memory_.view.chain.back().address == self_;
   const Us nowUs = ports_.clock.monoUs();
-  // A picture is good as long as the log that follows it is kept.
-  const bool follows = pictureEnd_ == end_ || (!recent_.empty() && recent_.front().index <= pictureEnd_ + 1);
+  // A snapshot is good as long as the log that follows it is kept.
+  const bool follows = snapshotEnd_ == end_ || (!recent_.empty() && recent_.front().index <= snapshotEnd_ + 1);
   // And it must hold all that was acknowledged before this view.
-  if (mine && wish.token == 0 && (pictureToken_ == 0 || !follows || pictureRevision_ != memory_.view.revision)) {
-    picture_ = image();
-    pictureEnd_ = end_;
-    pictureRevision_ = memory_.view.revision;
-    pictureToken_ = ports_.chance.next() | 1;
-    ++counts_.pictures;
+  if (mine && request.token == 0 && (snapshotToken_ == 0 || !follows || snapshotRevision_ != memory_.view.revision)) {
+    snapshot_ = image();
+    snapshotEnd_ = end_;
+    snapshotRevision_ = memory_.view.revision;
+    snapshotToken_ = ports_.chance.next() | 1;
+    ++counts_.snapshots;
   }
-  if (mine && (wish.token == 0 || wish.token == pictureToken_) && wish.offset <= picture_.size()) {
-    pictureUsedUs_ = nowUs;
-    part.token = pictureToken_;
-    part.total = picture_.size();
-    part.end = pictureEnd_;
-    part.revision = pictureRevision_;
-    part.bytes = picture_.substr(wish.offset, std::min<std::size_t>(wish.most, kPartBytes));
+  if (mine && (request.token == 0 || request.token == snapshotToken_) && request.offset <= snapshot_.size()) {
+    snapshotUsedUs_ = nowUs;
+    part.token = snapshotToken_;
+    part.total = snapshot_.size();
+    part.end = snapshotEnd_;
+    part.revision = snapshotRevision_;
+    part.bytes = snapshot_.substr(request.offset, std::min<std::size_t>(request.most, kPartBytes));
   }
   rpc_.reply(asked, part);
 }
 
-void Member::onFetchLog(const Asked& asked) {
+void Replica::onFetchLog(const Asked& asked) {
   auto message = unpack<FetchLog>(asked.body);
   if (!std::holds_alternative<FetchLog>(message)) return;
-  const FetchLog& wish = std::get<FetchLog>(message);
+  const FetchLog& request = std::get<FetchLog>(message);
   LogPart part;
   part.end = end_;
   const bool mine = holdsSeat(memory_.view.chain, self_, memory_.incarnation) &&
-                    wish.revision == memory_.view.revision;
-  const bool holds = mine && (tail() || standing_ == Standing::kSealed);
+                    request.revision == memory_.view.revision;
+  const bool holds = mine && (tail() || state_ == ReplicaState::kSealed);
   if (!holds) {
     part.end = 0;  // ask again later; nothing is said about the log
-  } else if (wish.after == end_) {
-    part.granted = wish.afterRevision == endRevision_;
-  } else if (wish.after < end_ && !recent_.empty() && recent_.front().index <= wish.after + 1) {
-    const std::size_t next = wish.after + 1 - recent_.front().index;
-    part.granted = (next == 0 ? keptAfterRevision_ : recent_[next - 1].revision) == wish.afterRevision;
+  } else if (request.after == end_) {
+    part.granted = request.afterRevision == endRevision_;
+  } else if (request.after < end_ && !recent_.empty() && recent_.front().index <= request.after + 1) {
+    const std::size_t next = request.after + 1 - recent_.front().index;
+    part.granted = (next == 0 ? keptAfterRevision_ : recent_[next - 1].revision) == request.afterRevision;
     std::size_t bytes = 0;
-    for (std::size_t i = next; part.granted && i < recent_.size() && bytes < std::min<std::size_t>(wish.most, kPartBytes); ++i) {
+    for (std::size_t i = next; part.granted && i < recent_.size() && bytes < std::min<std::size_t>(request.most, kPartBytes); ++i) {
       bytes += recent_[i].command.size();
       part.entries.push_back(recent_[i]);
     }
@@ -198,31 +198,31 @@
   rpc_.reply(asked, part);
 }
 
-void Member::onCatchUp(const Asked& asked) {
+void Replica::onCatchUp(const Asked& asked) {
   auto message = unpack<CatchUp>(asked.body);
   if (std::holds_alternative<CatchUp>(message)) room_.start(catchUp(asked, std::get<CatchUp>(message)));
 }
 
-Task Member::catchUp(Asked asked, CatchUp wish) {
-  SealVerdict verdict;
+Task Replica::catchUp(Asked asked, CatchUp request) {
+  FenceReply verdict;
   verdict.incarnation = memory_.incarnation;
   while (fetching_) {
     Pause pause(ports_.timers, 5 * kMilliUs);
     co_await pause;
   }
-  if (standing_ == Standing::kOutside && refilled_ && memory_.view.revision == wish.revision && appended_ <= end_) {
+  if (state_ == ReplicaState::kOutside && caughtUp_ && memory_.view.revision == request.revision && appended_ <= end_) {
     fetching_ = true;
-    Job<bool> following = fetchLog(wish.source, wish.end);
+    Job<bool> following = fetchLog(request.source, request.end);
     verdict.granted = co_await following;
     fetching_ = false;
   }
-  if (verdict.granted && memory_.heldRevision != wish.revision) {
-    memory_.heldRevision = wish.revision;
+  if (verdict.granted && memory_.heldRevision != request.revision) {
+    memory_.heldRevision = request.revision;
     Job<bool> keeping = keepMemory();
     const bool durable = co_await keeping;
     verdict.granted = durable;
   }
-  verdict.granted &= memory_.view.revision == wish.revision && standing_ == Standing::kOutside;
+  verdict.granted &= memory_.view.revision == request.revision && state_ == ReplicaState::kOutside;
   verdict.end = end_;
   rpc_.reply(asked, verdict);
 }
--- a/src/anvil/client.cc
+++ b/src/replication/client.cc
@@ -1,4 +1,4 @@
-#include "anvil/client.h"
+#include "replication/client.h"
 
 #include <algorithm>
 
@@ -30,8 +30,8 @@
 
  protected:
   void heard(std::size_t member, const Bytes& body) override {
-    auto read = unpack<ViewVerdict>(body);
-    auto* verdict = std::get_if<ViewVerdict>(&read);
+    auto read = unpack<ViewReply>(body);
+    auto* verdict = std::get_if<ViewReply>(&read);
     if (verdict == nullptr) return;
     silent.erase(members_[member]);
     ++answered_;
@@ -46,13 +46,13 @@
 };
 }  // namespace
 
-const char* troubleText(ChainTrouble trouble) {
+const char* troubleText(ChainError trouble) {
   switch (trouble) {
-    case ChainTrouble::kUnreachable: return "unreachable";
-    case ChainTrouble::kTooFewCopies: return "too_few_copies";
-    case ChainTrouble::kBusy: return "busy";
-    case ChainTrouble::kRingFull: return "ring_full";
-    case ChainTrouble::kTooLong: return "too_long";
+    case ChainError::kUnreachable: return "unreachable";
+    case ChainError::kTooFewCopies: return "too_few_copies";
+    case ChainError::kBusy: return "busy";
+    case ChainError::kRingFull: return "ring_full";
+    case ChainError::kTooLong: return "too_long";
   }
   return "unknown";
 }
@@ -86,7 +86,7 @@
 
 void ChainClient::keepSeats() {
   for (const Seat& voter : view_.voters) members_.insert(voter.address);
-  for (const Seat& guest : view_.guests) members_.insert(guest.address);
+  for (const Seat& nonVoter : view_.nonVoters) members_.insert(nonVoter.address);
 }
 
 Job<bool> ChainClient::findHead() {
@@ -102,26 +102,26 @@
   submit.command = std::move(command);
   const Us untilUs = ports_.clock.monoUs() + limitUs;
   const Us sureUntilUs = sureUs > 0 ? ports_.clock.monoUs() + sureUs : untilUs;
-  ChainTrouble trouble = ChainTrouble::kUnreachable;
+  ChainError trouble = ChainError::kUnreachable;
   bool unsure = false;  // one try was not answered: whatever the others say, it may have been taken
   while (true) {
     if (!view_.chain.empty()) {
       submit.revision = view_.revision;
       const Us leftUs = untilUs - ports_.clock.monoUs();
       if (leftUs <= 0) break;
-      Job<std::variant<ChainVerdict, PeerSilent>> job =
-          ask<ChainVerdict>(rpc_, view_.chain.front().address, submit, std::min(leftUs, kTryUs));
-      std::variant<ChainVerdict, PeerSilent> verdict = co_await job;
-      auto* answered = std::get_if<ChainVerdict>(&verdict);
-      trouble = ChainTrouble::kUnreachable;
+      Job<std::variant<ChainReply, PeerSilent>> job =
+          ask<ChainReply>(rpc_, view_.chain.front().address, submit, std::min(leftUs, kTryUs));
+      std::variant<ChainReply, PeerSilent> verdict = co_await job;
+      auto* answered = std::get_if<ChainReply>(&verdict);
+      trouble = ChainError::kUnreachable;
       if (answered == nullptr) {
         unsure = true;
       } else {
         if (answered->outcome == ChainOutcome::kDone) co_return std::move(answered->body);
-        if (answered->outcome == ChainOutcome::kTooLong && !unsure) co_return ChainFailure{ChainTrouble::kTooLong};
-        if (answered->outcome == ChainOutcome::kTooFewCopies) trouble = ChainTrouble::kTooFewCopies;
-        if (answered->outcome == ChainOutcome::kBusy) trouble = ChainTrouble::kBusy;
-        if (answered->outcome == ChainOutcome::kRingFull) trouble = ChainTrouble::kRingFull;
+        if (answered->outcome == ChainOutcome::kTooLong && !unsure) co_return ChainFailure{ChainError::kTooLong};
+        if (answered->outcome == ChainOutcome::kTooFewCopies) trouble = ChainError::kTooFewCopies;
+        if (answered->outcome == ChainOutcome::kBusy) trouble = ChainError::kBusy;
+        if (answered->outcome == ChainOutcome::kRingFull) trouble = ChainError::kRingFull;
       }
     }
     if (ports_.clock.monoUs() + kAgainUs >= (unsure ? untilUs : sureUntilUs)) break;
@@ -130,7 +130,7 @@
     Pause pause(ports_.timers, kAgainUs);
     co_await pause;
   }
-  co_return ChainFailure{unsure ? ChainTrouble::kUnreachable : trouble, unsure};
+  co_return ChainFailure{unsure ? ChainError::kUnreachable : trouble, unsure};
 }
 
 Job<ChainAnswer> ChainClient::read(Bytes query, Us holdUs, Us limitUs) {
@@ -143,10 +143,10 @@
       read.holdUs = tailSilent_ ? 0 : holdUs;  // where the tail may be gone, ask it for a short answer only
       const Us leftUs = untilUs - ports_.clock.monoUs();
       if (leftUs <= 0) break;
-      Job<std::variant<ChainVerdict, PeerSilent>> job =
-          ask<ChainVerdict>(rpc_, view_.chain.back().address, read, std::min(leftUs, holdUs > 0 ? kHeldUs + read.holdUs : kTryUs));
-      std::variant<ChainVerdict, PeerSilent> verdict = co_await job;
-      auto* answered = std::get_if<ChainVerdict>(&verdict);
+      Job<std::variant<ChainReply, PeerSilent>> job =
+          ask<ChainReply>(rpc_, view_.chain.back().address, read, std::min(leftUs, holdUs > 0 ? kHeldUs + read.holdUs : kTryUs));
+      std::variant<ChainReply, PeerSilent> verdict = co_await job;
+      auto* answered = std::get_if<ChainReply>(&verdict);
       tailSilent_ = answered == nullptr;
       if (answered != nullptr && answered->outcome == ChainOutcome::kDone)
         co_return std::move(answered->body);
@@ -157,17 +157,17 @@
     Pause pause(ports_.timers, kAgainUs);
     co_await pause;
   }
-  co_return ChainFailure{ChainTrouble::kUnreachable};
+  co_return ChainFailure{ChainError::kUnreachable};
 }
 
-Job<std::variant<ChangeVerdict, PeerSilent>> ChainClient::changeVoters(ChangeVoters wish, Us limitUs) {
+Job<std::variant<ChangeReply, PeerSilent>> ChainClient::changeVoters(ChangeVoters request, Us limitUs) {
   Job<Done> refreshing = refresh();
   co_await refreshing;
   for (const Seat& seat : std::vector<Seat>(view_.chain)) {
-    if (seat.address == wish.remove || findSeat(view_.voters, seat.address) == nullptr) continue;
-    Job<std::variant<ChangeVerdict, PeerSilent>> job = ask<ChangeVerdict>(rpc_, seat.address, wish, limitUs);
-    std::variant<ChangeVerdict, PeerSilent> verdict = co_await job;
-    if (std::holds_alternative<ChangeVerdict>(verdict)) co_return verdict;
+    if (seat.address == request.remove || findSeat(view_.voters, seat.address) == nullptr) continue;
+    Job<std::variant<ChangeReply, PeerSilent>> job = ask<ChangeReply>(rpc_, seat.address, request, limitUs);
+    std::variant<ChangeReply, PeerSilent> verdict = co_await job;
+    if (std::holds_alternative<ChangeReply>(verdict)) co_return verdict;
   }
   co_return PeerSilent{};
 }
--- a/src/anvil/client.h
+++ b/src/replication/client.h
@@ -1,21 +1,21 @@
 // How everyone else talks to a chain: commands to the head, reads to the tail (design.md 6.8).
 #pragma once
 
-#include "anvil/messages.h"
+#include "replication/messages.h"
 #include "runtime/rpc_endpoint.h"
 
 namespace stonemount {
 
-enum class ChainTrouble : std::uint8_t {
+enum class ChainError : std::uint8_t {
   kUnreachable,    // no answer in time; a command may or may not have been taken
   kTooFewCopies,   // refused: it could not have been kept in two zones
   kBusy,
   kRingFull,
   kTooLong,        // no record of the ring could hold it
 };
-const char* troubleText(ChainTrouble trouble);
+const char* troubleText(ChainError trouble);
 struct ChainFailure {
-  ChainTrouble trouble = ChainTrouble::kUnreachable;
+  ChainError trouble = ChainError::kUnreachable;
   bool unsure = false;  // a command may have been taken, or yet be
 };
 using ChainAnswer = std::variant<Bytes, ChainFailure>;
@@ -27,7 +27,7 @@
   // While it is sure not to have been taken it is given up after `sureUs` already, if that is given.
   Job<ChainAnswer> submit(Bytes command, Us limitUs, Us sureUs = 0);
   Job<ChainAnswer> read(Bytes query, Us holdUs, Us limitUs);
-  Job<std::variant<ChangeVerdict, PeerSilent>> changeVoters(ChangeVoters wish, Us limitUs);
+  Job<std::variant<ChangeReply, PeerSilent>> changeVoters(ChangeVoters request, Us limitUs);
   const View& view() const { return view_; }
   void learnMember(const Address& member) { members_.insert(member); }
   Job<Done> refresh();
--- a/src/anvil/messages.h
+++ b/src/replication/messages.h
@@ -1,7 +1,7 @@
 // What chain members say to each other and to clients (design.md 6). Every one names its view revision.
 #pragma once
 
-#include "anvil/view.h"
+#include "replication/view.h"
 
 namespace stonemount {
 
@@ -11,7 +11,7 @@
   std::uint64_t incarnation = 0;
   STONEMOUNT_PACK(revision, incarnation)
 };
-struct Peek {  // the same question from someone who is no member and need not be pinged
+struct Probe {  // the same question from someone who is no member and need not be pinged
   static constexpr std::uint16_t kKind = 16;
   std::uint8_t unused = 0;
   STONEMOUNT_PACK(unused)
@@ -19,27 +19,27 @@
 struct Pong {
   std::uint64_t incarnation = 0;
   Revision revision = 0;
-  Standing standing = Standing::kOpening;
+  ReplicaState state = ReplicaState::kOpening;
   std::string zone;
   std::uint64_t end = 0;
-  bool refilled = false;
+  bool caughtUp = false;
   bool ballotOpen = false;  // has accepted a next view that it does not know to be decided
   Us stalledUs = 0;
   Us worstSyncUs = 0;
   Us wallUs = 0;
   std::vector<Address> suspects;  // to whom it has no way there and back
-  STONEMOUNT_PACK(incarnation, revision, standing, zone, end, refilled, ballotOpen, stalledUs, worstSyncUs, wallUs, suspects)
+  STONEMOUNT_PACK(incarnation, revision, state, zone, end, caughtUp, ballotOpen, stalledUs, worstSyncUs, wallUs, suspects)
 };
 struct ViewAsk {
   static constexpr std::uint16_t kKind = 2;
   std::uint8_t unused = 0;
   STONEMOUNT_PACK(unused)
 };
-struct ViewVerdict {
+struct ViewReply {
   View view;
   STONEMOUNT_PACK(view)
 };
-struct Found {  // the first view, proposed once every founder is empty
+struct Bootstrap {  // the first view, proposed once every founder is empty
   static constexpr std::uint16_t kKind = 3;
   View view;
   STONEMOUNT_PACK(view)
@@ -53,12 +53,12 @@
   std::optional<Revision> revisionAt(std::uint64_t index) const;
   STONEMOUNT_PACK(keptAfter, end, runs)
 };
-struct Seal {
+struct Fence {
   static constexpr std::uint16_t kKind = 4;
   Revision revision = 0;
   STONEMOUNT_PACK(revision)
 };
-struct SealVerdict {
+struct FenceReply {
   bool granted = false;
   std::uint64_t incarnation = 0;
   std::uint64_t end = 0;
@@ -83,7 +83,7 @@
   Revision revision = 0;
   STONEMOUNT_PACK(revision)
 };
-struct VoterVerdict {
+struct VoterReply {
   bool granted = false;
   std::uint64_t incarnation = 0;
   Ballot promised;
@@ -114,7 +114,7 @@
 };
 struct FetchState {
   static constexpr std::uint16_t kKind = 10;
-  std::uint64_t token = 0;  // 0: take a new picture
+  std::uint64_t token = 0;  // 0: take a new snapshot
   std::uint64_t offset = 0;
   std::uint32_t most = 0;   // bytes
   STONEMOUNT_PACK(token, offset, most)
@@ -123,7 +123,7 @@
   std::uint64_t token = 0;
   std::uint64_t total = 0;
   std::uint64_t end = 0;
-  Revision revision = 0;  // of the view in which the picture was taken
+  Revision revision = 0;  // of the view in which the snapshot was taken
   Bytes bytes;
   STONEMOUNT_PACK(token, total, end, revision, bytes)
 };
@@ -149,7 +149,7 @@
   std::uint64_t end = 0;
   STONEMOUNT_PACK(revision, source, end)
 };
-struct ChangeVoters {  // an operator's wish; add without remove joins, remove without add retires
+struct ChangeVoters {  // an operator's request; add without remove joins, remove without add retires
   static constexpr std::uint16_t kKind = 13;
   Address add;
   Address remove;
@@ -160,13 +160,13 @@
   std::uint8_t unused = 0;
   STONEMOUNT_PACK(unused)
 };
-struct FoundersTold {  // who makes the first view, as it was agreed once (design.md 6.10)
+struct BootstrapMembers {  // who makes the first view, as it was agreed once (design.md 6.10)
   static constexpr std::uint16_t kKind = 18;
   std::vector<Address> founders;
   STONEMOUNT_PACK(founders)
 };
 enum class ChangeOutcome : std::uint8_t { kDone, kNotReady, kUnknown, kTooFew, kBusy, kNoMajority };
-struct ChangeVerdict {
+struct ChangeReply {
   ChangeOutcome outcome = ChangeOutcome::kBusy;
   STONEMOUNT_PACK(outcome)
 };
@@ -185,7 +185,7 @@
   STONEMOUNT_PACK(revision, query, holdUs)
 };
 enum class ChainOutcome : std::uint8_t { kDone, kNotMine, kTooFewCopies, kBusy, kRingFull, kTooLong };
-struct ChainVerdict {
+struct ChainReply {
   ChainOutcome outcome = ChainOutcome::kNotMine;
   Revision revision = 0;
   Bytes body;
--- a/src/anvil/polls.h
+++ b/src/replication/polls.h
@@ -1,7 +1,7 @@
 // Polls of seats: a verdict counts only from the incarnation that holds the seat (design.md 6.5).
 #pragma once
 
-#include "anvil/messages.h"
+#include "replication/messages.h"
 #include "runtime/rpc_endpoint.h"
 
 namespace stonemount {
--- a/src/anvil/propose.cc
+++ b/src/replication/propose.cc
@@ -3,13 +3,13 @@
 
 #include <algorithm>
 
-#include "anvil/member.h"
-#include "anvil/polls.h"
+#include "replication/replica.h"
+#include "replication/polls.h"
 
 namespace stonemount {
 
 namespace {
-constexpr Us kSealLimitUs = 400 * kMilliUs;
+constexpr Us kFenceLimitUs = 400 * kMilliUs;
 constexpr Us kCatchUpLimitUs = 1500 * kMilliUs;
 constexpr Us kSlowestUs = 3 * kSecondUs;
 constexpr Us kBallotLimitUs = 500 * kMilliUs;
@@ -23,7 +23,7 @@
   return found;
 }
 
-LogNames Member::logNames() const {
+LogNames Replica::logNames() const {
   LogNames names;
   names.end = end_;
   names.keptAfter = recent_.empty() ? end_ : recent_.front().index - 1;
@@ -34,17 +34,17 @@
 }
 
 namespace {
-using SealVerdicts = std::vector<std::optional<SealVerdict>>;
+using FenceReplies = std::vector<std::optional<FenceReply>>;
 
 // Is the first one's log the beginning of the second's?
-bool beginning(const SealVerdict& first, const SealVerdict& second) {
+bool beginning(const FenceReply& first, const FenceReply& second) {
   return first.end <= second.end && first.names.revisionAt(first.end) == second.names.revisionAt(first.end);
 }
 
 // The members that may follow one another. Who holds less than a later one has lost something and
 // leaves; so does whoever parted from, or lacks more than is kept by, the one before. All leave to be
-// refilled, and any one that stays holds all that was acknowledged.
-std::vector<Seat> soundOrder(const std::vector<Seat>& stays, const SealVerdicts& verdicts) {
+// caughtUp, and any one that stays holds all that was acknowledged.
+std::vector<Seat> soundOrder(const std::vector<Seat>& stays, const FenceReplies& verdicts) {
   std::vector<Seat> sound;
   std::size_t last = 0;
   for (std::size_t i = 0; i < stays.size(); ++i) {
@@ -64,7 +64,7 @@
 }  // namespace
 
 // Every member that stays has stopped acknowledging in the old view before the new one is chosen.
-Job<bool> Member::sealChain(View& target) {
+Job<bool> Replica::fenceChain(View& target) {
   std::vector<Seat> stays;
   std::optional<Seat> joiner;
   for (const Seat& seat : target.chain) {
@@ -72,11 +72,11 @@
     else joiner = seat;
   }
   if (stays.empty()) {
-    Job<bool> sealing = sealHolder(target);
+    Job<bool> sealing = fenceHolder(target);
     const bool sealed = co_await sealing;
     co_return sealed;
   }
-  SeatPoll<SealVerdict> poll(rpc_, Seal{memory_.view.revision}, stays, stays.size(), kSealLimitUs);
+  SeatPoll<FenceReply> poll(rpc_, Fence{memory_.view.revision}, stays, stays.size(), kFenceLimitUs);
   co_await poll;
   if (!poll.enough()) co_return false;
   const std::vector<Seat> sound = soundOrder(stays, poll.verdicts());
@@ -86,26 +86,26 @@
   std::uint64_t tailEnd = 0;
   for (std::size_t i = 0; i < stays.size(); ++i)
     if (stays[i] == last) tailEnd = poll.verdicts()[i]->end;
-  CatchUp wish{memory_.view.revision, last.address, tailEnd};
-  Job<std::variant<SealVerdict, PeerSilent>> job =
-      ask<SealVerdict>(rpc_, joiner->address, wish, kCatchUpLimitUs);
-  std::variant<SealVerdict, PeerSilent> verdict = co_await job;
-  auto* caught = std::get_if<SealVerdict>(&verdict);
+  CatchUp request{memory_.view.revision, last.address, tailEnd};
+  Job<std::variant<FenceReply, PeerSilent>> job =
+      ask<FenceReply>(rpc_, joiner->address, request, kCatchUpLimitUs);
+  std::variant<FenceReply, PeerSilent> verdict = co_await job;
+  auto* caught = std::get_if<FenceReply>(&verdict);
   if (caught != nullptr && caught->granted && caught->incarnation == joiner->incarnation) {
     target.chain.push_back(*joiner);
     co_return true;
   }
   // Without the joiner the sealed members still need a view; the seats stay as they were.
   logDoubt("joiner_not_caught_up", {{"peer", addressText(joiner->address)}});
-  if (!wish_ || !wish_->remove.set()) target.voters = memory_.view.voters, target.guests = memory_.view.guests;
+  if (!request_ || !request_->remove.set()) target.voters = memory_.view.voters, target.nonVoters = memory_.view.nonVoters;
   else co_return false;
   co_return true;
 }
 
 // The chain is left behind for one of its holders (mender.cc, viewFromHolder).
-Job<bool> Member::sealHolder(View& target) {
+Job<bool> Replica::fenceHolder(View& target) {
   if (target.chain.size() != 1) co_return false;
-  SeatPoll<SealVerdict> poll(rpc_, Seal{memory_.view.revision}, target.chain, 1, kSealLimitUs);
+  SeatPoll<FenceReply> poll(rpc_, Fence{memory_.view.revision}, target.chain, 1, kFenceLimitUs);
   co_await poll;
   if (!poll.enough()) co_return false;
   ++counts_.restartedNarrow;
@@ -115,7 +115,7 @@
 }
 
 // The slowest sync of any voter that lives, as far as it is known: a ballot has to wait out two.
-Us Member::voterSyncUs() const {
+Us Replica::voterSyncUs() const {
   Us slowestUs = 0;
   for (const Seat& voter : memory_.view.voters) {
     if (!aliveSeat(voter)) continue;
@@ -125,16 +125,16 @@
   return std::min(slowestUs, kSlowestUs);
 }
 
-Job<bool> Member::ballot(View target) {
+Job<bool> Replica::ballot(View target) {
   const View now = memory_.view;
   // A voter whose disk is slow may be needed for the majority; the poll ends as soon as it has enough.
   const Us limitUs = kBallotLimitUs + 2 * voterSyncUs();
   ++counts_.ballots;
   Ballot mine{++highestRound_, self_};
-  SeatPoll<VoterVerdict> prepared(rpc_, Prepare{now.revision, mine}, now.voters, now.majority(), limitUs);
+  SeatPoll<VoterReply> prepared(rpc_, Prepare{now.revision, mine}, now.voters, now.majority(), limitUs);
   co_await prepared;
   Ballot best;
-  for (const std::optional<VoterVerdict>& verdict : prepared.verdicts()) {
+  for (const std::optional<VoterReply>& verdict : prepared.verdicts()) {
     if (!verdict) continue;
     highestRound_ = std::max(highestRound_, verdict->promised.round);
     if (!verdict->granted || !verdict->accepted || verdict->acceptedBallot < best) continue;
@@ -142,7 +142,7 @@
     target = *verdict->accepted;
   }
   if (!prepared.enough() || memory_.view.revision != now.revision) co_return false;
-  SeatPoll<VoterVerdict> accepted(rpc_, Accept{now.revision, mine, target}, now.voters, now.majority(), limitUs);
+  SeatPoll<VoterReply> accepted(rpc_, Accept{now.revision, mine, target}, now.voters, now.majority(), limitUs);
   co_await accepted;
   if (!accepted.enough()) co_return false;
   absl::btree_set<Address> listeners;
@@ -156,9 +156,9 @@
   co_return durable;
 }
 
-Job<ChangeOutcome> Member::propose(View target) {
+Job<ChangeOutcome> Replica::propose(View target) {
   logEvent("propose", {{"revision", absl::StrCat(target.revision)}, {"chain", absl::StrCat(target.chain.size())}});
-  Job<bool> sealing = sealChain(target);
+  Job<bool> sealing = fenceChain(target);
   const bool sealed = co_await sealing;
   if (!sealed || target.revision != memory_.view.revision + 1) co_return ChangeOutcome::kNotReady;
   target.wide = spansZones(target.chain) ? target.chain : memory_.view.wide;
--- a/src/anvil/reader.cc
+++ b/src/replication/reader.cc
@@ -1,7 +1,7 @@
 // Reads: answered at the tail, after a majority of voters has confirmed its view, and only from a chain in
 // two zones: nothing is shown that one lost disk could take back (design.md 6.6).
-#include "anvil/member.h"
-#include "anvil/polls.h"
+#include "replication/replica.h"
+#include "replication/polls.h"
 
 namespace stonemount {
 
@@ -12,7 +12,7 @@
 constexpr Us kConfirmLimitUs = 300 * kMilliUs;
 }  // namespace
 
-void Member::onRead(const Asked& asked) {
+void Replica::onRead(const Asked& asked) {
   auto message = unpack<Read>(asked.body);
   if (!std::holds_alternative<Read>(message)) return;
   Read& read = std::get<Read>(message);
@@ -23,8 +23,8 @@
   readEvent_.notify();
 }
 
-Task Member::readBatches() {
-  while (standing_ != Standing::kBroken) {
+Task Replica::readBatches() {
+  while (state_ != ReplicaState::kBroken) {
     EventWait hear(ports_.timers, readEvent_, held_.empty() ? kIdleUs : kHeldLookUs);
     co_await hear;
     std::vector<Waiting> batch(std::make_move_iterator(reads_.begin()), std::make_move_iterator(reads_.end()));
@@ -41,7 +41,7 @@
     bool confirmed = false;
     if (tail() && verified_ && spansZones(view.chain)) {
       ++counts_.confirms;
-      SeatPoll<VoterVerdict> poll(rpc_, Confirm{view.revision}, view.voters, view.majority(), kConfirmLimitUs);
+      SeatPoll<VoterReply> poll(rpc_, Confirm{view.revision}, view.voters, view.majority(), kConfirmLimitUs);
       co_await poll;
       confirmed = poll.enough();
     }
@@ -53,7 +53,7 @@
   }
 }
 
-void Member::releaseReads(std::vector<Waiting> batch) {
+void Replica::releaseReads(std::vector<Waiting> batch) {
   const Us nowUs = ports_.clock.monoUs();
   for (Waiting& waiting : batch) {
     QueryVerdict verdict = machine_.answer(waiting.query, waiting.untilUs <= nowUs);
@@ -62,12 +62,12 @@
       continue;
     }
     rpc_.reply(waiting.asked,
-                ChainVerdict{ChainOutcome::kDone, memory_.view.revision, std::get<Bytes>(std::move(verdict))});
+                ChainReply{ChainOutcome::kDone, memory_.view.revision, std::get<Bytes>(std::move(verdict))});
   }
 }
 
 // Something was applied: whoever waits for news is asked again, in one confirmed batch.
-void Member::wakeHeld() {
+void Replica::wakeHeld() {
   std::vector<Waiting> stillHeld;
   for (Waiting& waiting : held_) {
     if (tail() && std::holds_alternative<Hold>(machine_.answer(waiting.query, false)))
--- a/src/anvil/mender.cc
+++ b/src/replication/reconfigurer.cc
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "anvil/member.h"
+#include "replication/replica.h"
 
 namespace stonemount {
 
@@ -12,12 +12,12 @@
 constexpr Us kPromiseUs = 250 * kMilliUs;
 }  // namespace
 
-Task Member::pingAll() {
+Task Replica::pingAll() {
   absl::btree_set<Address> known(plan_.founders.begin(), plan_.founders.end());
   known.insert(self_);
-  while (standing_ != Standing::kBroken) {
+  while (state_ != ReplicaState::kBroken) {
     for (const Seat& seat : memory_.view.voters) known.insert(seat.address);
-    for (const Seat& seat : memory_.view.guests) known.insert(seat.address);
+    for (const Seat& seat : memory_.view.nonVoters) known.insert(seat.address);
     for (const Address& peer : known)
       if (pinged_.insert(peer).second) room_.start(ping(peer));
     Pause pause(ports_.timers, plan_.pingUs);
@@ -25,12 +25,12 @@
   }
 }
 
-void Member::meet(const Address& peer) {
-  if (standing_ != Standing::kOpening && pinged_.insert(peer).second) room_.start(ping(peer));
+void Replica::meet(const Address& peer) {
+  if (state_ != ReplicaState::kOpening && pinged_.insert(peer).second) room_.start(ping(peer));
 }
 
-Task Member::ping(Address peer) {
-  while (standing_ != Standing::kBroken) {
+Task Replica::ping(Address peer) {
+  while (state_ != ReplicaState::kBroken) {
     Ping message{memory_.view.revision, memory_.incarnation};
     // Just started, or woken, it is in a hurry to hear of everyone: a question that met a closed port is soon put again.
     const bool hurries = ports_.clock.monoUs() < blindUntilUs_ && !heardLately(peer);
@@ -42,11 +42,11 @@
         PeerSight& sight = peers_[peer];
         sight.heardUs = ports_.clock.monoUs();
         sight.pong = std::move(*pong);
-        if (sight.pong.revision > memory_.view.revision && standing_ != Standing::kOpening) {
-          Job<std::variant<ViewVerdict, PeerSilent>> job =
-              ask<ViewVerdict>(rpc_, peer, ViewAsk{}, plan_.suspectUs);
-          std::variant<ViewVerdict, PeerSilent> verdict = co_await job;
-          if (auto* found = std::get_if<ViewVerdict>(&verdict)) {
+        if (sight.pong.revision > memory_.view.revision && state_ != ReplicaState::kOpening) {
+          Job<std::variant<ViewReply, PeerSilent>> job =
+              ask<ViewReply>(rpc_, peer, ViewAsk{}, plan_.suspectUs);
+          std::variant<ViewReply, PeerSilent> verdict = co_await job;
+          if (auto* found = std::get_if<ViewReply>(&verdict)) {
             Job<bool> taken = takeView(found->view);
             co_await taken;
           }
@@ -60,68 +60,68 @@
 }
 
 // Do the two of us have to know of each other at once?
-bool Member::close(const Address& peer) const {
-  if (standing_ == Standing::kFounding || (wish_ && wish_->add == peer)) return true;
+bool Replica::close(const Address& peer) const {
+  if (state_ == ReplicaState::kBootstrapping || (request_ && request_->add == peer)) return true;
   const bool mine = findMember(memory_.view, self_) != nullptr || invited();
   return mine && findMember(memory_.view, peer) != nullptr;
 }
 
-bool Member::heardLately(const Address& peer) const {
+bool Replica::heardLately(const Address& peer) const {
   auto found = peers_.find(peer);
   return found != peers_.end() && found->second.heardUs >= 0 &&
          ports_.clock.monoUs() - found->second.heardUs < plan_.suspectUs;
 }
 
-bool Member::aliveSeat(const Seat& seat) const {
+bool Replica::aliveSeat(const Seat& seat) const {
   if (!heardLately(seat.address)) return false;
   const Pong& pong = peers_.at(seat.address).pong;
-  return pong.incarnation == seat.incarnation && pong.standing != Standing::kBroken;
+  return pong.incarnation == seat.incarnation && pong.state != ReplicaState::kBroken;
 }
 
-bool Member::hearsAll() const {
-  for (const std::vector<Seat>* seats : {&memory_.view.voters, &memory_.view.guests})
+bool Replica::hearsAll() const {
+  for (const std::vector<Seat>* seats : {&memory_.view.voters, &memory_.view.nonVoters})
     for (const Seat& seat : *seats)
       if (!aliveSeat(seat)) return false;
   return !memory_.view.voters.empty();
 }
 
 // Neighbours in the chain must reach each other both ways, whatever the proposer itself can reach.
-bool Member::suspicion(const Seat& one, const Seat& other) const {
+bool Replica::suspicion(const Seat& one, const Seat& other) const {
   const std::vector<Address>& ones = peers_.at(one.address).pong.suspects;
   const std::vector<Address>& others = peers_.at(other.address).pong.suspects;
   return std::find(ones.begin(), ones.end(), other.address) != ones.end() ||
          std::find(others.begin(), others.end(), one.address) != others.end();
 }
 
-bool Member::healthySeat(const Seat& seat) const {
+bool Replica::healthySeat(const Seat& seat) const {
   if (!aliveSeat(seat)) return false;
   const Pong& pong = peers_.at(seat.address).pong;
   return pong.stalledUs < plan_.slowDiskUs && pong.worstSyncUs < plan_.slowDiskUs;
 }
 
 // Refilled, healthy and waiting outside in the current view.
-bool Member::ready(const Address& peer) const {
+bool Replica::ready(const Address& peer) const {
   auto found = peers_.find(peer);
   if (found == peers_.end()) return false;
   const Pong& pong = found->second.pong;
-  return pong.refilled && pong.revision == memory_.view.revision && pong.standing == Standing::kOutside &&
+  return pong.caughtUp && pong.revision == memory_.view.revision && pong.state == ReplicaState::kOutside &&
          healthySeat({peer, pong.incarnation, pong.zone});
 }
 
-// A voter's place that is empty in the chain, and a refilled member to take it; or an operator's wish.
-bool Member::addReadyPeer(View& wanted) const {
+// A voter's place that is empty in the chain, and a caughtUp member to take it; or an operator's request.
+bool Replica::addReadyPeer(View& wanted) const {
   for (const auto& [address, sight] : peers_) {
     const Seat seat{address, sight.pong.incarnation, sight.pong.zone};
     if (findSeat(wanted.chain, address) != nullptr || !ready(address)) continue;
     bool allowed = false;
-    for (std::vector<Seat>* seats : {&wanted.voters, &wanted.guests}) {
+    for (std::vector<Seat>* seats : {&wanted.voters, &wanted.nonVoters}) {
       for (Seat& member : *seats) {
         if (member.address != address) continue;
         allowed = true;
         member = seat;
       }
     }
-    if (!allowed && wish_ && wish_->add == address) {
+    if (!allowed && request_ && request_->add == address) {
       giveSeat(wanted, seat);
       allowed = true;
     }
@@ -132,12 +132,12 @@
   return false;
 }
 
-std::optional<View> Member::wantedView() const {
+std::optional<View> Replica::wantedView() const {
   const View& now = memory_.view;
   View wanted;
   wanted.revision = now.revision + 1;
   wanted.voters = now.voters;
-  wanted.guests = now.guests;
+  wanted.nonVoters = now.nonVoters;
   bool needed = false;
   std::vector<Seat> alive;
   for (const Seat& seat : now.chain) {
@@ -145,7 +145,7 @@
     if (!alive.empty() && suspicion(alive.back(), seat)) continue;
     alive.push_back(seat);
     const Pong& pong = peers_.at(seat.address).pong;
-    needed |= pong.revision == now.revision && pong.standing == Standing::kSealed;
+    needed |= pong.revision == now.revision && pong.state == ReplicaState::kSealed;
   }
   for (const Seat& voter : now.voters)
     needed |= aliveSeat(voter) && peers_.at(voter.address).pong.ballotOpen &&
@@ -157,23 +157,23 @@
   wanted.chain = !healthy.empty() && spansZones(healthy) ? healthy : alive;
   if (wanted.chain.empty()) return viewFromHolder();
   needed |= wanted.chain.size() != now.chain.size();
-  // A replacement waits until the new machine is refilled; all else is mended meanwhile.
-  const bool waits = wish_ && wish_->add.set() && findMember(now, wish_->add) == nullptr && !ready(wish_->add);
-  const bool removing = wish_ && findMember(now, wish_->remove) != nullptr && !waits;
+  // A replacement waits until the new machine is caughtUp; all else is mended meanwhile.
+  const bool waits = request_ && request_->add.set() && findMember(now, request_->add) == nullptr && !ready(request_->add);
+  const bool removing = request_ && findMember(now, request_->remove) != nullptr && !waits;
   if (removing) {
-    std::erase_if(wanted.chain, SeatAt{wish_->remove});
-    std::erase_if(wanted.voters, SeatAt{wish_->remove});
-    std::erase_if(wanted.guests, SeatAt{wish_->remove});
+    std::erase_if(wanted.chain, SeatAt{request_->remove});
+    std::erase_if(wanted.voters, SeatAt{request_->remove});
+    std::erase_if(wanted.nonVoters, SeatAt{request_->remove});
     if (wanted.chain.empty()) return std::nullopt;
   }
   const bool added = addReadyPeer(wanted);
-  if (wish_ && wish_->add.set() && findMember(wanted, wish_->add) == nullptr) {
+  if (request_ && request_->add.set() && findMember(wanted, request_->add) == nullptr) {
     if (removing) return std::nullopt;
   } else if (removing) {
     needed = true;
-    for (const Seat& guest : std::exchange(wanted.guests, {})) {  // one may have a vote now
-      if (aliveSeat(guest)) giveSeat(wanted, guest);
-      else wanted.guests.push_back(guest);
+    for (const Seat& nonVoter : std::exchange(wanted.nonVoters, {})) {  // one may have a vote now
+      if (aliveSeat(nonVoter)) giveSeat(wanted, nonVoter);
+      else wanted.nonVoters.push_back(nonVoter);
     }
   }
   needed |= added;
@@ -183,28 +183,28 @@
 
 // Nobody of the chain is left. Where it lay in one zone it acknowledged and showed nothing, and whoever
 // was in the newest chain that did holds all of it (design.md 6.5).
-std::optional<View> Member::viewFromHolder() const {
+std::optional<View> Replica::viewFromHolder() const {
   const View& now = memory_.view;
   if (!mayLeaveChain(now)) return std::nullopt;
   const Seat* chosenHolder = nullptr;
   for (const Seat& seat : now.wide) {
     if (!healthySeat(seat) || findMember(now, seat.address) == nullptr) continue;
     const Pong& pong = peers_.at(seat.address).pong;
-    if (pong.standing != Standing::kOutside || pong.revision != now.revision) continue;
+    if (pong.state != ReplicaState::kOutside || pong.revision != now.revision) continue;
     if (chosenHolder == nullptr || peers_.at(chosenHolder->address).pong.end < pong.end) chosenHolder = &seat;
   }
   if (chosenHolder == nullptr) return std::nullopt;
   View wanted;
   wanted.revision = now.revision + 1;
   wanted.voters = now.voters;
-  wanted.guests = now.guests;
+  wanted.nonVoters = now.nonVoters;
   wanted.chain = {*chosenHolder};
   wanted.wide = now.wide;
   return wanted;
 }
 
 // Voters propose in turn, so that two seldom do so at once. Safety does not hang on it.
-std::size_t Member::turn() const {
+std::size_t Replica::turn() const {
   std::size_t before = 0;
   for (const Seat& voter : memory_.view.voters) {
     if (voter.address == self_) return before;
@@ -213,11 +213,11 @@
   return before;
 }
 
-Task Member::mend() {
+Task Replica::reconfigure() {
   Us lastUs = ports_.clock.monoUs();
   blindUntilUs_ = lastUs + plan_.suspectUs;
-  while (standing_ != Standing::kBroken) {
-    EventWait hear(ports_.timers, mendEvent_, plan_.pingUs);
+  while (state_ != ReplicaState::kBroken) {
+    EventWait hear(ports_.timers, reconfigureEvent_, plan_.pingUs);
     co_await hear;
     const Us nowUs = ports_.clock.monoUs();
     // After a freeze everyone looks dead; hear from them again first.
--- a/src/anvil/relay.cc
+++ b/src/replication/relay.cc
@@ -1,7 +1,7 @@
 // Commands: in at the head, durable at each member in turn, answered from the tail (design.md 6.3).
 #include <absl/strings/str_cat.h>
 
-#include "anvil/member.h"
+#include "replication/replica.h"
 
 namespace stonemount {
 
@@ -10,7 +10,7 @@
 constexpr std::size_t kInboxBytesBound = 8 << 20;
 constexpr std::size_t kBatchEntries = 512;
 constexpr std::size_t kBatchBytes = 256 << 10;
-constexpr std::size_t kPictureKeeps = 4;  // times as much is kept while someone copies a picture
+constexpr std::size_t kPictureKeeps = 4;  // times as much is kept while someone copies a snapshot
 constexpr std::size_t kVerdictsKept = 16384;
 constexpr std::size_t kVerdictBytesKept = 256 << 10;  // the same at every member, or they would differ
 constexpr Us kPassLimitUs = 500 * kMilliUs;
@@ -19,16 +19,16 @@
 constexpr Us kPassAgainUs = 30 * kMilliUs;
 }  // namespace
 
-std::uint64_t Member::received() const {
+std::uint64_t Replica::received() const {
   if (!inbox_.empty()) return inbox_.back().index;
   return std::max(appended_, end_);
 }
 
-void Member::refuse(const Asked& asked, ChainOutcome outcome) {
-  rpc_.reply(asked, ChainVerdict{outcome, memory_.view.revision, Bytes()});
+void Replica::refuse(const Asked& asked, ChainOutcome outcome) {
+  rpc_.reply(asked, ChainReply{outcome, memory_.view.revision, Bytes()});
 }
 
-void Member::onSubmit(const Asked& asked) {
+void Replica::onSubmit(const Asked& asked) {
   auto message = unpack<Submit>(asked.body);
   if (!std::holds_alternative<Submit>(message)) return;
   Submit& submit = std::get<Submit>(message);
@@ -44,7 +44,7 @@
   if (full) return refuse(asked, ChainOutcome::kRingFull);
   StampVerdict stamped = machine_.stamp(submit.command, sight());
   if (auto* refused = std::get_if<StampRefused>(&stamped)) {
-    rpc_.reply(asked, ChainVerdict{ChainOutcome::kDone, memory_.view.revision, refused->verdict});
+    rpc_.reply(asked, ChainReply{ChainOutcome::kDone, memory_.view.revision, refused->verdict});
     return;
   }
   Entry entry;
@@ -60,19 +60,19 @@
   inboxEvent_.notify();
 }
 
-void Member::answerAppend(const Asked& asked, bool granted) {
+void Replica::answerAppend(const Asked& asked, bool granted) {
   rpc_.reply(asked, PassedOn{granted, active(), end_, endRevision_, tail() ? end_ : committed_});
 }
 
 // Is the successor's log the beginning of ours? A joiner may have followed another member since it
 // was chosen; where the logs parted it must not serve (design.md 6.5).
-bool Member::begins(const PassedOn& successor) const {
+bool Replica::begins(const PassedOn& successor) const {
   if (successor.end > end_) return false;
   if (successor.end == end_) return successor.endRevision == endRevision_;
   return logNames().revisionAt(successor.end) == std::optional<Revision>(successor.endRevision);
 }
 
-void Member::onAppend(const Asked& asked) {
+void Replica::onAppend(const Asked& asked) {
   auto message = unpack<Append>(asked.body);
   if (!std::holds_alternative<Append>(message)) return;
   Append& append = std::get<Append>(message);
@@ -98,8 +98,8 @@
   inboxEvent_.notify();
 }
 
-Task Member::write() {
-  while (standing_ != Standing::kBroken) {
+Task Replica::write() {
+  while (state_ != ReplicaState::kBroken) {
     const bool slow = wal_.worstSyncUs() > plan_.slowDiskUs / 2;
     EventWait hear(ports_.timers, inboxEvent_, slow ? kSlowTryUs : kIdleUs);
     co_await hear;
@@ -145,7 +145,7 @@
   }
 }
 
-void Member::applyEntry(const Entry& entry, bool release) {
+void Replica::applyEntry(const Entry& entry, bool release) {
   STONEMOUNT_INVARIANT(entry.index == end_ + 1);
   auto known = verdicts_.find(entry.id);
   if (known == verdicts_.end()) {  // a retry of what was applied finds its verdict and changes nothing
@@ -165,7 +165,7 @@
   if (recent_.empty()) keptAfterRevision_ = lastRevision;
   recentBytes_ += entry.command.size();
   recent_.push_back(entry);
-  const std::size_t times = pictureToken_ != 0 && recent_.front().index > pictureEnd_ ? kPictureKeeps : 1;
+  const std::size_t times = snapshotToken_ != 0 && recent_.front().index > snapshotEnd_ ? kPictureKeeps : 1;
   while (recent_.size() > plan_.keptEntries * times || recentBytes_ > plan_.keptBytes * times) {
     recentBytes_ -= recent_.front().command.size();
     keptAfterRevision_ = recent_.front().revision;
@@ -174,23 +174,23 @@
   if (release) {
     committed_ = end_;
     rpc_.replyTo(entry.client, Submit::kKind, entry.exchange,
-                  pack(ChainVerdict{ChainOutcome::kDone, memory_.view.revision, known->second}));
+                  pack(ChainReply{ChainOutcome::kDone, memory_.view.revision, known->second}));
     wakeHeld();
   }
   applied.emit(entry, release);
 }
 
-// Its log parted from ours, or it lacks more than we keep: a new view will have it refilled.
-void Member::leaveBehind(const Address& successor, std::uint64_t itsEnd) {
+// Its log parted from ours, or it lacks more than we keep: a new view will have it caughtUp.
+void Replica::leaveBehind(const Address& successor, std::uint64_t itsEnd) {
   logDoubt("successor_left_behind", {{"peer", addressText(successor)}, {"its_end", absl::StrCat(itsEnd)},
                                      {"end", absl::StrCat(end_)}});
   ++counts_.leftBehind;
-  changeStanding(Standing::kSealed);
+  changeState(ReplicaState::kSealed);
   tooFarBehind_ = successor;
 }
 
-Task Member::passOn() {
-  while (standing_ != Standing::kBroken) {
+Task Replica::passOn() {
+  while (state_ != ReplicaState::kBroken) {
     EventWait hear(ports_.timers, passEvent_, kIdleUs);
     co_await hear;
     while (active() && !tail()) {
--- a/src/anvil/member.cc
+++ b/src/replication/replica.cc
@@ -1,5 +1,5 @@
 // Life of a member: opening its disk, founding the first view, moving between views (design.md 6.1).
-#include "anvil/member.h"
+#include "replication/replica.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -23,73 +23,73 @@
 };
 }  // namespace
 
-const char* standingText(Standing standing) {
+const char* replicaStateText(ReplicaState state) {
   switch (standing) {
-    case Standing::kOpening: return "opening";
-    case Standing::kFounding: return "founding";
-    case Standing::kOutside: return "outside";
-    case Standing::kSealed: return "sealed";
-    case Standing::kActive: return "active";
-    case Standing::kBroken: return "broken";
+    case ReplicaState::kOpening: return "opening";
+    case ReplicaState::kBootstrapping: return "founding";
+    case ReplicaState::kOutside: return "outside";
+    case ReplicaState::kSealed: return "sealed";
+    case ReplicaState::kActive: return "active";
+    case ReplicaState::kBroken: return "broken";
   }
   return "unknown";
 }
 
-Member::Member(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Machine& machine, MemberPlan plan)
+Replica::Replica(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Machine& machine, ReplicaPlan plan)
     : ports_(ports), rpc_(rpc), room_(room), machine_(machine), plan_(std::move(plan)),
       self_(rpc.self()), wal_(*ports.disk, ports.timers, ports.clock), groupCommit_(wal_, ports.timers, room) {}
 
-Member::~Member() { refused_.disconnect(); }
-
-void Member::begin() {
-  refused_ = ports_.wire.refused.connect(sigc::mem_fun(*this, &Member::onRefused));
-  rpc_.serve(Ping::kKind, sigc::mem_fun(*this, &Member::onPing));
-  rpc_.serve(Peek::kKind, sigc::mem_fun(*this, &Member::onPeek));
-  rpc_.serve(ViewAsk::kKind, sigc::mem_fun(*this, &Member::onViewAsk));
-  rpc_.serve(Found::kKind, sigc::mem_fun(*this, &Member::onFound));
-  rpc_.serve(Seal::kKind, sigc::mem_fun(*this, &Member::onSeal));
-  rpc_.serve(Prepare::kKind, sigc::mem_fun(*this, &Member::onPrepare));
-  rpc_.serve(Accept::kKind, sigc::mem_fun(*this, &Member::onAccept));
-  rpc_.serve(Confirm::kKind, sigc::mem_fun(*this, &Member::onConfirm));
-  rpc_.serve(Decided::kKind, sigc::mem_fun(*this, &Member::onDecided));
-  rpc_.serve(Append::kKind, sigc::mem_fun(*this, &Member::onAppend));
-  rpc_.serve(FetchState::kKind, sigc::mem_fun(*this, &Member::onFetchState));
-  rpc_.serve(FetchLog::kKind, sigc::mem_fun(*this, &Member::onFetchLog));
-  rpc_.serve(CatchUp::kKind, sigc::mem_fun(*this, &Member::onCatchUp));
-  rpc_.serve(ChangeVoters::kKind, sigc::mem_fun(*this, &Member::onChangeVoters));
-  rpc_.serve(Submit::kKind, sigc::mem_fun(*this, &Member::onSubmit));
-  rpc_.serve(Read::kKind, sigc::mem_fun(*this, &Member::onRead));
-  rpc_.serve(Invite::kKind, sigc::mem_fun(*this, &Member::onInvite));
-  rpc_.serve(FoundersTold::kKind, sigc::mem_fun(*this, &Member::onFoundersTold));
+Replica::~Replica() { refused_.disconnect(); }
+
+void Replica::begin() {
+  refused_ = ports_.wire.refused.connect(sigc::mem_fun(*this, &Replica::onRefused));
+  rpc_.serve(Ping::kKind, sigc::mem_fun(*this, &Replica::onPing));
+  rpc_.serve(Probe::kKind, sigc::mem_fun(*this, &Replica::onProbe));
+  rpc_.serve(ViewAsk::kKind, sigc::mem_fun(*this, &Replica::onViewAsk));
+  rpc_.serve(Bootstrap::kKind, sigc::mem_fun(*this, &Replica::onBootstrap));
+  rpc_.serve(Fence::kKind, sigc::mem_fun(*this, &Replica::onFence));
+  rpc_.serve(Prepare::kKind, sigc::mem_fun(*this, &Replica::onPrepare));
+  rpc_.serve(Accept::kKind, sigc::mem_fun(*this, &Replica::onAccept));
+  rpc_.serve(Confirm::kKind, sigc::mem_fun(*this, &Replica::onConfirm));
+  rpc_.serve(Decided::kKind, sigc::mem_fun(*this, &Replica::onDecided));
+  rpc_.serve(Append::kKind, sigc::mem_fun(*this, &Replica::onAppend));
+  rpc_.serve(FetchState::kKind, sigc::mem_fun(*this, &Replica::onFetchState));
+  rpc_.serve(FetchLog::kKind, sigc::mem_fun(*this, &Replica::onFetchLog));
+  rpc_.serve(CatchUp::kKind, sigc::mem_fun(*this, &Replica::onCatchUp));
+  rpc_.serve(ChangeVoters::kKind, sigc::mem_fun(*this, &Replica::onChangeVoters));
+  rpc_.serve(Submit::kKind, sigc::mem_fun(*this, &Replica::onSubmit));
+  rpc_.serve(Read::kKind, sigc::mem_fun(*this, &Replica::onRead));
+  rpc_.serve(Invite::kKind, sigc::mem_fun(*this, &Replica::onInvite));
+  rpc_.serve(BootstrapMembers::kKind, sigc::mem_fun(*this, &Replica::onBootstrapMembers));
   if (!plan_.mayFound) plan_.founders.clear();
   room_.start(open());
 }
 
-void Member::changeStanding(Standing next) {
-  if (next == standing_ || standing_ == Standing::kBroken) return;
-  logEvent("standing", {{"from", standingText(standing_)}, {"to", standingText(next)},
+void Replica::changeState(ReplicaState next) {
+  if (next == state_ || state_ == ReplicaState::kBroken) return;
+  logEvent("standing", {{"from", replicaStateText(state_)}, {"to", replicaStateText(next)},
                         {"view", absl::StrCat(memory_.view.revision)}, {"end", absl::StrCat(end_)}});
-  standing_ = next;
+  state_ = next;
   inbox_.clear();
   inboxBytes_ = 0;
   for (const Asked& asked : appendsWaiting_) answerAppend(asked, false);
   appendsWaiting_.clear();
   successorEnd_.reset();
   successorTold_ = false;
-  verified_ = next == Standing::kActive && memory_.view.chain.front().address == self_;
+  verified_ = next == ReplicaState::kActive && memory_.view.chain.front().address == self_;
   verifiedEnd_ = end_;
-  if (next != Standing::kActive) wakeHeld();
+  if (next != ReplicaState::kActive) wakeHeld();
   passEvent_.notify();
   readEvent_.notify();
-  mendEvent_.notify();
-  refillEvent_.notify();
+  reconfigureEvent_.notify();
+  catchUpEvent_.notify();
   viewMoved.emit();
 }
 
-Task Member::open() {
+Task Replica::open() {
   OpenResult opened = wal_.open();
   if (std::holds_alternative<DiskFailure>(opened)) {
-    changeStanding(Standing::kBroken);
+    changeState(ReplicaState::kBroken);
     co_return;
   }
   if (std::holds_alternative<LogDamaged>(opened)) {
@@ -114,7 +114,7 @@
     }
     if (!sound) {
       logDoubt("records_unreadable", {});
-      changeStanding(Standing::kBroken);  // an unknown format is refused, not guessed at
+      changeState(ReplicaState::kBroken);  // an unknown format is refused, not guessed at
       co_return;
     }
   }
@@ -128,34 +128,34 @@
   logEvent("opened", {{"incarnation", hexText(memory_.incarnation)},
                       {"view", absl::StrCat(memory_.view.revision)}, {"end", absl::StrCat(end_)}});
   if (memory_.view.revision == 0) {
-    changeStanding(Standing::kFounding);
-    room_.start(found());
+    changeState(ReplicaState::kBootstrapping);
+    room_.start(bootstrap());
   } else {
     // A restart always waits for a new view: what it did last in this one is not known to it.
     const bool mine = holdsSeat(memory_.view.chain, self_, memory_.incarnation);
-    changeStanding(mine ? Standing::kSealed : Standing::kOutside);
+    changeState(mine ? ReplicaState::kSealed : ReplicaState::kOutside);
   }
   room_.start(write());
   room_.start(passOn());
   room_.start(readBatches());
   room_.start(pingAll());
-  room_.start(mend());
-  room_.start(refill());
+  room_.start(reconfigure());
+  room_.start(followTail());
 }
 
-void Member::onDecided(const Asked& asked) {
+void Replica::onDecided(const Asked& asked) {
   auto message = unpack<Decided>(asked.body);
   if (std::holds_alternative<Decided>(message)) room_.start(takeViewTask(std::get<Decided>(message).view));
 }
 
-Task Member::takeViewTask(View next) {
+Task Replica::takeViewTask(View next) {
   Job<bool> taken = takeView(std::move(next));
   co_await taken;
 }
 
-void Member::onViewAsk(const Asked& asked) { rpc_.reply(asked, ViewVerdict{memory_.view}); }
+void Replica::onViewAsk(const Asked& asked) { rpc_.reply(asked, ViewReply{memory_.view}); }
 
-Job<bool> Member::keepMemory() {
+Job<bool> Replica::keepMemory() {
   AppendResult appended = wal_.append(RecordKind::kMeta, pack(MetaRecord{kImageFormat, memory_}));
   if (!std::holds_alternative<std::uint64_t>(appended)) {
     diskBroke();
@@ -168,9 +168,9 @@
 }
 
 // The one way into a later view. Nothing is done in it before it is durable here.
-Job<bool> Member::takeView(View next) {
-  if (next.revision <= memory_.view.revision || standing_ == Standing::kBroken) co_return true;
-  if (standing_ == Standing::kActive) changeStanding(Standing::kSealed);
+Job<bool> Replica::takeView(View next) {
+  if (next.revision <= memory_.view.revision || state_ == ReplicaState::kBroken) co_return true;
+  if (state_ == ReplicaState::kActive) changeState(ReplicaState::kSealed);
   memory_.view = next;
   memory_.promised = Ballot();
   memory_.acceptedBallot = Ballot();
@@ -184,22 +184,22 @@
   const bool durable = co_await kept;
   if (!durable) co_return false;
   durableRevision_ = std::max(durableRevision_, next.revision);
-  if (memory_.view.revision == next.revision) standingFromView();
+  if (memory_.view.revision == next.revision) stateFromView();
   co_return true;
 }
 
-void Member::standingFromView() {
+void Replica::stateFromView() {
   const bool mine = holdsSeat(memory_.view.chain, self_, memory_.incarnation);
-  refilled_ = mine;
+  caughtUp_ = mine;
   // Chosen while a fetched state is not yet on its disk: it waits for a later view.
-  changeStanding(mine ? (imageLoose_ ? Standing::kSealed : Standing::kActive) : Standing::kOutside);
+  changeState(mine ? (imageLoose_ ? ReplicaState::kSealed : ReplicaState::kActive) : ReplicaState::kOutside);
   std::string chain;
   for (const Seat& seat : memory_.view.chain) absl::StrAppend(&chain, chain.empty() ? "" : ",", addressText(seat.address));
   logEvent("view", {{"revision", absl::StrCat(memory_.view.revision)}, {"chain", chain},
                     {"voters", absl::StrCat(memory_.view.voters.size())}});
 }
 
-Bytes Member::image() const {
+Bytes Replica::image() const {
   Image image;
   image.memory = memory_;
   image.end = end_;
@@ -209,7 +209,7 @@
   return pack(image);
 }
 
-bool Member::loadImage(const Bytes& bytes, bool own) {
+bool Replica::loadImage(const Bytes& bytes, bool own) {
   auto read = unpack<Image>(bytes);
   Image* image = std::get_if<Image>(&read);
   if (image == nullptr || image->format != kImageFormat || !machine_.load(image->state)) return false;
@@ -232,7 +232,7 @@
   return true;
 }
 
-void Member::maybeCheckpoint() {
+void Replica::maybeCheckpoint() {
   if (!wal_.checkpointing() && wal_.bytesSinceCheckpoint() > wal_.ringBytes() / 8) {
     STONEMOUNT_INVARIANT(appended_ <= end_);  // what lies before it on the disk must be in it
     Bytes whole = image();
@@ -242,9 +242,9 @@
   if (wal_.checkpointing() && !wal_.pumpCheckpoint(8)) diskBroke();
 }
 
-void Member::diskBroke() {
+void Replica::diskBroke() {
   logDoubt("disk_broke", {});
-  changeStanding(Standing::kBroken);
+  changeState(ReplicaState::kBroken);
 }
 
 }  // namespace stonemount
--- a/src/anvil/member.h
+++ b/src/replication/replica.h
@@ -1,14 +1,14 @@
 // One member of a chain: the same module keeps control state and store (design.md 6).
 #pragma once
 
-#include "anvil/machine.h"
-#include "anvil/messages.h"
+#include "replication/machine.h"
+#include "replication/messages.h"
 #include "write_ahead_log/group_commit.h"
 #include "runtime/rpc_endpoint.h"
 
 namespace stonemount {
 
-struct MemberPlan {
+struct ReplicaPlan {
   std::string zone;
   std::vector<Address> founders;  // all must be empty and present for the first view
   bool mayFound = true;           // the whole fleet's first start: else nobody founds, ever
@@ -27,27 +27,27 @@
   Pong pong;
 };
 
-struct MemberCounts {
+struct ReplicaCounts {
   std::uint64_t applied = 0, viewChanges = 0, ballots = 0, refusedOld = 0, reads = 0, confirms = 0;
-  std::uint64_t leftBehind = 0, pictures = 0, restartedNarrow = 0;
+  std::uint64_t leftBehind = 0, snapshots = 0, restartedNarrow = 0;
 };
 
-class Member {
+class Replica {
  public:
-  Member(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Machine& machine, MemberPlan plan);
-  ~Member();
+  Replica(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Machine& machine, ReplicaPlan plan);
+  ~Replica();
   void begin();
   void meet(const Address& peer);  // another process of this chain
 
   const View& view() const { return memory_.view; }
-  Standing standing() const { return standing_; }
+  ReplicaState state() const { return state_; }
   std::uint64_t incarnation() const { return memory_.incarnation; }
   std::uint64_t end() const { return end_; }
-  bool active() const { return standing_ == Standing::kActive; }
+  bool active() const { return state_ == ReplicaState::kActive; }
   bool head() const { return active() && memory_.view.chain.front().address == self_; }
   bool tail() const { return active() && memory_.view.chain.back().address == self_; }
   HeadSight sight() const;
-  const MemberCounts& counts() const { return counts_; }
+  const ReplicaCounts& counts() const { return counts_; }
   const absl::btree_map<Address, PeerSight>& peers() const { return peers_; }
   const WriteAheadLog& wal() const { return wal_; }
   sigc::signal<void()> viewMoved;
@@ -62,17 +62,17 @@
   };
   // member.cc, found.cc: life, disk, view
   Task open();
-  Task found();
-  void changeStanding(Standing next);
+  Task bootstrap();
+  void changeState(ReplicaState next);
   Job<bool> keepMemory();
   Job<bool> takeView(View next);
-  void standingFromView();
+  void stateFromView();
   Bytes image() const;
   bool loadImage(const Bytes& image, bool own);
   void maybeCheckpoint();
   void diskBroke();
   void onViewAsk(const Asked& asked);
-  void onFound(const Asked& asked);
+  void onBootstrap(const Asked& asked);
   void onDecided(const Asked& asked);
   Task takeViewTask(View next);
   // relay.cc: commands
@@ -95,18 +95,18 @@
   // voter.cc: ballots
   Pong pong() const;
   void onPing(const Asked& asked);
-  void onPeek(const Asked& asked);
-  void onSeal(const Asked& asked);
+  void onProbe(const Asked& asked);
+  void onFence(const Asked& asked);
   void onPrepare(const Asked& asked);
   void onAccept(const Asked& asked);
   void onConfirm(const Asked& asked);
-  Task answerDurably(Asked asked, VoterVerdict verdict);
+  Task answerDurably(Asked asked, VoterReply verdict);
   bool votes(Revision revision) const;
   bool holds() const;
   // mender.cc: detection and proposals
   Task ping(Address peer);
   Task pingAll();
-  Task mend();
+  Task reconfigure();
   bool heardLately(const Address& peer) const;
   bool suspicion(const Seat& one, const Seat& other) const;
   bool aliveSeat(const Seat& seat) const;
@@ -124,32 +124,32 @@
   Task changeVoters(Asked asked);
   // propose.cc
   Job<ChangeOutcome> propose(View target);
-  Job<bool> sealChain(View& target);
-  Job<bool> sealHolder(View& target);
+  Job<bool> fenceChain(View& target);
+  Job<bool> fenceHolder(View& target);
   Job<bool> ballot(View target);
   // refill.cc
-  Task refill();
+  Task followTail();
   Job<bool> fetchState(Address source);
   Job<bool> fetchLog(Address source, std::uint64_t upTo);
   void onFetchState(const Asked& asked);
   void onFetchLog(const Asked& asked);
   void onCatchUp(const Asked& asked);
-  Task catchUp(Asked asked, CatchUp wish);
+  Task catchUp(Asked asked, CatchUp request);
   void onInvite(const Asked& asked);
-  void onFoundersTold(const Asked& asked);
+  void onBootstrapMembers(const Asked& asked);
   bool invited() const;
 
   Ports& ports_;
   RpcEndpoint& rpc_;
   TaskRoom& room_;
   Machine& machine_;
-  MemberPlan plan_;
+  ReplicaPlan plan_;
   Address self_;
   WriteAheadLog wal_;
   GroupCommit groupCommit_;
-  Standing standing_ = Standing::kOpening;
+  ReplicaState state_ = ReplicaState::kOpening;
   VoterMemory memory_;
-  MemberCounts counts_;
+  ReplicaCounts counts_;
   // the log
   std::uint64_t end_ = 0;        // last entry that is durable here and applied
   std::uint64_t committed_ = 0;  // last entry known to be durable at the tail
@@ -162,7 +162,7 @@
   std::uint64_t appended_ = 0;   // last entry handed to the disk, durable or not
   Revision endRevision_ = 0;     // of the entry at end_
   std::uint64_t received() const;
-  Event inboxEvent_, passEvent_, readEvent_, mendEvent_;
+  Event inboxEvent_, passEvent_, readEvent_, reconfigureEvent_;
   std::optional<std::uint64_t> successorEnd_;  // once its log is known to be the beginning of ours
   bool successorTold_ = false;
   std::uint64_t successorPeak_ = 0;  // the most that it said to hold in this view
@@ -186,24 +186,24 @@
   bool proposing_ = false;
   Us promisedUs_ = 0;  // when it last promised another's ballot
   Revision durableRevision_ = 0;  // of the newest view that its disk holds
-  std::optional<ChangeVoters> wish_;
-  std::size_t wishers_ = 0;  // who wait for it
+  std::optional<ChangeVoters> request_;
+  std::size_t requesters_ = 0;  // who wait for it
   Address tooFarBehind_;  // a successor left behind, until the next view
   // refill
   Us invitedUntilUs_ = 0;  // by who wants it in; else a member without a seat copies nothing
-  Event refillEvent_;
-  bool refilled_ = false;
+  Event catchUpEvent_;
+  bool caughtUp_ = false;
   bool fetching_ = false;
   bool fetchRefused_ = false;
   std::size_t fetchBytes_ = 0;    // asked for at a time; less over a slow link
   bool imageLoose_ = false;       // a fetched state is in memory and not yet on the disk
   Us heldUntilUs_ = 0;            // sealed as a holder: fetches nothing meanwhile
   sigc::connection refused_;
-  std::uint64_t pictureToken_ = 0;
-  Us pictureUsedUs_ = 0;
-  Revision pictureRevision_ = 0;
-  std::uint64_t pictureEnd_ = 0;
-  Bytes picture_;
+  std::uint64_t snapshotToken_ = 0;
+  Us snapshotUsedUs_ = 0;
+  Revision snapshotRevision_ = 0;
+  std::uint64_t snapshotEnd_ = 0;
+  Bytes snapshot_;
 };
 
 }  // namespace stonemount
--- a/src/anvil/member_face.cc
+++ b/src/replication/replica_status.cc
@@ -1,23 +1,23 @@
-#include "anvil/member_face.h"
+#include "replication/replica_status.h"
 
 namespace stonemount {
 
-MemberPlan memberPlanOf(const Settings& settings) {
-  MemberPlan plan;
+ReplicaPlan replicaPlanOf(const Settings& settings) {
+  ReplicaPlan plan;
   plan.zone = settings.zone;
   plan.founders = settings.founders;
   plan.mayFound = settings.firstStart;
   return plan;
 }
 
-void answerMemberMetrics(const HttpAsk& ask, HttpReply& reply, JsonOut& out, const Member& member, const RpcEndpoint& rpc) {
+void answerReplicaMetrics(const HttpAsk& ask, HttpReply& reply, JsonOut& out, const Replica& member, const RpcEndpoint& rpc) {
   if (ask.path != "/metrics") {
     JsonOut unknown;
     unknown.object().field("verdict", "unknown_path").field("path", ask.path).closeObject();
     return reply.whole(404, {}, unknown.take() + "\n");
   }
-  const MemberCounts& counts = member.counts();
-  out.field("standing", standingText(member.standing())).field("view", member.view().revision);
+  const ReplicaCounts& counts = member.counts();
+  out.field("standing", replicaStateText(member.state())).field("view", member.view().revision);
   out.field("end", member.end()).field("applied", counts.applied).field("reads", counts.reads);
   out.field("confirms", counts.confirms).field("ballots", counts.ballots).field("viewChanges", counts.viewChanges);
   out.field("refusedOld", counts.refusedOld).field("syncs", member.wal().syncs);
--- a/src/anvil/view.h
+++ b/src/replication/view.h
@@ -16,11 +16,11 @@
 struct View {
   Revision revision = 0;
   std::vector<Seat> voters;
-  std::vector<Seat> guests;  // may be in the chain, and have no vote (design.md 6.1)
+  std::vector<Seat> nonVoters;  // may be in the chain, and have no vote (design.md 6.1)
   std::vector<Seat> chain;  // head first, tail last
   std::vector<Seat> wide;   // the newest chain in two zones: each of it holds all that was acknowledged or shown
   friend bool operator==(const View&, const View&) = default;
-  STONEMOUNT_PACK(revision, voters, guests, chain, wide)
+  STONEMOUNT_PACK(revision, voters, nonVoters, chain, wide)
   std::size_t majority() const { return voters.size() / 2 + 1; }
 };
 
@@ -53,16 +53,16 @@
   }
   return !voters.empty();
 }
-// A vote, unless it would make some zone's loss the loss of the majority; then a guest's seat.
+// A vote, unless it would make some zone's loss the loss of the majority; then a nonVoter's seat.
 inline void giveSeat(View& wanted, const Seat& seat) {
   std::vector<Seat> with = wanted.voters;
   with.push_back(seat);
   const bool votes = outlivesZones(with) || !outlivesZones(wanted.voters);
-  (votes ? wanted.voters : wanted.guests).push_back(seat);
+  (votes ? wanted.voters : wanted.nonVoters).push_back(seat);
 }
 inline const Seat* findMember(const View& view, const Address& address) {
   const Seat* voter = findSeat(view.voters, address);
-  return voter != nullptr ? voter : findSeat(view.guests, address);
+  return voter != nullptr ? voter : findSeat(view.nonVoters, address);
 }
 
 // A chain in one zone acknowledges and shows nothing, so it may be left behind for one that starts from
@@ -106,14 +106,14 @@
   STONEMOUNT_PACK(index, revision, id, client, exchange, command)
 };
 
-enum class Standing : std::uint8_t {
+enum class ReplicaState : std::uint8_t {
   kOpening,    // reading its disk
-  kFounding,   // no view known yet
+  kBootstrapping,   // no view known yet
   kOutside,    // a view is known; this incarnation is not in its chain
   kSealed,     // in the chain, but must not pass on or acknowledge until a later view
   kActive,     // serves in the current view
   kBroken,     // its disk failed; takes part in nothing
 };
-const char* standingText(Standing standing);
+const char* replicaStateText(ReplicaState state);
 
 }  // namespace stonemount
--- a/src/anvil/voter.cc
+++ b/src/replication/voter.cc
@@ -1,30 +1,30 @@
 // Voters: pings, seals, and the ballots for the next view (design.md 6.5).
-#include "anvil/member.h"
+#include "replication/replica.h"
 
 namespace stonemount {
 
-Pong Member::pong() const {
+Pong Replica::pong() const {
   Pong pong;
   pong.incarnation = memory_.incarnation;
   pong.revision = durableRevision_;
-  pong.standing = standing_;
+  pong.state = state_;
   pong.zone = plan_.zone;
   pong.end = end_;
-  pong.refilled = refilled_ && standing_ != Standing::kBroken;
+  pong.caughtUp = caughtUp_ && state_ != ReplicaState::kBroken;
   pong.ballotOpen = memory_.accepted.has_value();
   pong.stalledUs = wal_.stalledUs();
   pong.worstSyncUs = wal_.worstSyncUs();
   pong.wallUs = ports_.clock.wallUs();
   if (tooFarBehind_.set()) pong.suspects.push_back(tooFarBehind_);
   if (ports_.clock.monoUs() < blindUntilUs_) return pong;
-  for (const std::vector<Seat>* seats : {&memory_.view.voters, &memory_.view.guests})
+  for (const std::vector<Seat>* seats : {&memory_.view.voters, &memory_.view.nonVoters})
     for (const Seat& seat : *seats)
       if (!heardLately(seat.address)) pong.suspects.push_back(seat.address);
   return pong;
 }
 
 // With nothing to do it marks what was synced last, so that damage to the newest records shows too.
-Job<bool> Member::markSynced() {
+Job<bool> Replica::markSynced() {
   if (!inbox_.empty() || fetching_ || !wal_.wantsMark()) co_return true;
   wal_.append(RecordKind::kMark, Bytes());
   GroupCommit::Wait wait(groupCommit_);
@@ -33,7 +33,7 @@
 }
 
 // Its clocks, and the wall clocks of its voters as far as it hears them (design.md 8.4).
-HeadSight Member::sight() const {
+HeadSight Replica::sight() const {
   const Us nowUs = ports_.clock.monoUs();
   HeadSight sight{nowUs, ports_.clock.wallUs(), memory_.incarnation, memory_.view.revision, {}, 0};
   sight.clocks = static_cast<std::uint32_t>(memory_.view.voters.size());
@@ -49,16 +49,16 @@
 }
 
 // No process listens at its address: there is no need to wait for its silence.
-void Member::onRefused(const Address& peer) {
+void Replica::onRefused(const Address& peer) {
   auto found = peers_.find(peer);
   if (found == peers_.end() || found->second.heardUs < 0) return;
   found->second.heardUs = -1;
-  mendEvent_.notify();
+  reconfigureEvent_.notify();
 }
 
-void Member::onPeek(const Asked& asked) { rpc_.reply(asked, pong()); }
+void Replica::onProbe(const Asked& asked) { rpc_.reply(asked, pong()); }
 
-void Member::onPing(const Asked& asked) {
+void Replica::onPing(const Asked& asked) {
   auto message = unpack<Ping>(asked.body);
   if (!std::holds_alternative<Ping>(message)) return;
   rpc_.reply(asked, pong());
@@ -66,28 +66,28 @@
 }
 
 // May this incarnation vote on what follows the given view?
-bool Member::votes(Revision revision) const {
-  return memory_.view.revision == revision && standing_ != Standing::kBroken &&
-         standing_ != Standing::kOpening &&
+bool Replica::votes(Revision revision) const {
+  return memory_.view.revision == revision && state_ != ReplicaState::kBroken &&
+         state_ != ReplicaState::kOpening &&
          holdsSeat(memory_.view.voters, self_, memory_.incarnation);
 }
 
 // Does it hold all that was acknowledged, though it is outside a chain that acknowledges nothing?
-bool Member::holds() const {
+bool Replica::holds() const {
   return mayLeaveChain(memory_.view) && holdsSeat(memory_.view.wide, self_, memory_.incarnation);
 }
 
-void Member::onSeal(const Asked& asked) {
-  auto message = unpack<Seal>(asked.body);
-  if (!std::holds_alternative<Seal>(message)) return;
-  SealVerdict verdict;
+void Replica::onFence(const Asked& asked) {
+  auto message = unpack<Fence>(asked.body);
+  if (!std::holds_alternative<Fence>(message)) return;
+  FenceReply verdict;
   verdict.incarnation = memory_.incarnation;
-  const bool same = memory_.view.revision == std::get<Seal>(message).revision && !imageLoose_;
+  const bool same = memory_.view.revision == std::get<Fence>(message).revision && !imageLoose_;
   const bool mine = same && holdsSeat(memory_.view.chain, self_, memory_.incarnation);
-  if (mine && standing_ == Standing::kActive) changeStanding(Standing::kSealed);
-  verdict.granted = mine && standing_ == Standing::kSealed;
+  if (mine && state_ == ReplicaState::kActive) changeState(ReplicaState::kSealed);
+  verdict.granted = mine && state_ == ReplicaState::kSealed;
   // A holder outside a chain that may be left behind: it keeps still until the next view, or a while.
-  if (same && !mine && holds() && standing_ == Standing::kOutside && !fetching_ && appended_ <= end_) {
+  if (same && !mine && holds() && state_ == ReplicaState::kOutside && !fetching_ && appended_ <= end_) {
     heldUntilUs_ = ports_.clock.monoUs() + 2 * kSecondUs;
     verdict.granted = true;
   }
@@ -96,18 +96,18 @@
   rpc_.reply(asked, verdict);
 }
 
-Task Member::answerDurably(Asked asked, VoterVerdict verdict) {
+Task Replica::answerDurably(Asked asked, VoterReply verdict) {
   Job<bool> kept = keepMemory();
   const bool durable = co_await kept;
   if (durable) rpc_.reply(asked, verdict);
 }
 
-void Member::onPrepare(const Asked& asked) {
+void Replica::onPrepare(const Asked& asked) {
   auto message = unpack<Prepare>(asked.body);
   if (!std::holds_alternative<Prepare>(message)) return;
   const Prepare& prepare = std::get<Prepare>(message);
   highestRound_ = std::max(highestRound_, prepare.ballot.round);
-  VoterVerdict verdict;
+  VoterReply verdict;
   verdict.incarnation = memory_.incarnation;
   verdict.granted = votes(prepare.revision) && prepare.ballot > memory_.promised;
   if (verdict.granted) {
@@ -121,12 +121,12 @@
   else rpc_.reply(asked, verdict);
 }
 
-void Member::onAccept(const Asked& asked) {
+void Replica::onAccept(const Asked& asked) {
   auto message = unpack<Accept>(asked.body);
   if (!std::holds_alternative<Accept>(message)) return;
   const Accept& accept = std::get<Accept>(message);
   highestRound_ = std::max(highestRound_, accept.ballot.round);
-  VoterVerdict verdict;
+  VoterReply verdict;
   verdict.incarnation = memory_.incarnation;
   verdict.granted = votes(accept.revision) && accept.ballot >= memory_.promised;
   if (verdict.granted) {
@@ -140,10 +140,10 @@
 }
 
 // "Yes" only while no later view can have been decided with this voter's vote.
-void Member::onConfirm(const Asked& asked) {
+void Replica::onConfirm(const Asked& asked) {
   auto message = unpack<Confirm>(asked.body);
   if (!std::holds_alternative<Confirm>(message)) return;
-  VoterVerdict verdict;
+  VoterReply verdict;
   verdict.incarnation = memory_.incarnation;
   verdict.granted = votes(std::get<Confirm>(message).revision) && !memory_.accepted;
   rpc_.reply(asked, verdict);
--- a/src/store/store.cc
+++ b/src/store/store.cc
@@ -2,14 +2,14 @@
 
 #include <absl/strings/str_cat.h>
 
-#include "anvil/member_face.h"
+#include "replication/replica_status.h"
 
 namespace stonemount {
 
 Store::Store(Ports& ports, Settings settings, ShimPlan shim, StorePlan plan)
     : ports_(ports), settings_(std::move(settings)), rpc_(ports.timers, ports.wire, ports.chance),
       shim_(ports, rpc_, room_, std::move(shim)), machine_(ports.chance, plan),
-      member_(ports, rpc_, room_, machine_, memberPlanOf(settings_)), client_(ports, rpc_, settings_.founders) {}
+      replica_(ports, rpc_, room_, machine_, replicaPlanOf(settings_)), client_(ports, rpc_, settings_.founders) {}
 
 Store::~Store() {
   asked_.disconnect();
@@ -23,23 +23,23 @@
   card.zone = settings_.zone;
   card.machine = settings_.name;
   shim_.met.connect(sigc::mem_fun(*this, &Store::onMet));
-  member_.viewMoved.connect(sigc::mem_fun(*this, &Store::onView));
+  replica_.viewMoved.connect(sigc::mem_fun(*this, &Store::onView));
   shim_.begin(card);
   rpc_.serve(SessionAsk::kKind, sigc::mem_fun(*this, &Store::onSession));
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Store::onAsked));
-  member_.begin();
+  replica_.begin();
   room_.start(watchSession());
 }
 
 void Store::onMet(const Card& card) {
   if (card.role != Role::kStore) return;
-  member_.meet(card.wire);
+  replica_.meet(card.wire);
   client_.learnMember(card.wire);
 }
 
 // Empty, on the fleet's first start, and nobody told it who founds: it may become a founder.
 void Store::onView() {
-  shim_.self().empty = settings_.firstStart && settings_.founders.empty() && member_.standing() == Standing::kFounding;
+  shim_.self().empty = settings_.firstStart && settings_.founders.empty() && replica_.state() == ReplicaState::kBootstrapping;
 }
 
 // One line for each change of epoch or certainty, from the tail alone.
@@ -47,7 +47,7 @@
   const StoreState& state = machine_.state();
   const bool news = state.cut.epoch != toldCut_.epoch || state.cut.certain != toldCut_.certain ||
                     state.cut.doubts != toldCut_.doubts;
-  if (!member_.tail() || !news) return;
+  if (!replica_.tail() || !news) return;
   toldCut_ = state.cut;
   logEvent("cut", {{"epoch", absl::StrCat(state.cut.epoch)}, {"cut_us", absl::StrCat(state.cut.cutUs)},
                    {"certain", state.cut.certain ? "yes" : "no"}, {"cause", doubtText(state.cut.doubt)},
@@ -62,7 +62,7 @@
     co_await pause;
     const CutState& cut = machine_.state().cut;
     tellCut();
-    if (!member_.head() || !cut.certain || machine_.sessions().live(cut.session, member_.sight())) continue;
+    if (!replica_.head() || !cut.certain || machine_.sessions().live(cut.session, replica_.sight())) continue;
     Job<ChainAnswer> doubting = client_.submit(pack(StoreCommand(DoubtCut{cut.epoch})), kSecondUs);
     co_await doubting;
   }
@@ -72,7 +72,7 @@
   auto message = unpack<SessionAsk>(asked.body);
   if (!std::holds_alternative<SessionAsk>(message)) return;
   SessionVerdict verdict;
-  if (member_.head()) verdict = machine_.sessions().open(std::get<SessionAsk>(message).holder, member_.sight());
+  if (replica_.head()) verdict = machine_.sessions().open(std::get<SessionAsk>(message).holder, replica_.sight());
   rpc_.reply(asked, verdict);
 }
 
@@ -80,7 +80,7 @@
   const CutState& cut = machine_.state().cut;
   JsonOut out;
   out.object().field("role", "store").field("cutUs", cut.cutUs).field("certain", cut.certain).field("epoch", cut.epoch);
-  answerMemberMetrics(ask, *reply, out, member_, rpc_);
+  answerReplicaMetrics(ask, *reply, out, replica_, rpc_);
 }
 
 }  // namespace stonemount
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -1,8 +1,8 @@
 // A store process: a member of the store chain (design.md 2).
 #pragma once
 
-#include "anvil/client.h"
-#include "anvil/member.h"
+#include "replication/client.h"
+#include "replication/replica.h"
 #include "jig/settings.h"
 #include "shim/shim.h"
 #include "store/store_machine.h"
@@ -14,8 +14,8 @@
   Store(Ports& ports, Settings settings, ShimPlan shim, StorePlan plan);
   ~Store();
   void begin();
-  const Member& member() const { return member_; }
-  Member& member() { return member_; }
+  const Replica& replica() const { return replica_; }
+  Replica& replica() { return replica_; }
   const StoreMachine& machine() const { return machine_; }
   StoreMachine& machine() { return machine_; }
 
@@ -32,7 +32,7 @@
   RpcEndpoint rpc_;
   Shim shim_;
   StoreMachine machine_;
-  Member member_;
+  Replica replica_;
   ChainClient client_;
   CutState toldCut_;  // as it was last logged
   sigc::connection asked_;
--- a/src/store/store_machine.h
+++ b/src/store/store_machine.h
@@ -1,7 +1,7 @@
 // The machine behind the store chain: events, lots, runs, slots, tombstones and the cut (design.md 7.3).
 #pragma once
 
-#include "anvil/machine.h"
+#include "replication/machine.h"
 #include "gauge/session.h"
 #include "store/lot_index.h"
 
--- a/tests/chain_loss_test.cc
+++ b/tests/chain_loss_test.cc
@@ -88,11 +88,11 @@
     rig.start(lost);
   }
   for (int i = 0; i < 6; ++i) writeSome(rig, 8);
-  expect(wholeWithin(rig, 30 * kSecondUs), "two empty members are refilled at once, seed " + std::to_string(seed));
-  std::uint64_t pictures = 0;
-  for (const auto& process : rig.processes) pictures += process->member.counts().pictures;
-  expect(pictures <= 6, "from few pictures: " + std::to_string(pictures));
-  std::printf("pictures %llu\n", static_cast<unsigned long long>(pictures));
+  expect(wholeWithin(rig, 30 * kSecondUs), "two empty members are caughtUp at once, seed " + std::to_string(seed));
+  std::uint64_t snapshots = 0;
+  for (const auto& process : rig.processes) snapshots += process->member.counts().snapshots;
+  expect(snapshots <= 6, "from few snapshots: " + std::to_string(snapshots));
+  std::printf("snapshots %llu\n", static_cast<unsigned long long>(snapshots));
 }
 
 // A link on which 256 KiB take 2.5 s; the source is lost, or freezes, midway.
@@ -109,7 +109,7 @@
   if (seed % 3 == 2) rig.hosts[2]->frozenUntilUs = rig.world.nowUs() + 3 * kSecondUs;
   rig.world.runUntil(rig.world.nowUs() + 2 * kSecondUs);
   rig.start(2);
-  expect(wholeWithin(rig, 60 * kSecondUs), "a member is refilled over a slow link, seed " + std::to_string(seed));
+  expect(wholeWithin(rig, 60 * kSecondUs), "a member is caughtUp over a slow link, seed " + std::to_string(seed));
 }
 
 // Four voters: one machine lost for good while another's disk is slow; three are just the majority.
@@ -128,9 +128,9 @@
 // A tail that slept through the end of its view, and a reader that knows no newer one.
 struct Asker {
   Task run(Rig& rig, Address tail, Revision revision) {
-    Job<std::variant<ChainVerdict, PeerSilent>> job = ask<ChainVerdict>(*rig.rpc, tail, Read{revision, "all", 0}, 6 * kSecondUs);
-    std::variant<ChainVerdict, PeerSilent> verdict = co_await job;
-    auto* given = std::get_if<ChainVerdict>(&verdict);
+    Job<std::variant<ChainReply, PeerSilent>> job = ask<ChainReply>(*rig.rpc, tail, Read{revision, "all", 0}, 6 * kSecondUs);
+    std::variant<ChainReply, PeerSilent> verdict = co_await job;
+    auto* given = std::get_if<ChainReply>(&verdict);
     answered = given != nullptr && given->outcome == ChainOutcome::kDone;
   }
   bool answered = false;
--- a/tests/chain_rig.h
+++ b/tests/chain_rig.h
@@ -5,8 +5,8 @@
 
 #include <cstdio>
 
-#include "anvil/client.h"
-#include "anvil/member.h"
+#include "replication/client.h"
+#include "replication/replica.h"
 #include "bench/world.h"
 
 namespace stonemount {
@@ -38,7 +38,7 @@
 using Views = std::map<Revision, View>;
 
 struct Process {
-  Process(SimHost& host, MemberPlan plan, Views& given)
+  Process(SimHost& host, ReplicaPlan plan, Views& given)
       : views(given), ports(host.ports()), rpc(host, host, host.chance),
         member(ports, rpc, room, machine, std::move(plan)) {
     member.viewMoved.connect(sigc::mem_fun(*this, &Process::onView));
@@ -55,7 +55,7 @@
   TaskRoom room;
   RpcEndpoint rpc;
   ListMachine machine;
-  Member member;
+  Replica member;
 };
 
 struct Rig {
@@ -83,7 +83,7 @@
   void start(std::size_t i) {
     if (processes[i]) return;
     hosts[i]->rise();
-    MemberPlan plan;
+    ReplicaPlan plan;
     plan.zone = hosts[i]->zone();
     plan.founders = addresses;
     plan.keptEntries = kept;
@@ -91,10 +91,10 @@
   }
   void kill(std::size_t i) {
     if (!processes[i]) return;
-    const MemberCounts& counts = processes[i]->member.counts();
+    const ReplicaCounts& counts = processes[i]->member.counts();
     leftBehind += counts.leftBehind;
     restartedNarrow += counts.restartedNarrow;
-    if (processes[i]->member.standing() != Standing::kOpening) lives[addresses[i]] = processes[i]->member.incarnation();
+    if (processes[i]->member.state() != ReplicaState::kOpening) lives[addresses[i]] = processes[i]->member.incarnation();
     processes[i].reset();
     hosts[i]->fall();
     hosts[i]->disk->losePower(chance);
@@ -108,7 +108,7 @@
   bool mayWipe(std::size_t victim) {
     if (views.empty()) return false;
     for (std::size_t i = 0; i < processes.size(); ++i)
-      if (processes[i] && processes[i]->member.standing() != Standing::kOpening)
+      if (processes[i] && processes[i]->member.state() != ReplicaState::kOpening)
         lives[addresses[i]] = processes[i]->member.incarnation();
     const View& view = views.rbegin()->second;
     std::size_t voters = 0, holders = 0;
@@ -148,7 +148,7 @@
   Job<ChainAnswer> job = rig.client->submit(value, 3 * kSecondUs);
   const ChainAnswer answer = co_await job;
   auto* failure = std::get_if<ChainFailure>(&answer);
-  if (failure != nullptr && failure->trouble != ChainTrouble::kUnreachable) rig.refused.insert(value);
+  if (failure != nullptr && failure->trouble != ChainError::kUnreachable) rig.refused.insert(value);
   if (failure != nullptr) co_return;
   rig.acked.insert(value);
   ++rig.written;
--- a/tests/clock_test.cc
+++ b/tests/clock_test.cc
@@ -18,7 +18,7 @@
 
 const CutState* cutOf(Asking& fleet) {
   for (Part* part : fleet.fleet.of(PartKind::kStore))
-    if (part->store && part->store->member().tail()) return &part->store->machine().state().cut;
+    if (part->store && part->store->replica().tail()) return &part->store->machine().state().cut;
   return nullptr;
 }
 
--- a/tests/decoder_test.cc
+++ b/tests/decoder_test.cc
@@ -2,7 +2,7 @@
 // process; all answer with a failure of their own type. Run under sanitizers too.
 #include <rapidcheck.h>
 
-#include "anvil/messages.h"
+#include "replication/messages.h"
 #include "core/control_machine.h"
 #include "jig/config_check.h"
 #include "jig/platform_list.h"
--- a/tests/limits_test.cc
+++ b/tests/limits_test.cc
@@ -120,7 +120,7 @@
 
 bool certainAfter(Fleet& fleet, std::uint64_t epoch) {
   for (Part* part : fleet.of(PartKind::kStore)) {
-    if (!part->store || !part->store->member().tail()) continue;
+    if (!part->store || !part->store->replica().tail()) continue;
     const CutState& cut = part->store->machine().state().cut;
     return cut.certain && cut.epoch > epoch;
   }
--- a/tests/lot_store_test.cc
+++ b/tests/lot_store_test.cc
@@ -1,4 +1,4 @@
-// Standing lots in the store's machine alone: whatever order grants, failures, seals, sweeps, doubts and ends
+// ReplicaState lots in the store's machine alone: whatever order grants, failures, seals, sweeps, doubts and ends
 // come in, results keep their positions and content, bodies stay until they are listed, and nothing is given up
 // but for a worker's no, too many failures, or a retention that the cut has passed (design.md 7.4).
 #include <rapidcheck.h>
--- a/tests/members_stage.h
+++ b/tests/members_stage.h
@@ -61,7 +61,7 @@
     static const View none;
     const View* newest = &none;
     for (Part* part : fleet.of(kind)) {
-      const Member* member = fleet.memberOf(*part);
+      const Replica* member = fleet.memberOf(*part);
       if (member != nullptr && member->view().revision > newest->revision) newest = &member->view();
     }
     return *newest;
@@ -85,7 +85,7 @@
     const View now = view(kind);
     if (now.voters.size() < 3 || now.chain.size() < 3 || !outlivesZones(now.voters)) return false;
     for (const Seat& seat : now.voters) {
-      const Member* member = fleet.memberOf(*partAt(seat.address));
+      const Replica* member = fleet.memberOf(*partAt(seat.address));
       if (member == nullptr || !member->active() || partAt(seat.address)->host->frozen()) return false;
     }
     return true;
--- a/tests/members_test.cc
+++ b/tests/members_test.cc
@@ -102,7 +102,7 @@
   Part& old = stage.seated(PartKind::kStore);
   Part& fresh = stage.arrive(PartKind::kStore, old.host->zone());
   stage.run(4 * kSecondUs);
-  expect(fresh.store->member().standing() == Standing::kOutside && fresh.store->member().end() == 0, seed, "it is to spare");
+  expect(fresh.store->replica().state() == ReplicaState::kOutside && fresh.store->replica().end() == 0, seed, "it is to spare");
   stage.lose(old);
   expect(stage.untilWhole(PartKind::kStore, 12 * kSecondUs) <= 6 * kSecondUs, seed, "one to spare takes the seat");
   stage.conclude();
--- a/tests/operators_test.cc
+++ b/tests/operators_test.cc
@@ -112,7 +112,7 @@
   bool wanted;
   bool holds() const {
     for (Part* part : fleet.of(kind)) {
-      const Member* one = fleet.memberOf(*part);
+      const Replica* one = fleet.memberOf(*part);
       if (one != nullptr && one->tail()) return (findSeat(one->view().chain, member) != nullptr) == wanted;
     }
     return false;
--- a/tests/repair_test.cc
+++ b/tests/repair_test.cc
@@ -117,8 +117,8 @@
     for (int i = 0; i < 20; ++i) store.host->disk->corrupt(chance);
     fleet.fleet.run(2 * kSecondUs);
     fleet.fleet.start(store);
-    for (int i = 0; i < 200 && !store.store->member().active(); ++i) fleet.fleet.run(100 * kMilliUs);
-    fleet.expect(store.store->member().active(), absl::StrCat("a rotten disk is mended, seed ", seed));
+    for (int i = 0; i < 200 && !store.store->replica().active(); ++i) fleet.fleet.run(100 * kMilliUs);
+    fleet.expect(store.store->replica().active(), absl::StrCat("a rotten disk is mended, seed ", seed));
     fleet.expect(fleet.ask("GET", "/v1/lots/lot-1").has("\"state\":\"complete\""), absl::StrCat("nothing is lost, seed ", seed));
   }
 }
--- a/tests/seats_test.cc
+++ b/tests/seats_test.cc
@@ -31,12 +31,12 @@
   // As the mender carries it out.
   void carryOut(const ChangeVoters& change) {
     std::erase_if(view.voters, SeatAt{change.remove});
-    std::erase_if(view.guests, SeatAt{change.remove});
+    std::erase_if(view.nonVoters, SeatAt{change.remove});
     if (change.add.set()) giveSeat(view, *findSeat(fit, change.add));
     std::erase_if(fit, SeatAt{change.add});
     if (change.remove.set())
-      for (const Seat& guest : std::exchange(view.guests, {}))
-        dead.contains(guest.address) ? view.guests.push_back(guest) : giveSeat(view, guest);
+      for (const Seat& nonVoter : std::exchange(view.nonVoters, {}))
+        dead.contains(nonVoter.address) ? view.nonVoters.push_back(nonVoter) : giveSeat(view, nonVoter);
   }
 };
 
