--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -13,7 +13,7 @@
       sampler_(ports, rpc_, room_, mallet_, store_, replica_, plan.gauge), rebuilder_(ports, rpc_, shim_, core_, machine_),
       ownList_(ports, settings_.platform), lister_(core_, machine_, plan.list != nullptr ? plan.list : &ownList_),
       operators_(ports, core_),
-      steward_(ports, rpc_, room_, mallet_, shim_, replica_, machine_, core_, store_, stewardPlanOf(settings_, plan.steward)),
+      membershipManager_(ports, rpc_, room_, mallet_, shim_, replica_, machine_, core_, store_, membershipPlanOf(settings_, plan.membershipManager)),
       retireService_(ports, rpc_, shim_, core_, store_, settings_.bounds.lostMachines) {}
 
 Core::~Core() {
@@ -32,10 +32,10 @@
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Core::onAsked));
   shim_.begin(card);
   core_.learnMember(settings_.wire);
-  mallet_.begin({Sampler::kDuty, kLister, Steward::kDuty});
+  mallet_.begin({Sampler::kDuty, kLister, MembershipManager::kDuty});
   replica_.begin();
   sampler_.begin();
-  steward_.begin();
+  membershipManager_.begin();
   room_.start(list());
   room_.start(watchZone());
 }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "replication/replica.h"
-#include "clamp/retire.h"
-#include "clamp/steward.h"
+#include "membership/retire.h"
+#include "membership/membership_manager.h"
 #include "core/control_machine.h"
 #include "core/lister.h"
 #include "core/operator_desk.h"
@@ -21,7 +21,7 @@
   GaugePlan gauge;
   Us listUs = 600 * kMilliUs;
   WorkerListSource* list = nullptr;  // none: the settings' platform, if there is one
-  StewardPlan steward;
+  MembershipPlan membershipManager;
 };
 
 class Core {
@@ -60,7 +60,7 @@
   PlatformListSource ownList_;
   Lister lister_;
   OperatorService operators_;
-  Steward steward_;
+  MembershipManager membershipManager_;
   RetireByOrder retireService_;
   sigc::connection asked_;
 };
--- a/src/clamp/watch.cc
+++ b/src/membership/failure_detector.cc
@@ -1,4 +1,4 @@
-#include "clamp/watch.h"
+#include "membership/failure_detector.h"
 
 #include <algorithm>
 
@@ -14,7 +14,7 @@
   if (auto* pong = std::get_if<Pong>(&read)) pongs_[members_[peer]] = std::move(*pong);
 }
 
-void ChainWatch::look(const View& view, Us nowUs) {
+void FailureDetector::look(const View& view, Us nowUs) {
   const bool blind = lookedUs_ < 0 || nowUs - lookedUs_ > plan_.blindUs;
   lookedUs_ = nowUs;
   for (const std::vector<Seat>* seats : {&view.voters, &view.nonVoters})
@@ -28,22 +28,22 @@
   }
 }
 
-void ChainWatch::suppose(const Address& member, Us heardUs) { sights_.try_emplace(member, Sight{heardUs, false, {}}); }
+void FailureDetector::suppose(const Address& member, Us heardUs) { sights_.try_emplace(member, Sight{heardUs, false, {}}); }
 
-void ChainWatch::heard(const Address& member, const Pong& pong, Us heardUs) {
+void FailureDetector::heard(const Address& member, const Pong& pong, Us heardUs) {
   Sight& sight = sights_[member];
   sight.heardUs = std::max(sight.heardUs, heardUs);
   sight.asked = true;
   sight.pong = pong;
 }
 
-const Pong* ChainWatch::pong(const Address& member, Us nowUs) const {
+const Pong* FailureDetector::pong(const Address& member, Us nowUs) const {
   auto found = sights_.find(member);
   const bool lately = found != sights_.end() && found->second.asked && nowUs - found->second.heardUs < plan_.lateUs;
   return lately ? &found->second.pong : nullptr;
 }
 
-bool ChainWatch::doubted(const Address& member, Us nowUs) const {
+bool FailureDetector::doubted(const Address& member, Us nowUs) const {
   auto found = sights_.find(member);
   if (found == sights_.end()) return false;
   return nowUs - found->second.heardUs >= plan_.doubtUs ||
@@ -51,7 +51,7 @@
 }
 
 // Silent to the watcher, and to every other voter that it hears: a way cut between two is no death.
-bool ChainWatch::dead(const View& view, const Address& member, Us nowUs) const {
+bool FailureDetector::dead(const View& view, const Address& member, Us nowUs) const {
   auto found = sights_.find(member);
   if (found == sights_.end()) return false;
   const bool broken = found->second.asked && found->second.pong.state == ReplicaState::kBroken;
--- a/src/clamp/watch.h
+++ b/src/membership/failure_detector.h
@@ -21,16 +21,16 @@
   absl::btree_map<Address, Pong> pongs_;
 };
 
-struct WatchPlan {
+struct FailureDetectorPlan {
   Us deadUs = 2500 * kMilliUs;    // silent to all for so long: another may take its seat
   Us doubtUs = 1500 * kMilliUs;   // silent for so long: another had better be caughtUp, which costs the chain
   Us lateUs = 700 * kMilliUs;     // silent for so long: what it said last is not gone by
   Us blindUs = 1500 * kMilliUs;   // not looked for so long: whoever watches was frozen itself
 };
 
-class ChainWatch {
+class FailureDetector {
  public:
-  explicit ChainWatch(WatchPlan plan) : plan_(plan) {}
+  explicit FailureDetector(FailureDetectorPlan plan) : plan_(plan) {}
   // Forgets all, or, after a gap in looking, gives everyone their time again.
   void clear() { sights_.clear(); }
   void look(const View& view, Us nowUs);
@@ -46,7 +46,7 @@
     bool asked = false;  // a pong came
     Pong pong;
   };
-  WatchPlan plan_;
+  FailureDetectorPlan plan_;
   Us lookedUs_ = -1;
   absl::btree_map<Address, Sight> sights_;
 };
--- a/src/clamp/steward.cc
+++ b/src/membership/membership_manager.cc
@@ -1,4 +1,4 @@
-#include "clamp/steward.h"
+#include "membership/membership_manager.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -10,23 +10,23 @@
 constexpr Us kOrderLimitUs = 1500 * kMilliUs;
 }
 
-StewardPlan stewardPlanOf(const Settings& settings, StewardPlan plan) {
+MembershipPlan membershipPlanOf(const Settings& settings, MembershipPlan plan) {
   plan.seats = 2 * static_cast<std::size_t>(settings.bounds.lostMachines) + 1;
   return plan;
 }
 
-Steward::Steward(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, Shim& shim, const Replica& control,
-                 const ControlMachine& machine, ChainClient& core, ChainClient& store, StewardPlan plan)
+MembershipManager::MembershipManager(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, Shim& shim, const Replica& control,
+                 const ControlMachine& machine, ChainClient& core, ChainClient& store, MembershipPlan plan)
     : ports_(ports), rpc_(rpc), room_(room), mallet_(mallet), shim_(shim), control_(control), machine_(machine),
-      core_(core), store_(store), plan_(plan), controlWatch_(plan.watch), storeWatch_(plan.watch) {}
+      core_(core), store_(store), plan_(plan), controlDetector_(plan.watch), storeDetector_(plan.watch) {}
 
-void Steward::begin() {
+void MembershipManager::begin() {
   room_.start(tendControl());
   room_.start(tendStore());
 }
 
-// Whoever becomes steward knows since when the set of empty stores has stood.
-void Steward::noteEmpties() {
+// Whoever becomes membershipManager knows since when the set of empty stores has stood.
+void MembershipManager::noteEmpties() {
   absl::btree_set<Address> now;
   for (const Card& card : shim_.alive(Role::kStore))
     if (card.empty) now.insert(card.wire);
@@ -37,7 +37,7 @@
 }
 
 // A store chain that was founded otherwise is remembered as founded: there is never a second one.
-Job<Done> Steward::rememberFounded() {
+Job<Done> MembershipManager::rememberFounded() {
   FoundStore command;
   for (const Seat& seat : store_.view().voters) command.founders.push_back(seat.address);
   ControlCommand wrapped = command;
@@ -47,7 +47,7 @@
 }
 
 // Agreed once in the control chain, whoever proposes: the first list holds for ever.
-Job<Done> Steward::found() {
+Job<Done> MembershipManager::found() {
   const Us nowUs = ports_.clock.monoUs();
   if (founders_.empty()) {
     std::vector<Seat> seats;
@@ -72,7 +72,7 @@
   co_return Done{};
 }
 
-Job<bool> Steward::peek(const View& view) {
+Job<bool> MembershipManager::peek(const View& view) {
   absl::btree_set<Address> asked;
   for (const std::vector<Seat>* seats : {&view.voters, &view.nonVoters})
     for (const Seat& seat : *seats) asked.insert(seat.address);
@@ -82,18 +82,18 @@
   bool newer = false;
   const Us nowUs = ports_.clock.monoUs();
   for (const auto& [address, pong] : poll.pongs()) {
-    storeWatch_.heard(address, pong, nowUs);
+    storeDetector_.heard(address, pong, nowUs);
     newer |= pong.revision > view.revision;
   }
   co_return newer;
 }
 
-std::string Steward::nameAt(const Address& wire) const {
+std::string MembershipManager::nameAt(const Address& wire) const {
   auto sight = shim_.sights().find(wire);
   return sight != shim_.sights().end() ? sight->second.card.machine : std::string();
 }
 
-SeatNeed Steward::needOf(const ChainWatch& watch, const View& view, Role role) const {
+SeatNeed MembershipManager::needOf(const FailureDetector& watch, const View& view, Role role) const {
   SeatNeed need;
   need.view = view;
   need.wanted = plan_.seats;
@@ -117,7 +117,7 @@
 }
 
 // What is applied here may lag behind: a retired machine must not come back by that.
-Job<bool> Steward::ordered(Address add) {
+Job<bool> MembershipManager::ordered(Address add) {
   ControlQuery query = OrdersAsk{};
   Job<ChainAnswer> asking = core_.read(pack(query), 0, kOrderLimitUs);
   ChainAnswer answer = co_await asking;
@@ -127,7 +127,7 @@
   co_return orders != nullptr && !orders->retires(add, nameAt(add));
 }
 
-Job<bool> Steward::tend(ChainClient& client, ChainWatch& watch, View view, Role role) {
+Job<bool> MembershipManager::tend(ChainClient& client, FailureDetector& watch, View view, Role role) {
   const Us nowUs = ports_.clock.monoUs();
   const SeatNeed need = needOf(watch, view, role);
   for (const Address& wanted : wantedIn(need)) rpc_.tell(wanted, Invite{});
@@ -149,22 +149,22 @@
   co_return true;
 }
 
-Task Steward::tendControl() {
+Task MembershipManager::tendControl() {
   while (true) {
     Pause pause(ports_.timers, plan_.restUs);
     co_await pause;
     const View view = control_.view();
-    // Every core watches, so that whoever becomes steward knows since when one has been silent.
-    controlWatch_.look(view, ports_.clock.monoUs());
+    // Every core watches, so that whoever becomes membershipManager knows since when one has been silent.
+    controlDetector_.look(view, ports_.clock.monoUs());
     for (const auto& [address, sight] : control_.peers())
-      if (sight.heardUs >= 0) controlWatch_.heard(address, sight.pong, sight.heardUs);
+      if (sight.heardUs >= 0) controlDetector_.heard(address, sight.pong, sight.heardUs);
     if (!mallet_.holds(kDuty) || view.revision == 0) continue;
-    Job<bool> tending = tend(core_, controlWatch_, view, Role::kCore);
+    Job<bool> tending = tend(core_, controlDetector_, view, Role::kCore);
     co_await tending;
   }
 }
 
-Task Steward::tendStore() {
+Task MembershipManager::tendStore() {
   bool busy = true;
   while (true) {
     Pause pause(ports_.timers, busy ? plan_.roundUs : plan_.restUs);
@@ -173,12 +173,12 @@
     if (!founded) noteEmpties();
     busy = !founded && !empties_.empty();
     if (!mallet_.holds(kDuty)) {
-      storeWatch_.clear();
-      storeWatch_.look(View(), ports_.clock.monoUs());  // only to know whether it was frozen itself
+      storeDetector_.clear();
+      storeDetector_.look(View(), ports_.clock.monoUs());  // only to know whether it was frozen itself
       continue;
     }
     if (!founded) {
-      storeWatch_.look(View(), ports_.clock.monoUs());
+      storeDetector_.look(View(), ports_.clock.monoUs());
       Job<Done> refreshing = store_.refresh();
       co_await refreshing;
       Job<Done> founding = found();
@@ -192,19 +192,19 @@
     }
     Job<bool> peeking = peek(view);
     const bool newer = co_await peeking;
-    // Who has just become steward goes by when the cards of the silent last moved.
+    // Who has just become membershipManager goes by when the cards of the silent last moved.
     for (const Seat& seat : view.voters) {
       auto sight = shim_.sights().find(seat.address);
-      if (sight != shim_.sights().end()) storeWatch_.suppose(seat.address, sight->second.heardUs);
+      if (sight != shim_.sights().end()) storeDetector_.suppose(seat.address, sight->second.heardUs);
     }
-    storeWatch_.look(view, ports_.clock.monoUs());
+    storeDetector_.look(view, ports_.clock.monoUs());
     if (newer) {
       Job<Done> refreshing = store_.refresh();
       co_await refreshing;
       busy = true;
       continue;
     }
-    Job<bool> tending = tend(store_, storeWatch_, view, Role::kStore);
+    Job<bool> tending = tend(store_, storeDetector_, view, Role::kStore);
     busy = co_await tending;
   }
 }
--- a/src/clamp/steward.h
+++ b/src/membership/membership_manager.h
@@ -1,11 +1,11 @@
-// The steward: one core's duty. It founds the store chain once, and sees to it that live machines hold
+// The membershipManager: one core's duty. It founds the store chain once, and sees to it that live machines hold
 // the seats of both chains without anybody telling it where machines are (design.md 6.10).
 #pragma once
 
 #include "replication/client.h"
 #include "replication/replica.h"
-#include "clamp/seats.h"
-#include "clamp/watch.h"
+#include "membership/replica_placement.h"
+#include "membership/failure_detector.h"
 #include "core/control_machine.h"
 #include "jig/settings.h"
 #include "mallet/mallet.h"
@@ -13,8 +13,8 @@
 
 namespace stonemount {
 
-struct StewardPlan {
-  WatchPlan watch;
+struct MembershipPlan {
+  FailureDetectorPlan watch;
   Us roundUs = 250 * kMilliUs;      // where there is something to do
   Us restUs = 500 * kMilliUs;
   Us peekUs = 250 * kMilliUs;
@@ -23,12 +23,12 @@
   Us foundWaitUs = 3 * kSecondUs;   // the most that is waited for more stores or zones
   std::size_t seats = 3;            // twice the machines that may be lost at once, and one
 };
-StewardPlan stewardPlanOf(const Settings& settings, StewardPlan plan);
+MembershipPlan membershipPlanOf(const Settings& settings, MembershipPlan plan);
 
-class Steward {
+class MembershipManager {
  public:
-  Steward(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, Shim& shim, const Replica& control,
-          const ControlMachine& machine, ChainClient& core, ChainClient& store, StewardPlan plan);
+  MembershipManager(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, Shim& shim, const Replica& control,
+          const ControlMachine& machine, ChainClient& core, ChainClient& store, MembershipPlan plan);
   void begin();
   static constexpr const char* kDuty = "steward";
 
@@ -38,10 +38,10 @@
   Job<Done> found();                      // the store chain
   Job<Done> rememberFounded();
   Job<bool> peek(const View& view);       // the store's members and those who may become one
-  Job<bool> tend(ChainClient& client, ChainWatch& watch, View view, Role role);  // true: there is more to do
+  Job<bool> tend(ChainClient& client, FailureDetector& watch, View view, Role role);  // true: there is more to do
   Job<bool> ordered(Address add);         // may it be seated, by the control chain's own word?
   std::string nameAt(const Address& wire) const;  // empty: not known
-  SeatNeed needOf(const ChainWatch& watch, const View& view, Role role) const;
+  SeatNeed needOf(const FailureDetector& watch, const View& view, Role role) const;
   void noteEmpties();
   Ports& ports_;
   RpcEndpoint& rpc_;
@@ -52,8 +52,8 @@
   const ControlMachine& machine_;
   ChainClient& core_;
   ChainClient& store_;
-  StewardPlan plan_;
-  ChainWatch controlWatch_, storeWatch_;
+  MembershipPlan plan_;
+  FailureDetector controlDetector_, storeDetector_;
   std::vector<Address> founders_;  // of the store, as the control chain agreed
   absl::btree_set<Address> empties_;
   Us emptiesSinceUs_ = -1;         // when the set last changed
--- a/src/clamp/seats.cc
+++ b/src/membership/replica_placement.cc
@@ -1,4 +1,4 @@
-#include "clamp/seats.h"
+#include "membership/replica_placement.h"
 
 #include <algorithm>
 
--- a/src/clamp/retire.cc
+++ b/src/membership/retire.cc
@@ -1,7 +1,7 @@
-#include "clamp/retire.h"
+#include "membership/retire.h"
 
-#include "clamp/seats.h"
-#include "clamp/watch.h"
+#include "membership/replica_placement.h"
+#include "membership/failure_detector.h"
 
 namespace stonemount {
 
--- a/src/clamp/retire.h
+++ b/src/membership/retire.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "replication/client.h"
-#include "clamp/retire_desk.h"
+#include "membership/retire_service.h"
 #include "core/commands.h"
 #include "jig/settings.h"
 #include "shim/shim.h"
--- a/tests/members_stage.h
+++ b/tests/members_stage.h
@@ -75,9 +75,9 @@
     const View now = view(kind);
     return *partAt(now.voters[chance.below(now.voters.size())].address);
   }
-  Part* steward() {
+  Part* membershipManager() {
     for (Part* part : fleet.of(PartKind::kCore))
-      if (part->core && part->core->mallet().holds(Steward::kDuty)) return part;
+      if (part->core && part->core->mallet().holds(MembershipManager::kDuty)) return part;
     return nullptr;
   }
   // Three live members, each in the chain, that outlive any zone.
--- a/tests/members_test.cc
+++ b/tests/members_test.cc
@@ -21,29 +21,29 @@
 }
 
 // One is gone for good, an empty one comes later at another address; then the next is lost.
-void replaced(std::uint64_t seed, PartKind kind, bool stewardToo) {
+void replaced(std::uint64_t seed, PartKind kind, bool managerToo) {
   Stage stage(seed);
   stage.serve();
   for (int round = 0; round < 2; ++round) {
-    Part* steward = stage.steward();
-    Part& old = kind == PartKind::kCore && stewardToo && steward != nullptr ? *steward : stage.seated(kind);
+    Part* membershipManager = stage.membershipManager();
+    Part& old = kind == PartKind::kCore && managerToo && membershipManager != nullptr ? *membershipManager : stage.seated(kind);
     const std::string zone = old.host->zone();
     stage.lose(old);
     stage.run(static_cast<Us>(stage.chance.below(4000)) * kMilliUs);
     stage.arrive(kind, zone);
     const Us arrivedUs = stage.fleet.world().nowUs();
-    if (kind == PartKind::kStore && stewardToo && steward != nullptr) {
+    if (kind == PartKind::kStore && managerToo && membershipManager != nullptr) {
       stage.run(static_cast<Us>(stage.chance.below(1500)) * kMilliUs);
-      stage.fleet.kill(*steward, false);
+      stage.fleet.kill(*membershipManager, false);
       stage.run(static_cast<Us>(stage.chance.below(500)) * kMilliUs);
-      stage.fleet.start(*steward);
+      stage.fleet.start(*membershipManager);
     }
     const Us tookUs = stage.untilWhole(kind, 12 * kSecondUs) + 0;
     const Us wholeUs = stage.fleet.world().nowUs() - arrivedUs;
-    std::printf("replaced seed=%d kind=%d steward=%d whole_us=%lld\n", static_cast<int>(seed), static_cast<int>(kind),
-                stewardToo ? 1 : 0, static_cast<long long>(wholeUs));
-    // A steward that was lost on top is a loss of its own: its time counts from its return.
-    expect(stage.whole(kind) && (stewardToo ? tookUs : wholeUs) <= kSyncUs, seed, "a newcomer is seated in time");
+    std::printf("replaced seed=%d kind=%d membershipManager=%d whole_us=%lld\n", static_cast<int>(seed), static_cast<int>(kind),
+                managerToo ? 1 : 0, static_cast<long long>(wholeUs));
+    // A membershipManager that was lost on top is a loss of its own: its time counts from its return.
+    expect(stage.whole(kind) && (managerToo ? tookUs : wholeUs) <= kSyncUs, seed, "a newcomer is seated in time");
     if (wholeUs < kSyncUs) stage.run(kSyncUs - wholeUs);
     // The next: its disk, and it comes back; or for good.
     Part& next = stage.seated(kind);
@@ -73,10 +73,10 @@
   expect(stage.ask(stage.anyService().stateOf(old.settings.name)) == RetireState::kServing, seed, "it serves");
   expect(stage.ask(stage.anyService().retire(old.settings.name)) == RetireOutcome::kTaken, seed, "it is retired");
   expect(stage.ask(stage.anyService().retire(old.settings.name)) == RetireOutcome::kUnderWay, seed, "it was asked before");
-  if (Part* steward = stage.steward(); seed % 3 == 0 && steward != nullptr) {
-    stage.fleet.kill(*steward, true);
+  if (Part* membershipManager = stage.membershipManager(); seed % 3 == 0 && membershipManager != nullptr) {
+    stage.fleet.kill(*membershipManager, true);
     stage.run(kSecondUs);
-    stage.fleet.start(*steward);
+    stage.fleet.start(*membershipManager);
   }
   RetireState state = RetireState::kServing;
   const Us sinceUs = stage.fleet.world().nowUs();
@@ -109,7 +109,7 @@
 }
 }  // namespace
 
-// One course of one seed alone, told in full: members_test founding|core|store|steward|retired|added SEED
+// One course of one seed alone, told in full: members_test founding|core|store|membershipManager|retired|added SEED
 int main(int argc, char** argv) {
   loud = argc > 2;
   const std::string only = argc > 1 ? argv[1] : "";
--- a/tests/seats_test.cc
+++ b/tests/seats_test.cc
@@ -2,7 +2,7 @@
 // end, it comes to rest with as many live seats as the deployment asks for (design.md 6.10).
 #include <rapidcheck.h>
 
-#include "clamp/seats.h"
+#include "membership/replica_placement.h"
 #include "core/commands.h"
 
 using namespace stonemount;
