--- a/src/bench/chaos_work.cc
+++ b/src/bench/chaos_work.cc
@@ -84,7 +84,7 @@
       evacuated_ = fleet_.shape().zones[chance_.below(fleet_.shape().zones.size())];
       if (fault == Fault::kEvacuateHead)  // of the store's head, or of the sampler
         for (Part* part : fleet_.standing(chance_.oneIn(2) ? PartKind::kCore : PartKind::kStore))
-          if ((part->store && part->store->replica().head()) || (part->core && part->core->mallet().holds(Sampler::kDuty)))
+          if ((part->store && part->store->replica().head()) || (part->core && part->core->election().holds(Sampler::kDuty)))
             evacuated_ = part->host->zone();
       operators_[0]->setZone(evacuated_, true);
       undos_.push_back({nowUs + 15 * kSecondUs, Fault::kEvacuate, &fleet_.parts().front()});
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -9,11 +9,11 @@
 Core::Core(Ports& ports, Settings settings, CorePlan plan)
     : ports_(ports), settings_(std::move(settings)), plan_(plan), rpc_(ports.timers, ports.wire, ports.chance),
       shim_(ports, rpc_, room_, plan.shim), replica_(ports, rpc_, room_, machine_, replicaPlanOf(settings_)),
-      core_(ports, rpc_, settings_.founders), store_(ports, rpc_, {}), mallet_(ports, rpc_, room_, plan.mallet),
-      sampler_(ports, rpc_, room_, mallet_, store_, replica_, plan.gauge), rebuilder_(ports, rpc_, shim_, core_, machine_),
+      core_(ports, rpc_, settings_.founders), store_(ports, rpc_, {}), election_(ports, rpc_, room_, plan.election),
+      sampler_(ports, rpc_, room_, election_, store_, replica_, plan.gauge), rebuilder_(ports, rpc_, shim_, core_, machine_),
       ownList_(ports, settings_.platform), lister_(core_, machine_, plan.list != nullptr ? plan.list : &ownList_),
       operators_(ports, core_),
-      membershipManager_(ports, rpc_, room_, mallet_, shim_, replica_, machine_, core_, store_, membershipPlanOf(settings_, plan.membershipManager)),
+      membershipManager_(ports, rpc_, room_, election_, shim_, replica_, machine_, core_, store_, membershipPlanOf(settings_, plan.membershipManager)),
       retireService_(ports, rpc_, shim_, core_, store_, settings_.bounds.lostMachines) {}
 
 Core::~Core() {
@@ -32,7 +32,7 @@
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Core::onAsked));
   shim_.begin(card);
   core_.learnMember(settings_.wire);
-  mallet_.begin({Sampler::kDuty, kLister, MembershipManager::kDuty});
+  election_.begin({Sampler::kDuty, kLister, MembershipManager::kDuty});
   replica_.begin();
   sampler_.begin();
   membershipManager_.begin();
@@ -48,12 +48,12 @@
   if (card.role == Role::kStore) store_.learnMember(card.wire);
 }
 
-void Core::onView() { mallet_.setElectors(replica_.view().voters, replica_.incarnation()); }
+void Core::onView() { election_.setElectors(replica_.view().voters, replica_.incarnation()); }
 
 // In an evacuated zone a core leaves its duties to others where there are any.
 Task Core::watchZone() {
   while (true) {
-    mallet_.setReluctant(machine_.state().evacuated(settings_.zone));
+    election_.setReluctant(machine_.state().evacuated(settings_.zone));
     Pause pause(ports_.timers, kSecondUs);
     co_await pause;
   }
@@ -62,11 +62,11 @@
 // The lister carries the platform's list into the control chain.
 Task Core::list() {
   while (true) {
-    if (mallet_.holds(kLister)) {
+    if (election_.holds(kLister)) {
       Job<Done> rebuilding = rebuilder_.look();
       co_await rebuilding;
     }
-    if (mallet_.holds(kLister) && (plan_.list != nullptr || settings_.platform.set())) {
+    if (election_.holds(kLister) && (plan_.list != nullptr || settings_.platform.set())) {
       Job<Done> carrying = lister_.carry();
       co_await carrying;
     } else {
@@ -79,7 +79,7 @@
 
 void Core::onAsked(const HttpAsk& ask, ReplyPtr reply) {
   JsonOut out;
-  out.object().field("role", "core").field("sampler", mallet_.holds(Sampler::kDuty)).field("lister", mallet_.holds(kLister));
+  out.object().field("role", "core").field("sampler", election_.holds(Sampler::kDuty)).field("lister", election_.holds(kLister));
   answerReplicaMetrics(ask, *reply, out, replica_, rpc_);
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -17,7 +17,7 @@
 
 struct CorePlan {
   ShimPlan shim;
-  MalletPlan mallet;
+  ElectionPlan election;
   GaugePlan gauge;
   Us listUs = 600 * kMilliUs;
   WorkerListSource* list = nullptr;  // none: the settings' platform, if there is one
@@ -33,7 +33,7 @@
   Replica& replica() { return replica_; }
   const ControlMachine& machine() const { return machine_; }
   std::uint64_t sentBytes() const { return rpc_.sentBytes; }
-  const Mallet& mallet() const { return mallet_; }
+  const Election& election() const { return election_; }
   OperatorService& operators() { return operators_; }
   RetireService& retireService() { return retireService_; }
   static constexpr const char* kLister = "lister";
@@ -54,7 +54,7 @@
   Replica replica_;
   ChainClient core_;
   ChainClient store_;
-  Mallet mallet_;
+  Election election_;
   Sampler sampler_;
   Rebuilder rebuilder_;
   PlatformListSource ownList_;
--- a/src/gauge/sampler.cc
+++ b/src/gauge/sampler.cc
@@ -11,20 +11,20 @@
 constexpr Us kAgainUs = 200 * kMilliUs;
 }  // namespace
 
-Sampler::Sampler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, ChainClient& store, const Replica& clocks,
+Sampler::Sampler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, ChainClient& store, const Replica& clocks,
                  GaugePlan plan)
-    : ports_(ports), rpc_(rpc), room_(room), mallet_(mallet), store_(store), clocks_(clocks), plan_(plan) {}
+    : ports_(ports), rpc_(rpc), room_(room), election_(election), store_(store), clocks_(clocks), plan_(plan) {}
 
 Task Sampler::run() {
   while (true) {
-    if (!mallet_.holds(kDuty)) {
+    if (!election_.holds(kDuty)) {
       Pause pause(ports_.timers, kAgainUs);
       co_await pause;
       continue;
     }
     Job<bool> pinning = pin();
     bool leading = co_await pinning;
-    while (leading && mallet_.holds(kDuty)) {
+    while (leading && election_.holds(kDuty)) {
       Pause pause(ports_.timers, plan_.sampleUs);
       co_await pause;
       Job<bool> sampling = round();
--- a/src/gauge/sampler.h
+++ b/src/gauge/sampler.h
@@ -4,13 +4,13 @@
 #include "replication/client.h"
 #include "replication/replica.h"
 #include "gauge/session.h"
-#include "mallet/mallet.h"
+#include "election/election.h"
 
 namespace stonemount {
 
 class Sampler {
  public:
-  Sampler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, ChainClient& store, const Replica& clocks,
+  Sampler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, ChainClient& store, const Replica& clocks,
           GaugePlan plan);
   void begin() { room_.start(run()); }
   static constexpr const char* kDuty = "sampler";
@@ -24,7 +24,7 @@
   Ports& ports_;
   RpcEndpoint& rpc_;
   TaskRoom& room_;
-  Mallet& mallet_;
+  Election& election_;
   ChainClient& store_;
   const Replica& clocks_;  // the core's member: it hears the other cores' wall clocks
   GaugePlan plan_;
--- a/src/membership/membership_manager.cc
+++ b/src/membership/membership_manager.cc
@@ -15,9 +15,9 @@
   return plan;
 }
 
-MembershipManager::MembershipManager(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, Shim& shim, const Replica& control,
+MembershipManager::MembershipManager(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, Shim& shim, const Replica& control,
                  const ControlMachine& machine, ChainClient& core, ChainClient& store, MembershipPlan plan)
-    : ports_(ports), rpc_(rpc), room_(room), mallet_(mallet), shim_(shim), control_(control), machine_(machine),
+    : ports_(ports), rpc_(rpc), room_(room), election_(election), shim_(shim), control_(control), machine_(machine),
       core_(core), store_(store), plan_(plan), controlDetector_(plan.watch), storeDetector_(plan.watch) {}
 
 void MembershipManager::begin() {
@@ -158,7 +158,7 @@
     controlDetector_.look(view, ports_.clock.monoUs());
     for (const auto& [address, sight] : control_.peers())
       if (sight.heardUs >= 0) controlDetector_.heard(address, sight.pong, sight.heardUs);
-    if (!mallet_.holds(kDuty) || view.revision == 0) continue;
+    if (!election_.holds(kDuty) || view.revision == 0) continue;
     Job<bool> tending = tend(core_, controlDetector_, view, Role::kCore);
     co_await tending;
   }
@@ -172,7 +172,7 @@
     const bool founded = store_.view().revision != 0;
     if (!founded) noteEmpties();
     busy = !founded && !empties_.empty();
-    if (!mallet_.holds(kDuty)) {
+    if (!election_.holds(kDuty)) {
       storeDetector_.clear();
       storeDetector_.look(View(), ports_.clock.monoUs());  // only to know whether it was frozen itself
       continue;
--- a/src/membership/membership_manager.h
+++ b/src/membership/membership_manager.h
@@ -8,7 +8,7 @@
 #include "membership/failure_detector.h"
 #include "core/control_machine.h"
 #include "jig/settings.h"
-#include "mallet/mallet.h"
+#include "election/election.h"
 #include "shim/shim.h"
 
 namespace stonemount {
@@ -27,7 +27,7 @@
 
 class MembershipManager {
  public:
-  MembershipManager(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Mallet& mallet, Shim& shim, const Replica& control,
+  MembershipManager(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, Shim& shim, const Replica& control,
           const ControlMachine& machine, ChainClient& core, ChainClient& store, MembershipPlan plan);
   void begin();
   static constexpr const char* kDuty = "steward";
@@ -46,7 +46,7 @@
   Ports& ports_;
   RpcEndpoint& rpc_;
   TaskRoom& room_;
-  Mallet& mallet_;
+  Election& election_;
   Shim& shim_;
   const Replica& control_;
   const ControlMachine& machine_;
--- a/tests/members_stage.h
+++ b/tests/members_stage.h
@@ -77,7 +77,7 @@
   }
   Part* membershipManager() {
     for (Part* part : fleet.of(PartKind::kCore))
-      if (part->core && part->core->mallet().holds(MembershipManager::kDuty)) return part;
+      if (part->core && part->core->election().holds(MembershipManager::kDuty)) return part;
     return nullptr;
   }
   // Three live members, each in the chain, that outlive any zone.
