--- a/src/bench/fleet.cc
+++ b/src/bench/fleet.cc
@@ -122,27 +122,27 @@
   if (part.host->up() || part.gone) return;
   part.host->rise();
   part.ports = std::make_unique<Ports>(part.host->ports());
-  ShimPlan shim;
-  shim.seeds = part.settings.seeds;
+  GossipPlan gossip;
+  gossip.seeds = part.settings.seeds;
   for (const Address& founder : part.settings.founders)
-    if (founder != part.settings.wire) shim.seeds.push_back(founder);
+    if (founder != part.settings.wire) gossip.seeds.push_back(founder);
   switch (part.kind) {
     case PartKind::kCore: {
       CorePlan plan;
-      plan.shim = shim;
+      plan.gossip = gossip;
       part.core = std::make_unique<Core>(*part.ports, part.settings, plan);
       watch(part);
       part.core->begin();
       break;
     }
     case PartKind::kStore:
-      part.store = std::make_unique<Store>(*part.ports, part.settings, shim, shape_.store);
+      part.store = std::make_unique<Store>(*part.ports, part.settings, gossip, shape_.store);
       watch(part);
       part.store->begin();
       break;
     case PartKind::kNode: {
       NodePlan plan;
-      plan.shim = shim;
+      plan.gossip = gossip;
       part.node = std::make_unique<Node>(*part.ports, part.settings, plan);
       part.node->begin();
       break;
--- a/src/bench/operators.cc
+++ b/src/bench/operators.cc
@@ -10,7 +10,7 @@
 void usualRoutes(JsonOut& out) {
   out.object().field("name", "digest").field("kind", "stream").field("pool", "models").closeObject();
   out.object().field("name", "review").field("kind", "whole").field("pool", "models").field("lots", true).closeObject();
-  out.object().field("name", "card").field("kind", "lookup").field("pool", "apps").field("limitUs", 5000000).closeObject();
+  out.object().field("name", "record").field("kind", "lookup").field("pool", "apps").field("limitUs", 5000000).closeObject();
 }
 }  // namespace
 
--- a/src/chisel/process.cc
+++ b/src/chisel/process.cc
@@ -124,11 +124,11 @@
 }
 
 // The node role: its own interface, and the platform's callers where it has some.
-int runNode(Loop& loop, Ports& ports, const Settings& settings, const ShimPlan& shim) {
+int runNode(Loop& loop, Ports& ports, const Settings& settings, const GossipPlan& gossip) {
   platform::Workers dialect;
   PlatformWorkerList list(ports, settings.platform);
   NodePlan plan;
-  plan.shim = shim;
+  plan.gossip = gossip;
   if (settings.front.set()) {
     plan.dialect = &dialect;
     plan.list = &list;
@@ -147,10 +147,10 @@
 }
 
 // The core role, with the platform's operator where that is served here.
-int runCore(Loop& loop, Ports& ports, const Settings& settings, const ShimPlan& shim, bool onPlatform) {
+int runCore(Loop& loop, Ports& ports, const Settings& settings, const GossipPlan& gossip, bool onPlatform) {
   PlatformWorkerList list(ports, settings.platform);
   CorePlan plan;
-  plan.shim = shim;
+  plan.gossip = gossip;
   if (onPlatform) plan.list = &list;
   HttpInEv controlIn(loop, settings.control);
   if (settings.control.set() && !controlIn.listen()) return say(Exit::kUsage, "settings: cannot listen on " + addressText(settings.control));
@@ -189,17 +189,17 @@
   Ports ports{loop, loop, wire, httpIn, httpOut, disk.get(), chance};
   logEvent("starting", {{"role", role}, {"zone", settings.zone}, {"http", addressText(settings.http)}});
   int result = 0;
-  ShimPlan shim;
-  shim.seeds = settings.seeds;
+  GossipPlan gossip;
+  gossip.seeds = settings.seeds;
   for (const Address& founder : settings.founders)
-    if (founder != settings.wire) shim.seeds.push_back(founder);
+    if (founder != settings.wire) gossip.seeds.push_back(founder);
   if (kind == SettingsFor::kCore) {
-    result = runCore(loop, ports, settings, shim, onPlatform);
+    result = runCore(loop, ports, settings, gossip, onPlatform);
   } else if (kind == SettingsFor::kStore) {
-    Store store(ports, settings, shim, StorePlan());
+    Store store(ports, settings, gossip, StorePlan());
     serve(loop, store);
   } else {
-    result = runNode(loop, ports, settings, shim);
+    result = runNode(loop, ports, settings, gossip);
   }
   setLogSink(nullptr);
   return result;
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -8,13 +8,13 @@
 
 Core::Core(Ports& ports, Settings settings, CorePlan plan)
     : ports_(ports), settings_(std::move(settings)), plan_(plan), rpc_(ports.timers, ports.wire, ports.chance),
-      shim_(ports, rpc_, room_, plan.shim), replica_(ports, rpc_, room_, machine_, replicaPlanOf(settings_)),
+      gossip_(ports, rpc_, room_, plan.gossip), replica_(ports, rpc_, room_, machine_, replicaPlanOf(settings_)),
       core_(ports, rpc_, settings_.founders), store_(ports, rpc_, {}), election_(ports, rpc_, room_, plan.election),
-      sampler_(ports, rpc_, room_, election_, store_, replica_, plan.gauge), rebuilder_(ports, rpc_, shim_, core_, machine_),
+      sampler_(ports, rpc_, room_, election_, store_, replica_, plan.gauge), rebuilder_(ports, rpc_, gossip_, core_, machine_),
       ownList_(ports, settings_.platform), lister_(core_, machine_, plan.list != nullptr ? plan.list : &ownList_),
       operators_(ports, core_),
-      membershipManager_(ports, rpc_, room_, election_, shim_, replica_, machine_, core_, store_, membershipPlanOf(settings_, plan.membershipManager)),
-      retireService_(ports, rpc_, shim_, core_, store_, settings_.bounds.lostMachines) {}
+      membershipManager_(ports, rpc_, room_, election_, gossip_, replica_, machine_, core_, store_, membershipPlanOf(settings_, plan.membershipManager)),
+      retireService_(ports, rpc_, gossip_, core_, store_, settings_.bounds.lostMachines) {}
 
 Core::~Core() {
   asked_.disconnect();
@@ -22,15 +22,15 @@
 }
 
 void Core::begin() {
-  Card card;
-  card.http = settings_.http;
-  card.role = Role::kCore;
-  card.zone = settings_.zone;
-  card.machine = settings_.name;
-  shim_.met.connect(sigc::mem_fun(*this, &Core::onMet));
+  PeerRecord record;
+  record.http = settings_.http;
+  record.role = Role::kCore;
+  record.zone = settings_.zone;
+  record.machine = settings_.name;
+  gossip_.met.connect(sigc::mem_fun(*this, &Core::onMet));
   replica_.viewMoved.connect(sigc::mem_fun(*this, &Core::onView));
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Core::onAsked));
-  shim_.begin(card);
+  gossip_.begin(record);
   core_.learnMember(settings_.wire);
   election_.begin({Sampler::kDuty, kLister, MembershipManager::kDuty});
   replica_.begin();
@@ -40,12 +40,12 @@
   room_.start(watchZone());
 }
 
-void Core::onMet(const Card& card) {
-  if (card.role == Role::kCore) {
-    core_.learnMember(card.wire);
-    replica_.meet(card.wire);
+void Core::onMet(const PeerRecord& record) {
+  if (record.role == Role::kCore) {
+    core_.learnMember(record.wire);
+    replica_.meet(record.wire);
   }
-  if (card.role == Role::kStore) store_.learnMember(card.wire);
+  if (record.role == Role::kStore) store_.learnMember(record.wire);
 }
 
 void Core::onView() { election_.setElectors(replica_.view().voters, replica_.incarnation()); }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -11,12 +11,12 @@
 #include "jig/platform_list.h"
 #include "jig/settings.h"
 #include "rasp/rebuild.h"
-#include "shim/shim.h"
+#include "gossip/gossip.h"
 
 namespace stonemount {
 
 struct CorePlan {
-  ShimPlan shim;
+  GossipPlan gossip;
   ElectionPlan election;
   GaugePlan gauge;
   Us listUs = 600 * kMilliUs;
@@ -41,7 +41,7 @@
  private:
   Task list();
   Task watchZone();
-  void onMet(const Card& card);
+  void onMet(const PeerRecord& record);
   void onView();
   void onAsked(const HttpAsk& ask, ReplyPtr reply);
   Ports& ports_;
@@ -49,7 +49,7 @@
   CorePlan plan_;
   TaskRoom room_;
   RpcEndpoint rpc_;
-  Shim shim_;
+  Gossip gossip_;
   ControlMachine machine_;
   Replica replica_;
   ChainClient core_;
--- a/src/shim/shim.cc
+++ b/src/gossip/gossip.cc
@@ -1,4 +1,4 @@
-#include "shim/shim.h"
+#include "gossip/gossip.h"
 
 #include <algorithm>
 
@@ -14,62 +14,62 @@
   return "unknown";
 }
 
-Shim::Shim(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ShimPlan plan)
+Gossip::Gossip(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, GossipPlan plan)
     : ports_(ports), rpc_(rpc), room_(room), plan_(std::move(plan)) {}
 
-void Shim::begin(Card self) {
+void Gossip::begin(PeerRecord self) {
   self_ = std::move(self);
   self_.wire = rpc_.self();
   // Wall time only orders the lives of one process; nothing expires by it.
   self_.life = static_cast<std::uint64_t>(std::max<Us>(ports_.clock.wallUs(), 1));
-  rpc_.serve(Shuffle::kKind, sigc::mem_fun(*this, &Shim::onShuffle));
+  rpc_.serve(Shuffle::kKind, sigc::mem_fun(*this, &Gossip::onShuffle));
   youngUntilUs_ = ports_.clock.monoUs() + plan_.youngForUs;
   room_.start(shuffle());
 }
 
-bool Shim::isAlive(const Sight& sight) const {
+bool Gossip::isAlive(const Sight& sight) const {
   return ports_.clock.monoUs() - sight.heardUs <= plan_.silentUs;
 }
 
-std::vector<Card> Shim::alive(Role role) const {
-  std::vector<Card> cards;
-  if (self_.role == role) cards.push_back(self_);
+std::vector<PeerRecord> Gossip::alive(Role role) const {
+  std::vector<PeerRecord> records;
+  if (self_.role == role) records.push_back(self_);
   for (const auto& [address, sight] : sights_)
-    if (sight.card.role == role && isAlive(sight)) cards.push_back(sight.card);
-  return cards;
+    if (sight.record.role == role && isAlive(sight)) records.push_back(sight.record);
+  return records;
 }
 
-std::vector<Card> Shim::hand() {
-  std::vector<Card> cards{self_};
+std::vector<PeerRecord> Gossip::hand() {
+  std::vector<PeerRecord> records{self_};
   std::vector<const Sight*> known;
   for (const auto& [address, sight] : sights_)
     if (isAlive(sight)) known.push_back(&sight);
-  for (std::size_t i = 0; i < known.size() && cards.size() < plan_.told; ++i) {
+  for (std::size_t i = 0; i < known.size() && records.size() < plan_.told; ++i) {
     std::swap(known[i], known[i + ports_.chance.below(known.size() - i)]);
-    cards.push_back(known[i]->card);
+    records.push_back(known[i]->record);
   }
-  return cards;
+  return records;
 }
 
-void Shim::absorb(const std::vector<Card>& cards) {
+void Gossip::absorb(const std::vector<PeerRecord>& records) {
   const Us nowUs = ports_.clock.monoUs();
-  for (const Card& card : cards) {
-    if (card.wire == rpc_.self()) {
-      // Our own card from a former life whose clock ran ahead: step past it.
-      if (card.life > self_.life) self_.life = card.life + 1;
+  for (const PeerRecord& record : records) {
+    if (record.wire == rpc_.self()) {
+      // Our own record from a former life whose clock ran ahead: step past it.
+      if (record.life > self_.life) self_.life = record.life + 1;
       continue;
     }
-    auto found = sights_.find(card.wire);
-    const bool newer = found == sights_.end() || card.life > found->second.card.life ||
-                       (card.life == found->second.card.life && card.beat > found->second.card.beat);
+    auto found = sights_.find(record.wire);
+    const bool newer = found == sights_.end() || record.life > found->second.record.life ||
+                       (record.life == found->second.record.life && record.beat > found->second.record.beat);
     if (!newer) continue;
-    sights_[card.wire] = {card, nowUs};
-    met.emit(card);
+    sights_[record.wire] = {record, nowUs};
+    met.emit(record);
   }
   trim();
 }
 
-void Shim::trim() {
+void Gossip::trim() {
   const Us nowUs = ports_.clock.monoUs();
   for (auto sight = sights_.begin(); sight != sights_.end();) {
     if (nowUs - sight->second.heardUs > plan_.forgetUs) sight = sights_.erase(sight);
@@ -82,14 +82,14 @@
   }
 }
 
-void Shim::onShuffle(const Asked& asked) {
+void Gossip::onShuffle(const Asked& asked) {
   auto message = unpack<Shuffle>(asked.body);
   if (!std::holds_alternative<Shuffle>(message)) return;
   rpc_.reply(asked, Shuffle{hand()});
-  absorb(std::get<Shuffle>(message).cards);
+  absorb(std::get<Shuffle>(message).records);
 }
 
-Address Shim::nominatePeer() {
+Address Gossip::nominatePeer() {
   std::vector<Address> peers;
   const Sight* oldest = nullptr;
   for (const auto& [address, sight] : sights_) {
@@ -101,23 +101,23 @@
   const bool seed = peers.empty() || ports_.chance.oneIn(8);
   if (seed && !plan_.seeds.empty()) return plan_.seeds[ports_.chance.below(plan_.seeds.size())];
   // Every other time the one heard of least lately: it is alive or it is not, and we shall know.
-  if (oldest != nullptr && ports_.chance.oneIn(2)) return oldest->card.wire;
+  if (oldest != nullptr && ports_.chance.oneIn(2)) return oldest->record.wire;
   return peers.empty() ? Address() : peers[ports_.chance.below(peers.size())];
 }
 
-Task Shim::shuffleWith(Address peer) {
+Task Gossip::shuffleWith(Address peer) {
   Job<std::variant<Shuffle, PeerSilent>> job = ask<Shuffle>(rpc_, peer, Shuffle{hand()}, plan_.shuffleUs);
   std::variant<Shuffle, PeerSilent> verdict = co_await job;
-  if (auto* shuffled = std::get_if<Shuffle>(&verdict)) absorb(shuffled->cards);
+  if (auto* shuffled = std::get_if<Shuffle>(&verdict)) absorb(shuffled->records);
 }
 
-bool Shim::alone() const {
+bool Gossip::alone() const {
   for (const auto& [address, sight] : sights_)
     if (isAlive(sight)) return false;
   return true;
 }
 
-Task Shim::shuffle() {
+Task Gossip::shuffle() {
   while (true) {
     ++self_.beat;
     if (alone()) {  // seeds may be gone: who knows nobody asks them all at once
--- a/src/shim/shim.h
+++ b/src/gossip/gossip.h
@@ -8,7 +8,7 @@
 enum class Role : std::uint8_t { kCore, kStore, kNode, kOther };
 const char* roleText(Role role);
 
-struct Card {  // what a process says of itself
+struct PeerRecord {  // what a process says of itself
   Address wire;
   Address http;
   Role role = Role::kOther;
@@ -23,11 +23,11 @@
 };
 struct Shuffle {
   static constexpr std::uint16_t kKind = 60;
-  std::vector<Card> cards;  // the sender's own first
-  STONEMOUNT_PACK(cards)
+  std::vector<PeerRecord> records;  // the sender's own first
+  STONEMOUNT_PACK(records)
 };
 
-struct ShimPlan {
+struct GossipPlan {
   std::vector<Address> seeds;
   Us shuffleUs = 400 * kMilliUs;
   Us youngUs = 120 * kMilliUs;    // instead, for so long after the start
@@ -38,34 +38,34 @@
   std::size_t told = 16;
 };
 
-class Shim {
+class Gossip {
  public:
-  Shim(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ShimPlan plan);
-  void begin(Card self);
-  Card& self() { return self_; }
+  Gossip(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, GossipPlan plan);
+  void begin(PeerRecord self);
+  PeerRecord& self() { return self_; }
   struct Sight {
-    Card card;
+    PeerRecord record;
     Us heardUs = 0;  // when its beat last moved
   };
-  std::vector<Card> alive(Role role) const;
+  std::vector<PeerRecord> alive(Role role) const;
   const absl::btree_map<Address, Sight>& sights() const { return sights_; }
   bool isAlive(const Sight& sight) const;
-  sigc::signal<void(const Card&)> met;  // a newer card
+  sigc::signal<void(const PeerRecord&)> met;  // a newer record
 
  private:
   Task shuffle();
   Task shuffleWith(Address peer);
   bool alone() const;
-  std::vector<Card> hand();
-  void absorb(const std::vector<Card>& cards);
+  std::vector<PeerRecord> hand();
+  void absorb(const std::vector<PeerRecord>& records);
   void onShuffle(const Asked& asked);
   Address nominatePeer();
   void trim();
   Ports& ports_;
   RpcEndpoint& rpc_;
   TaskRoom& room_;
-  ShimPlan plan_;
-  Card self_;
+  GossipPlan plan_;
+  PeerRecord self_;
   Us youngUntilUs_ = 0;
   absl::btree_map<Address, Sight> sights_;
 };
--- a/src/jig/almanac.cc
+++ b/src/jig/almanac.cc
@@ -10,12 +10,12 @@
 constexpr Us kPeerUs = 400 * kMilliUs;
 }  // namespace
 
-Almanac::Almanac(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& core, Shim& shim)
-    : ports_(ports), rpc_(rpc), room_(room), core_(core), shim_(shim) {}
+Almanac::Almanac(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& core, Gossip& gossip)
+    : ports_(ports), rpc_(rpc), room_(room), core_(core), gossip_(gossip) {}
 
 void Almanac::begin() {
   rpc_.serve(AlmanacAsk::kKind, sigc::mem_fun(*this, &Almanac::onAlmanacAsk));
-  shim_.met.connect(sigc::mem_fun(*this, &Almanac::onMet));
+  gossip_.met.connect(sigc::mem_fun(*this, &Almanac::onMet));
   room_.start(follow());
 }
 
@@ -23,7 +23,7 @@
   const Revision before = state_.revision();
   if (!state_.absorb(given) || state_.revision() == before) return;
   STONEMOUNT_INVARIANT(state_.revision() > before);
-  shim_.self().control = state_.revision();
+  gossip_.self().control = state_.revision();
   logEvent("control_news", {{"revision", absl::StrCat(state_.revision())},
                             {"config", absl::StrCat(state_.configRevision())}});
   news.emit();
@@ -50,11 +50,11 @@
   }
 }
 
-// A peer's card tells of newer news than ours: ask it, whatever became of the core.
-void Almanac::onMet(const Card& card) {
-  if (card.role != Role::kNode || card.control <= state_.revision() || asking_) return;
+// A peer's record tells of newer news than ours: ask it, whatever became of the core.
+void Almanac::onMet(const PeerRecord& record) {
+  if (record.role != Role::kNode || record.control <= state_.revision() || asking_) return;
   asking_ = true;
-  room_.start(catchUpFromPeer(card.wire));
+  room_.start(catchUpFromPeer(record.wire));
 }
 
 Task Almanac::catchUpFromPeer(Address peer) {
--- a/src/jig/almanac.h
+++ b/src/jig/almanac.h
@@ -4,7 +4,7 @@
 
 #include "replication/client.h"
 #include "core/commands.h"
-#include "shim/shim.h"
+#include "gossip/gossip.h"
 
 namespace stonemount {
 
@@ -16,7 +16,7 @@
 
 class Almanac {
  public:
-  Almanac(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& core, Shim& shim);
+  Almanac(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& core, Gossip& gossip);
   void begin();
   const ControlState& state() const { return state_; }
   bool ready() const { return state_.revision() != 0; }
@@ -29,12 +29,12 @@
   Task catchUpFromPeer(Address peer);
   void take(const ControlNews& given);
   void onAlmanacAsk(const Asked& asked);
-  void onMet(const Card& card);
+  void onMet(const PeerRecord& record);
   Ports& ports_;
   RpcEndpoint& rpc_;
   TaskRoom& room_;
   ChainClient& core_;
-  Shim& shim_;
+  Gossip& gossip_;
   ControlState state_;
   Us freshUs_ = -1;
   bool asking_ = false;
--- a/src/membership/membership_manager.cc
+++ b/src/membership/membership_manager.cc
@@ -15,9 +15,9 @@
   return plan;
 }
 
-MembershipManager::MembershipManager(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, Shim& shim, const Replica& control,
+MembershipManager::MembershipManager(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, Gossip& gossip, const Replica& control,
                  const ControlMachine& machine, ChainClient& core, ChainClient& store, MembershipPlan plan)
-    : ports_(ports), rpc_(rpc), room_(room), election_(election), shim_(shim), control_(control), machine_(machine),
+    : ports_(ports), rpc_(rpc), room_(room), election_(election), gossip_(gossip), control_(control), machine_(machine),
       core_(core), store_(store), plan_(plan), controlDetector_(plan.watch), storeDetector_(plan.watch) {}
 
 void MembershipManager::begin() {
@@ -28,8 +28,8 @@
 // Whoever becomes membershipManager knows since when the set of empty stores has stood.
 void MembershipManager::noteEmpties() {
   absl::btree_set<Address> now;
-  for (const Card& card : shim_.alive(Role::kStore))
-    if (card.empty) now.insert(card.wire);
+  for (const PeerRecord& record : gossip_.alive(Role::kStore))
+    if (record.empty) now.insert(record.wire);
   const Us nowUs = ports_.clock.monoUs();
   if (now != empties_) emptiesSinceUs_ = nowUs;
   if (firstEmptyUs_ < 0 && !now.empty()) firstEmptyUs_ = nowUs;
@@ -51,8 +51,8 @@
   const Us nowUs = ports_.clock.monoUs();
   if (founders_.empty()) {
     std::vector<Seat> seats;
-    for (const Card& card : shim_.alive(Role::kStore))
-      if (card.empty) seats.push_back({card.wire, 0, card.zone});
+    for (const PeerRecord& record : gossip_.alive(Role::kStore))
+      if (record.empty) seats.push_back({record.wire, 0, record.zone});
     const bool late = firstEmptyUs_ >= 0 && nowUs - firstEmptyUs_ > plan_.foundWaitUs;
     const bool enough = seats.size() >= plan_.seats && outlivesZones(spreadSeats(seats, plan_.seats));
     // Views are partial: where there are many processes, the set that one of them sees never stands still.
@@ -76,7 +76,7 @@
   absl::btree_set<Address> asked;
   for (const std::vector<Seat>* seats : {&view.voters, &view.nonVoters})
     for (const Seat& seat : *seats) asked.insert(seat.address);
-  for (const Card& card : shim_.alive(Role::kStore)) asked.insert(card.wire);
+  for (const PeerRecord& record : gossip_.alive(Role::kStore)) asked.insert(record.wire);
   ProbePoll poll(rpc_, asked, plan_.peekUs);
   co_await poll;
   bool newer = false;
@@ -89,8 +89,8 @@
 }
 
 std::string MembershipManager::nameAt(const Address& wire) const {
-  auto sight = shim_.sights().find(wire);
-  return sight != shim_.sights().end() ? sight->second.card.machine : std::string();
+  auto sight = gossip_.sights().find(wire);
+  return sight != gossip_.sights().end() ? sight->second.record.machine : std::string();
 }
 
 SeatNeed MembershipManager::needOf(const FailureDetector& watch, const View& view, Role role) const {
@@ -106,12 +106,12 @@
       if (role == Role::kStore && machine_.orders().retires(seat.address, nameAt(seat.address))) need.retired.insert(seat.address);
     }
   }
-  for (const Card& card : shim_.alive(role)) {
-    const Pong* pong = watch.pong(card.wire, nowUs);
-    if (pong == nullptr || findMember(view, card.wire) != nullptr || card.draining) continue;
-    if (role == Role::kStore && machine_.orders().retires(card.wire, card.machine)) continue;
+  for (const PeerRecord& record : gossip_.alive(role)) {
+    const Pong* pong = watch.pong(record.wire, nowUs);
+    if (pong == nullptr || findMember(view, record.wire) != nullptr || record.draining) continue;
+    if (role == Role::kStore && machine_.orders().retires(record.wire, record.machine)) continue;
     const bool waits = pong->state == ReplicaState::kOutside || pong->state == ReplicaState::kBootstrapping;
-    if (waits && pong->stalledUs == 0) need.fit.push_back({card.wire, pong->incarnation, card.zone});
+    if (waits && pong->stalledUs == 0) need.fit.push_back({record.wire, pong->incarnation, record.zone});
   }
   return need;
 }
@@ -192,10 +192,10 @@
     }
     Job<bool> peeking = peek(view);
     const bool newer = co_await peeking;
-    // Who has just become membershipManager goes by when the cards of the silent last moved.
+    // Who has just become membershipManager goes by when the records of the silent last moved.
     for (const Seat& seat : view.voters) {
-      auto sight = shim_.sights().find(seat.address);
-      if (sight != shim_.sights().end()) storeDetector_.suppose(seat.address, sight->second.heardUs);
+      auto sight = gossip_.sights().find(seat.address);
+      if (sight != gossip_.sights().end()) storeDetector_.suppose(seat.address, sight->second.heardUs);
     }
     storeDetector_.look(view, ports_.clock.monoUs());
     if (newer) {
--- a/src/membership/membership_manager.h
+++ b/src/membership/membership_manager.h
@@ -9,7 +9,7 @@
 #include "core/control_machine.h"
 #include "jig/settings.h"
 #include "election/election.h"
-#include "shim/shim.h"
+#include "gossip/gossip.h"
 
 namespace stonemount {
 
@@ -27,7 +27,7 @@
 
 class MembershipManager {
  public:
-  MembershipManager(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, Shim& shim, const Replica& control,
+  MembershipManager(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, Gossip& gossip, const Replica& control,
           const ControlMachine& machine, ChainClient& core, ChainClient& store, MembershipPlan plan);
   void begin();
   static constexpr const char* kDuty = "steward";
@@ -47,7 +47,7 @@
   RpcEndpoint& rpc_;
   TaskRoom& room_;
   Election& election_;
-  Shim& shim_;
+  Gossip& gossip_;
   const Replica& control_;
   const ControlMachine& machine_;
   ChainClient& core_;
--- a/src/membership/retire.cc
+++ b/src/membership/retire.cc
@@ -18,23 +18,23 @@
 }
 }  // namespace
 
-RetireByOrder::RetireByOrder(Ports& ports, RpcEndpoint& rpc, Shim& shim, ChainClient& core, ChainClient& store,
+RetireByOrder::RetireByOrder(Ports& ports, RpcEndpoint& rpc, Gossip& gossip, ChainClient& core, ChainClient& store,
                              std::uint32_t lostMachines)
-    : ports_(ports), rpc_(rpc), shim_(shim), core_(core), store_(store),
+    : ports_(ports), rpc_(rpc), gossip_(gossip), core_(core), store_(store),
       needed_(2 * static_cast<std::size_t>(lostMachines) + 1), begunUs_(ports.clock.monoUs()) {}
 
 bool RetireByOrder::young() const { return ports_.clock.monoUs() - begunUs_ < kYoungUs; }
 
 // A name may be that of a machine's successor too: the live one, and of those the newest, is meant.
-const Card* RetireByOrder::cardOf(const std::string& machine) const {
-  const Shim::Sight* chosen = nullptr;
-  for (const auto& [address, sight] : shim_.sights()) {
-    if (sight.card.role != Role::kStore || sight.card.machine != machine) continue;
-    if (chosen == nullptr || std::make_pair(shim_.isAlive(sight), sight.card.life) >
-                                 std::make_pair(shim_.isAlive(*chosen), chosen->card.life))
+const PeerRecord* RetireByOrder::recordOf(const std::string& machine) const {
+  const Gossip::Sight* chosen = nullptr;
+  for (const auto& [address, sight] : gossip_.sights()) {
+    if (sight.record.role != Role::kStore || sight.record.machine != machine) continue;
+    if (chosen == nullptr || std::make_pair(gossip_.isAlive(sight), sight.record.life) >
+                                 std::make_pair(gossip_.isAlive(*chosen), chosen->record.life))
       chosen = &sight;
   }
-  return chosen == nullptr ? nullptr : &chosen->card;
+  return chosen == nullptr ? nullptr : &chosen->record;
 }
 
 Job<std::optional<MemberOrders>> RetireByOrder::readOrders() {
@@ -51,8 +51,8 @@
 // acknowledged is in two zones. That one zone might hold most of them then is the operator's choice.
 // A live machine that holds no seat yet counts: the order is complete only when it has one.
 Job<RetireOutcome> RetireByOrder::retire(std::string machine) {
-  const Card* card = cardOf(machine);
-  if (card == nullptr) {
+  const PeerRecord* record = recordOf(machine);
+  if (record == nullptr) {
     Job<std::optional<MemberOrders>> reading = readOrders();
     const std::optional<MemberOrders> orders = co_await reading;
     if (!orders) co_return RetireOutcome::kUnsure;
@@ -61,10 +61,10 @@
   }
   RetireStore command;
   command.machine = machine;
-  command.address = card->wire;
+  command.address = record->wire;
   command.needed = static_cast<std::uint32_t>(needed_);
   std::vector<Seat> rest;
-  for (const Card& other : shim_.alive(Role::kStore)) {
+  for (const PeerRecord& other : gossip_.alive(Role::kStore)) {
     if (other.wire == command.address || other.draining) continue;
     command.rest.push_back(other.wire);
     rest.push_back({other.wire, 0, other.zone});
@@ -113,9 +113,9 @@
   const std::optional<MemberOrders> orders = co_await reading;
   if (!orders) co_return RetireState::kUnsure;
   const RetireOrder* order = orderOf(*orders, machine);
-  const Card* card = cardOf(machine);
-  if (order == nullptr && card == nullptr) co_return young() ? RetireState::kUnsure : RetireState::kUnknown;
-  if (order == nullptr || (card != nullptr && card->wire != order->address)) co_return RetireState::kServing;
+  const PeerRecord* record = recordOf(machine);
+  if (order == nullptr && record == nullptr) co_return young() ? RetireState::kUnsure : RetireState::kUnknown;
+  if (order == nullptr || (record != nullptr && record->wire != order->address)) co_return RetireState::kServing;
   Job<bool> holding = restHolds(order->address);
   const bool holds = co_await holding;
   co_return holds ? RetireState::kComplete : RetireState::kServing;
--- a/src/membership/retire.h
+++ b/src/membership/retire.h
@@ -6,24 +6,24 @@
 #include "membership/retire_service.h"
 #include "core/commands.h"
 #include "jig/settings.h"
-#include "shim/shim.h"
+#include "gossip/gossip.h"
 
 namespace stonemount {
 
 class RetireByOrder : public RetireService {
  public:
-  RetireByOrder(Ports& ports, RpcEndpoint& rpc, Shim& shim, ChainClient& core, ChainClient& store, std::uint32_t lostMachines);
+  RetireByOrder(Ports& ports, RpcEndpoint& rpc, Gossip& gossip, ChainClient& core, ChainClient& store, std::uint32_t lostMachines);
   Job<RetireOutcome> retire(std::string machine) override;
   Job<RetireState> stateOf(std::string machine) override;
 
  private:
-  const Card* cardOf(const std::string& machine) const;
+  const PeerRecord* recordOf(const std::string& machine) const;
   bool young() const;
   Job<std::optional<MemberOrders>> readOrders();
   Job<bool> restHolds(Address retired);  // without it, with a loss right after
   Ports& ports_;
   RpcEndpoint& rpc_;
-  Shim& shim_;
+  Gossip& gossip_;
   ChainClient& core_;
   ChainClient& store_;
   std::size_t needed_;
--- a/src/node/doctor.cc
+++ b/src/node/doctor.cc
@@ -109,10 +109,10 @@
   }
   if (!almanac_.ready()) findings.push_back({"D401", "no configuration has reached this node", "push one; see core"});
   Revision newest = control.revision();
-  for (const Card& card : shim_.alive(Role::kNode)) newest = std::max(newest, card.control);
-  for (const Card& card : shim_.alive(Role::kNode))
-    if (card.control < newest)
-      findings.push_back({"D402", absl::StrCat("node ", addressText(card.wire), " is at control revision ", card.control,
+  for (const PeerRecord& record : gossip_.alive(Role::kNode)) newest = std::max(newest, record.control);
+  for (const PeerRecord& record : gossip_.alive(Role::kNode))
+    if (record.control < newest)
+      findings.push_back({"D402", absl::StrCat("node ", addressText(record.wire), " is at control revision ", record.control,
                                                " of ", newest), "normal for a second; else see its way to the core"});
   absl::btree_set<std::string> pools;
   // Where requests are passed through, workers are asked nothing: the list and their answers tell.
@@ -137,8 +137,8 @@
       findings.push_back({"D505", "route " + name + " has no fit worker in pool " + route.pool, "see the platform's list"});
   std::size_t known = 0;
   for (const Address& seed : settings_.seeds) {
-    auto found = shim_.sights().find(seed);
-    known += seed == settings_.wire || (found != shim_.sights().end() && shim_.isAlive(found->second)) ? 1 : 0;
+    auto found = gossip_.sights().find(seed);
+    known += seed == settings_.wire || (found != gossip_.sights().end() && gossip_.isAlive(found->second)) ? 1 : 0;
   }
   if (known < settings_.seeds.size())
     findings.push_back({"D701", absl::StrCat(known, " of ", settings_.seeds.size(), " seeds of this node are alive"),
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -15,11 +15,11 @@
 
 Node::Node(Ports& ports, Settings settings, NodePlan plan)
     : ports_(ports), settings_(std::move(settings)), rpc_(ports.timers, ports.wire, ports.chance),
-      shim_(ports, rpc_, room_, plan.shim), core_(ports, rpc_, plan.dialect != nullptr ? settings_.seeds : std::vector<Address>()), store_(ports, rpc_, {}),
-      almanac_(ports, rpc_, room_, core_, shim_),
+      gossip_(ports, rpc_, room_, plan.gossip), core_(ports, rpc_, plan.dialect != nullptr ? settings_.seeds : std::vector<Address>()), store_(ports, rpc_, {}),
+      almanac_(ports, rpc_, room_, core_, gossip_),
       board_(ports.clock, almanac_.state(), {settings_.zone, settings_.wire}), fitness_(ports, room_, board_),
       lathe_(ports, room_, board_, almanac_.state(), plan.lathe, hexText(ports.chance.next())),
-      scheduler_(ports, rpc_, room_, store_, board_, almanac_.state(), shim_, settings_.zone,
+      scheduler_(ports, rpc_, room_, store_, board_, almanac_.state(), gossip_, settings_.zone,
                  plan.dialect != nullptr ? passingPlan(plan.scheduler, settings_.bounds) : plan.scheduler),
       ownList_(ports, settings_.platform), list_(plan.list) {
   if (list_ == nullptr && settings_.platform.set()) list_ = &ownList_;
@@ -42,13 +42,13 @@
 }
 
 void Node::begin() {
-  Card card;
-  card.http = settings_.http;
-  card.role = Role::kNode;
-  card.zone = settings_.zone;
-  shim_.met.connect(sigc::mem_fun(*this, &Node::onMet));
+  PeerRecord record;
+  record.http = settings_.http;
+  record.role = Role::kNode;
+  record.zone = settings_.zone;
+  gossip_.met.connect(sigc::mem_fun(*this, &Node::onMet));
   almanac_.news.connect(sigc::mem_fun(*this, &Node::onNews));
-  shim_.begin(card);
+  gossip_.begin(record);
   almanac_.begin();
   lathe_.begin();
   scheduler_.begin();
@@ -59,7 +59,7 @@
 
 void Node::drain() {
   draining_ = true;
-  shim_.self().draining = true;
+  gossip_.self().draining = true;
   lathe_.drain();
   scheduler_.drain();
   if (gateway_ != nullptr) gateway_->drain();
@@ -71,9 +71,9 @@
   return !passing && !taking && lathe_.waiting() == 0 && lathe_.relaying() == 0 && scheduler_.idle();
 }
 
-void Node::onMet(const Card& card) {
-  if (card.role == Role::kCore) core_.learnMember(card.wire);
-  if (card.role == Role::kStore) store_.learnMember(card.wire);
+void Node::onMet(const PeerRecord& record) {
+  if (record.role == Role::kCore) core_.learnMember(record.wire);
+  if (record.role == Role::kStore) store_.learnMember(record.wire);
 }
 
 void Node::onNews() {
@@ -85,7 +85,7 @@
 Task Node::keepNodes() {
   while (true) {
     std::vector<Address> nodes;
-    for (const Card& card : shim_.alive(Role::kNode)) nodes.push_back(card.wire);
+    for (const PeerRecord& record : gossip_.alive(Role::kNode)) nodes.push_back(record.wire);
     if (pools_ != nullptr) pools_->setNodes(nodes.size());
     board_.setNodes(std::move(nodes));
     board_.tick();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -14,7 +14,7 @@
 namespace stonemount {
 
 struct NodePlan {
-  ShimPlan shim;
+  GossipPlan gossip;
   LathePlan lathe;
   SchedulerPlan scheduler;
   GatewayPlan gateway;
@@ -39,7 +39,7 @@
   const Lathe& lathe() const { return lathe_; }
   const Scheduler& scheduler() const { return scheduler_; }
   const WorkerBoard& board() const { return board_; }
-  Shim& shim() { return shim_; }
+  Gossip& gossip() { return gossip_; }
 
  private:
   using Parts = std::vector<std::string>;
@@ -76,7 +76,7 @@
   Job<std::optional<ControlVerdict>> commandCore(ControlCommand command, ReplyPtr reply);
   Job<std::optional<StoreVerdict>> commandStore(StoreCommand command, ReplyPtr reply);
   void chainFailed(HttpReply& reply, const ChainFailure& failure, bool command);
-  void onMet(const Card& card);
+  void onMet(const PeerRecord& record);
   void onNews();
   void onWorkerGone(const Address& worker) { ports_.httpOut.closeKept(worker); }
   Task keepNodes();
@@ -88,7 +88,7 @@
   Settings settings_;
   TaskRoom room_;
   RpcEndpoint rpc_;
-  Shim shim_;
+  Gossip gossip_;
   ChainClient core_;
   ChainClient store_;
   Almanac almanac_;
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -29,8 +29,8 @@
 };
 
 Scheduler::Scheduler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& store, WorkerBoard& board,
-                     const ControlState& control, Shim& shim, std::string zone, SchedulerPlan plan)
-    : ports_(ports), rpc_(rpc), room_(room), store_(store), board_(board), control_(control), shim_(shim),
+                     const ControlState& control, Gossip& gossip, std::string zone, SchedulerPlan plan)
+    : ports_(ports), rpc_(rpc), room_(room), store_(store), board_(board), control_(control), gossip_(gossip),
       zone_(std::move(zone)), plan_(plan), sealer_(ports, board, control), delivery_(ports, room, store, plan.gatherUs) {}
 
 SchedulerPlan passingPlan(SchedulerPlan plan, const Bounds& bounds) {
@@ -55,8 +55,8 @@
 
 void Scheduler::refreshRing() {
   absl::btree_set<Address> alive;
-  for (const Card& card : shim_.alive(Role::kNode))
-    if (!card.draining && !control_.evacuated(card.zone)) alive.insert(card.wire);
+  for (const PeerRecord& record : gossip_.alive(Role::kNode))
+    if (!record.draining && !control_.evacuated(record.zone)) alive.insert(record.wire);
   std::vector<Address> gone;
   for (const Address& member : nodes_.members())
     if (!alive.contains(member)) gone.push_back(member);
--- a/src/node/scheduler.h
+++ b/src/node/scheduler.h
@@ -7,7 +7,7 @@
 #include "node/lot_delivery.h"
 #include "node/lot_runner.h"
 #include "node/lot_sealer.h"
-#include "shim/shim.h"
+#include "gossip/gossip.h"
 
 namespace stonemount {
 
@@ -28,7 +28,7 @@
 class Scheduler {
  public:
   Scheduler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& store, WorkerBoard& board,
-            const ControlState& control, Shim& shim, std::string zone, SchedulerPlan plan);
+            const ControlState& control, Gossip& gossip, std::string zone, SchedulerPlan plan);
   // ReplicaState lots are run here too, their items passed through. To be called before begin().
   void passThrough(ItemPasser& passer);
   void begin();
@@ -63,7 +63,7 @@
   ChainClient& store_;
   WorkerBoard& board_;
   const ControlState& control_;
-  Shim& shim_;
+  Gossip& gossip_;
   std::string zone_;
   SchedulerPlan plan_;
   Ring nodes_;
--- a/src/rasp/rebuild.cc
+++ b/src/rasp/rebuild.cc
@@ -13,9 +13,9 @@
 
 Job<Done> Rebuilder::look() {
   if (machine_.state().configRevision() != 0 || !machine_.state().zones().empty()) co_return Done{};
-  Card newest;
-  for (const Card& card : shim_.alive(Role::kNode))
-    if (card.control > newest.control) newest = card;
+  PeerRecord newest;
+  for (const PeerRecord& record : gossip_.alive(Role::kNode))
+    if (record.control > newest.control) newest = record;
   if (newest.control <= machine_.state().revision()) co_return Done{};
   Job<std::variant<ControlNews, PeerSilent>> asking = ask<ControlNews>(rpc_, newest.wire, AlmanacAsk{0}, kAskUs);
   std::variant<ControlNews, PeerSilent> verdict = co_await asking;
--- a/src/rasp/rebuild.h
+++ b/src/rasp/rebuild.h
@@ -4,21 +4,21 @@
 
 #include "replication/client.h"
 #include "core/control_machine.h"
-#include "shim/shim.h"
+#include "gossip/gossip.h"
 
 namespace stonemount {
 
 class Rebuilder {
  public:
-  Rebuilder(Ports& ports, RpcEndpoint& rpc, Shim& shim, ChainClient& core, const ControlMachine& machine)
-      : ports_(ports), rpc_(rpc), shim_(shim), core_(core), machine_(machine) {}
+  Rebuilder(Ports& ports, RpcEndpoint& rpc, Gossip& gossip, ChainClient& core, const ControlMachine& machine)
+      : ports_(ports), rpc_(rpc), gossip_(gossip), core_(core), machine_(machine) {}
   // One look; does nothing unless control is empty and some node knows more.
   Job<Done> look();
 
  private:
   Ports& ports_;
   RpcEndpoint& rpc_;
-  Shim& shim_;
+  Gossip& gossip_;
   ChainClient& core_;
   const ControlMachine& machine_;
 };
--- a/src/store/store.cc
+++ b/src/store/store.cc
@@ -6,9 +6,9 @@
 
 namespace stonemount {
 
-Store::Store(Ports& ports, Settings settings, ShimPlan shim, StorePlan plan)
+Store::Store(Ports& ports, Settings settings, GossipPlan gossip, StorePlan plan)
     : ports_(ports), settings_(std::move(settings)), rpc_(ports.timers, ports.wire, ports.chance),
-      shim_(ports, rpc_, room_, std::move(shim)), machine_(ports.chance, plan),
+      gossip_(ports, rpc_, room_, std::move(gossip)), machine_(ports.chance, plan),
       replica_(ports, rpc_, room_, machine_, replicaPlanOf(settings_)), client_(ports, rpc_, settings_.founders) {}
 
 Store::~Store() {
@@ -17,29 +17,29 @@
 }
 
 void Store::begin() {
-  Card card;
-  card.http = settings_.http;
-  card.role = Role::kStore;
-  card.zone = settings_.zone;
-  card.machine = settings_.name;
-  shim_.met.connect(sigc::mem_fun(*this, &Store::onMet));
+  PeerRecord record;
+  record.http = settings_.http;
+  record.role = Role::kStore;
+  record.zone = settings_.zone;
+  record.machine = settings_.name;
+  gossip_.met.connect(sigc::mem_fun(*this, &Store::onMet));
   replica_.viewMoved.connect(sigc::mem_fun(*this, &Store::onView));
-  shim_.begin(card);
+  gossip_.begin(record);
   rpc_.serve(SessionAsk::kKind, sigc::mem_fun(*this, &Store::onSession));
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Store::onAsked));
   replica_.begin();
   room_.start(watchSession());
 }
 
-void Store::onMet(const Card& card) {
-  if (card.role != Role::kStore) return;
-  replica_.meet(card.wire);
-  client_.learnMember(card.wire);
+void Store::onMet(const PeerRecord& record) {
+  if (record.role != Role::kStore) return;
+  replica_.meet(record.wire);
+  client_.learnMember(record.wire);
 }
 
 // Empty, on the fleet's first start, and nobody told it who founds: it may become a founder.
 void Store::onView() {
-  shim_.self().empty = settings_.firstStart && settings_.founders.empty() && replica_.state() == ReplicaState::kBootstrapping;
+  gossip_.self().empty = settings_.firstStart && settings_.founders.empty() && replica_.state() == ReplicaState::kBootstrapping;
 }
 
 // One line for each change of epoch or certainty, from the tail alone.
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -4,14 +4,14 @@
 #include "replication/client.h"
 #include "replication/replica.h"
 #include "jig/settings.h"
-#include "shim/shim.h"
+#include "gossip/gossip.h"
 #include "store/store_machine.h"
 
 namespace stonemount {
 
 class Store {
  public:
-  Store(Ports& ports, Settings settings, ShimPlan shim, StorePlan plan);
+  Store(Ports& ports, Settings settings, GossipPlan gossip, StorePlan plan);
   ~Store();
   void begin();
   const Replica& replica() const { return replica_; }
@@ -20,7 +20,7 @@
   StoreMachine& machine() { return machine_; }
 
  private:
-  void onMet(const Card& card);
+  void onMet(const PeerRecord& record);
   void onView();
   Task watchSession();
   void tellCut();
@@ -30,7 +30,7 @@
   Settings settings_;
   TaskRoom room_;
   RpcEndpoint rpc_;
-  Shim shim_;
+  Gossip gossip_;
   StoreMachine machine_;
   Replica replica_;
   ChainClient client_;
--- a/tests/lots_rig.h
+++ b/tests/lots_rig.h
@@ -95,28 +95,28 @@
 
 // A node as far as standing lots go.
 struct LotNode {
-  LotNode(SimHost& given, ShimPlan shimPlan, const ControlState& control, WorkLog& log)
-      : host(given), ports(given.ports()), rpc(given, given, given.chance), shim(ports, rpc, room, std::move(shimPlan)),
+  LotNode(SimHost& given, GossipPlan gossipPlan, const ControlState& control, WorkLog& log)
+      : host(given), ports(given.ports()), rpc(given, given, given.chance), gossip(ports, rpc, room, std::move(gossipPlan)),
         store(ports, rpc, {}), board(given, control, {given.zone(), given.wire()}), workers(ports, log),
-        scheduler(ports, rpc, room, store, board, control, shim, given.zone(), passingPlan({}, Bounds())),
+        scheduler(ports, rpc, room, store, board, control, gossip, given.zone(), passingPlan({}, Bounds())),
         lotService(ports, rpc, store, scheduler, control, {}), lots(lotService) {
-    Card card;
-    card.role = Role::kNode;
-    card.zone = given.zone();
-    shim.met.connect(sigc::mem_fun(*this, &LotNode::onMet));
-    shim.begin(card);
+    PeerRecord record;
+    record.role = Role::kNode;
+    record.zone = given.zone();
+    gossip.met.connect(sigc::mem_fun(*this, &LotNode::onMet));
+    gossip.begin(record);
     scheduler.passThrough(workers);
     scheduler.begin();
   }
   ~LotNode() { room.clear(); }
-  void onMet(const Card& card) {
-    if (card.role == Role::kStore) store.learnMember(card.wire);
+  void onMet(const PeerRecord& record) {
+    if (record.role == Role::kStore) store.learnMember(record.wire);
   }
   SimHost& host;
   Ports ports;
   TaskRoom room;
   RpcEndpoint rpc;
-  Shim shim;
+  Gossip gossip;
   ChainClient store;
   WorkerBoard board;
   PlayedWorkers workers;
@@ -155,7 +155,7 @@
   }
   void start(std::size_t i) {
     hosts[i]->rise();
-    ShimPlan plan;
+    GossipPlan plan;
     for (Part* part : fleet.of(PartKind::kStore)) plan.seeds.push_back(part->host->wire());
     nodes[i] = std::make_unique<LotNode>(*hosts[i], plan, control, log);
   }
--- a/tests/platform_rig.h
+++ b/tests/platform_rig.h
@@ -103,7 +103,7 @@
     one.list = std::make_unique<PlatformWorkerList>(*one.ports, Address{kNet + 90, 8000});
     CorePlan plan;
     for (const Address& founder : one.settings.founders)
-      if (founder != one.settings.wire) plan.shim.seeds.push_back(founder);
+      if (founder != one.settings.wire) plan.gossip.seeds.push_back(founder);
     plan.list = one.list.get();
     one.core = std::make_unique<Core>(*one.ports, one.settings, plan);
     one.core->begin();
--- a/tests/views_test.cc
+++ b/tests/views_test.cc
@@ -4,7 +4,7 @@
 #include <cstdio>
 
 #include "bench/world.h"
-#include "shim/shim.h"
+#include "gossip/gossip.h"
 
 using namespace stonemount;
 
@@ -18,20 +18,20 @@
 }
 
 struct Process {
-  Process(SimHost& given, ShimPlan plan)
-      : host(given), ports(given.ports()), rpc(given, given, given.chance), shim(ports, rpc, room, std::move(plan)) {
-    Card card;
-    card.role = Role::kNode;
-    card.zone = given.zone();
-    card.http = given.http();
-    shim.begin(card);
+  Process(SimHost& given, GossipPlan plan)
+      : host(given), ports(given.ports()), rpc(given, given, given.chance), gossip(ports, rpc, room, std::move(plan)) {
+    PeerRecord record;
+    record.role = Role::kNode;
+    record.zone = given.zone();
+    record.http = given.http();
+    gossip.begin(record);
   }
   ~Process() { room.clear(); }
   SimHost& host;
   Ports ports;
   TaskRoom room;
   RpcEndpoint rpc;
-  Shim shim;
+  Gossip gossip;
 };
 
 struct Crowd {
@@ -41,23 +41,23 @@
                                     {2, static_cast<std::uint16_t>(1 + i)});
       host.rise();
     }
-    ShimPlan plan;
+    GossipPlan plan;
     plan.seeds = {{1, 1}, {1, 2}, {1, 3}};
     for (auto& host : world.hosts()) processes.push_back(std::make_unique<Process>(*host, plan));
   }
   void run(Us lengthUs) { world.runUntil(world.nowUs() + lengthUs); }
   std::size_t fewestKnown() {
     std::size_t fewest = kProcesses;
-    for (auto& process : processes) fewest = std::min(fewest, process->shim.alive(Role::kNode).size());
+    for (auto& process : processes) fewest = std::min(fewest, process->gossip.alive(Role::kNode).size());
     return fewest;
   }
-  // How many know the newest control revision, as told on cards alone.
+  // How many know the newest control revision, as told on records alone.
   std::size_t reached(Revision revision) {
     std::size_t count = 0;
     for (auto& process : processes) {
-      bool knows = process->shim.self().control >= revision;
-      for (const auto& [address, sight] : process->shim.sights()) knows |= sight.card.control >= revision;
-      if (knows) process->shim.self().control = std::max(process->shim.self().control, revision);
+      bool knows = process->gossip.self().control >= revision;
+      for (const auto& [address, sight] : process->gossip.sights()) knows |= sight.record.control >= revision;
+      if (knows) process->gossip.self().control = std::max(process->gossip.self().control, revision);
       count += knows ? 1 : 0;
     }
     return count;
@@ -78,7 +78,7 @@
   while (crowd.fewestKnown() < 20 && crowd.world.nowUs() < 30 * kSecondUs) crowd.run(100 * kMilliUs);
   startUs = crowd.world.nowUs();
   crowd.run(5 * kSecondUs);
-  crowd.processes[17]->shim.self().control = 5;
+  crowd.processes[17]->gossip.self().control = 5;
   const Us toldUs = crowd.world.nowUs();
   while (crowd.reached(5) < kProcesses && crowd.world.nowUs() < toldUs + 30 * kSecondUs) crowd.run(50 * kMilliUs);
   const Us spreadUs = crowd.world.nowUs() - toldUs;
@@ -89,17 +89,17 @@
       if (i % 4 == 0) crowd.processes[j]->host.frozenUntilUs = crowd.world.nowUs() + 500 * kMilliUs;
     crowd.run(500 * kMilliUs);
     for (auto& process : crowd.processes)
-      for (const auto& [address, sight] : process->shim.sights()) {
+      for (const auto& [address, sight] : process->gossip.sights()) {
         ++looks;
-        wrong += process->shim.isAlive(sight) ? 0 : 1;
+        wrong += process->gossip.isAlive(sight) ? 0 : 1;
       }
   }
   split(crowd, true);
-  crowd.run(40 * kSecondUs);  // longer than a card is remembered
+  crowd.run(40 * kSecondUs);  // longer than a record is remembered
   split(crowd, false);
   const Us healedUs = crowd.world.nowUs();
   const Revision late = 9;
-  crowd.processes[18]->shim.self().control = late;
+  crowd.processes[18]->gossip.self().control = late;
   while (crowd.reached(late) < kProcesses && crowd.world.nowUs() < healedUs + 60 * kSecondUs) crowd.run(100 * kMilliUs);
   const Us healUs = crowd.world.nowUs() - healedUs;
   std::uint64_t bytes = 0, frames = 0;
@@ -112,7 +112,7 @@
               static_cast<double>(wrong) / static_cast<double>(looks), static_cast<double>(frames) / 10.0 / kProcesses,
               static_cast<double>(bytes) / 10.0 / kProcesses);
   expect(startUs < 10 * kSecondUs, "everyone knows twenty peers within 10 s of a common start");
-  expect(spreadUs < 4 * kSecondUs, "a card's news reaches all within 4 s");
+  expect(spreadUs < 4 * kSecondUs, "a record's news reaches all within 4 s");
   expect(healUs < 20 * kSecondUs, "halves that forgot each other are one again within 20 s");
 }
 }  // namespace
