--- a/src/bench/judge.cc
+++ b/src/bench/judge.cc
@@ -68,11 +68,11 @@
     if (ackedUs + kConfigUs < nowUs) due = std::max(due, revision);
   for (Part* part : fleet_.of(PartKind::kNode)) {
     if (!part->node || part->host->frozen()) continue;
-    const ControlState& state = part->node->almanac().state();
+    const ControlState& state = part->node->configCache().state();
     if (state.revision() < part->seenControl) fault(part->host->name() + " went back to an older configuration");
     part->seenControl = std::max(part->seenControl, state.revision());
     const bool reached = nowUs > part->troubledUs + kConfigUs;
-    if (part->node->almanac().ready() && reached && state.configRevision() < due)
+    if (part->node->configCache().ready() && reached && state.configRevision() < due)
       fault(absl::StrCat(part->host->name(), " is at config ", state.configRevision(), ", due is ", due));
   }
 }
--- a/src/chisel/operator.cc
+++ b/src/chisel/operator.cc
@@ -5,7 +5,7 @@
 
 #include "bellows/http.h"
 #include "chisel/flags.h"
-#include "jig/json.h"
+#include "config/json.h"
 #include "runtime/http_call.h"
 
 namespace stonemount {
--- a/src/jig/almanac.cc
+++ b/src/config/config_cache.cc
@@ -1,4 +1,4 @@
-#include "jig/almanac.h"
+#include "config/config_cache.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -10,16 +10,16 @@
 constexpr Us kPeerUs = 400 * kMilliUs;
 }  // namespace
 
-Almanac::Almanac(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& core, Gossip& gossip)
+ConfigCache::ConfigCache(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& core, Gossip& gossip)
     : ports_(ports), rpc_(rpc), room_(room), core_(core), gossip_(gossip) {}
 
-void Almanac::begin() {
-  rpc_.serve(AlmanacAsk::kKind, sigc::mem_fun(*this, &Almanac::onAlmanacAsk));
-  gossip_.met.connect(sigc::mem_fun(*this, &Almanac::onMet));
+void ConfigCache::begin() {
+  rpc_.serve(ConfigCacheRequest::kKind, sigc::mem_fun(*this, &ConfigCache::onConfigCacheRequest));
+  gossip_.met.connect(sigc::mem_fun(*this, &ConfigCache::onMet));
   room_.start(follow());
 }
 
-void Almanac::take(const ControlNews& given) {
+void ConfigCache::take(const ControlNews& given) {
   const Revision before = state_.revision();
   if (!state_.absorb(given) || state_.revision() == before) return;
   STONEMOUNT_INVARIANT(state_.revision() > before);
@@ -29,7 +29,7 @@
   news.emit();
 }
 
-Task Almanac::follow() {
+Task ConfigCache::follow() {
   while (true) {
     ++asks;
     const Us askedUs = ports_.clock.monoUs();
@@ -51,24 +51,24 @@
 }
 
 // A peer's record tells of newer news than ours: ask it, whatever became of the core.
-void Almanac::onMet(const PeerRecord& record) {
+void ConfigCache::onMet(const PeerRecord& record) {
   if (record.role != Role::kNode || record.control <= state_.revision() || asking_) return;
   asking_ = true;
   room_.start(catchUpFromPeer(record.wire));
 }
 
-Task Almanac::catchUpFromPeer(Address peer) {
+Task ConfigCache::catchUpFromPeer(Address peer) {
   Job<std::variant<ControlNews, PeerSilent>> job =
-      ask<ControlNews>(rpc_, peer, AlmanacAsk{state_.revision()}, kPeerUs);
+      ask<ControlNews>(rpc_, peer, ConfigCacheRequest{state_.revision()}, kPeerUs);
   std::variant<ControlNews, PeerSilent> verdict = co_await job;
   if (auto* given = std::get_if<ControlNews>(&verdict)) take(*given);
   asking_ = false;
 }
 
-void Almanac::onAlmanacAsk(const Asked& asked) {
-  auto message = unpack<AlmanacAsk>(asked.body);
-  if (!std::holds_alternative<AlmanacAsk>(message) || !ready()) return;
-  rpc_.reply(asked, state_.newsSince(std::get<AlmanacAsk>(message).since));
+void ConfigCache::onConfigCacheRequest(const Asked& asked) {
+  auto message = unpack<ConfigCacheRequest>(asked.body);
+  if (!std::holds_alternative<ConfigCacheRequest>(message) || !ready()) return;
+  rpc_.reply(asked, state_.newsSince(std::get<ConfigCacheRequest>(message).since));
 }
 
 }  // namespace stonemount
--- a/src/jig/almanac.h
+++ b/src/config/config_cache.h
@@ -8,15 +8,15 @@
 
 namespace stonemount {
 
-struct AlmanacAsk {  // from one node to another, when control itself is out of reach
+struct ConfigCacheRequest {  // from one node to another, when control itself is out of reach
   static constexpr std::uint16_t kKind = 70;
   Revision since = 0;
   STONEMOUNT_PACK(since)
 };
 
-class Almanac {
+class ConfigCache {
  public:
-  Almanac(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& core, Gossip& gossip);
+  ConfigCache(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& core, Gossip& gossip);
   void begin();
   const ControlState& state() const { return state_; }
   bool ready() const { return state_.revision() != 0; }
@@ -28,7 +28,7 @@
   Task follow();
   Task catchUpFromPeer(Address peer);
   void take(const ControlNews& given);
-  void onAlmanacAsk(const Asked& asked);
+  void onConfigCacheRequest(const Asked& asked);
   void onMet(const PeerRecord& record);
   Ports& ports_;
   RpcEndpoint& rpc_;
--- a/src/jig/config_check.cc
+++ b/src/config/config_check.cc
@@ -1,9 +1,9 @@
-#include "jig/config_check.h"
+#include "config/config_check.h"
 
 #include <absl/strings/str_cat.h>
 
-#include "jig/config_schema.h"
-#include "jig/rule.h"
+#include "config/config_schema.h"
+#include "config/rule.h"
 
 namespace stonemount {
 
--- a/src/jig/config_check.h
+++ b/src/config/config_check.h
@@ -1,8 +1,8 @@
 // Checking of the operators' configurations: schema first, then what spans fields (design.md 7.2).
 #pragma once
 
-#include "jig/control_state.h"
-#include "jig/json.h"
+#include "config/control_state.h"
+#include "config/json.h"
 
 namespace stonemount {
 
--- a/src/jig/config_text.cc
+++ b/src/config/config_text.cc
@@ -1,5 +1,5 @@
 // Configurations written back in the product's own terms (docs/operators/commands.md).
-#include "jig/config_check.h"
+#include "config/config_check.h"
 
 namespace stonemount {
 
--- a/src/jig/control_state.cc
+++ b/src/config/control_state.cc
@@ -1,4 +1,4 @@
-#include "jig/control_state.h"
+#include "config/control_state.h"
 
 #include <absl/strings/string_view.h>
 
--- a/src/jig/control_state.h
+++ b/src/config/control_state.h
@@ -1,7 +1,7 @@
 // What control keeps and carries to all: configuration, zones, workers (design.md 7.1).
 #pragma once
 
-#include "jig/sparse.h"
+#include "config/sparse.h"
 
 namespace stonemount {
 
--- a/src/jig/json.cc
+++ b/src/config/json.cc
@@ -1,4 +1,4 @@
-#include "jig/json.h"
+#include "config/json.h"
 
 #include <rapidjson/schema.h>
 
--- a/src/jig/platform_list.cc
+++ b/src/config/platform_list.cc
@@ -1,6 +1,6 @@
-#include "jig/platform_list.h"
+#include "config/platform_list.h"
 
-#include "jig/json.h"
+#include "config/json.h"
 #include "runtime/http_call.h"
 
 namespace stonemount {
--- a/src/jig/platform_list.h
+++ b/src/config/platform_list.h
@@ -1,7 +1,7 @@
 // The platform's list of workers as the project's own platforms tell it (design.md 7.7).
 #pragma once
 
-#include "jig/worker_list.h"
+#include "config/worker_list.h"
 #include "stonemount.h"
 
 namespace stonemount {
--- a/src/jig/rule.cc
+++ b/src/config/rule.cc
@@ -1,4 +1,4 @@
-#include "jig/rule.h"
+#include "config/rule.h"
 
 #include <mpParser.h>
 
--- a/src/jig/settings.cc
+++ b/src/config/settings.cc
@@ -1,4 +1,4 @@
-#include "jig/settings.h"
+#include "config/settings.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
--- a/src/jig/settings.h
+++ b/src/config/settings.h
@@ -3,7 +3,7 @@
 
 #include <set>
 
-#include "jig/json.h"
+#include "config/json.h"
 
 namespace stonemount {
 
--- a/src/jig/worker_list.h
+++ b/src/config/worker_list.h
@@ -1,7 +1,7 @@
 // The port to whoever keeps the list of workers (design.md 7.7).
 #pragma once
 
-#include "jig/control_state.h"
+#include "config/control_state.h"
 #include "runtime/task.h"
 
 namespace stonemount {
--- a/src/core/commands.h
+++ b/src/core/commands.h
@@ -1,7 +1,7 @@
 // Commands and queries of the control chain (design.md 7.1).
 #pragma once
 
-#include "jig/config_check.h"
+#include "config/config_check.h"
 
 namespace stonemount {
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -8,8 +8,8 @@
 #include "core/lister.h"
 #include "core/operator_desk.h"
 #include "gauge/sampler.h"
-#include "jig/platform_list.h"
-#include "jig/settings.h"
+#include "config/platform_list.h"
+#include "config/settings.h"
 #include "rasp/rebuild.h"
 #include "gossip/gossip.h"
 
--- a/src/core/lister.h
+++ b/src/core/lister.h
@@ -4,7 +4,7 @@
 
 #include "replication/client.h"
 #include "core/control_machine.h"
-#include "jig/worker_list.h"
+#include "config/worker_list.h"
 
 namespace stonemount {
 
--- a/src/lathe/exchange.cc
+++ b/src/lathe/exchange.cc
@@ -1,6 +1,6 @@
 #include "lathe/exchange.h"
 
-#include "jig/json.h"
+#include "config/json.h"
 
 namespace stonemount {
 
--- a/src/lathe/fitness.cc
+++ b/src/lathe/fitness.cc
@@ -1,6 +1,6 @@
 #include "lathe/fitness.h"
 
-#include "jig/json.h"
+#include "config/json.h"
 
 namespace stonemount {
 
--- a/src/lathe/gateway_answer.cc
+++ b/src/lathe/gateway_answer.cc
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "jig/json.h"
+#include "config/json.h"
 #include "lathe/gateway_caller.h"
 
 namespace stonemount {
--- a/src/lathe/lathe.cc
+++ b/src/lathe/lathe.cc
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 
-#include "jig/json.h"
+#include "config/json.h"
 
 namespace stonemount {
 
--- a/src/lathe/pool_board.h
+++ b/src/lathe/pool_board.h
@@ -2,7 +2,7 @@
 // passed through, and how much (design.md 9.7). Nothing is asked of a worker but requests.
 #pragma once
 
-#include "jig/control_state.h"
+#include "config/control_state.h"
 #include "lathe/worker_dialect.h"
 
 namespace stonemount {
--- a/src/lathe/sealed_reader.cc
+++ b/src/lathe/sealed_reader.cc
@@ -1,6 +1,6 @@
 #include "lathe/sealed_reader.h"
 
-#include "jig/json.h"
+#include "config/json.h"
 
 namespace stonemount {
 
--- a/src/lathe/worker_board.h
+++ b/src/lathe/worker_board.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "compass/ring.h"
-#include "jig/control_state.h"
+#include "config/control_state.h"
 #include "runtime/await.h"
 
 namespace stonemount {
--- a/src/membership/membership_manager.h
+++ b/src/membership/membership_manager.h
@@ -7,7 +7,7 @@
 #include "membership/replica_placement.h"
 #include "membership/failure_detector.h"
 #include "core/control_machine.h"
-#include "jig/settings.h"
+#include "config/settings.h"
 #include "election/election.h"
 #include "gossip/gossip.h"
 
--- a/src/membership/retire.h
+++ b/src/membership/retire.h
@@ -5,7 +5,7 @@
 #include "replication/client.h"
 #include "membership/retire_service.h"
 #include "core/commands.h"
-#include "jig/settings.h"
+#include "config/settings.h"
 #include "gossip/gossip.h"
 
 namespace stonemount {
--- a/src/node/doctor.cc
+++ b/src/node/doctor.cc
@@ -2,7 +2,7 @@
 // (docs/operators/doctor.md lists the codes).
 #include <absl/strings/str_cat.h>
 
-#include "jig/json.h"
+#include "config/json.h"
 #include "node/node.h"
 #include "node/peek.h"
 
@@ -98,16 +98,16 @@
   } else {
     findings.push_back({"D304", "the store chain does not answer", "see the findings about the store"});
   }
-  const ControlState& control = almanac_.state();
+  const ControlState& control = configCache_.state();
   WorkAsk work;
   work.most = 64;
   Job<ChainAnswer> askingWork = store_.read(pack(StoreQuery(work)), 0, 2 * kSecondUs);
   ChainAnswer openWork = co_await askingWork;
-  if (std::holds_alternative<Bytes>(openWork) && almanac_.ready()) {
+  if (std::holds_alternative<Bytes>(openWork) && configCache_.ready()) {
     auto read = unpack<WorkVerdict>(std::get<Bytes>(openWork));
     if (auto* verdict = std::get_if<WorkVerdict>(&read)) lookAtLots(*verdict, control, findings);
   }
-  if (!almanac_.ready()) findings.push_back({"D401", "no configuration has reached this node", "push one; see core"});
+  if (!configCache_.ready()) findings.push_back({"D401", "no configuration has reached this node", "push one; see core"});
   Revision newest = control.revision();
   for (const PeerRecord& record : gossip_.alive(Role::kNode)) newest = std::max(newest, record.control);
   for (const PeerRecord& record : gossip_.alive(Role::kNode))
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "jig/json.h"
+#include "config/json.h"
 #include "node/node.h"
 
 namespace stonemount {
@@ -49,8 +49,8 @@
     const RuleVerdict verdict = rules_.judge(route->when, sight);
     auto* holds = std::get_if<bool>(&verdict);
     if (holds != nullptr && *holds) return route;
-    auto next = almanac_.state().routes().find(route->otherwise);
-    if (next == almanac_.state().routes().end() || next->second.kind != asked.kind) return nullptr;
+    auto next = configCache_.state().routes().find(route->otherwise);
+    if (next == configCache_.state().routes().end() || next->second.kind != asked.kind) return nullptr;
     route = &next->second;
   }
   return nullptr;
@@ -59,9 +59,9 @@
 void Node::enterLive(const HttpAsk& ask, RouteKind kind, const std::string& name, ReplyPtr reply) {
   const bool lookup = kind == RouteKind::kLookup;
   if (ask.method != (lookup ? "GET" : "POST")) return methodRefused(*reply, lookup ? "GET" : "POST");
-  if (!almanac_.ready()) return sendVerdict(*reply, 503, "no_configuration_yet", {{"ran", "no"}}, 1);
-  auto route = almanac_.state().routes().find(name);
-  if (route == almanac_.state().routes().end()) return sendVerdict(*reply, 404, "unknown_route", {{"route", name}});
+  if (!configCache_.ready()) return sendVerdict(*reply, 503, "no_configuration_yet", {{"ran", "no"}}, 1);
+  auto route = configCache_.state().routes().find(name);
+  if (route == configCache_.state().routes().end()) return sendVerdict(*reply, 404, "unknown_route", {{"route", name}});
   if (route->second.kind != kind)
     return sendVerdict(*reply, 404, "other_kind_of_route", {{"route", name}, {"path", pathOf(route->second.kind)}});
   if (lookup) {
@@ -95,9 +95,9 @@
   out.field("lotGranted", lots.granted).field("lotSealed", lots.sealed).field("lotDropped", lots.dropped);
   out.field("lotRefused", lots.refused).field("lotNotGranted", lots.notGranted);
   out.field("lotRunning", scheduler_.running());
-  out.field("frames", rpc_.sentFrames).field("frameBytes", rpc_.sentBytes).field("controlAsks", almanac_.asks);
-  out.field("config", almanac_.state().configRevision());
-  out.field("controlRevision", almanac_.state().revision()).closeObject();
+  out.field("frames", rpc_.sentFrames).field("frameBytes", rpc_.sentBytes).field("controlAsks", configCache_.asks);
+  out.field("config", configCache_.state().configRevision());
+  out.field("controlRevision", configCache_.state().revision()).closeObject();
   reply->whole(200, {}, out.take() + "\n");
 }
 
--- a/src/node/inspect.cc
+++ b/src/node/inspect.cc
@@ -1,7 +1,7 @@
 // What operators look at: status, clock, chains, workers, events (docs/operators/commands.md).
 #include <absl/strings/str_cat.h>
 
-#include "jig/json.h"
+#include "config/json.h"
 #include "node/node.h"
 #include "node/peek.h"
 
--- a/src/node/lot_carrier.h
+++ b/src/node/lot_carrier.h
@@ -2,7 +2,7 @@
 // port, so that leases, renewal and delivery are the same for all (design.md 9.5, 9.8).
 #pragma once
 
-#include "jig/control_state.h"
+#include "config/control_state.h"
 #include "store/queries.h"
 #include "runtime/await.h"
 
--- a/src/node/lots.cc
+++ b/src/node/lots.cc
@@ -2,7 +2,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
-#include "jig/json.h"
+#include "config/json.h"
 #include "node/node.h"
 
 namespace stonemount {
@@ -108,8 +108,8 @@
     }
     command.items.push_back(std::move(item));
   }
-  auto route = almanac_.state().routes().find(command.route);
-  if (almanac_.ready() && (route == almanac_.state().routes().end() || !route->second.lots)) {
+  auto route = configCache_.state().routes().find(command.route);
+  if (configCache_.ready() && (route == configCache_.state().routes().end() || !route->second.lots)) {
     sendVerdict(*reply, 404, "unknown_route", {{"route", command.route}, {"why", "no route of that name takes lots"}});
     co_return;
   }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -16,10 +16,10 @@
 Node::Node(Ports& ports, Settings settings, NodePlan plan)
     : ports_(ports), settings_(std::move(settings)), rpc_(ports.timers, ports.wire, ports.chance),
       gossip_(ports, rpc_, room_, plan.gossip), core_(ports, rpc_, plan.dialect != nullptr ? settings_.seeds : std::vector<Address>()), store_(ports, rpc_, {}),
-      almanac_(ports, rpc_, room_, core_, gossip_),
-      board_(ports.clock, almanac_.state(), {settings_.zone, settings_.wire}), fitness_(ports, room_, board_),
-      lathe_(ports, room_, board_, almanac_.state(), plan.lathe, hexText(ports.chance.next())),
-      scheduler_(ports, rpc_, room_, store_, board_, almanac_.state(), gossip_, settings_.zone,
+      configCache_(ports, rpc_, room_, core_, gossip_),
+      board_(ports.clock, configCache_.state(), {settings_.zone, settings_.wire}), fitness_(ports, room_, board_),
+      lathe_(ports, room_, board_, configCache_.state(), plan.lathe, hexText(ports.chance.next())),
+      scheduler_(ports, rpc_, room_, store_, board_, configCache_.state(), gossip_, settings_.zone,
                  plan.dialect != nullptr ? passingPlan(plan.scheduler, settings_.bounds) : plan.scheduler),
       ownList_(ports, settings_.platform), list_(plan.list) {
   if (list_ == nullptr && settings_.platform.set()) list_ = &ownList_;
@@ -28,12 +28,12 @@
   board.zone = settings_.zone;
   board.coldOverPercent = settings_.bounds.coldOverPercent;
   board.coldSlack = settings_.bounds.coldSlack;
-  pools_ = std::make_unique<PoolBoard>(ports.clock, almanac_.state(), board);
+  pools_ = std::make_unique<PoolBoard>(ports.clock, configCache_.state(), board);
   pools_->gone.connect(sigc::mem_fun(*this, &Node::onWorkerGone));
-  gateway_ = std::make_unique<Gateway>(ports, room_, *pools_, almanac_.state(), *plan.dialect, plan.gateway);
+  gateway_ = std::make_unique<Gateway>(ports, room_, *pools_, configCache_.state(), *plan.dialect, plan.gateway);
   scheduler_.passThrough(*gateway_);
   plan.lotService.keepUs = std::max(plan.lotService.keepUs, settings_.bounds.statusUs + settings_.bounds.statusUs / 4);
-  lotService_ = std::make_unique<LotService>(ports, rpc_, store_, scheduler_, almanac_.state(), plan.lotService);
+  lotService_ = std::make_unique<LotService>(ports, rpc_, store_, scheduler_, configCache_.state(), plan.lotService);
 }
 
 Node::~Node() {
@@ -47,9 +47,9 @@
   record.role = Role::kNode;
   record.zone = settings_.zone;
   gossip_.met.connect(sigc::mem_fun(*this, &Node::onMet));
-  almanac_.news.connect(sigc::mem_fun(*this, &Node::onNews));
+  configCache_.news.connect(sigc::mem_fun(*this, &Node::onNews));
   gossip_.begin(record);
-  almanac_.begin();
+  configCache_.begin();
   lathe_.begin();
   scheduler_.begin();
   room_.start(keepNodes());
@@ -89,7 +89,7 @@
     if (pools_ != nullptr) pools_->setNodes(nodes.size());
     board_.setNodes(std::move(nodes));
     board_.tick();
-    board_.controlHeard(almanac_.freshUs());
+    board_.controlHeard(configCache_.freshUs());
     Pause pause(ports_.timers, 200 * kMilliUs);
     co_await pause;
   }
@@ -97,7 +97,7 @@
 
 // Control not heard for a while, counted from the start of this process at the earliest.
 bool Node::controlSilent(Us begunUs) const {
-  return ports_.clock.monoUs() - std::max(begunUs, almanac_.freshUs()) > kSilentUs;
+  return ports_.clock.monoUs() - std::max(begunUs, configCache_.freshUs()) > kSilentUs;
 }
 
 // The list itself comes through the core. A leaving mark must be heard even while the core cannot be: then
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -2,10 +2,10 @@
 // (design.md 9).
 #pragma once
 
-#include "jig/almanac.h"
-#include "jig/platform_list.h"
-#include "jig/rule.h"
-#include "jig/settings.h"
+#include "config/config_cache.h"
+#include "config/platform_list.h"
+#include "config/rule.h"
+#include "config/settings.h"
 #include "lathe/fitness.h"
 #include "lathe/gateway.h"
 #include "lathe/lathe.h"
@@ -31,11 +31,11 @@
   void drain();
   bool idle() const;
   // Takes requests: it knows a configuration, is not leaving, and does not go by news from before a freeze.
-  bool ready() const { return almanac_.ready() && !draining_ && board_.awake(); }
+  bool ready() const { return configCache_.ready() && !draining_ && board_.awake(); }
   Gateway* gateway() { return gateway_.get(); }  // none: nothing is passed through here
   LotService* lotService() { return lotService_.get(); }    // none: no standing lots are taken here
-  sigc::signal<void()>& almanacNews() { return almanac_.news; }
-  const Almanac& almanac() const { return almanac_; }
+  sigc::signal<void()>& almanacNews() { return configCache_.news; }
+  const ConfigCache& configCache() const { return configCache_; }
   const Lathe& lathe() const { return lathe_; }
   const Scheduler& scheduler() const { return scheduler_; }
   const WorkerBoard& board() const { return board_; }
@@ -91,7 +91,7 @@
   Gossip gossip_;
   ChainClient core_;
   ChainClient store_;
-  Almanac almanac_;
+  ConfigCache configCache_;
   WorkerBoard board_;
   FitnessWatch fitness_;
   Lathe lathe_;
--- a/src/node/operators.cc
+++ b/src/node/operators.cc
@@ -1,7 +1,7 @@
 // The operators' rpc: the same answers from whichever node is asked (docs/operators/commands.md).
 #include <absl/strings/str_cat.h>
 
-#include "jig/json.h"
+#include "config/json.h"
 #include "node/node.h"
 
 namespace stonemount {
--- a/src/node/scheduler.h
+++ b/src/node/scheduler.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "compass/ring.h"
-#include "jig/settings.h"
+#include "config/settings.h"
 #include "node/lot_delivery.h"
 #include "node/lot_runner.h"
 #include "node/lot_sealer.h"
--- a/src/rasp/rebuild.h
+++ b/src/rasp/rebuild.h
@@ -1,5 +1,5 @@
 // Repair from those who were told first: control state that was lost with every core disk is rebuilt
-// from the nodes' almanacs (design.md 7.8).
+// from the nodes' configCaches (design.md 7.8).
 #pragma once
 
 #include "replication/client.h"
--- a/src/replication/replica_status.h
+++ b/src/replication/replica_status.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "replication/replica.h"
-#include "jig/settings.h"
+#include "config/settings.h"
 
 namespace stonemount {
 
--- a/src/sawhorse/caller.h
+++ b/src/sawhorse/caller.h
@@ -1,7 +1,7 @@
 // The stand-in caller: streams, lookups, whole answers and lots, each answer checked.
 #pragma once
 
-#include "jig/json.h"
+#include "config/json.h"
 #include "runtime/http_call.h"
 
 namespace stonemount {
--- a/src/sawhorse/platform.cc
+++ b/src/sawhorse/platform.cc
@@ -1,6 +1,6 @@
 #include "sawhorse/platform.h"
 
-#include "jig/json.h"
+#include "config/json.h"
 
 namespace stonemount {
 
--- a/src/sawhorse/platform.h
+++ b/src/sawhorse/platform.h
@@ -1,7 +1,7 @@
 // The stand-in platform: it keeps the list of workers and serves it (docs/worker-contract.md).
 #pragma once
 
-#include "jig/control_state.h"
+#include "config/control_state.h"
 #include "runtime/await.h"
 
 namespace stonemount {
--- a/src/sawhorse/worker.cc
+++ b/src/sawhorse/worker.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "jig/json.h"
+#include "config/json.h"
 #include "lathe/sealed_reader.h"
 
 namespace stonemount {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -3,7 +3,7 @@
 
 #include "replication/client.h"
 #include "replication/replica.h"
-#include "jig/settings.h"
+#include "config/settings.h"
 #include "gossip/gossip.h"
 #include "store/store_machine.h"
 
--- a/tests/decoder_test.cc
+++ b/tests/decoder_test.cc
@@ -4,9 +4,9 @@
 
 #include "replication/messages.h"
 #include "core/control_machine.h"
-#include "jig/config_check.h"
-#include "jig/platform_list.h"
-#include "jig/settings.h"
+#include "config/config_check.h"
+#include "config/platform_list.h"
+#include "config/settings.h"
 #include "lathe/sealed_reader.h"
 #include "store/store_machine.h"
 #include "runtime/rpc_endpoint.h"
--- a/tests/limits_test.cc
+++ b/tests/limits_test.cc
@@ -72,7 +72,7 @@
   const auto [revision, ackedUs] = *stage.ledger.configAcked.rbegin();
   while (true) {
     bool all = true;
-    for (Part* node : stage.fleet.of(PartKind::kNode)) all &= node->node->almanac().state().configRevision() >= revision;
+    for (Part* node : stage.fleet.of(PartKind::kNode)) all &= node->node->configCache().state().configRevision() >= revision;
     if (all) return stage.fleet.world().nowUs() - ackedUs;
     stage.fleet.run(kMilliUs);
   }
--- a/tests/listing_test.cc
+++ b/tests/listing_test.cc
@@ -46,7 +46,7 @@
   for (Part* core : fleet.fleet.of(PartKind::kCore)) fleet.fleet.start(*core);
   fleet.fleet.run(4 * kSecondUs);
   for (Part* node : fleet.fleet.of(PartKind::kNode))
-    fleet.expect(node->node->almanac().state().workers().at(worker.host->http()).leaving, "control tells it afterwards");
+    fleet.expect(node->node->configCache().state().workers().at(worker.host->http()).leaving, "control tells it afterwards");
   fleet.expect(fleet.until(AllMarked{fleet.fleet, worker.host->http(), false}), "and the marks of the silence are dropped");
   count.asks = 0;
   fleet.fleet.run(10 * kSecondUs);
--- a/tests/lots_rig.h
+++ b/tests/lots_rig.h
@@ -8,7 +8,7 @@
 #include <cstdio>
 
 #include "bench/fleet.h"
-#include "jig/json.h"
+#include "config/json.h"
 #include "platform/lots.h"
 
 namespace stonemount {
--- a/tests/parts_test.cc
+++ b/tests/parts_test.cc
@@ -5,7 +5,7 @@
 
 #include "compass/ring.h"
 #include "gauge/session.h"
-#include "jig/control_state.h"
+#include "config/control_state.h"
 #include "lathe/sealed_reader.h"
 
 using namespace stonemount;
--- a/tests/places_test.cc
+++ b/tests/places_test.cc
@@ -2,7 +2,7 @@
 #include <absl/strings/str_cat.h>
 #include <rapidcheck.h>
 
-#include "jig/control_state.h"
+#include "config/control_state.h"
 
 using namespace stonemount;
 
--- a/tests/platform_lot_text_test.cc
+++ b/tests/platform_lot_text_test.cc
@@ -3,7 +3,7 @@
 #include <absl/strings/str_cat.h>
 #include <rapidcheck.h>
 
-#include "jig/json.h"
+#include "config/json.h"
 #include "platform/lots.h"
 
 using namespace stonemount;
--- a/tests/repair_test.cc
+++ b/tests/repair_test.cc
@@ -148,7 +148,7 @@
   fleet.expect(patched.status == 200, "one of them changes");
   fleet.expect(after < quiet + 20000, "a change of one route does not send 5,000");
   for (Part* node : fleet.fleet.of(PartKind::kNode))
-    fleet.expect(node->node->almanac().state().routes().at("route-7").limitUs == 5 * kSecondUs, "and reached every node");
+    fleet.expect(node->node->configCache().state().routes().at("route-7").limitUs == 5 * kSecondUs, "and reached every node");
 }
 }  // namespace
 
