--- a/src/core/core.h
+++ b/src/core/core.h
@@ -7,7 +7,7 @@
 #include "core/control_machine.h"
 #include "core/lister.h"
 #include "core/operator_desk.h"
-#include "gauge/sampler.h"
+#include "safe_time/sampler.h"
 #include "config/platform_list.h"
 #include "config/settings.h"
 #include "rasp/rebuild.h"
@@ -18,7 +18,7 @@
 struct CorePlan {
   GossipPlan gossip;
   ElectionPlan election;
-  GaugePlan gauge;
+  SafeTimePlan gauge;
   Us listUs = 600 * kMilliUs;
   WorkerListSource* list = nullptr;  // none: the settings' platform, if there is one
   MembershipPlan membershipManager;
--- a/src/gauge/cut.cc
+++ b/src/safe_time/cut.cc
@@ -1,4 +1,4 @@
-#include "gauge/cut.h"
+#include "safe_time/cut.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -26,7 +26,7 @@
   ++doubts;
 }
 
-std::optional<Us> agreedWall(const CutProposal& proposal, const GaugePlan& plan) {
+std::optional<Us> agreedWall(const CutProposal& proposal, const SafeTimePlan& plan) {
   std::vector<Us> wallsUs = proposal.wallsUs;
   std::sort(wallsUs.begin(), wallsUs.end());
   const std::size_t most = proposal.clocks / 2 + 1;
@@ -45,7 +45,7 @@
   doubtBecause(Doubt::kTakeover);
 }
 
-bool CutState::propose(const CutProposal& proposal, const GaugePlan& plan, bool nothingHeld) {
+bool CutState::propose(const CutProposal& proposal, const SafeTimePlan& plan, bool nothingHeld) {
   if (proposal.epoch != epoch || proposal.session != session) return false;
   if (proposal.round != round + 1) return proposal.round <= round;  // an old round, again: nothing new
   const Us before = cutUs;
--- a/src/gauge/cut.h
+++ b/src/safe_time/cut.h
@@ -9,7 +9,7 @@
 const char* doubtText(Doubt doubt);
 
 // Free values of the design; see design.md 8.3 for how they fit in 12 s.
-struct GaugePlan {
+struct SafeTimePlan {
   Us sampleUs = 300 * kMilliUs;
   Us gapUs = 2 * kSecondUs;       // longer between two rounds: doubt
   Us stepUs = 250 * kMilliUs;     // wall against monotonic in one round: doubt
@@ -35,7 +35,7 @@
 };
 // What most of all wall clocks say within a second, the earliest of those (design.md 8.4). Nobody's
 // clock alone, nor any minority, can say it.
-std::optional<Us> agreedWall(const CutProposal& proposal, const GaugePlan& plan);
+std::optional<Us> agreedWall(const CutProposal& proposal, const SafeTimePlan& plan);
 
 struct LockWish {
   Address holder;
@@ -65,7 +65,7 @@
   // A successor advances the epoch before it may publish anything.
   void takeLock(const LockWish& wish);
   // False: not of this epoch and session; the sampler's leadership is over.
-  bool propose(const CutProposal& proposal, const GaugePlan& plan, bool nothingHeld);
+  bool propose(const CutProposal& proposal, const SafeTimePlan& plan, bool nothingHeld);
 };
 
 // A renewal never shortens.
--- a/src/gauge/sampler.cc
+++ b/src/safe_time/sampler.cc
@@ -1,4 +1,4 @@
-#include "gauge/sampler.h"
+#include "safe_time/sampler.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -12,7 +12,7 @@
 }  // namespace
 
 Sampler::Sampler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, ChainClient& store, const Replica& clocks,
-                 GaugePlan plan)
+                 SafeTimePlan plan)
     : ports_(ports), rpc_(rpc), room_(room), election_(election), store_(store), clocks_(clocks), plan_(plan) {}
 
 Task Sampler::run() {
--- a/src/gauge/sampler.h
+++ b/src/safe_time/sampler.h
@@ -3,7 +3,7 @@
 
 #include "replication/client.h"
 #include "replication/replica.h"
-#include "gauge/session.h"
+#include "safe_time/session.h"
 #include "election/election.h"
 
 namespace stonemount {
@@ -11,7 +11,7 @@
 class Sampler {
  public:
   Sampler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, ChainClient& store, const Replica& clocks,
-          GaugePlan plan);
+          SafeTimePlan plan);
   void begin() { room_.start(run()); }
   static constexpr const char* kDuty = "sampler";
   std::uint64_t epoch() const { return epoch_; }
@@ -27,7 +27,7 @@
   Election& election_;
   ChainClient& store_;
   const Replica& clocks_;  // the core's member: it hears the other cores' wall clocks
-  GaugePlan plan_;
+  SafeTimePlan plan_;
   std::uint64_t session_ = 0;
   std::uint64_t epoch_ = 0;
   std::uint64_t round_ = 0;
--- a/src/gauge/session.cc
+++ b/src/safe_time/session.cc
@@ -1,4 +1,4 @@
-#include "gauge/session.h"
+#include "safe_time/session.h"
 
 namespace stonemount {
 
--- a/src/gauge/session.h
+++ b/src/safe_time/session.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "replication/machine.h"
-#include "gauge/cut.h"
+#include "safe_time/cut.h"
 
 namespace stonemount {
 
@@ -19,7 +19,7 @@
 
 class SessionKeeper {
  public:
-  SessionKeeper(Chance& chance, GaugePlan plan) : chance_(chance), plan_(plan) {}
+  SessionKeeper(Chance& chance, SafeTimePlan plan) : chance_(chance), plan_(plan) {}
   // Granted unless another sampler's session is alive: a healthy leader is never displaced.
   SessionVerdict open(const Address& holder, const HeadSight& sight);
   bool stampLock(LockWish& wish, const HeadSight& sight);
@@ -37,7 +37,7 @@
  private:
   bool mine(std::uint64_t session, const HeadSight& sight) const;
   Chance& chance_;
-  GaugePlan plan_;
+  SafeTimePlan plan_;
   std::uint64_t session_ = 0;
   Address holder_;
   Revision viewRevision_ = 0;
--- a/src/store/commands.h
+++ b/src/store/commands.h
@@ -1,7 +1,7 @@
 // Commands and queries of the store chain (design.md 7.3).
 #pragma once
 
-#include "gauge/cut.h"
+#include "safe_time/cut.h"
 
 namespace stonemount {
 
--- a/src/store/store_machine.h
+++ b/src/store/store_machine.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "replication/machine.h"
-#include "gauge/session.h"
+#include "safe_time/session.h"
 #include "store/lot_index.h"
 
 namespace stonemount {
@@ -11,7 +11,7 @@
   Us retentionUs = 7LL * 24 * 3600 * kSecondUs;  // of a finished lot's results and bodies
   Us keyLifetimeUs = 30LL * 24 * 3600 * kSecondUs;
   std::uint32_t mostRuns = 30;  // that a worker began and did not finish; then the item is given up
-  GaugePlan gauge;
+  SafeTimePlan gauge;
 };
 
 // Everything that lasts for a time: when the time is promised, and when it is held to be over.
--- a/tests/parts_test.cc
+++ b/tests/parts_test.cc
@@ -4,7 +4,7 @@
 #include <cstdio>
 
 #include "compass/ring.h"
-#include "gauge/session.h"
+#include "safe_time/session.h"
 #include "config/control_state.h"
 #include "lathe/sealed_reader.h"
 
@@ -125,7 +125,7 @@
 // monotonic clock, moves only while certain, and each taker of the lock has an epoch of its own.
 void cutIsSafe(std::uint64_t seed) {
   Chance chance(seed);
-  GaugePlan plan;
+  SafeTimePlan plan;
   CutState cut;
   SessionKeeper keeper(chance, plan);
   HeadSight sight{kSecondUs, 1000 * kSecondUs, 7, 1};
@@ -177,7 +177,7 @@
 // sound clocks have is found, while one that they may have is never a doubt.
 void ratesAreSeen(std::uint64_t seed) {
   Chance chance(seed);
-  const GaugePlan plan;
+  const SafeTimePlan plan;
   for (const Us apart : {100, 10000, -10000}) {  // in a million
     CutState cut;
     cut.takeLock({{1, 1}, 7});
