--- a/src/compass/ring.cc
+++ b/src/hash_ring/hash_ring.cc
@@ -1,4 +1,4 @@
-#include "compass/ring.h"
+#include "hash_ring/hash_ring.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/lathe/worker_board.h
+++ b/src/lathe/worker_board.h
@@ -1,7 +1,7 @@
 // What this node knows of each worker, and how much it may send there (design.md 9.3).
 #pragma once
 
-#include "compass/ring.h"
+#include "hash_ring/hash_ring.h"
 #include "config/control_state.h"
 #include "runtime/await.h"
 
--- a/src/node/scheduler.h
+++ b/src/node/scheduler.h
@@ -2,7 +2,7 @@
 // store what became of them (design.md 9.5, 9.8).
 #pragma once
 
-#include "compass/ring.h"
+#include "hash_ring/hash_ring.h"
 #include "config/settings.h"
 #include "node/lot_delivery.h"
 #include "node/lot_runner.h"
--- a/tests/parts_test.cc
+++ b/tests/parts_test.cc
@@ -3,7 +3,7 @@
 
 #include <cstdio>
 
-#include "compass/ring.h"
+#include "hash_ring/hash_ring.h"
 #include "safe_time/session.h"
 #include "config/control_state.h"
 #include "lathe/sealed_reader.h"
