--- a/src/core/core.h
+++ b/src/core/core.h
@@ -10,7 +10,7 @@
 #include "safe_time/sampler.h"
 #include "config/platform_list.h"
 #include "config/settings.h"
-#include "rasp/rebuild.h"
+#include "restore/rebuild.h"
 #include "gossip/gossip.h"
 
 namespace stonemount {
--- a/src/rasp/rebuild.cc
+++ b/src/restore/rebuild.cc
@@ -1,4 +1,4 @@
-#include "rasp/rebuild.h"
+#include "restore/rebuild.h"
 
 #include <absl/strings/str_cat.h>
 
