--- a/src/bellows/http_channels.cc
+++ b/src/bellows/http_channels.cc
@@ -10,7 +10,7 @@
 namespace stonemount {
 
 namespace {
-constexpr int kIdleSeconds = 3700;  // more than any route's limit: a silent worker is no dead worker; limits are the lathe's
+constexpr int kIdleSeconds = 3700;  // more than any route's limit: a silent worker is no dead worker; limits are the proxy's
 constexpr std::size_t kHeaderBound = 256 << 10;
 constexpr Us kSweepUs = 250 * kMilliUs;  // one timer for all kept channels; none is ridden on past its time
 }  // namespace
--- a/src/gossip/gossip.cc
+++ b/src/gossip/gossip.cc
@@ -89,7 +89,7 @@
   absorb(std::get<Shuffle>(message).records);
 }
 
-Address Gossip::nominatePeer() {
+Address Gossip::selectPeer() {
   std::vector<Address> peers;
   const Sight* oldest = nullptr;
   for (const auto& [address, sight] : sights_) {
@@ -124,7 +124,7 @@
       for (const Address& seed : plan_.seeds)
         if (seed != rpc_.self()) room_.start(shuffleWith(seed));
     } else {
-      const Address peer = nominatePeer();
+      const Address peer = selectPeer();
       if (peer.set() && peer != rpc_.self()) room_.start(shuffleWith(peer));
     }
     // A newcomer hurries to know others, and to be known.
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -59,7 +59,7 @@
   std::vector<PeerRecord> hand();
   void absorb(const std::vector<PeerRecord>& records);
   void onShuffle(const Asked& asked);
-  Address nominatePeer();
+  Address selectPeer();
   void trim();
   Ports& ports_;
   RpcEndpoint& rpc_;
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -70,7 +70,7 @@
       return sendVerdict(*reply, 400, "bad_request", {{"field", "key"}, {"why", "is missing"}});
     const Route* chosenRoute = chooseRoute(route->second, ask, key->second.size());
     if (chosenRoute == nullptr) return sendVerdict(*reply, 404, "no_route_matches", {{"route", name}, {"ran", "no"}});
-    return lathe_.enter(*chosenRoute, ask, Bytes(), reply);
+    return proxy_.enter(*chosenRoute, ask, Bytes(), reply);
   }
   JsonVerdict read = parseJson(ask.body);
   if (auto* bad = std::get_if<BadJson>(&read))
@@ -81,17 +81,17 @@
   const Bytes prompt = jsonString(document, "prompt");
   const Route* chosenRoute = chooseRoute(route->second, ask, prompt.size());
   if (chosenRoute == nullptr) return sendVerdict(*reply, 404, "no_route_matches", {{"route", name}, {"ran", "no"}});
-  lathe_.enter(*chosenRoute, ask, prompt, reply);
+  proxy_.enter(*chosenRoute, ask, prompt, reply);
 }
 
 void Node::showMetrics(ReplyPtr reply) {
-  const LatheCounts& live = lathe_.counts();
+  const ProxyCounts& live = proxy_.counts();
   const SchedulerCounts& lots = scheduler_.counts();
   JsonOut out;
   out.object().field("taken", live.taken).field("sealed", live.sealed).field("turnedAway", live.turnedAway);
   out.field("lapsed", live.lapsed).field("broken", live.broken).field("left", live.left);
   out.field("retried", live.retried).field("declined", live.declined);
-  out.field("waiting", lathe_.waiting()).field("relaying", lathe_.relaying());
+  out.field("waiting", proxy_.waiting()).field("relaying", proxy_.relaying());
   out.field("lotGranted", lots.granted).field("lotSealed", lots.sealed).field("lotDropped", lots.dropped);
   out.field("lotRefused", lots.refused).field("lotNotGranted", lots.notGranted);
   out.field("lotRunning", scheduler_.running());
--- a/src/node/lot_runner.h
+++ b/src/node/lot_runner.h
@@ -2,7 +2,7 @@
 // answer broke off, the most urgent first (design.md 9.8).
 #pragma once
 
-#include "lathe/passage.h"
+#include "proxy/attempt.h"
 #include "node/lot_carrier.h"
 
 namespace stonemount {
--- a/src/node/lot_sealer.cc
+++ b/src/node/lot_sealer.cc
@@ -17,23 +17,23 @@
 };
 
 std::optional<CarrierPlace> LotSealer::reserve(const Route& route, std::uint64_t prefix) {
-  NominateWish wish;
+  SelectionRequest wish;
   wish.pool = route.pool;
   wish.adapter = route.adapter;
   wish.spot = prefix;
   wish.lot = true;
-  const std::optional<Address> chosenWorker = board_.nominate(wish);
+  const std::optional<Address> chosenWorker = board_.selectWorker(wish);
   if (!chosenWorker) return std::nullopt;
   board_.take(*chosenWorker, true);
   return CarrierPlace{*chosenWorker, board_.lotSlots(board_.sights().at(*chosenWorker))};
 }
 
-void LotSealer::release(const CarrierPlace& place) { board_.giveBack(place.worker, true, WorkerBoard::Ending::kLeft); }
+void LotSealer::release(const CarrierPlace& place) { board_.giveBack(place.worker, true, WorkerLoadTable::Ending::kLeft); }
 
 Job<ItemEnding> LotSealer::carry(LotRunPtr run) {
   auto route = control_.routes().find(run->route);
   if (route == control_.routes().end()) {  // it went while the run was granted
-    board_.giveBack(run->worker, true, WorkerBoard::Ending::kLeft);
+    board_.giveBack(run->worker, true, WorkerLoadTable::Ending::kLeft);
     co_return ItemGivenBack{};
   }
   WorkOrder order;
--- a/src/node/lot_sealer.h
+++ b/src/node/lot_sealer.h
@@ -1,15 +1,15 @@
-// Items of the product's own lots: one worker each, nominated before the run is granted, whose parts count
+// Items of the product's own lots: one worker each, selected before the run is granted, whose parts count
 // once they are sealed (design.md 9.5).
 #pragma once
 
-#include "lathe/exchange.h"
+#include "proxy/exchange.h"
 #include "node/lot_carrier.h"
 
 namespace stonemount {
 
 class LotSealer : public ItemCarrier {
  public:
-  LotSealer(Ports& ports, WorkerBoard& board, const ControlState& control)
+  LotSealer(Ports& ports, WorkerLoadTable& board, const ControlState& control)
       : ports_(ports), board_(board), control_(control) {}
   std::optional<CarrierPlace> reserve(const Route& route, std::uint64_t prefix) override;
   void release(const CarrierPlace& place) override;
@@ -19,7 +19,7 @@
  private:
   class Gathering;
   Ports& ports_;
-  WorkerBoard& board_;
+  WorkerLoadTable& board_;
   const ControlState& control_;
 };
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -17,18 +17,18 @@
     : ports_(ports), settings_(std::move(settings)), rpc_(ports.timers, ports.wire, ports.chance),
       gossip_(ports, rpc_, room_, plan.gossip), core_(ports, rpc_, plan.dialect != nullptr ? settings_.seeds : std::vector<Address>()), store_(ports, rpc_, {}),
       configCache_(ports, rpc_, room_, core_, gossip_),
-      board_(ports.clock, configCache_.state(), {settings_.zone, settings_.wire}), fitness_(ports, room_, board_),
-      lathe_(ports, room_, board_, configCache_.state(), plan.lathe, hexText(ports.chance.next())),
+      board_(ports.clock, configCache_.state(), {settings_.zone, settings_.wire}), health_(ports, room_, board_),
+      proxy_(ports, room_, board_, configCache_.state(), plan.proxy, hexText(ports.chance.next())),
       scheduler_(ports, rpc_, room_, store_, board_, configCache_.state(), gossip_, settings_.zone,
                  plan.dialect != nullptr ? passingPlan(plan.scheduler, settings_.bounds) : plan.scheduler),
       ownList_(ports, settings_.platform), list_(plan.list) {
   if (list_ == nullptr && settings_.platform.set()) list_ = &ownList_;
   if (plan.dialect == nullptr) return;
-  PoolBoardPlan board;
+  PoolLoadTablePlan board;
   board.zone = settings_.zone;
   board.coldOverPercent = settings_.bounds.coldOverPercent;
   board.coldSlack = settings_.bounds.coldSlack;
-  pools_ = std::make_unique<PoolBoard>(ports.clock, configCache_.state(), board);
+  pools_ = std::make_unique<PoolLoadTable>(ports.clock, configCache_.state(), board);
   pools_->gone.connect(sigc::mem_fun(*this, &Node::onWorkerGone));
   gateway_ = std::make_unique<Gateway>(ports, room_, *pools_, configCache_.state(), *plan.dialect, plan.gateway);
   scheduler_.passThrough(*gateway_);
@@ -50,7 +50,7 @@
   configCache_.news.connect(sigc::mem_fun(*this, &Node::onNews));
   gossip_.begin(record);
   configCache_.begin();
-  lathe_.begin();
+  proxy_.begin();
   scheduler_.begin();
   room_.start(keepNodes());
   if (list_ != nullptr) room_.start(hearPlatform());
@@ -60,7 +60,7 @@
 void Node::drain() {
   draining_ = true;
   gossip_.self().draining = true;
-  lathe_.drain();
+  proxy_.drain();
   scheduler_.drain();
   if (gateway_ != nullptr) gateway_->drain();
 }
@@ -68,7 +68,7 @@
 bool Node::idle() const {
   const bool passing = gateway_ != nullptr && (gateway_->holding() > 0 || gateway_->relaying() > 0);
   const bool taking = lotService_ != nullptr && !lotService_->idle();
-  return !passing && !taking && lathe_.waiting() == 0 && lathe_.relaying() == 0 && scheduler_.idle();
+  return !passing && !taking && proxy_.waiting() == 0 && proxy_.relaying() == 0 && scheduler_.idle();
 }
 
 void Node::onMet(const PeerRecord& record) {
@@ -79,7 +79,7 @@
 void Node::onNews() {
   board_.relist();
   if (pools_ != nullptr) pools_->relist();
-  else fitness_.relist();
+  else health_.relist();
 }
 
 Task Node::keepNodes() {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -6,16 +6,16 @@
 #include "config/platform_list.h"
 #include "config/rule.h"
 #include "config/settings.h"
-#include "lathe/fitness.h"
-#include "lathe/gateway.h"
-#include "lathe/lathe.h"
+#include "proxy/health_watch.h"
+#include "proxy/gateway.h"
+#include "proxy/proxy.h"
 #include "node/lot_desk.h"
 
 namespace stonemount {
 
 struct NodePlan {
   GossipPlan gossip;
-  LathePlan lathe;
+  ProxyPlan proxy;
   SchedulerPlan scheduler;
   GatewayPlan gateway;
   LotServicePlan lotService;
@@ -36,9 +36,9 @@
   LotService* lotService() { return lotService_.get(); }    // none: no standing lots are taken here
   sigc::signal<void()>& almanacNews() { return configCache_.news; }
   const ConfigCache& configCache() const { return configCache_; }
-  const Lathe& lathe() const { return lathe_; }
+  const Proxy& proxy() const { return proxy_; }
   const Scheduler& scheduler() const { return scheduler_; }
-  const WorkerBoard& board() const { return board_; }
+  const WorkerLoadTable& board() const { return board_; }
   Gossip& gossip() { return gossip_; }
 
  private:
@@ -92,10 +92,10 @@
   ChainClient core_;
   ChainClient store_;
   ConfigCache configCache_;
-  WorkerBoard board_;
-  FitnessWatch fitness_;
-  Lathe lathe_;
-  std::unique_ptr<PoolBoard> pools_;  // only where requests are passed through
+  WorkerLoadTable board_;
+  HealthWatch health_;
+  Proxy proxy_;
+  std::unique_ptr<PoolLoadTable> pools_;  // only where requests are passed through
   std::unique_ptr<Gateway> gateway_;
   std::unique_ptr<LotService> lotService_;
   Scheduler scheduler_;
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -28,7 +28,7 @@
   bool moreToDo = false;
 };
 
-Scheduler::Scheduler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& store, WorkerBoard& board,
+Scheduler::Scheduler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& store, WorkerLoadTable& board,
                      const ControlState& control, Gossip& gossip, std::string zone, SchedulerPlan plan)
     : ports_(ports), rpc_(rpc), room_(room), store_(store), board_(board), control_(control), gossip_(gossip),
       zone_(std::move(zone)), plan_(plan), sealer_(ports, board, control), delivery_(ports, room, store, plan.gatherUs) {}
--- a/src/node/scheduler.h
+++ b/src/node/scheduler.h
@@ -27,7 +27,7 @@
 
 class Scheduler {
  public:
-  Scheduler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& store, WorkerBoard& board,
+  Scheduler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& store, WorkerLoadTable& board,
             const ControlState& control, Gossip& gossip, std::string zone, SchedulerPlan plan);
   // ReplicaState lots are run here too, their items passed through. To be called before begin().
   void passThrough(ItemPasser& passer);
@@ -61,7 +61,7 @@
   RpcEndpoint& rpc_;
   TaskRoom& room_;
   ChainClient& store_;
-  WorkerBoard& board_;
+  WorkerLoadTable& board_;
   const ControlState& control_;
   Gossip& gossip_;
   std::string zone_;
--- a/src/lathe/passage.cc
+++ b/src/proxy/attempt.cc
@@ -1,4 +1,4 @@
-#include "lathe/passage.h"
+#include "proxy/attempt.h"
 
 namespace stonemount {
 
@@ -13,7 +13,7 @@
 
 // Silence is no ground to end an answer: only its own limit, the caller's leaving, a broken channel or an
 // answer that is not this request's ends it (design.md 9.4).
-Job<PassEnding> Passage::run(PassOrder order, Address worker, PassSink& sink) {
+Job<PassEnding> Attempt::run(PassOrder order, Address worker, PassSink& sink) {
   sink_ = &sink;
   worker_ = worker;
   lastEvent_ = order.lastEvent;
@@ -22,7 +22,7 @@
   dialect_.direct(order.ask, life, order.limitUs, order.lastEvent);
   std::unique_ptr<HttpFlow> flow = ports_.httpOut.open(worker, order.ask, dialect_.via(order.exchange));
   order.ask = HttpAsk();
-  flow->piece.connect(sigc::mem_fun(*this, &Passage::put));
+  flow->piece.connect(sigc::mem_fun(*this, &Attempt::put));
   while (!ending_) {
     if (sink.left()) {
       ending_ = PassBroken{headSeen_};
@@ -31,76 +31,76 @@
     const Us leftUs = untilUs - ports_.clock.monoUs();
     if (leftUs <= 0) {
       ending_ = PassLapsed{true};
-      if (!headSeen_) told_ = PoolBoard::Ending::kBroken;  // for the choice of workers only
+      if (!headSeen_) told_ = PoolLoadTable::Ending::kBroken;  // for the choice of workers only
       break;
     }
     EventWait hear(ports_.timers, sink.event(), leftUs);
     co_await hear;
   }
   flow.reset();
-  if (board_.lifeOf(worker) != life) told_ = PoolBoard::Ending::kLeft;  // of its former life; says nothing of this one
+  if (board_.lifeOf(worker) != life) told_ = PoolLoadTable::Ending::kLeft;  // of its former life; says nothing of this one
   board_.giveBack(worker, order.lot, told_);
   co_return std::move(*ending_);
 }
 
-void Passage::end(PassEnding ending, PoolBoard::Ending told) {
+void Attempt::end(PassEnding ending, PoolLoadTable::Ending told) {
   if (ending_) return;
   ending_ = std::move(ending);
   told_ = told;
   sink_->event().notify();
 }
 
-void Passage::put(HttpPiece piece) {
+void Attempt::put(HttpPiece piece) {
   if (ending_) return;
   if (auto* head = std::get_if<HttpHead>(&piece)) return takeHead(*head);
   if (auto* data = std::get_if<HttpData>(&piece)) return takeData(data->bytes);
   if (auto* broken = std::get_if<HttpBroken>(&piece)) {
-    if (broken->provenUnsent) return end(PassNotRun{}, PoolBoard::Ending::kUnsent);
-    return end(PassBroken{headSeen_}, PoolBoard::Ending::kBroken);
+    if (broken->provenUnsent) return end(PassNotRun{}, PoolLoadTable::Ending::kUnsent);
+    return end(PassBroken{headSeen_}, PoolLoadTable::Ending::kBroken);
   }
   finish();
 }
 
-void Passage::takeHead(const HttpHead& head) {
+void Attempt::takeHead(const HttpHead& head) {
   headSeen_ = true;
   head_ = head;
   word_ = dialect_.read(head);
   if (word_.load) board_.heard(worker_, *word_.load);
-  if (word_.word == WorkerWord::kForeign) return end(PassBroken{true}, PoolBoard::Ending::kBroken);
+  if (word_.word == WorkerWord::kForeign) return end(PassBroken{true}, PoolLoadTable::Ending::kBroken);
   if (word_.word != WorkerWord::kSealed) return;
   series_ = isSeries(head);
   // Where it goes on after an event, only events can follow.
-  if (lastEvent_ && !series_) return end(PassBroken{true}, PoolBoard::Ending::kBroken);
+  if (lastEvent_ && !series_) return end(PassBroken{true}, PoolLoadTable::Ending::kBroken);
   sink_->head(head);
 }
 
-void Passage::takeData(const Bytes& bytes) {
+void Attempt::takeData(const Bytes& bytes) {
   if (word_.word != WorkerWord::kSealed) {
     failure_ += bytes;
-    if (failure_.size() > kFailureBytes) end(PassBroken{true}, PoolBoard::Ending::kWhole);  // ran; too long to be kept
+    if (failure_.size() > kFailureBytes) end(PassBroken{true}, PoolLoadTable::Ending::kWhole);  // ran; too long to be kept
     return;
   }
   if (!series_) return sink_->bytes(bytes);
   std::vector<PassEvent> events;
-  if (!events_.feed(bytes, events)) return end(PassBroken{true}, PoolBoard::Ending::kBroken);
+  if (!events_.feed(bytes, events)) return end(PassBroken{true}, PoolLoadTable::Ending::kBroken);
   for (PassEvent& event : events) {
     // Where it goes on for another, not one event may be missing or come twice.
-    if (lastEvent_ && event.id != *lastEvent_ + 1) return end(PassBroken{true}, PoolBoard::Ending::kBroken);
+    if (lastEvent_ && event.id != *lastEvent_ + 1) return end(PassBroken{true}, PoolLoadTable::Ending::kBroken);
     lastEvent_ = event.id;
     sink_->event(std::move(event));
   }
 }
 
-void Passage::finish() {
+void Attempt::finish() {
   switch (word_.word) {
     case WorkerWord::kSealed:
-      if (series_ && !events_.between()) return end(PassBroken{true}, PoolBoard::Ending::kBroken);
-      return end(PassWhole{head_.status}, PoolBoard::Ending::kWhole);
-    case WorkerWord::kNotRun: return end(PassNotRun{}, PoolBoard::Ending::kRefused);
-    case WorkerWord::kOtherLife: return end(PassNotRun{}, PoolBoard::Ending::kOtherLife);
-    case WorkerWord::kDeclined: return end(PassDeclined{head_, std::move(failure_)}, PoolBoard::Ending::kWhole);
-    case WorkerWord::kFailed: return end(PassFailed{head_.status, head_, std::move(failure_)}, PoolBoard::Ending::kWhole);
-    case WorkerWord::kForeign: return end(PassBroken{true}, PoolBoard::Ending::kBroken);
+      if (series_ && !events_.between()) return end(PassBroken{true}, PoolLoadTable::Ending::kBroken);
+      return end(PassWhole{head_.status}, PoolLoadTable::Ending::kWhole);
+    case WorkerWord::kNotRun: return end(PassNotRun{}, PoolLoadTable::Ending::kRefused);
+    case WorkerWord::kOtherLife: return end(PassNotRun{}, PoolLoadTable::Ending::kOtherLife);
+    case WorkerWord::kDeclined: return end(PassDeclined{head_, std::move(failure_)}, PoolLoadTable::Ending::kWhole);
+    case WorkerWord::kFailed: return end(PassFailed{head_.status, head_, std::move(failure_)}, PoolLoadTable::Ending::kWhole);
+    case WorkerWord::kForeign: return end(PassBroken{true}, PoolLoadTable::Ending::kBroken);
   }
 }
 
--- a/src/lathe/passage.h
+++ b/src/proxy/attempt.h
@@ -1,9 +1,9 @@
 // One request at one worker, its bytes passed through (design.md 9.6).
 #pragma once
 
-#include "lathe/event_reader.h"
-#include "lathe/pool_board.h"
-#include "lathe/worker_dialect.h"
+#include "proxy/event_reader.h"
+#include "proxy/pool_load_table.h"
+#include "proxy/worker_dialect.h"
 #include "runtime/await.h"
 
 namespace stonemount {
@@ -47,9 +47,9 @@
 };
 
 // One try at a worker that was chosen and charged for; gives it back to the board when it ends.
-class Passage : public sigc::trackable {
+class Attempt : public sigc::trackable {
  public:
-  Passage(Ports& ports, PoolBoard& board, const WorkerDialect& dialect)
+  Attempt(Ports& ports, PoolLoadTable& board, const WorkerDialect& dialect)
       : ports_(ports), board_(board), dialect_(dialect) {}
   Job<PassEnding> run(PassOrder order, Address worker, PassSink& sink);
 
@@ -57,10 +57,10 @@
   void put(HttpPiece piece);
   void takeHead(const HttpHead& head);
   void takeData(const Bytes& bytes);
-  void end(PassEnding ending, PoolBoard::Ending told);
+  void end(PassEnding ending, PoolLoadTable::Ending told);
   void finish();
   Ports& ports_;
-  PoolBoard& board_;
+  PoolLoadTable& board_;
   const WorkerDialect& dialect_;
   PassSink* sink_ = nullptr;
   Address worker_;
@@ -72,7 +72,7 @@
   bool headSeen_ = false;
   bool series_ = false;  // the answer is a series of events
   std::optional<PassEnding> ending_;
-  PoolBoard::Ending told_ = PoolBoard::Ending::kLeft;
+  PoolLoadTable::Ending told_ = PoolLoadTable::Ending::kLeft;
 };
 
 }  // namespace stonemount
--- a/src/lathe/event_reader.cc
+++ b/src/proxy/event_reader.cc
@@ -1,4 +1,4 @@
-#include "lathe/event_reader.h"
+#include "proxy/event_reader.h"
 
 #include <absl/strings/numbers.h>
 
--- a/src/lathe/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -1,4 +1,4 @@
-#include "lathe/exchange.h"
+#include "proxy/exchange.h"
 
 #include "config/json.h"
 
@@ -88,13 +88,13 @@
   }
 }
 
-WorkerBoard::Ending boardEnding(const WorkEnding& ending) {
-  if (std::holds_alternative<WorkSealed>(ending)) return WorkerBoard::Ending::kSealed;
-  if (std::holds_alternative<WorkDeclined>(ending)) return WorkerBoard::Ending::kSealed;
-  if (std::holds_alternative<WorkRefused>(ending)) return WorkerBoard::Ending::kRefused;
-  if (std::holds_alternative<WorkUnsent>(ending)) return WorkerBoard::Ending::kUnsent;
-  if (std::holds_alternative<WorkBroken>(ending)) return WorkerBoard::Ending::kBroken;
-  return WorkerBoard::Ending::kLeft;
+WorkerLoadTable::Ending boardEnding(const WorkEnding& ending) {
+  if (std::holds_alternative<WorkSealed>(ending)) return WorkerLoadTable::Ending::kSealed;
+  if (std::holds_alternative<WorkDeclined>(ending)) return WorkerLoadTable::Ending::kSealed;
+  if (std::holds_alternative<WorkRefused>(ending)) return WorkerLoadTable::Ending::kRefused;
+  if (std::holds_alternative<WorkUnsent>(ending)) return WorkerLoadTable::Ending::kUnsent;
+  if (std::holds_alternative<WorkBroken>(ending)) return WorkerLoadTable::Ending::kBroken;
+  return WorkerLoadTable::Ending::kLeft;
 }
 
 }  // namespace stonemount
--- a/src/lathe/exchange.h
+++ b/src/proxy/exchange.h
@@ -2,8 +2,8 @@
 // lot items run the same way.
 #pragma once
 
-#include "lathe/sealed_reader.h"
-#include "lathe/worker_board.h"
+#include "proxy/sealed_reader.h"
+#include "proxy/worker_load_table.h"
 
 namespace stonemount {
 
@@ -42,14 +42,14 @@
 
 class Exchange {
  public:
-  Exchange(Ports& ports, WorkerBoard& board) : ports_(ports), board_(board) {}
+  Exchange(Ports& ports, WorkerLoadTable& board) : ports_(ports), board_(board) {}
   Job<WorkEnding> run(WorkOrder order, Address worker, Us untilUs, PartSink& sink);
 
  private:
   Ports& ports_;
-  WorkerBoard& board_;
+  WorkerLoadTable& board_;
 };
 
-WorkerBoard::Ending boardEnding(const WorkEnding& ending);
+WorkerLoadTable::Ending boardEnding(const WorkEnding& ending);
 
 }  // namespace stonemount
--- a/src/lathe/gateway.cc
+++ b/src/proxy/gateway.cc
@@ -1,8 +1,8 @@
-#include "lathe/gateway.h"
+#include "proxy/gateway.h"
 
 #include <algorithm>
 
-#include "lathe/gateway_caller.h"
+#include "proxy/gateway_caller.h"
 
 namespace stonemount {
 
@@ -11,7 +11,7 @@
 constexpr Us kLookUs = 20 * kMilliUs;           // between two looks of the first of a queue
 }  // namespace
 
-Gateway::Gateway(Ports& ports, TaskRoom& room, PoolBoard& board, const ControlState& control, const WorkerDialect& dialect,
+Gateway::Gateway(Ports& ports, TaskRoom& room, PoolLoadTable& board, const ControlState& control, const WorkerDialect& dialect,
                  GatewayPlan plan)
     : ports_(ports), room_(room), board_(board), control_(control), dialect_(dialect), plan_(plan) {
   roomMade_ = board_.roomMade.connect(sigc::mem_fun(*this, &Gateway::onRoom));
@@ -111,7 +111,7 @@
     Job<bool> holding = hold(caller, poolOf(caller->request.route, caller->request.exchange));
     const bool chosen = co_await holding;
     if (caller->gone) {
-      if (chosen) board_.giveBack(*caller->worker, false, PoolBoard::Ending::kLeft);
+      if (chosen) board_.giveBack(*caller->worker, false, PoolLoadTable::Ending::kLeft);
       ++counts_.left;
       co_return;
     }
@@ -122,7 +122,7 @@
       co_return;
     }
     if (leftUs < kLeastLeftUs) {
-      board_.giveBack(*caller->worker, false, PoolBoard::Ending::kLeft);
+      board_.giveBack(*caller->worker, false, PoolLoadTable::Ending::kLeft);
       if (caller->mayHaveRun) fail(*caller, 504, "limit_passed");
       else refuse(*caller, "limit_passed");
       co_return;
@@ -136,8 +136,8 @@
     order.limitUs = leftUs;
     ++relaying_;
     ++caller->sends;
-    Passage passage(ports_, board_, dialect_);
-    Job<PassEnding> passing = passage.run(std::move(order), *caller->worker, *caller);
+    Attempt attempt(ports_, board_, dialect_);
+    Job<PassEnding> passing = attempt.run(std::move(order), *caller->worker, *caller);
     const PassEnding ending = co_await passing;
     --relaying_;
     if (!handleEnding(*caller, ending)) co_return;
@@ -158,8 +158,8 @@
   if (!chosenWorker || order.limitUs < kLeastLeftUs) co_return PassNotRun{50 * kMilliUs};
   order.lot = true;
   board_.take(*chosenWorker, true);
-  Passage passage(ports_, board_, dialect_);
-  Job<PassEnding> passing = passage.run(std::move(order), *chosenWorker, sink);
+  Attempt attempt(ports_, board_, dialect_);
+  Job<PassEnding> passing = attempt.run(std::move(order), *chosenWorker, sink);
   PassEnding ending = co_await passing;
   co_return ending;
 }
--- a/src/lathe/gateway.h
+++ b/src/proxy/gateway.h
@@ -2,7 +2,7 @@
 // callers use is the business of whoever enters them here.
 #pragma once
 
-#include "lathe/passage.h"
+#include "proxy/attempt.h"
 
 namespace stonemount {
 
@@ -28,7 +28,7 @@
 
 class Gateway : public ItemPasser {
  public:
-  Gateway(Ports& ports, TaskRoom& room, PoolBoard& board, const ControlState& control, const WorkerDialect& dialect,
+  Gateway(Ports& ports, TaskRoom& room, PoolLoadTable& board, const ControlState& control, const WorkerDialect& dialect,
           GatewayPlan plan);
   ~Gateway() override;
   void enter(LiveRequest request, ReplyPtr reply);
@@ -54,7 +54,7 @@
   std::string poolOf(const Route& route, const std::string& exchange) const;
   Ports& ports_;
   TaskRoom& room_;
-  PoolBoard& board_;
+  PoolLoadTable& board_;
   const ControlState& control_;
   const WorkerDialect& dialect_;
   GatewayPlan plan_;
--- a/src/lathe/gateway_answer.cc
+++ b/src/proxy/gateway_answer.cc
@@ -4,7 +4,7 @@
 #include <algorithm>
 
 #include "config/json.h"
-#include "lathe/gateway_caller.h"
+#include "proxy/gateway_caller.h"
 
 namespace stonemount {
 
--- a/src/lathe/gateway_caller.h
+++ b/src/proxy/gateway_caller.h
@@ -1,7 +1,7 @@
 // One live request on its way through the gateway (design.md 9.6). For the gateway's own files.
 #pragma once
 
-#include "lathe/gateway.h"
+#include "proxy/gateway.h"
 
 namespace stonemount {
 
--- a/src/lathe/fitness.cc
+++ b/src/proxy/health_watch.cc
@@ -1,4 +1,4 @@
-#include "lathe/fitness.h"
+#include "proxy/health_watch.h"
 
 #include "config/json.h"
 
@@ -8,11 +8,11 @@
 constexpr Us kEveryUs = 300 * kMilliUs;
 constexpr Us kLimitUs = 500 * kMilliUs;
 
-std::optional<FitnessReport> readReport(const Bytes& body) {
+std::optional<HealthReport> readReport(const Bytes& body) {
   JsonVerdict read = parseJson(body);
   auto* document = std::get_if<JsonDocument>(&read);
   if (document == nullptr || !document->IsObject()) return std::nullopt;
-  FitnessReport report;
+  HealthReport report;
   report.load = static_cast<std::uint32_t>(jsonNumber(*document, "load", 0));
   report.slots = static_cast<std::uint32_t>(jsonNumber(*document, "slots", 1));
   report.bear = static_cast<std::uint32_t>(jsonNumber(*document, "bear", report.slots));
@@ -24,14 +24,14 @@
 }
 }  // namespace
 
-void FitnessWatch::relist() {
+void HealthWatch::relist() {
   for (const auto& [address, sight] : board_.sights()) {
     const bool fresh = board_.listed(address) && watched_.insert(address).second;
     if (fresh) room_.start(watch(address));
   }
 }
 
-Task FitnessWatch::watch(Address worker) {
+Task HealthWatch::watch(Address worker) {
   while (board_.listed(worker)) {
     HttpAsk ask;
     ask.method = "GET";
@@ -40,7 +40,7 @@
     HttpCall call(ports_, worker, ask, kLimitUs);
     const HttpVerdict verdict = co_await call;
     if (auto* whole = std::get_if<HttpWhole>(&verdict)) {
-      std::optional<FitnessReport> report = whole->status == 200 ? readReport(whole->body) : std::nullopt;
+      std::optional<HealthReport> report = whole->status == 200 ? readReport(whole->body) : std::nullopt;
       if (report) board_.report(worker, std::move(*report), askedUs);
     }
     if (std::holds_alternative<HttpFailed>(verdict)) board_.reportLost(worker);
--- a/src/lathe/pool_board.cc
+++ b/src/proxy/pool_load_table.cc
@@ -1,4 +1,4 @@
-#include "lathe/pool_board.h"
+#include "proxy/pool_load_table.h"
 
 #include <algorithm>
 
@@ -11,7 +11,7 @@
 constexpr std::uint32_t kSpareUse = 2;   // over the mean, before a spot's worker is passed over
 }  // namespace
 
-void PoolBoard::relist() {
+void PoolLoadTable::relist() {
   const Us nowUs = clock_.monoUs();
   pools_.clear();
   std::vector<Address> lost;
@@ -39,19 +39,19 @@
   roomMade.emit();
 }
 
-void PoolBoard::setNodes(std::size_t nodes) { nodes_ = static_cast<std::uint32_t>(std::max<std::size_t>(1, nodes)); }
+void PoolLoadTable::setNodes(std::size_t nodes) { nodes_ = static_cast<std::uint32_t>(std::max<std::size_t>(1, nodes)); }
 
-bool PoolBoard::usable(const PoolWorker& worker) const {
+bool PoolLoadTable::usable(const PoolWorker& worker) const {
   return !worker.listed.pool.empty() && !worker.listed.leaving && !worker.otherLife &&
          !control_.evacuated(worker.listed.zone);
 }
 
-std::uint32_t PoolBoard::slots(const PoolWorker& worker) const {
+std::uint32_t PoolLoadTable::slots(const PoolWorker& worker) const {
   return std::max<std::uint32_t>(1, worker.listed.slots);
 }
 
 // What others have there is what it told less what was ours then; it is forgotten by and by.
-std::uint32_t PoolBoard::use(const PoolWorker& worker) const {
+std::uint32_t PoolLoadTable::use(const PoolWorker& worker) const {
   if (worker.toldUs < 0) return worker.inFlight();
   const std::uint32_t all = worker.told.running + worker.told.waiting;
   std::uint32_t others = all > worker.inFlightAtTold ? all - worker.inFlightAtTold : 0;
@@ -61,7 +61,7 @@
 }
 
 // Its connections and, while it is cold, its requests of any one second are shared out among the nodes.
-bool PoolBoard::bearsMore(const PoolWorker& worker) const {
+bool PoolLoadTable::bearsMore(const PoolWorker& worker) const {
   auto pool = control_.pools().find(worker.listed.pool);
   if (pool == control_.pools().end()) return true;
   const std::uint32_t channels = pool->second.mostChannels;
@@ -77,7 +77,7 @@
 
 // Requests that share a prompt meet where it is kept, unless that worker has clearly more to do than the
 // others; all else goes where least is.
-const PoolWorker* PoolBoard::pickFrom(const Pick& pick, std::uint64_t spot) const {
+const PoolWorker* PoolLoadTable::pickFrom(const Pick& pick, std::uint64_t spot) const {
   std::uint64_t sum = 0;
   for (const PoolWorker* worker : pick) sum += use(*worker);
   const std::uint64_t most = pick.empty() ? 0 : sum * 5 / (4 * pick.size()) + kSpareUse;
@@ -97,7 +97,7 @@
 }
 
 // In turn: this zone while it is calm there, any zone that is, any that has room; those that failed lately last.
-std::optional<Address> PoolBoard::choose(const PoolWish& wish) const {
+std::optional<Address> PoolLoadTable::choose(const PoolWish& wish) const {
   auto pool = pools_.find(wish.pool);
   if (pool == pools_.end()) return std::nullopt;
   std::uint32_t roof = wish.lot && !wish.urgent ? plan_.lotPercent : plan_.calmPercent;
@@ -128,7 +128,7 @@
 
 // Lots can wait and live requests cannot: each node has its share of what lots may take, so that no crowd of
 // lots fills what workers let in as it comes, before anybody has heard of it.
-bool PoolBoard::lotsFull(const std::vector<Address>& pool) const {
+bool PoolLoadTable::lotsFull(const std::vector<Address>& pool) const {
   std::uint64_t slotsThere = 0, lotsHere = 0;
   for (const Address& address : pool) {
     const PoolWorker& worker = workers_.at(address);
@@ -138,7 +138,7 @@
   return lotsHere >= std::max<std::uint64_t>(kLeastLots, slotsThere * plan_.lotPercent / 100 / nodes_);
 }
 
-bool PoolBoard::serves(const std::string& pool) const {
+bool PoolLoadTable::serves(const std::string& pool) const {
   auto found = pools_.find(pool);
   if (found == pools_.end()) return false;
   for (const Address& address : found->second)
@@ -146,14 +146,14 @@
   return false;
 }
 
-bool PoolBoard::roomForLots(const std::string& pool) const {
+bool PoolLoadTable::roomForLots(const std::string& pool) const {
   PoolWish wish;
   wish.pool = pool;
   wish.lot = true;
   return choose(wish).has_value();
 }
 
-void PoolBoard::take(const Address& address, bool lot) {
+void PoolLoadTable::take(const Address& address, bool lot) {
   PoolWorker& worker = workers_.at(address);
   ++(lot ? worker.lots : worker.live);
   const Us nowUs = clock_.monoUs();
@@ -161,7 +161,7 @@
   while (!worker.sentUs.empty() && nowUs - worker.sentUs.front() > 2 * kSecondUs) worker.sentUs.pop_front();
 }
 
-void PoolBoard::heard(const Address& address, const WorkerLoad& load) {
+void PoolLoadTable::heard(const Address& address, const WorkerLoad& load) {
   auto found = workers_.find(address);
   if (found == workers_.end()) return;
   found->second.told = load;
@@ -169,7 +169,7 @@
   found->second.inFlightAtTold = found->second.inFlight();
 }
 
-void PoolBoard::giveBack(const Address& address, bool lot, Ending ending) {
+void PoolLoadTable::giveBack(const Address& address, bool lot, Ending ending) {
   auto found = workers_.find(address);
   STONEMOUNT_INVARIANT(found != workers_.end());
   PoolWorker& worker = found->second;
--- a/src/lathe/pool_board.h
+++ b/src/proxy/pool_load_table.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "config/control_state.h"
-#include "lathe/worker_dialect.h"
+#include "proxy/worker_dialect.h"
 
 namespace stonemount {
 
@@ -29,7 +29,7 @@
   std::uint32_t inFlight() const { return live + lots; }
 };
 
-struct PoolBoardPlan {
+struct PoolLoadTablePlan {
   std::string zone;
   std::uint32_t coldOverPercent = 100;
   std::uint32_t coldSlack = 0;
@@ -41,9 +41,9 @@
   Us mostSuspectUs = 4 * kSecondUs;
 };
 
-class PoolBoard {
+class PoolLoadTable {
  public:
-  PoolBoard(const Clock& clock, const ControlState& control, PoolBoardPlan plan)
+  PoolLoadTable(const Clock& clock, const ControlState& control, PoolLoadTablePlan plan)
       : clock_(clock), control_(control), plan_(std::move(plan)) {}
   void relist();  // after news from control
   void setNodes(std::size_t nodes);  // that share the workers, this one among them
@@ -70,7 +70,7 @@
   const PoolWorker* pickFrom(const Pick& pick, std::uint64_t spot) const;
   const Clock& clock_;
   const ControlState& control_;
-  PoolBoardPlan plan_;
+  PoolLoadTablePlan plan_;
   std::uint32_t nodes_ = 1;
   absl::btree_map<Address, PoolWorker> workers_;
   absl::flat_hash_map<std::string, std::vector<Address>> pools_;
--- a/src/lathe/lathe.cc
+++ b/src/proxy/proxy.cc
@@ -1,4 +1,4 @@
-#include "lathe/lathe.h"
+#include "proxy/proxy.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -9,8 +9,8 @@
 
 namespace stonemount {
 
-struct Lathe::Caller : public PartSink, public sigc::trackable {
-  Caller(Lathe& given) : lathe(given) {}
+struct Proxy::Caller : public PartSink, public sigc::trackable {
+  Caller(Proxy& given) : proxy(given) {}
   void part(const Bytes& data) override {
     if (order.route.kind != RouteKind::kStream) {
       gathered += data;
@@ -30,12 +30,12 @@
   void onGone() {
     gone = true;
     knock.notify();
-    lathe.waitingEvent_.notify();
+    proxy.waitingEvent_.notify();
   }
   static constexpr std::size_t kBacklogBound = 4 << 20;  // a caller that does not read is as good as gone
-  Lathe& lathe;
+  Proxy& proxy;
   WorkOrder order;
-  NominateWish wish;
+  SelectionRequest wish;
   ReplyPtr reply;
   Event knock;
   Us limitAtUs = 0;
@@ -63,24 +63,24 @@
   reply.whole(status, headers, out.take() + "\n");
 }
 
-Lathe::Lathe(Ports& ports, TaskRoom& room, WorkerBoard& board, const ControlState& control, LathePlan plan,
+Proxy::Proxy(Ports& ports, TaskRoom& room, WorkerLoadTable& board, const ControlState& control, ProxyPlan plan,
              std::string exchangePrefix)
     : ports_(ports), room_(room), board_(board), control_(control), plan_(plan),
       exchangePrefix_(std::move(exchangePrefix)) {
   roomMade_ = board_.roomMade.connect(sigc::mem_fun(waitingEvent_, &Event::notify));
 }
 
-Lathe::~Lathe() { roomMade_.disconnect(); }
+Proxy::~Proxy() { roomMade_.disconnect(); }
 
-std::string Lathe::freshExchange() { return absl::StrCat(exchangePrefix_, "-", ++lastExchange_); }
+std::string Proxy::freshExchange() { return absl::StrCat(exchangePrefix_, "-", ++lastExchange_); }
 
 // How long until those who wait now have been served, at the pace of late.
-int Lathe::retryAfterSeconds() const {
+int Proxy::retryAfterSeconds() const {
   const Us aheadUs = static_cast<Us>(waiting_.size() + 1) * paceUs_;
   return static_cast<int>(std::clamp<Us>(1 + aheadUs / kSecondUs, 1, 10));
 }
 
-void Lathe::enter(const Route& route, const HttpAsk& ask, Bytes prompt, ReplyPtr reply) {
+void Proxy::enter(const Route& route, const HttpAsk& ask, Bytes prompt, ReplyPtr reply) {
   auto caller = std::make_shared<Caller>(*this);
   caller->order.exchange = freshExchange();
   caller->order.route = route;
@@ -109,13 +109,13 @@
   room_.start(serve(std::move(caller)));
 }
 
-void Lathe::turnAway(Caller& caller, int status, const char* verdict, const char* ran) {
+void Proxy::turnAway(Caller& caller, int status, const char* verdict, const char* ran) {
   ++counts_.turnedAway;
   if (caller.gone) return;
   sendVerdict(*caller.reply, status, verdict, {{"exchange", caller.order.exchange}, {"ran", ran}}, retryAfterSeconds());
 }
 
-Job<bool> Lathe::waitForWorker(std::shared_ptr<Caller> caller) {
+Job<bool> Proxy::waitForWorker(std::shared_ptr<Caller> caller) {
   caller->worker.reset();
   caller->waiting = true;
   waiting_.push_back(caller);
@@ -128,13 +128,13 @@
     caller->waiting = false;
     std::erase(waiting_, caller);
   } else if (caller->gone) {
-    board_.giveBack(*caller->worker, false, WorkerBoard::Ending::kLeft);
+    board_.giveBack(*caller->worker, false, WorkerLoadTable::Ending::kLeft);
     caller->worker.reset();
   }
   co_return caller->worker.has_value();
 }
 
-Task Lathe::nominateWaiting() {
+Task Proxy::selectForWaiting() {
   while (true) {
     EventWait hear(ports_.timers, waitingEvent_, 100 * kMilliUs);
     co_await hear;
@@ -143,7 +143,7 @@
     for (std::shared_ptr<Caller>& caller : waiting_) {
       const bool plain = caller->wish.passedOver.empty();
       std::optional<Address> chosenWorker;
-      if (!plain || !fullPools.contains(caller->wish.pool)) chosenWorker = board_.nominate(caller->wish);
+      if (!plain || !fullPools.contains(caller->wish.pool)) chosenWorker = board_.selectWorker(caller->wish);
       if (!chosenWorker) {
         if (plain) fullPools.insert(caller->wish.pool);
         still.push_back(std::move(caller));
@@ -159,17 +159,17 @@
   }
 }
 
-Task Lathe::serve(std::shared_ptr<Caller> caller) {
+Task Proxy::serve(std::shared_ptr<Caller> caller) {
   int unsent = 0;
   int broken = 0;
   while (true) {
     Job<bool> waiting = waitForWorker(caller);
-    const bool nominated = co_await waiting;
+    const bool selected = co_await waiting;
     if (caller->gone) {
       ++counts_.left;
       co_return;
     }
-    if (!nominated) {
+    if (!selected) {
       turnAway(*caller, 503, "no_capacity", caller->mayHaveRun ? "maybe" : "no");
       co_return;
     }
@@ -198,7 +198,7 @@
   }
 }
 
-void Lathe::finish(Caller& caller, const WorkEnding& ending) {
+void Proxy::finish(Caller& caller, const WorkEnding& ending) {
   if (auto* sealed = std::get_if<WorkSealed>(&ending)) {
     ++counts_.sealed;
     const Us nowUs = ports_.clock.monoUs();
--- a/src/lathe/lathe.h
+++ b/src/proxy/proxy.h
@@ -1,12 +1,12 @@
-// The way of a live request: front, waiting room, nomination, relay; joined by bounded queues
+// The way of a live request: front, waiting room, worker selection, relay; joined by bounded queues
 // (design.md 9.1).
 #pragma once
 
-#include "lathe/exchange.h"
+#include "proxy/exchange.h"
 
 namespace stonemount {
 
-struct LathePlan {
+struct ProxyPlan {
   std::size_t waitingBound = 256;
   std::size_t relayBound = 1024;
   Us waitUs = 1500 * kMilliUs;  // longest stay in the waiting room
@@ -14,20 +14,20 @@
   int triesLookup = 3;
 };
 
-struct LatheCounts {
+struct ProxyCounts {
   std::uint64_t taken = 0, sealed = 0, turnedAway = 0, lapsed = 0, broken = 0, left = 0, retried = 0, declined = 0;
 };
 
-class Lathe {
+class Proxy {
  public:
-  Lathe(Ports& ports, TaskRoom& room, WorkerBoard& board, const ControlState& control, LathePlan plan,
+  Proxy(Ports& ports, TaskRoom& room, WorkerLoadTable& board, const ControlState& control, ProxyPlan plan,
         std::string exchangePrefix);
-  ~Lathe();
-  void begin() { room_.start(nominateWaiting()); }
+  ~Proxy();
+  void begin() { room_.start(selectForWaiting()); }
   // Streams, whole answers and lookups. The route is known and fits the ask's kind.
   void enter(const Route& route, const HttpAsk& ask, Bytes prompt, ReplyPtr reply);
   void drain() { draining_ = true; }
-  const LatheCounts& counts() const { return counts_; }
+  const ProxyCounts& counts() const { return counts_; }
   std::size_t waiting() const { return waiting_.size(); }
   std::size_t relaying() const { return relaying_; }
   std::string freshExchange();
@@ -37,21 +37,21 @@
   struct Caller;  // one live request
   Task serve(std::shared_ptr<Caller> caller);
   Job<bool> waitForWorker(std::shared_ptr<Caller> caller);
-  Task nominateWaiting();
+  Task selectForWaiting();
   void finish(Caller& caller, const WorkEnding& ending);
   void turnAway(Caller& caller, int status, const char* verdict, const char* ran);
   Ports& ports_;
   TaskRoom& room_;
-  WorkerBoard& board_;
+  WorkerLoadTable& board_;
   const ControlState& control_;
-  LathePlan plan_;
+  ProxyPlan plan_;
   std::string exchangePrefix_;
   std::uint64_t lastExchange_ = 0;
   std::deque<std::shared_ptr<Caller>> waiting_;
   std::size_t relaying_ = 0;
   Event waitingEvent_;
   sigc::connection roomMade_;
-  LatheCounts counts_;
+  ProxyCounts counts_;
   Us lastSealedUs_ = 0;
   Us paceUs_ = 100 * kMilliUs;  // smoothed time between two answers
   bool draining_ = false;
--- a/src/lathe/sealed_reader.cc
+++ b/src/proxy/sealed_reader.cc
@@ -1,4 +1,4 @@
-#include "lathe/sealed_reader.h"
+#include "proxy/sealed_reader.h"
 
 #include "config/json.h"
 
--- a/src/lathe/worker_board.cc
+++ b/src/proxy/worker_load_table.cc
@@ -1,4 +1,4 @@
-#include "lathe/worker_board.h"
+#include "proxy/worker_load_table.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -6,7 +6,7 @@
 
 namespace stonemount {
 
-void WorkerBoard::relist() {
+void WorkerLoadTable::relist() {
   for (const auto& [address, worker] : control_.workers()) {
     WorkerSight& sight = sights_[address];
     if (sight.listed.pool != worker.pool) {
@@ -28,19 +28,19 @@
   roomMade.emit();
 }
 
-void WorkerBoard::setNodes(std::vector<Address> nodes) {
+void WorkerLoadTable::setNodes(std::vector<Address> nodes) {
   nodes_ = std::move(nodes);
   std::sort(nodes_.begin(), nodes_.end());  // the same order at every node
 }
 
-bool WorkerBoard::listed(const Address& worker) const { return control_.workers().contains(worker); }
+bool WorkerLoadTable::listed(const Address& worker) const { return control_.workers().contains(worker); }
 
-void WorkerBoard::setLeavingMarks(absl::btree_set<Address> marks, Us askedUs) {
+void WorkerLoadTable::setLeavingMarks(absl::btree_set<Address> marks, Us askedUs) {
   leavingMarks_ = std::move(marks);
   marksHeardUs_ = std::max(marksHeardUs_, askedUs);
 }
 
-void WorkerBoard::tick() {
+void WorkerLoadTable::tick() {
   const Us nowUs = clock_.monoUs();
   if (tickUs_ < 0 || nowUs - tickUs_ > plan_.frozenUs) wokeUs_ = nowUs;
   tickUs_ = nowUs;
@@ -48,14 +48,14 @@
 
 // What was known before a start or a freeze may be long out of date. Live traffic waits for news, but
 // not for ever: it goes on without control and platform too.
-bool WorkerBoard::awake() const {
+bool WorkerLoadTable::awake() const {
   const Us nowUs = clock_.monoUs();
   if (tickUs_ < 0 || nowUs - tickUs_ > plan_.frozenUs) return false;
   if (marksHeardUs_ >= wokeUs_ || nowUs - wokeUs_ > plan_.newsWaitUs) return true;
   return controlHeardUs_ >= wokeUs_ && nowUs - wokeUs_ > plan_.marksWaitUs;
 }
 
-void WorkerBoard::report(const Address& worker, FitnessReport report, Us askedUs) {
+void WorkerLoadTable::report(const Address& worker, HealthReport report, Us askedUs) {
   auto found = sights_.find(worker);
   if (found == sights_.end()) return;
   found->second.report = std::move(report);
@@ -64,12 +64,12 @@
   roomMade.emit();
 }
 
-void WorkerBoard::reportLost(const Address& worker) {
+void WorkerLoadTable::reportLost(const Address& worker) {
   auto found = sights_.find(worker);
   if (found != sights_.end()) found->second.reportedUs = -1;
 }
 
-bool WorkerBoard::usable(const WorkerSight& sight) const {
+bool WorkerLoadTable::usable(const WorkerSight& sight) const {
   const Us nowUs = clock_.monoUs();
   const bool fresh = sight.reportedUs >= 0 && nowUs - sight.reportedUs <= plan_.staleUs;
   if (!awake() || leavingMarks_.contains(sight.listed.address)) return false;
@@ -80,7 +80,7 @@
 // A cold worker's few places are dealt out among the nodes, on from where the worker before it in the pool
 // ended: so all together send no more than it can bear, and no node is left without a place while there
 // is one for each. A warm one is found by each node's own window.
-std::uint32_t WorkerBoard::coldShare(const WorkerSight& sight) const {
+std::uint32_t WorkerLoadTable::coldShare(const WorkerSight& sight) const {
   const std::uint32_t nodes = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(nodes_.size()));
   const auto found = std::find(nodes_.begin(), nodes_.end(), plan_.self);
   const std::uint32_t mine = found == nodes_.end() ? 0 : static_cast<std::uint32_t>(found - nodes_.begin());
@@ -91,12 +91,12 @@
   return sight.report.bear / nodes + (turn < sight.report.bear % nodes ? 1 : 0);
 }
 
-std::uint32_t WorkerBoard::allowance(const WorkerSight& sight) const {
+std::uint32_t WorkerLoadTable::allowance(const WorkerSight& sight) const {
   if (sight.cold()) return coldShare(sight);
   return std::min(std::max<std::uint32_t>(1, std::min(sight.report.slots, sight.listed.slots)), sight.window);
 }
 
-bool WorkerBoard::hasRoom(const WorkerSight& sight, bool lot) const {
+bool WorkerLoadTable::hasRoom(const WorkerSight& sight, bool lot) const {
   if (sight.inFlight() >= allowance(sight)) return false;
   // Others' share of the reported load, and ours as it is now, must fit in what it can bear.
   const std::uint32_t others = sight.report.load > sight.inFlightAtReport ? sight.report.load - sight.inFlightAtReport : 0;
@@ -109,11 +109,11 @@
   return sight.lotInFlight < lotSlots(sight);
 }
 
-std::uint32_t WorkerBoard::lotSlots(const WorkerSight& sight) const {
+std::uint32_t WorkerLoadTable::lotSlots(const WorkerSight& sight) const {
   return std::max<std::uint32_t>(1, sight.listed.slots / (liveWaiting_ ? 4 : 2));
 }
 
-std::optional<Address> WorkerBoard::nominate(const NominateWish& wish) const {
+std::optional<Address> WorkerLoadTable::selectWorker(const SelectionRequest& wish) const {
   auto ring = rings_.find(wish.pool);
   if (ring == rings_.end()) return std::nullopt;
   std::optional<Address> chosen;
@@ -133,14 +133,14 @@
   return chosen;
 }
 
-void WorkerBoard::take(const Address& worker, bool lot) {
+void WorkerLoadTable::take(const Address& worker, bool lot) {
   WorkerSight& sight = sights_.at(worker);
   ++sight.sent;
   if (lot) ++sight.lotInFlight;
   else ++sight.liveInFlight;
 }
 
-void WorkerBoard::giveBack(const Address& worker, bool lot, Ending ending) {
+void WorkerLoadTable::giveBack(const Address& worker, bool lot, Ending ending) {
   auto found = sights_.find(worker);
   STONEMOUNT_INVARIANT(found != sights_.end());
   WorkerSight& sight = found->second;
--- a/src/lathe/worker_board.h
+++ b/src/proxy/worker_load_table.h
@@ -7,7 +7,7 @@
 
 namespace stonemount {
 
-struct FitnessReport {
+struct HealthReport {
   std::uint32_t load = 0;   // exchanges that the worker is at now, from anyone
   std::uint32_t slots = 1;  // that it has when warm
   std::uint32_t bear = 1;   // that it can bear now; less than slots while cold
@@ -17,7 +17,7 @@
 
 struct WorkerSight {
   ListedWorker listed;
-  FitnessReport report;
+  HealthReport report;
   Us reportedUs = -1;
   std::uint32_t liveInFlight = 0;
   std::uint32_t lotInFlight = 0;
@@ -29,7 +29,7 @@
   bool cold() const { return report.bear < report.slots; }
 };
 
-struct NominateWish {
+struct SelectionRequest {
   std::string pool;
   std::string adapter;
   std::uint64_t spot = 0;
@@ -47,12 +47,12 @@
   Us muteUs = 500 * kMilliUs;
 };
 
-class WorkerBoard {
+class WorkerLoadTable {
  public:
-  WorkerBoard(const Clock& clock, const ControlState& control, BoardPlan plan)
+  WorkerLoadTable(const Clock& clock, const ControlState& control, BoardPlan plan)
       : clock_(clock), control_(control), plan_(std::move(plan)) {}
   void relist();  // after news from control
-  void report(const Address& worker, FitnessReport report, Us askedUs);
+  void report(const Address& worker, HealthReport report, Us askedUs);
   // It could not be asked, or broke off: whatever answers there next may be another, and cold.
   void reportLost(const Address& worker);
   // A tick that must come often: without it this process was frozen and what it knows is old.
@@ -67,7 +67,7 @@
   // Control answered a question that was asked then.
   void controlHeard(Us askedUs) { controlHeardUs_ = std::max(controlHeardUs_, askedUs); }
   void setNodes(std::vector<Address> nodes);
-  std::optional<Address> nominate(const NominateWish& wish) const;
+  std::optional<Address> selectWorker(const SelectionRequest& wish) const;
   bool usable(const WorkerSight& sight) const;
   bool hasRoom(const WorkerSight& sight, bool lot) const;
   bool listed(const Address& worker) const;
--- a/src/sawhorse/worker.cc
+++ b/src/sawhorse/worker.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "config/json.h"
-#include "lathe/sealed_reader.h"
+#include "proxy/sealed_reader.h"
 
 namespace stonemount {
 
@@ -64,7 +64,7 @@
   }
 }
 
-void RehearseWorker::sendFitness(HttpReply& reply) const {
+void RehearseWorker::sendHealth(HttpReply& reply) const {
   JsonOut out;
   out.object().field("load", load_).field("slots", plan_.slots).field("bear", bear()).field("leaving", leaving_);
   out.key("adapters").array();
@@ -84,7 +84,7 @@
 }
 
 void RehearseWorker::onAsked(const HttpAsk& ask, ReplyPtr reply) {
-  if (ask.path == "/fitness") return sendFitness(*reply);
+  if (ask.path == "/fitness") return sendHealth(*reply);
   if (ask.path == "/metrics") return sendMetrics(*reply);
   if (ask.path == "/leave") {
     leaving_ = true;
--- a/src/sawhorse/worker.h
+++ b/src/sawhorse/worker.h
@@ -53,7 +53,7 @@
 
  private:
   void onAsked(const HttpAsk& ask, ReplyPtr reply);
-  void sendFitness(HttpReply& reply) const;
+  void sendHealth(HttpReply& reply) const;
   void sendMetrics(HttpReply& reply) const;
   std::uint32_t bear() const;
   Task work(std::string exchange, Bytes prompt, bool lookup, bool lot, ReplyPtr reply);
--- a/tests/decoder_test.cc
+++ b/tests/decoder_test.cc
@@ -7,7 +7,7 @@
 #include "config/config_check.h"
 #include "config/platform_list.h"
 #include "config/settings.h"
-#include "lathe/sealed_reader.h"
+#include "proxy/sealed_reader.h"
 #include "store/store_machine.h"
 #include "runtime/rpc_endpoint.h"
 
--- a/tests/event_reader_test.cc
+++ b/tests/event_reader_test.cc
@@ -2,7 +2,7 @@
 // (design.md 9.6). What is no event of a number, or longer than any may be, is refused.
 #include <rapidcheck.h>
 
-#include "lathe/event_reader.h"
+#include "proxy/event_reader.h"
 
 using namespace stonemount;
 
--- a/tests/faulty_workers_test.cc
+++ b/tests/faulty_workers_test.cc
@@ -21,7 +21,7 @@
     const Tally tally = chaos.tally();
     std::uint64_t broken = 0, dropped = 0, expired = 0;
     for (Part* part : chaos.fleet().of(PartKind::kNode)) {
-      broken += part->node->lathe().counts().broken;
+      broken += part->node->proxy().counts().broken;
       dropped += part->node->scheduler().counts().dropped;
     }
     for (Part* part : chaos.fleet().of(PartKind::kStore))
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "bench/world.h"
-#include "lathe/gateway.h"
+#include "proxy/gateway.h"
 #include "platform/words.h"
 #include "platform/workers.h"
 #include "sawhorse/pass_worker.h"
@@ -131,8 +131,8 @@
     host.rise();
     return host;
   }
-  static PoolBoardPlan boardPlan() {
-    PoolBoardPlan plan;
+  static PoolLoadTablePlan boardPlan() {
+    PoolLoadTablePlan plan;
     plan.zone = "a";
     return plan;
   }
@@ -209,7 +209,7 @@
   platform::Workers dialect;
   Ports ports;
   TaskRoom room;
-  PoolBoard board;
+  PoolLoadTable board;
   Gateway gateway;
   PassLedger ledger;
   std::vector<std::unique_ptr<Asked>> asked;
--- a/tests/lots_rig.h
+++ b/tests/lots_rig.h
@@ -118,7 +118,7 @@
   RpcEndpoint rpc;
   Gossip gossip;
   ChainClient store;
-  WorkerBoard board;
+  WorkerLoadTable board;
   PlayedWorkers workers;
   Scheduler scheduler;
   LotService lotService;
--- a/tests/parts_test.cc
+++ b/tests/parts_test.cc
@@ -6,7 +6,7 @@
 #include "hash_ring/hash_ring.h"
 #include "safe_time/session.h"
 #include "config/control_state.h"
-#include "lathe/sealed_reader.h"
+#include "proxy/sealed_reader.h"
 
 using namespace stonemount;
 
--- a/tests/pool_board_rig.h
+++ b/tests/pool_board_rig.h
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 
-#include "lathe/pool_board.h"
+#include "proxy/pool_load_table.h"
 
 namespace stonemount {
 
@@ -36,9 +36,9 @@
     for (const char* name : kPools) control.putPool(poolOf(name));
     for (std::size_t i = 0; i < kWorkers; ++i) list(workerAddress(i));
     for (std::size_t i = 0; i < nodes; ++i) {
-      PoolBoardPlan plan;
+      PoolLoadTablePlan plan;
       plan.zone = kZones[chance.below(2)];
-      boards.push_back(std::make_unique<PoolBoard>(clock, control, plan));
+      boards.push_back(std::make_unique<PoolLoadTable>(clock, control, plan));
       boards.back()->setNodes(nodes);
       boards.back()->relist();
     }
@@ -136,12 +136,12 @@
     const std::size_t place = chance.below(flights.size());
     const Flight flight = flights[place];
     flights.erase(flights.begin() + static_cast<std::ptrdiff_t>(place));
-    const PoolBoard::Ending endings[] = {PoolBoard::Ending::kWhole, PoolBoard::Ending::kRefused, PoolBoard::Ending::kUnsent,
-                                         PoolBoard::Ending::kBroken, PoolBoard::Ending::kLeft};
-    PoolBoard::Ending ending = endings[chance.oneIn(2) ? 0 : chance.below(5)];
+    const PoolLoadTable::Ending endings[] = {PoolLoadTable::Ending::kWhole, PoolLoadTable::Ending::kRefused, PoolLoadTable::Ending::kUnsent,
+                                         PoolLoadTable::Ending::kBroken, PoolLoadTable::Ending::kLeft};
+    PoolLoadTable::Ending ending = endings[chance.oneIn(2) ? 0 : chance.below(5)];
     auto listed = control.workers().find(flight.worker);
     if (chance.oneIn(20) && listed != control.workers().end() && listed->second.life == flight.life) {
-      ending = PoolBoard::Ending::kOtherLife;
+      ending = PoolLoadTable::Ending::kOtherLife;
       strangers[flight.board].insert(flight.worker);
     }
     boards[flight.board]->giveBack(flight.worker, flight.lot, ending);
@@ -156,7 +156,7 @@
   std::size_t nodes;
   HandClock clock;
   ControlState control;
-  std::vector<std::unique_ptr<PoolBoard>> boards;
+  std::vector<std::unique_ptr<PoolLoadTable>> boards;
   std::vector<Flight> flights;
   std::map<Address, Us> coldUntilUs;
   std::map<Address, std::deque<Us>> sentUs;
--- a/tests/pool_board_test.cc
+++ b/tests/pool_board_test.cc
@@ -27,10 +27,10 @@
 // One board over workers of one pool with the same slots.
 struct Small {
   explicit Small(std::size_t count, std::uint32_t slots) {
-    PoolBoardPlan plan;
+    PoolLoadTablePlan plan;
     plan.zone = "a";
     for (std::size_t i = 0; i < count; ++i) put(i, i % 2 == 0 ? "a" : "b", slots, "i-1");
-    board = std::make_unique<PoolBoard>(clock, control, plan);
+    board = std::make_unique<PoolLoadTable>(clock, control, plan);
     board->relist();
   }
   void put(std::size_t place, const char* zone, std::uint32_t slots, const char* life) {
@@ -47,7 +47,7 @@
   }
   HandClock clock;
   ControlState control;
-  std::unique_ptr<PoolBoard> board;
+  std::unique_ptr<PoolLoadTable> board;
 };
 
 // This zone until it is no longer calm, then the other's calm ones, then all there is room for; evenly.
@@ -67,7 +67,7 @@
 void failedLast() {
   Small small(2, 10);
   small.take();
-  small.board->giveBack(workerAddress(0), false, PoolBoard::Ending::kBroken);
+  small.board->giveBack(workerAddress(0), false, PoolLoadTable::Ending::kBroken);
   for (int i = 0; i < 14; ++i) RC_ASSERT(*small.take() == workerAddress(1));  // another zone's, though it is full
   RC_ASSERT(*small.take() == workerAddress(0));
   RC_ASSERT(!small.take());  // one at a time while it is suspected
@@ -82,10 +82,10 @@
   for (std::uint64_t spot = 1; spot <= 40; ++spot) {
     const std::optional<Address> first = small.take(spot);
     RC_ASSERT(first == other.take(spot));
-    small.board->giveBack(*first, false, PoolBoard::Ending::kWhole);
-    other.board->giveBack(*first, false, PoolBoard::Ending::kWhole);
+    small.board->giveBack(*first, false, PoolLoadTable::Ending::kWhole);
+    other.board->giveBack(*first, false, PoolLoadTable::Ending::kWhole);
     for (int i = 0; i < 3; ++i) RC_ASSERT(small.take(spot) == first);  // though the others have less
-    for (int i = 0; i < 3; ++i) small.board->giveBack(*first, false, PoolBoard::Ending::kWhole);
+    for (int i = 0; i < 3; ++i) small.board->giveBack(*first, false, PoolLoadTable::Ending::kWhole);
     ++met[*first];
   }
   RC_ASSERT(met.size() >= 3u);
--- a/tests/repair_test.cc
+++ b/tests/repair_test.cc
@@ -43,7 +43,7 @@
   while (!part.node->idle() && waited < 400) fleet.fleet.run(50 * kMilliUs), ++waited;
   fleet.expect(part.node->idle(), "a draining node becomes idle");
   fleet.fleet.run(2 * kSecondUs);
-  fleet.expect(part.node->lathe().counts().broken == 0, "and broke nothing");
+  fleet.expect(part.node->proxy().counts().broken == 0, "and broke nothing");
   fleet.expect(part.node->scheduler().counts().granted <= granted + 32, "and took no more lot items");
   std::uint32_t spent = 0;  // what a worker refuses is dropped too, and costs nothing
   for (const auto& [name, lot] : fleet.fleet.of(PartKind::kStore)[0]->store->machine().state().lots)
@@ -62,12 +62,12 @@
   ask.body = R"({"prompt":"a long one"})";
   Part& node = *fleet.fleet.of(PartKind::kNode)[0];
   std::unique_ptr<HttpFlow> flow = fleet.host.open(node.host->http(), ask);
-  for (int i = 0; i < 1000 && node.node->lathe().relaying() == 0; ++i) fleet.fleet.run(kMilliUs);
-  fleet.expect(node.node->lathe().relaying() == 1, "a stream is under way");
+  for (int i = 0; i < 1000 && node.node->proxy().relaying() == 0; ++i) fleet.fleet.run(kMilliUs);
+  fleet.expect(node.node->proxy().relaying() == 1, "a stream is under way");
   fleet.fleet.run(20 * kMilliUs);
   flow.reset();
   fleet.fleet.run(20 * kMilliUs);
-  fleet.expect(node.node->lathe().relaying() == 0, "its slot is free 20 ms after its caller left");
+  fleet.expect(node.node->proxy().relaying() == 0, "its slot is free 20 ms after its caller left");
   std::uint64_t started = 0, finished = 0;
   fleet.fleet.run(2 * kSecondUs);
   for (Part* worker : fleet.fleet.of(PartKind::kWorker)) {
