--- a/src/bench/fleet.h
+++ b/src/bench/fleet.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "bench/world.h"
-#include "core/core.h"
+#include "control/core.h"
 #include "node/node.h"
 #include "sawhorse/caller.h"
 #include "sawhorse/platform.h"
--- a/src/chisel/process.cc
+++ b/src/chisel/process.cc
@@ -14,7 +14,7 @@
 #include "bellows/log.h"
 #include "bellows/wire_tcp.h"
 #include "chisel/flags.h"
-#include "core/core.h"
+#include "control/core.h"
 #include "node/node.h"
 #include "platform/front.h"
 #include "platform/operator.h"
--- a/src/config/config_cache.h
+++ b/src/config/config_cache.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "replication/client.h"
-#include "core/commands.h"
+#include "control/commands.h"
 #include "gossip/gossip.h"
 
 namespace stonemount {
--- a/src/config/config_check.cc
+++ b/src/config/config_check.cc
@@ -119,7 +119,7 @@
 ConfigVerdict readConfig(const JsonValue& document, bool whole) {
   if (std::optional<SchemaFault> fault = checkSchema(kConfigSchema, document))
     return ConfigFault{fault->field, whyText(fault->keyword)};
-  ConfigWish wish;
+  ConfigRequest wish;
   wish.whole = whole;
   wish.base = static_cast<Revision>(document["base"].GetInt64());
   wish.note = jsonString(document, "note");
--- a/src/config/config_check.h
+++ b/src/config/config_check.h
@@ -12,7 +12,7 @@
 };
 // What an operator asks for. A patch names only what changes; a push is the whole. Routes and pools stand in
 // the operator's order.
-struct ConfigWish {
+struct ConfigRequest {
   bool whole = true;
   Revision base = 0;
   Revision next = 0;         // the operator's own number for the new revision; 0: the one after the base
@@ -30,7 +30,7 @@
 // What is wrong with a configuration as a whole.
 enum class ConfigFlaw : std::uint8_t { kNone, kUnknownPool, kSamePlace, kNoWeight, kNoTime };
 const char* configFlawText(ConfigFlaw flaw);
-using ConfigVerdict = std::variant<ConfigWish, ConfigFault>;
+using ConfigVerdict = std::variant<ConfigRequest, ConfigFault>;
 ConfigVerdict readConfig(const JsonValue& document, bool whole);
 void writeRoute(JsonOut& out, const Route& route);
 void writePool(JsonOut& out, const Pool& pool);
--- a/src/core/commands.h
+++ b/src/control/commands.h
@@ -6,7 +6,7 @@
 namespace stonemount {
 
 struct PutConfig {
-  ConfigWish wish;
+  ConfigRequest wish;
   STONEMOUNT_PACK(wish)
 };
 struct SetZone {
--- a/src/core/config_merge.cc
+++ b/src/control/config_merge.cc
@@ -1,4 +1,4 @@
-#include "core/config_merge.h"
+#include "control/config_merge.h"
 
 namespace stonemount {
 
@@ -103,7 +103,7 @@
 }
 }  // namespace
 
-ConfigStep mergeWish(const ControlState& state, const ConfigWish& wish) {
+ConfigStep mergeWish(const ControlState& state, const ConfigRequest& wish) {
   ConfigStep step;
   step.base = state.configRevision();
   step.revision = wish.next != 0 ? wish.next : step.base + 1;
--- a/src/core/config_merge.h
+++ b/src/control/config_merge.h
@@ -2,12 +2,12 @@
 // Deterministic: every member of the chain comes to the same.
 #pragma once
 
-#include "core/commands.h"
+#include "control/commands.h"
 
 namespace stonemount {
 
 // The wish must be made from the configuration that stands.
-ConfigStep mergeWish(const ControlState& state, const ConfigWish& wish);
+ConfigStep mergeWish(const ControlState& state, const ConfigRequest& wish);
 // Back to what stood before all the steps given, newest first.
 ConfigStep mergeBack(const ControlState& state, const std::vector<const ConfigStep*>& steps);
 
--- a/src/core/control_machine.cc
+++ b/src/control/control_machine.cc
@@ -1,6 +1,6 @@
-#include "core/control_machine.h"
+#include "control/control_machine.h"
 
-#include "core/config_merge.h"
+#include "control/config_merge.h"
 
 namespace stonemount {
 
@@ -14,7 +14,7 @@
   ControlState state;
   std::uint64_t platformVersion = 0;
   std::deque<ConfigStep> history;
-  std::deque<TakenWish> taken;
+  std::deque<TakenRequest> taken;
   MemberOrders orders;
   STONEMOUNT_PACK(format, state, platformVersion, history, taken, orders)
 };
@@ -45,8 +45,8 @@
 // A change is made from a base; if another came first, its maker must look again. The very same wish, sent
 // again because its first answer was lost, is answered as then (design.md 7.2).
 ControlVerdict ControlMachine::put(const PutConfig& command) {
-  const ConfigWish& wish = command.wish;
-  for (const TakenWish& taken : taken_)
+  const ConfigRequest& wish = command.wish;
+  for (const TakenRequest& taken : taken_)
     if (wish.digest != 0 && taken.digest == wish.digest && taken.revision == wish.next)
       return verdict(ControlOutcome::kUnchanged);
   if (wish.base != state_.configRevision()) return verdict(ControlOutcome::kConflict);
--- a/src/core/control_machine.h
+++ b/src/control/control_machine.h
@@ -2,11 +2,11 @@
 #pragma once
 
 #include "replication/machine.h"
-#include "core/commands.h"
+#include "control/commands.h"
 
 namespace stonemount {
 
-struct TakenWish {
+struct TakenRequest {
   Revision revision = 0;
   std::uint64_t digest = 0;
   STONEMOUNT_PACK(revision, digest)
@@ -36,7 +36,7 @@
   ControlState state_;
   std::uint64_t platformVersion_ = 0;
   std::deque<ConfigStep> history_;
-  std::deque<TakenWish> taken_;  // the last ones; the same wish sent again is known by them
+  std::deque<TakenRequest> taken_;  // the last ones; the same wish sent again is known by them
   MemberOrders orders_;
   mutable std::map<Revision, Bytes> packedNews_;  // many nodes ask from the same revision
 };
--- a/src/core/core.cc
+++ b/src/control/core.cc
@@ -1,4 +1,4 @@
-#include "core/core.h"
+#include "control/core.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -11,7 +11,7 @@
       gossip_(ports, rpc_, room_, plan.gossip), replica_(ports, rpc_, room_, machine_, replicaPlanOf(settings_)),
       core_(ports, rpc_, settings_.founders), store_(ports, rpc_, {}), election_(ports, rpc_, room_, plan.election),
       sampler_(ports, rpc_, room_, election_, store_, replica_, plan.gauge), rebuilder_(ports, rpc_, gossip_, core_, machine_),
-      ownList_(ports, settings_.platform), lister_(core_, machine_, plan.list != nullptr ? plan.list : &ownList_),
+      ownList_(ports, settings_.platform), workerDiscovery_(core_, machine_, plan.list != nullptr ? plan.list : &ownList_),
       operators_(ports, core_),
       membershipManager_(ports, rpc_, room_, election_, gossip_, replica_, machine_, core_, store_, membershipPlanOf(settings_, plan.membershipManager)),
       retireService_(ports, rpc_, gossip_, core_, store_, settings_.bounds.lostMachines) {}
@@ -32,7 +32,7 @@
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Core::onAsked));
   gossip_.begin(record);
   core_.learnMember(settings_.wire);
-  election_.begin({Sampler::kDuty, kLister, MembershipManager::kDuty});
+  election_.begin({Sampler::kDuty, kWorkerDiscovery, MembershipManager::kDuty});
   replica_.begin();
   sampler_.begin();
   membershipManager_.begin();
@@ -62,15 +62,15 @@
 // The lister carries the platform's list into the control chain.
 Task Core::list() {
   while (true) {
-    if (election_.holds(kLister)) {
+    if (election_.holds(kWorkerDiscovery)) {
       Job<Done> rebuilding = rebuilder_.look();
       co_await rebuilding;
     }
-    if (election_.holds(kLister) && (plan_.list != nullptr || settings_.platform.set())) {
-      Job<Done> carrying = lister_.carry();
+    if (election_.holds(kWorkerDiscovery) && (plan_.list != nullptr || settings_.platform.set())) {
+      Job<Done> carrying = workerDiscovery_.carry();
       co_await carrying;
     } else {
-      lister_.forget();
+      workerDiscovery_.forget();
     }
     Pause pause(ports_.timers, plan_.listUs);
     co_await pause;
@@ -79,7 +79,7 @@
 
 void Core::onAsked(const HttpAsk& ask, ReplyPtr reply) {
   JsonOut out;
-  out.object().field("role", "core").field("sampler", election_.holds(Sampler::kDuty)).field("lister", election_.holds(kLister));
+  out.object().field("role", "core").field("sampler", election_.holds(Sampler::kDuty)).field("lister", election_.holds(kWorkerDiscovery));
   answerReplicaMetrics(ask, *reply, out, replica_, rpc_);
 }
 
--- a/src/core/core.h
+++ b/src/control/core.h
@@ -4,9 +4,9 @@
 #include "replication/replica.h"
 #include "membership/retire.h"
 #include "membership/membership_manager.h"
-#include "core/control_machine.h"
-#include "core/lister.h"
-#include "core/operator_desk.h"
+#include "control/control_machine.h"
+#include "control/worker_discovery.h"
+#include "control/operator_service.h"
 #include "safe_time/sampler.h"
 #include "config/platform_list.h"
 #include "config/settings.h"
@@ -36,7 +36,7 @@
   const Election& election() const { return election_; }
   OperatorService& operators() { return operators_; }
   RetireService& retireService() { return retireService_; }
-  static constexpr const char* kLister = "lister";
+  static constexpr const char* kWorkerDiscovery = "lister";
 
  private:
   Task list();
@@ -58,7 +58,7 @@
   Sampler sampler_;
   Rebuilder rebuilder_;
   PlatformListSource ownList_;
-  Lister lister_;
+  WorkerDiscovery workerDiscovery_;
   OperatorService operators_;
   MembershipManager membershipManager_;
   RetireByOrder retireService_;
--- a/src/core/member_orders.cc
+++ b/src/control/member_orders.cc
@@ -1,5 +1,5 @@
 // Orders of the store's membership in the control chain (design.md 6.10).
-#include "core/commands.h"
+#include "control/commands.h"
 
 #include <algorithm>
 
--- a/src/core/operator_desk.cc
+++ b/src/control/operator_service.cc
@@ -1,4 +1,4 @@
-#include "core/operator_desk.h"
+#include "control/operator_service.h"
 
 #include <algorithm>
 
@@ -39,7 +39,7 @@
   co_return std::move(*verdict);
 }
 
-Job<PushVerdict> OperatorService::push(ConfigWish wish) {
+Job<PushVerdict> OperatorService::push(ConfigRequest wish) {
   ControlCommand wished = PutConfig{std::move(wish)};
   Job<CommandAnswer> sending = command(std::move(wished));
   CommandAnswer answer = co_await sending;
--- a/src/core/operator_desk.h
+++ b/src/control/operator_service.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "replication/client.h"
-#include "core/commands.h"
+#include "control/commands.h"
 
 namespace stonemount {
 
@@ -44,7 +44,7 @@
 class OperatorService {
  public:
   OperatorService(Ports& ports, ChainClient& core) : ports_(ports), core_(core) {}
-  Job<PushVerdict> push(ConfigWish wish);
+  Job<PushVerdict> push(ConfigRequest wish);
   Job<ConfigAnswer> current();  // as of now: nothing acknowledged before is missing
   Job<ZoneVerdict> setZone(std::string zone, bool evacuated);
 
--- a/src/core/lister.cc
+++ b/src/control/worker_discovery.cc
@@ -1,4 +1,4 @@
-#include "core/lister.h"
+#include "control/worker_discovery.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -15,7 +15,7 @@
 };
 }  // namespace
 
-void Lister::forget() {
+void WorkerDiscovery::forget() {
   coldness_.clear();
   told_.reset();
   toldVersion_ = 0;
@@ -23,7 +23,7 @@
 }
 
 // Coldness that began stays to be told until a list with it was taken.
-void Lister::noteColdness(std::vector<ListedWorker>& workers) {
+void WorkerDiscovery::noteColdness(std::vector<ListedWorker>& workers) {
   absl::btree_map<Address, Coldness> now;
   for (ListedWorker& worker : workers) {
     Coldness cold{worker.life, worker.coldLeftUs, worker.coldLeftUs > 0};
@@ -36,14 +36,14 @@
   coldness_ = std::move(now);
 }
 
-bool Lister::same(const std::vector<ListedWorker>& workers) const {
+bool WorkerDiscovery::same(const std::vector<ListedWorker>& workers) const {
   if (!told_ || told_->size() != workers.size()) return false;
   for (std::size_t i = 0; i < workers.size(); ++i)
     if ((*told_)[i].address != workers[i].address || !(*told_)[i].sameAs(workers[i])) return false;
   return true;
 }
 
-Job<Done> Lister::carry() {
+Job<Done> WorkerDiscovery::carry() {
   // A chain that holds no configuration may be a new one, which was told nothing yet.
   if (machine_.state().configRevision() == 0) told_.reset();
   // Read before the list is asked for: of two lists from this number on, the chain takes the first.
@@ -64,7 +64,7 @@
   co_return Done{};
 }
 
-Job<Done> Lister::submit(WorkerList list, std::uint64_t known) {
+Job<Done> WorkerDiscovery::submit(WorkerList list, std::uint64_t known) {
   const std::uint64_t number = list.version ? *list.version : known + 1;
   ControlCommand command = PutWorkers{number, !list.version, list.workers};
   ++submitted;
--- a/src/core/lister.h
+++ b/src/control/worker_discovery.h
@@ -3,14 +3,14 @@
 #pragma once
 
 #include "replication/client.h"
-#include "core/control_machine.h"
+#include "control/control_machine.h"
 #include "config/worker_list.h"
 
 namespace stonemount {
 
-class Lister {
+class WorkerDiscovery {
  public:
-  Lister(ChainClient& core, const ControlMachine& machine, WorkerListSource* source)
+  WorkerDiscovery(ChainClient& core, const ControlMachine& machine, WorkerListSource* source)
       : core_(core), machine_(machine), source_(source) {}
   Job<Done> carry();  // once
   void forget();      // the duty is another's now
--- a/src/membership/membership_manager.h
+++ b/src/membership/membership_manager.h
@@ -6,7 +6,7 @@
 #include "replication/replica.h"
 #include "membership/replica_placement.h"
 #include "membership/failure_detector.h"
-#include "core/control_machine.h"
+#include "control/control_machine.h"
 #include "config/settings.h"
 #include "election/election.h"
 #include "gossip/gossip.h"
--- a/src/membership/retire.h
+++ b/src/membership/retire.h
@@ -4,7 +4,7 @@
 
 #include "replication/client.h"
 #include "membership/retire_service.h"
-#include "core/commands.h"
+#include "control/commands.h"
 #include "config/settings.h"
 #include "gossip/gossip.h"
 
--- a/src/node/operators.cc
+++ b/src/node/operators.cc
@@ -94,7 +94,7 @@
     sendVerdict(*reply, 400, "bad_config", {{"field", fault->field}, {"why", fault->why}});
     co_return;
   }
-  Job<std::optional<ControlVerdict>> sending = commandCore(PutConfig{std::get<ConfigWish>(checked)}, reply);
+  Job<std::optional<ControlVerdict>> sending = commandCore(PutConfig{std::get<ConfigRequest>(checked)}, reply);
   const std::optional<ControlVerdict> verdict = co_await sending;
   if (verdict) sendConfigVerdict(*reply, *verdict);
 }
--- a/src/proxy/gateway.cc
+++ b/src/proxy/gateway.cc
@@ -149,7 +149,7 @@
 }
 
 Job<PassEnding> Gateway::passItem(PassOrder order, PassSink& sink) {
-  PoolWish wish;
+  PoolRequest wish;
   wish.pool = order.pool;
   wish.spot = order.spot;
   wish.lot = true;
--- a/src/proxy/gateway_caller.h
+++ b/src/proxy/gateway_caller.h
@@ -53,7 +53,7 @@
   HttpHead head_;
   Bytes gathered;
   Event knock;
-  PoolWish wish;
+  PoolRequest wish;
   std::optional<std::uint64_t> lastEvent;
   std::optional<Address> worker;
   Us enteredUs = 0, limitAtUs = 0, holdUntilUs = 0;
--- a/src/proxy/pool_load_table.cc
+++ b/src/proxy/pool_load_table.cc
@@ -97,7 +97,7 @@
 }
 
 // In turn: this zone while it is calm there, any zone that is, any that has room; those that failed lately last.
-std::optional<Address> PoolLoadTable::choose(const PoolWish& wish) const {
+std::optional<Address> PoolLoadTable::choose(const PoolRequest& wish) const {
   auto pool = pools_.find(wish.pool);
   if (pool == pools_.end()) return std::nullopt;
   std::uint32_t roof = wish.lot && !wish.urgent ? plan_.lotPercent : plan_.calmPercent;
@@ -147,7 +147,7 @@
 }
 
 bool PoolLoadTable::roomForLots(const std::string& pool) const {
-  PoolWish wish;
+  PoolRequest wish;
   wish.pool = pool;
   wish.lot = true;
   return choose(wish).has_value();
--- a/src/proxy/pool_load_table.h
+++ b/src/proxy/pool_load_table.h
@@ -7,7 +7,7 @@
 
 namespace stonemount {
 
-struct PoolWish {
+struct PoolRequest {
   std::string pool;
   std::uint64_t spot = 0;  // of its shared prompt: requests of one spot meet at one worker; 0: none
   bool lot = false;
@@ -47,7 +47,7 @@
       : clock_(clock), control_(control), plan_(std::move(plan)) {}
   void relist();  // after news from control
   void setNodes(std::size_t nodes);  // that share the workers, this one among them
-  std::optional<Address> choose(const PoolWish& wish) const;
+  std::optional<Address> choose(const PoolRequest& wish) const;
   void take(const Address& worker, bool lot);
   enum class Ending : std::uint8_t { kWhole, kRefused, kOtherLife, kUnsent, kBroken, kLeft };
   void giveBack(const Address& worker, bool lot, Ending ending);
--- a/src/restore/rebuild.h
+++ b/src/restore/rebuild.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "replication/client.h"
-#include "core/control_machine.h"
+#include "control/control_machine.h"
 #include "gossip/gossip.h"
 
 namespace stonemount {
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -4,13 +4,13 @@
 
 #include <cstdio>
 
-#include "core/control_machine.h"
+#include "control/control_machine.h"
 #include "platform_texts.h"
 
 using namespace stonemount;
 
 namespace {
-ControlVerdict give(ControlMachine& machine, const ConfigWish& wish) {
+ControlVerdict give(ControlMachine& machine, const ConfigRequest& wish) {
   ControlCommand command = PutConfig{wish};
   auto read = unpack<ControlVerdict>(machine.apply(pack(command)));
   RC_ASSERT(std::holds_alternative<ControlVerdict>(read));
@@ -20,7 +20,7 @@
 std::optional<ControlVerdict> send(ControlMachine& machine, const HttpAsk& ask) {
   ConfigReading reading = readConfiguration(ask);
   if (std::holds_alternative<BadConfig>(reading)) return std::nullopt;
-  return give(machine, std::get<ConfigWish>(reading));
+  return give(machine, std::get<ConfigRequest>(reading));
 }
 bool taken(const std::optional<ControlVerdict>& verdict) { return verdict && verdict->outcome == ControlOutcome::kDone; }
 
@@ -187,19 +187,19 @@
     "shares":[{"pool":"p","weight":9},{"pool":"q","weight":1}],"targetUs":5,"gapTargetUs":6,"attempts":2,"precedence":1,"affinity":true}],
     "pools":[{"name":"p","healthPath":"/h","warmPerKs":5},{"name":"q"}],"limits":{"idleUs":9000}})");
   ConfigVerdict verdict = readConfig(std::get<JsonDocument>(read), true);
-  RC_ASSERT(std::holds_alternative<ConfigWish>(verdict));
+  RC_ASSERT(std::holds_alternative<ConfigRequest>(verdict));
   ControlMachine machine;
-  RC_ASSERT(give(machine, std::get<ConfigWish>(verdict)).configRevision == 4);
+  RC_ASSERT(give(machine, std::get<ConfigRequest>(verdict)).configRevision == 4);
   RC_ASSERT(machine.state().routeFor("h", "/a/x") != nullptr && machine.state().limits().idleUs == 9000);
   JsonOut out;
   writeRoute(out, machine.state().routes().at("a"));
   const std::string again = R"({"base":4,"routes":[)" + out.take() + R"(]})";
   JsonVerdict patch = parseJson(again);
   verdict = readConfig(std::get<JsonDocument>(patch), false);
-  RC_ASSERT(std::holds_alternative<ConfigWish>(verdict));
-  RC_ASSERT(give(machine, std::get<ConfigWish>(verdict)).configRevision == 5);
+  RC_ASSERT(std::holds_alternative<ConfigRequest>(verdict));
+  RC_ASSERT(give(machine, std::get<ConfigRequest>(verdict)).configRevision == 5);
   RC_ASSERT(machine.state().routes().at("a").changed == 1);  // it is what stood there
-  ConfigWish away;
+  ConfigRequest away;
   away.whole = false;
   away.base = 5;
   away.removedPools = {"q"};
--- a/tests/decoder_test.cc
+++ b/tests/decoder_test.cc
@@ -3,7 +3,7 @@
 #include <rapidcheck.h>
 
 #include "replication/messages.h"
-#include "core/control_machine.h"
+#include "control/control_machine.h"
 #include "config/config_check.h"
 #include "config/platform_list.h"
 #include "config/settings.h"
--- a/tests/platform_operator_test.cc
+++ b/tests/platform_operator_test.cc
@@ -200,7 +200,7 @@
   Chance chance(seed);
   for (int round = 0; round < 6; ++round) {
     for (PlatformRig::CoreProcess& one : rig.cores)
-      if (one.core->election().holds(Core::kLister)) rig.isolate(one, true);
+      if (one.core->election().holds(Core::kWorkerDiscovery)) rig.isolate(one, true);
     for (int change = 0; change < 5; ++change) {
       rig.instances->instances.clear();
       for (std::uint32_t i = 0; i < chance.below(5); ++i)
--- a/tests/platform_rig.h
+++ b/tests/platform_rig.h
@@ -6,7 +6,7 @@
 #include <cstdio>
 
 #include "bench/world.h"
-#include "core/core.h"
+#include "control/core.h"
 #include "platform/operator.h"
 #include "platform/worker_list.h"
 #include "platform_texts.h"
--- a/tests/pool_board_rig.h
+++ b/tests/pool_board_rig.h
@@ -89,12 +89,12 @@
     for (const Flight& flight : flights) sum += flight.worker == worker && (!board || flight.board == *board) ? 1 : 0;
     return sum;
   }
-  bool mayGet(std::size_t board, const PoolWish& wish, const ListedWorker& worker) const {
+  bool mayGet(std::size_t board, const PoolRequest& wish, const ListedWorker& worker) const {
     return worker.pool == wish.pool && !worker.leaving && !control.evacuated(worker.zone) &&
            !wish.passedOver.contains(worker.address) && !strangers[board].contains(worker.address);
   }
   // Nothing at all speaks against it.
-  bool mustFind(std::size_t board, const PoolWish& wish) const {
+  bool mustFind(std::size_t board, const PoolRequest& wish) const {
     for (const auto& [address, worker] : control.workers()) {
       const bool idle = inFlight(board, address) == 0 && !told.contains(address);
       if (mayGet(board, wish, worker) && idle && clock.nowUs >= coldUntilUs.at(address)) return true;
@@ -103,7 +103,7 @@
   }
   void ask() {
     const std::size_t board = chance.below(nodes);
-    PoolWish wish;
+    PoolRequest wish;
     wish.pool = kPools[chance.oneIn(4) ? 1 : 0];
     wish.spot = chance.below(4);
     wish.lot = chance.oneIn(4);
--- a/tests/pool_board_test.cc
+++ b/tests/pool_board_test.cc
@@ -38,7 +38,7 @@
     control.putWorker({workerAddress(place), "p", zone, slots, false, life});
   }
   std::optional<Address> take(std::uint64_t spot = 0) {
-    PoolWish wish;
+    PoolRequest wish;
     wish.pool = "p";
     wish.spot = spot;
     std::optional<Address> chosen = board->choose(wish);
--- a/tests/seats_test.cc
+++ b/tests/seats_test.cc
@@ -3,7 +3,7 @@
 #include <rapidcheck.h>
 
 #include "membership/replica_placement.h"
-#include "core/commands.h"
+#include "control/commands.h"
 
 using namespace stonemount;
 
