--- a/src/bench/fleet.h
+++ b/src/bench/fleet.h
@@ -4,9 +4,9 @@
 #include "bench/world.h"
 #include "control/core.h"
 #include "node/node.h"
-#include "sawhorse/caller.h"
-#include "sawhorse/platform.h"
-#include "sawhorse/worker.h"
+#include "stand_ins/caller.h"
+#include "stand_ins/platform.h"
+#include "stand_ins/worker.h"
 #include "store/store.h"
 
 namespace stonemount {
--- a/src/chisel/rehearsal.cc
+++ b/src/chisel/rehearsal.cc
@@ -8,9 +8,9 @@
 #include "bellows/log.h"
 #include "bellows/wire_tcp.h"
 #include "chisel/flags.h"
-#include "sawhorse/caller.h"
-#include "sawhorse/platform.h"
-#include "sawhorse/worker.h"
+#include "stand_ins/caller.h"
+#include "stand_ins/platform.h"
+#include "stand_ins/worker.h"
 
 ABSL_FLAG(std::string, pool, "models", "rehearse worker: its pool");
 ABSL_FLAG(int, slots, 4, "rehearse worker: exchanges at once when warm");
--- a/src/sawhorse/caller.cc
+++ b/src/stand_ins/caller.cc
@@ -1,9 +1,9 @@
-#include "sawhorse/caller.h"
+#include "stand_ins/caller.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
-#include "sawhorse/worker.h"
+#include "stand_ins/worker.h"
 
 namespace stonemount {
 
--- a/src/sawhorse/caller_lots.cc
+++ b/src/stand_ins/caller_lots.cc
@@ -1,8 +1,8 @@
 // The stand-in caller's lots: handed in under a key until accepted, then read until complete.
 #include <absl/strings/str_cat.h>
 
-#include "sawhorse/caller.h"
-#include "sawhorse/worker.h"
+#include "stand_ins/caller.h"
+#include "stand_ins/worker.h"
 
 namespace stonemount {
 
--- a/src/sawhorse/pass_worker.cc
+++ b/src/stand_ins/pass_worker.cc
@@ -1,4 +1,4 @@
-#include "sawhorse/pass_worker.h"
+#include "stand_ins/pass_worker.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
--- a/src/sawhorse/platform.cc
+++ b/src/stand_ins/platform.cc
@@ -1,4 +1,4 @@
-#include "sawhorse/platform.h"
+#include "stand_ins/platform.h"
 
 #include "config/json.h"
 
--- a/src/sawhorse/worker.cc
+++ b/src/stand_ins/worker.cc
@@ -1,4 +1,4 @@
-#include "sawhorse/worker.h"
+#include "stand_ins/worker.h"
 
 #include <algorithm>
 
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -6,7 +6,7 @@
 #include "proxy/gateway.h"
 #include "platform/words.h"
 #include "platform/workers.h"
-#include "sawhorse/pass_worker.h"
+#include "stand_ins/pass_worker.h"
 
 namespace stonemount {
 
