--- a/src/bellows/disk_file.cc
+++ b/src/adapters/disk_file.cc
@@ -1,4 +1,4 @@
-#include "bellows/disk_file.h"
+#include "adapters/disk_file.h"
 
 #include <absl/strings/str_cat.h>
 #include <fcntl.h>
--- a/src/bellows/disk_file.h
+++ b/src/adapters/disk_file.h
@@ -5,7 +5,7 @@
 #include <mutex>
 #include <thread>
 
-#include "bellows/loop.h"
+#include "adapters/loop.h"
 
 namespace stonemount {
 
--- a/src/bellows/http.h
+++ b/src/adapters/http.h
@@ -3,7 +3,7 @@
 
 #include <event2/http.h>
 
-#include "bellows/loop.h"
+#include "adapters/loop.h"
 
 struct evconnlistener;
 
--- a/src/bellows/http_channels.cc
+++ b/src/adapters/http_channels.cc
@@ -1,11 +1,11 @@
-#include "bellows/http_channels.h"
+#include "adapters/http_channels.h"
 
 #include <event2/bufferevent.h>
 #include <netinet/tcp.h>
 
 #include <cerrno>
 
-#include "bellows/socket_address.h"
+#include "adapters/socket_address.h"
 
 namespace stonemount {
 
--- a/src/bellows/http_channels.h
+++ b/src/adapters/http_channels.h
@@ -4,7 +4,7 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 
-#include "bellows/loop.h"
+#include "adapters/loop.h"
 
 namespace stonemount {
 
--- a/src/bellows/http_in.cc
+++ b/src/adapters/http_in.cc
@@ -11,9 +11,9 @@
 
 #include <algorithm>
 
-#include "bellows/http.h"
-#include "bellows/http_text.h"
-#include "bellows/socket_address.h"
+#include "adapters/http.h"
+#include "adapters/http_text.h"
+#include "adapters/socket_address.h"
 
 namespace stonemount {
 
--- a/src/bellows/http_out.cc
+++ b/src/adapters/http_out.cc
@@ -9,10 +9,10 @@
 
 #include <algorithm>
 
-#include "bellows/http.h"
-#include "bellows/http_channels.h"
-#include "bellows/http_text.h"
-#include "bellows/socket_address.h"
+#include "adapters/http.h"
+#include "adapters/http_channels.h"
+#include "adapters/http_text.h"
+#include "adapters/socket_address.h"
 
 namespace stonemount {
 
--- a/src/bellows/http_text.cc
+++ b/src/adapters/http_text.cc
@@ -1,4 +1,4 @@
-#include "bellows/http_text.h"
+#include "adapters/http_text.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
--- a/src/bellows/log.cc
+++ b/src/adapters/log.cc
@@ -1,4 +1,4 @@
-#include "bellows/log.h"
+#include "adapters/log.h"
 
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
--- a/src/bellows/loop.cc
+++ b/src/adapters/loop.cc
@@ -1,4 +1,4 @@
-#include "bellows/loop.h"
+#include "adapters/loop.h"
 
 #include <event2/thread.h>
 #include <signal.h>
--- a/src/bellows/wire_tcp.cc
+++ b/src/adapters/tcp_transport.cc
@@ -1,4 +1,4 @@
-#include "bellows/wire_tcp.h"
+#include "adapters/tcp_transport.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -8,7 +8,7 @@
 #include <cerrno>
 #include <cstring>
 
-#include "bellows/socket_address.h"
+#include "adapters/socket_address.h"
 
 namespace stonemount {
 
@@ -36,29 +36,29 @@
 }
 }  // namespace
 
-WireTcp::WireTcp(Loop& loop, const Address& self) : loop_(loop), self_(self) { room_.start(loopBack()); }
+TcpTransport::TcpTransport(Loop& loop, const Address& self) : loop_(loop), self_(self) { room_.start(loopBack()); }
 
-WireTcp::~WireTcp() {
+TcpTransport::~TcpTransport() {
   if (listener_ != nullptr) evconnlistener_free(listener_);
   room_.clear();
   for (auto& [address, peer] : peers_)
     if (peer->channel != nullptr) bufferevent_free(peer->channel);
 }
 
-WireTcp::Incoming::~Incoming() {
+TcpTransport::Incoming::~Incoming() {
   if (place != nullptr && *place == this) *place = nullptr;
   if (channel != nullptr) bufferevent_free(channel);
 }
 
-bool WireTcp::listen() {
+bool TcpTransport::listen() {
   const sockaddr_in where = socketAddress(self_);
-  listener_ = evconnlistener_new_bind(loop_.base(), &WireTcp::onAccept, this,
+  listener_ = evconnlistener_new_bind(loop_.base(), &TcpTransport::onAccept, this,
                                       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
                                       reinterpret_cast<const sockaddr*>(&where), sizeof(where));
   return listener_ != nullptr;
 }
 
-void WireTcp::post(const Address& address, Bytes frame) {
+void TcpTransport::post(const Address& address, Bytes frame) {
   if (address == self_) {
     ownFrames_.push_back(std::move(frame));
     ownEvent_.notify();
@@ -75,7 +75,7 @@
   peer->bell.ring();
 }
 
-Task WireTcp::loopBack() {
+Task TcpTransport::loopBack() {
   while (true) {
     EventWait hear(loop_, ownEvent_, 3600 * kSecondUs);
     co_await hear;
@@ -85,7 +85,7 @@
   }
 }
 
-void WireTcp::onPeerEvent(bufferevent*, short what, void* given) {
+void TcpTransport::onPeerEvent(bufferevent*, short what, void* given) {
   Peer& peer = *static_cast<Peer*>(given);
   if (what & BEV_EVENT_CONNECTED) peer.connected = true;
   if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) peer.broken = true;
@@ -93,12 +93,12 @@
   peer.bell.ring();
 }
 
-void WireTcp::onPeerReadable(bufferevent* channel, void*) {
+void TcpTransport::onPeerReadable(bufferevent* channel, void*) {
   evbuffer* input = bufferevent_get_input(channel);
   evbuffer_drain(input, evbuffer_get_length(input));
 }
 
-Task WireTcp::writeTo(Address address, Peer& peer) {
+Task TcpTransport::writeTo(Address address, Peer& peer) {
   while (true) {
     EventWait hear(loop_, peer.bell, 3600 * kSecondUs);
     co_await hear;
@@ -112,7 +112,7 @@
     if (peer.queue.empty() && !wasBroken) continue;
     if (peer.channel == nullptr) {
       peer.channel = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-      bufferevent_setcb(peer.channel, &WireTcp::onPeerReadable, nullptr, &WireTcp::onPeerEvent, &peer);
+      bufferevent_setcb(peer.channel, &TcpTransport::onPeerReadable, nullptr, &TcpTransport::onPeerEvent, &peer);
       const sockaddr_in where = socketAddress(address);
       bufferevent_socket_connect(peer.channel, reinterpret_cast<const sockaddr*>(&where), sizeof(where));
       const Us untilUs = loop_.monoUs() + kConnectUs;
@@ -151,24 +151,24 @@
   }
 }
 
-void WireTcp::onAccept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* given) {
-  WireTcp& self = *static_cast<WireTcp*>(given);
+void TcpTransport::onAccept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* given) {
+  TcpTransport& self = *static_cast<TcpTransport*>(given);
   self.room_.start(self.readFrom(socket));
 }
 
-void WireTcp::onReadable(bufferevent*, void* incoming) { static_cast<Incoming*>(incoming)->bell.ring(); }
+void TcpTransport::onReadable(bufferevent*, void* incoming) { static_cast<Incoming*>(incoming)->bell.ring(); }
 
-void WireTcp::onIncomingEvent(bufferevent*, short what, void* given) {
+void TcpTransport::onIncomingEvent(bufferevent*, short what, void* given) {
   Incoming& incoming = *static_cast<Incoming*>(given);
   if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) incoming.broken = true;
   incoming.bell.ring();
 }
 
-Task WireTcp::readFrom(int socket) {
+Task TcpTransport::readFrom(int socket) {
   Incoming incoming;
   tune(socket);
   incoming.channel = bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE);
-  bufferevent_setcb(incoming.channel, &WireTcp::onReadable, nullptr, &WireTcp::onIncomingEvent, &incoming);
+  bufferevent_setcb(incoming.channel, &TcpTransport::onReadable, nullptr, &TcpTransport::onIncomingEvent, &incoming);
   bufferevent_enable(incoming.channel, EV_READ | EV_WRITE);
   evbuffer* input = bufferevent_get_input(incoming.channel);
   Address peer;
--- a/src/bellows/wire_tcp.h
+++ b/src/adapters/tcp_transport.h
@@ -6,15 +6,15 @@
 
 #include <map>
 
-#include "bellows/loop.h"
+#include "adapters/loop.h"
 #include "runtime/await.h"
 
 namespace stonemount {
 
-class WireTcp : public Wire {
+class TcpTransport : public Wire {
  public:
-  WireTcp(Loop& loop, const Address& self);
-  ~WireTcp() override;
+  TcpTransport(Loop& loop, const Address& self);
+  ~TcpTransport() override;
   bool listen();
   Address self() const override { return self_; }
   void post(const Address& peer, Bytes frame) override;
--- a/src/chisel/operator.cc
+++ b/src/chisel/operator.cc
@@ -3,7 +3,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
-#include "bellows/http.h"
+#include "adapters/http.h"
 #include "chisel/flags.h"
 #include "config/json.h"
 #include "runtime/http_call.h"
--- a/src/chisel/process.cc
+++ b/src/chisel/process.cc
@@ -9,10 +9,10 @@
 #include <cstdlib>
 #include <random>
 
-#include "bellows/disk_file.h"
-#include "bellows/http.h"
-#include "bellows/log.h"
-#include "bellows/wire_tcp.h"
+#include "adapters/disk_file.h"
+#include "adapters/http.h"
+#include "adapters/log.h"
+#include "adapters/tcp_transport.h"
 #include "chisel/flags.h"
 #include "control/core.h"
 #include "node/node.h"
@@ -173,7 +173,7 @@
   Log4cxxSink log(role + "@" + addressText(settings.wire));
   setLogSink(&log);
   Loop loop;
-  WireTcp wire(loop, settings.wire);
+  TcpTransport wire(loop, settings.wire);
   HttpInEv httpIn(loop, settings.http);
   HttpOutEv httpOut(loop);
   Chance chance(freshSeed());
--- a/src/chisel/rehearsal.cc
+++ b/src/chisel/rehearsal.cc
@@ -4,9 +4,9 @@
 
 #include <random>
 
-#include "bellows/http.h"
-#include "bellows/log.h"
-#include "bellows/wire_tcp.h"
+#include "adapters/http.h"
+#include "adapters/log.h"
+#include "adapters/tcp_transport.h"
 #include "chisel/flags.h"
 #include "stand_ins/caller.h"
 #include "stand_ins/platform.h"
--- a/tests/raw_peer.h
+++ b/tests/raw_peer.h
@@ -10,8 +10,8 @@
 
 #include <cstdio>
 
-#include "bellows/http.h"
-#include "bellows/socket_address.h"
+#include "adapters/http.h"
+#include "adapters/socket_address.h"
 
 namespace stonemount {
 
