--- a/src/chisel/main.cc
+++ b/src/cli/main.cc
@@ -8,7 +8,7 @@
 #include <fstream>
 #include <sstream>
 
-#include "chisel/flags.h"
+#include "cli/flags.h"
 
 ABSL_FLAG(std::string, settings, "", "settings file (JSON); flags stand over it");
 ABSL_FLAG(std::vector<std::string>, node, {}, "operators: HTTP address of a node; several: the first that answers");
--- a/src/chisel/operator.cc
+++ b/src/cli/operator.cc
@@ -4,7 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "adapters/http.h"
-#include "chisel/flags.h"
+#include "cli/flags.h"
 #include "config/json.h"
 #include "runtime/http_call.h"
 
--- a/src/chisel/process.cc
+++ b/src/cli/process.cc
@@ -13,7 +13,7 @@
 #include "adapters/http.h"
 #include "adapters/log.h"
 #include "adapters/tcp_transport.h"
-#include "chisel/flags.h"
+#include "cli/flags.h"
 #include "control/core.h"
 #include "node/node.h"
 #include "platform/front.h"
--- a/src/chisel/rehearsal.cc
+++ b/src/cli/rehearsal.cc
@@ -7,7 +7,7 @@
 #include "adapters/http.h"
 #include "adapters/log.h"
 #include "adapters/tcp_transport.h"
-#include "chisel/flags.h"
+#include "cli/flags.h"
 #include "stand_ins/caller.h"
 #include "stand_ins/platform.h"
 #include "stand_ins/worker.h"
