--- a/src/adapters/tcp_transport.cc
+++ b/src/adapters/tcp_transport.cc
@@ -72,7 +72,7 @@
   if (peer->queuedBytes + frame.size() > kQueueBytes) return;  // the rpc's limits see to the rest
   peer->queuedBytes += frame.size();
   peer->queue.push_back(std::move(frame));
-  peer->bell.ring();
+  peer->event.notify();
 }
 
 Task TcpTransport::loopBack() {
@@ -90,7 +90,7 @@
   if (what & BEV_EVENT_CONNECTED) peer.connected = true;
   if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) peer.broken = true;
   if ((what & BEV_EVENT_ERROR) && EVUTIL_SOCKET_ERROR() == ECONNREFUSED) peer.refused = true;
-  peer.bell.ring();
+  peer.event.notify();
 }
 
 void TcpTransport::onPeerReadable(bufferevent* channel, void*) {
@@ -100,7 +100,7 @@
 
 Task TcpTransport::writeTo(Address address, Peer& peer) {
   while (true) {
-    EventWait hear(loop_, peer.bell, 3600 * kSecondUs);
+    EventWait hear(loop_, peer.event, 3600 * kSecondUs);
     co_await hear;
     const bool wasBroken = peer.broken;
     if (peer.broken) {
@@ -117,7 +117,7 @@
       bufferevent_socket_connect(peer.channel, reinterpret_cast<const sockaddr*>(&where), sizeof(where));
       const Us untilUs = loop_.monoUs() + kConnectUs;
       while (!peer.connected && !peer.broken && loop_.monoUs() < untilUs) {
-        EventWait connecting(loop_, peer.bell, untilUs - loop_.monoUs());
+        EventWait connecting(loop_, peer.event, untilUs - loop_.monoUs());
         co_await connecting;
       }
       if (!peer.connected || peer.broken) {
@@ -156,12 +156,12 @@
   self.room_.start(self.readFrom(socket));
 }
 
-void TcpTransport::onReadable(bufferevent*, void* incoming) { static_cast<Incoming*>(incoming)->bell.ring(); }
+void TcpTransport::onReadable(bufferevent*, void* incoming) { static_cast<Incoming*>(incoming)->event.notify(); }
 
 void TcpTransport::onIncomingEvent(bufferevent*, short what, void* given) {
   Incoming& incoming = *static_cast<Incoming*>(given);
   if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) incoming.broken = true;
-  incoming.bell.ring();
+  incoming.event.notify();
 }
 
 Task TcpTransport::readFrom(int socket) {
@@ -173,7 +173,7 @@
   evbuffer* input = bufferevent_get_input(incoming.channel);
   Address peer;
   while (true) {
-    EventWait hear(loop_, incoming.bell, 3600 * kSecondUs);
+    EventWait hear(loop_, incoming.event, 3600 * kSecondUs);
     co_await hear;
     if (!peer.set() && evbuffer_get_length(input) >= kHelloBytes) {
       unsigned char hello[kHelloBytes];
@@ -187,7 +187,7 @@
       Incoming*& current = incoming_[peer];
       if (current != nullptr) {
         current->superseded = true;
-        current->bell.ring();
+        current->event.notify();
       }
       current = &incoming;
       incoming.place = &current;
--- a/src/adapters/tcp_transport.h
+++ b/src/adapters/tcp_transport.h
@@ -23,7 +23,7 @@
   struct Peer {
     std::deque<Bytes> queue;
     std::size_t queuedBytes = 0;
-    Event bell;
+    Event event;
     bufferevent* channel = nullptr;
     bool connected = false;
     bool broken = false;
@@ -31,7 +31,7 @@
   };
   struct Incoming {
     bufferevent* channel = nullptr;
-    Event bell;
+    Event event;
     bool broken = false;
     bool superseded = false;     // its peer opened another
     Incoming** place = nullptr;  // among those that are open
--- a/src/replication/replica.cc
+++ b/src/replication/replica.cc
@@ -24,7 +24,7 @@
 }  // namespace
 
 const char* replicaStateText(ReplicaState state) {
-  switch (standing) {
+  switch (state) {
     case ReplicaState::kOpening: return "opening";
     case ReplicaState::kBootstrapping: return "founding";
     case ReplicaState::kOutside: return "outside";
@@ -67,7 +67,7 @@
 
 void Replica::changeState(ReplicaState next) {
   if (next == state_ || state_ == ReplicaState::kBroken) return;
-  logEvent("standing", {{"from", replicaStateText(state_)}, {"to", replicaStateText(next)},
+  logEvent("replica_state", {{"from", replicaStateText(state_)}, {"to", replicaStateText(next)},
                         {"view", absl::StrCat(memory_.view.revision)}, {"end", absl::StrCat(end_)}});
   state_ = next;
   inbox_.clear();
--- a/src/runtime/await.h
+++ b/src/runtime/await.h
@@ -56,7 +56,7 @@
 };
 class EventWait : public Waiter {
  public:
-  EventWait(Timers& timers, Event& bell, Us limitUs) : Waiter(timers), event_(bell), limitUs_(limitUs) {}
+  EventWait(Timers& timers, Event& event, Us limitUs) : Waiter(timers), event_(event), limitUs_(limitUs) {}
   ~EventWait() override {
     if (event_.ear_ == this) event_.ear_ = nullptr;
   }
