--- a/src/adapters/disk_file.cc
+++ b/src/adapters/disk_file.cc
@@ -30,7 +30,7 @@
     const int handle = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
     if (handle < 0) return false;
     handles_.push_back(handle);
-    struct stat about{};
+    struct stat about {};
     fstat(handle, &about);
     if (static_cast<std::size_t>(about.st_size) < bytes_) {
       if (posix_fallocate(handle, 0, static_cast<off_t>(bytes_)) != 0) return false;
--- a/src/adapters/http.h
+++ b/src/adapters/http.h
@@ -23,7 +23,7 @@
   HttpInEv(Loop& loop, const Address& self) : loop_(loop), self_(self) {}
   ~HttpInEv() override;
   bool listen();
-  void stop();  // takes no new channels; those that are open stay
+  void stop();                                   // takes no new channels; those that are open stay
   const Address& self() const { return self_; }  // with the port that was found, if 0 was asked for
   // Requests taken whose answers have not been handed to the kernel to the last byte.
   std::size_t openRequests() const { return state_->open; }
@@ -53,7 +53,7 @@
   std::uint64_t reused() const;  // requests that rode on a kept one
   std::size_t kept(const Address& server) const;
   std::size_t channels(const Address& server) const;  // kept or in use
-  std::size_t mostPerServer = 0;  // with so many channels in use no more are opened; 0: no bound
+  std::size_t mostPerServer = 0;                      // with so many channels in use no more are opened; 0: no bound
 
  private:
   Loop& loop_;
--- a/src/adapters/http_channels.cc
+++ b/src/adapters/http_channels.cc
@@ -10,16 +10,19 @@
 namespace stonemount {
 
 namespace {
-constexpr int kIdleSeconds = 3700;  // more than any route's limit: a silent worker is no dead worker; limits are the proxy's
+constexpr int kIdleSeconds =
+    3700;  // more than any route's limit: a silent worker is no dead worker; limits are the proxy's
 constexpr std::size_t kHeaderBound = 256 << 10;
 constexpr Us kSweepUs = 250 * kMilliUs;  // one timer for all kept channels; none is ridden on past its time
 }  // namespace
 
-HttpChannel::HttpChannel(HttpChannels& channels, Loop& loop, const Address& server) : channels_(channels), server_(server) {
+HttpChannel::HttpChannel(HttpChannels& channels, Loop& loop, const Address& server)
+    : channels_(channels), server_(server) {
   bufferevent* channel = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
   output_ = bufferevent_get_output(channel);
   watch_ = evbuffer_add_cb(output_, &HttpChannel::onOutput, this);
-  connection_ = evhttp_connection_base_bufferevent_new(loop.base(), nullptr, channel, ipText(server).c_str(), server.port);
+  connection_ =
+      evhttp_connection_base_bufferevent_new(loop.base(), nullptr, channel, ipText(server).c_str(), server.port);
   evhttp_connection_set_family(connection_, AF_INET);
   evhttp_connection_set_timeout(connection_, kIdleSeconds);
   evhttp_connection_set_max_headers_size(connection_, kHeaderBound);
@@ -55,7 +58,8 @@
   if (info->n_added == 0 || self.connected_) return;
   self.connected_ = true;  // evhttp writes out a request only once it is connected
   const int on = 1;
-  setsockopt(bufferevent_getfd(evhttp_connection_get_bufferevent(self.connection_)), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(bufferevent_getfd(evhttp_connection_get_bufferevent(self.connection_)), IPPROTO_TCP, TCP_NODELAY, &on,
+             sizeof(on));
   if (self.rider_ != nullptr) self.rider_->connected();
 }
 
--- a/src/adapters/http_in.cc
+++ b/src/adapters/http_in.cc
@@ -163,8 +163,10 @@
     }
     if (!typed) evhttp_add_header(out, "content-type", "application/json");
     const Us toldSeconds = state_->limits.idleUs / kSecondUs - 1;
-    if (state_->closing || refused_) evhttp_add_header(out, "connection", "close");
-    else if (toldSeconds > 0) evhttp_add_header(out, "keep-alive", absl::StrCat("timeout=", toldSeconds).c_str());
+    if (state_->closing || refused_)
+      evhttp_add_header(out, "connection", "close");
+    else if (toldSeconds > 0)
+      evhttp_add_header(out, "keep-alive", absl::StrCat("timeout=", toldSeconds).c_str());
   }
   std::shared_ptr<HttpInState> state_;
   std::shared_ptr<ReplyEv> self_;
@@ -184,8 +186,8 @@
 bool HttpInEv::listen() {
   server_ = evhttp_new(loop_.base());
   evhttp_set_default_content_type(server_, nullptr);
-  evhttp_set_allowed_methods(server_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
-                                          EVHTTP_REQ_PATCH);
+  evhttp_set_allowed_methods(server_,
+                             EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH);
   evhttp_set_flags(server_, EVHTTP_SERVER_LINGERING_CLOSE);
   evhttp_set_gencb(server_, &HttpInEv::onAsk, this);
   setLimits(state_->limits);
--- a/src/adapters/http_out.cc
+++ b/src/adapters/http_out.cc
@@ -43,11 +43,13 @@
    private:
     FlowEv& flow_;
   };
-  FlowEv(Loop& loop, HttpChannels& channels, Us connectUs, const Address& server, const HttpAsk& ask, const HttpVia& via,
-         std::size_t most)
+  FlowEv(Loop& loop, HttpChannels& channels, Us connectUs, const Address& server, const HttpAsk& ask,
+         const HttpVia& via, std::size_t most)
       : loop_(loop), channels_(channels), via_(via), channel_(channels.take(server, via, most)) {
-    if (channel_ == nullptr) put(HttpBroken{true, false});
-    else send(server, ask, connectUs);
+    if (channel_ == nullptr)
+      put(HttpBroken{true, false});
+    else
+      send(server, ask, connectUs);
   }
   ~FlowEv() override {
     loop_.disarm(*this);
@@ -137,7 +139,8 @@
       framed_ = head.status == 204 || head.status == 304;
     }
     const auto channelWord = head.headers.find("connection");
-    const bool closes = channelWord != head.headers.end() && absl::StrContains(absl::AsciiStrToLower(channelWord->second), "close");
+    const bool closes =
+        channelWord != head.headers.end() && absl::StrContains(absl::AsciiStrToLower(channelWord->second), "close");
     const bool lasting = request->major > 1 || (request->major == 1 && request->minor >= 1);
     if (via_.keep && framed_ && lasting && !closes) idleUs_ = idleTime(head.headers);
     return true;
@@ -146,8 +149,10 @@
     FlowEv& self = *static_cast<FlowEv*>(given);
     HttpHead head;
     const bool ours = self.headOf(request, head);
-    if (ours) self.put(std::move(head));
-    else self.put(HttpBroken{false, self.channel_->served()});
+    if (ours)
+      self.put(std::move(head));
+    else
+      self.put(HttpBroken{false, self.channel_->served()});
     self.headSeen_ = ours;
     return ours ? 0 : -1;  // evhttp then closes the channel
   }
--- a/src/adapters/http_text.cc
+++ b/src/adapters/http_text.cc
@@ -14,8 +14,11 @@
   evhttp_cmd_type type;
   const char* name;
 };
-constexpr std::array<Method, 5> kMethods{{{EVHTTP_REQ_GET, "GET"}, {EVHTTP_REQ_POST, "POST"}, {EVHTTP_REQ_PUT, "PUT"},
-                                          {EVHTTP_REQ_PATCH, "PATCH"}, {EVHTTP_REQ_DELETE, "DELETE"}}};
+constexpr std::array<Method, 5> kMethods{{{EVHTTP_REQ_GET, "GET"},
+                                          {EVHTTP_REQ_POST, "POST"},
+                                          {EVHTTP_REQ_PUT, "PUT"},
+                                          {EVHTTP_REQ_PATCH, "PATCH"},
+                                          {EVHTTP_REQ_DELETE, "DELETE"}}};
 
 void appendEncoded(std::string& target, const std::string& text) {
   char* encoded = evhttp_uriencode(text.data(), static_cast<ssize_t>(text.size()), 0);
@@ -26,44 +29,82 @@
 
 const char* httpReason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 202: return "Accepted";
-    case 204: return "No Content";
-    case 206: return "Partial Content";
-    case 301: return "Moved Permanently";
-    case 302: return "Bootstrap";
-    case 303: return "See Other";
-    case 304: return "Not Modified";
-    case 307: return "Temporary Redirect";
-    case 308: return "Permanent Redirect";
-    case 400: return "Bad Request";
-    case 401: return "Unauthorized";
-    case 403: return "Forbidden";
-    case 404: return "Not Bootstrap";
-    case 405: return "Method Not Allowed";
-    case 406: return "Not Acceptable";
-    case 408: return "Request Timeout";
-    case 409: return "Conflict";
-    case 410: return "Gone";
-    case 411: return "Length Required";
-    case 412: return "Precondition Failed";
-    case 413: return "Content Too Large";
-    case 414: return "URI Too Long";
-    case 415: return "Unsupported Media Type";
-    case 416: return "Range Not Satisfiable";
-    case 421: return "Misdirected Request";
-    case 422: return "Unprocessable Content";
-    case 425: return "Too Early";
-    case 428: return "Precondition Required";
-    case 429: return "Too Many Requests";
-    case 431: return "Request Header Fields Too Large";
-    case 500: return "Internal Server Error";
-    case 501: return "Not Implemented";
-    case 502: return "Bad Gateway";
-    case 503: return "Service Unavailable";
-    case 504: return "Gateway Timeout";
-    default: return "Other";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 202:
+      return "Accepted";
+    case 204:
+      return "No Content";
+    case 206:
+      return "Partial Content";
+    case 301:
+      return "Moved Permanently";
+    case 302:
+      return "Bootstrap";
+    case 303:
+      return "See Other";
+    case 304:
+      return "Not Modified";
+    case 307:
+      return "Temporary Redirect";
+    case 308:
+      return "Permanent Redirect";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 403:
+      return "Forbidden";
+    case 404:
+      return "Not Bootstrap";
+    case 405:
+      return "Method Not Allowed";
+    case 406:
+      return "Not Acceptable";
+    case 408:
+      return "Request Timeout";
+    case 409:
+      return "Conflict";
+    case 410:
+      return "Gone";
+    case 411:
+      return "Length Required";
+    case 412:
+      return "Precondition Failed";
+    case 413:
+      return "Content Too Large";
+    case 414:
+      return "URI Too Long";
+    case 415:
+      return "Unsupported Media Type";
+    case 416:
+      return "Range Not Satisfiable";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Content";
+    case 425:
+      return "Too Early";
+    case 428:
+      return "Precondition Required";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
+    case 501:
+      return "Not Implemented";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Other";
   }
 }
 
@@ -85,7 +126,8 @@
 
 // Names in a query are told apart by case; those of headers are not.
 void copyPairs(const evkeyvalq* pairs, HeaderMap& out) {
-  for (const evkeyval* pair = pairs->tqh_first; pair != nullptr; pair = pair->next.tqe_next) out[pair->key] = pair->value;
+  for (const evkeyval* pair = pairs->tqh_first; pair != nullptr; pair = pair->next.tqe_next)
+    out[pair->key] = pair->value;
 }
 
 void joinPairs(const evkeyvalq* pairs, HeaderMap& out) {
--- a/src/adapters/loop.cc
+++ b/src/adapters/loop.cc
@@ -59,8 +59,10 @@
   continuation.timerDueUs = monoUs() + std::max<Us>(delayUs, 0);
   queue_[{continuation.timerDueUs, continuation.timerKey}] = &continuation;
   if (firing_ || queue_.begin()->second != &continuation) return;
-  if (delayUs <= 0) event_active(timer_, EV_TIMEOUT, 0);  // at the end of this turn, without another wait
-  else rearm();
+  if (delayUs <= 0)
+    event_active(timer_, EV_TIMEOUT, 0);  // at the end of this turn, without another wait
+  else
+    rearm();
 }
 
 void Loop::disarm(Continuation& continuation) {
@@ -110,8 +112,10 @@
 }
 
 void Loop::leave() {
-  if (farewell != nullptr && !std::exchange(leaving_, true)) farewell->proceed();
-  else stop();
+  if (farewell != nullptr && !std::exchange(leaving_, true))
+    farewell->proceed();
+  else
+    stop();
 }
 
 void Loop::run() { event_base_dispatch(base_); }
--- a/src/adapters/loop.h
+++ b/src/adapters/loop.h
@@ -18,7 +18,7 @@
   void arm(Us delayUs, Continuation& continuation) override;
   void disarm(Continuation& continuation) override;
   event_base* base() { return base_; }
-  void run();   // until stop() or a polite signal
+  void run();  // until stop() or a polite signal
   void stop();
   // Runs before the loop ends at a polite signal; a second signal ends it at once.
   Continuation* farewell = nullptr;
--- a/src/cli/operator.cc
+++ b/src/cli/operator.cc
@@ -116,8 +116,10 @@
     for (const auto& member : value.GetObject()) {
       const bool nested = member.value.IsObject() || (member.value.IsArray() && !member.value.Empty());
       absl::StrAppend(&out, indent, member.name.GetString(), nested ? ":\n" : ": ");
-      if (nested) writePlain(member.value, indent + "  ", out);
-      else absl::StrAppend(&out, member.value.IsString() ? member.value.GetString() : jsonText(member.value), "\n");
+      if (nested)
+        writePlain(member.value, indent + "  ", out);
+      else
+        absl::StrAppend(&out, member.value.IsString() ? member.value.GetString() : jsonText(member.value), "\n");
     }
   } else if (value.IsArray()) {
     for (const JsonValue& element : value.GetArray()) {
--- a/src/cli/process.cc
+++ b/src/cli/process.cc
@@ -1,8 +1,8 @@
 // The long-lived roles on the real ports (design.md 2).
 #include <absl/flags/flag.h>
 #include <absl/strings/str_cat.h>
-#include <sys/file.h>
 #include <fcntl.h>
+#include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -38,12 +38,15 @@
 namespace {
 HeaderMap givenFlags() {
   HeaderMap given;
-  const std::pair<const char*, std::string> all[] = {
-      {"wire", absl::GetFlag(FLAGS_wire)},         {"http", absl::GetFlag(FLAGS_http)},
-      {"zone", absl::GetFlag(FLAGS_zone)},         {"seeds", absl::GetFlag(FLAGS_seeds)},
-      {"founders", absl::GetFlag(FLAGS_founders)}, {"data", absl::GetFlag(FLAGS_data)},
-      {"platform", absl::GetFlag(FLAGS_platform)}, {"ringFiles", absl::GetFlag(FLAGS_ringFiles)},
-      {"ringFileBytes", absl::GetFlag(FLAGS_ringFileBytes)}};
+  const std::pair<const char*, std::string> all[] = {{"wire", absl::GetFlag(FLAGS_wire)},
+                                                     {"http", absl::GetFlag(FLAGS_http)},
+                                                     {"zone", absl::GetFlag(FLAGS_zone)},
+                                                     {"seeds", absl::GetFlag(FLAGS_seeds)},
+                                                     {"founders", absl::GetFlag(FLAGS_founders)},
+                                                     {"data", absl::GetFlag(FLAGS_data)},
+                                                     {"platform", absl::GetFlag(FLAGS_platform)},
+                                                     {"ringFiles", absl::GetFlag(FLAGS_ringFiles)},
+                                                     {"ringFileBytes", absl::GetFlag(FLAGS_ringFileBytes)}};
   for (const auto& [key, value] : all)
     if (!value.empty()) given[key] = value;
   return given;
@@ -66,7 +69,9 @@
 class NodeFarewell : public Continuation {
  public:
   NodeFarewell(Loop& loop, Node& node, platform::Front* front, Us graceUs)
-      : loop_(loop), node_(node), front_(front), graceUs_(graceUs) { loop_.farewell = this; }
+      : loop_(loop), node_(node), front_(front), graceUs_(graceUs) {
+    loop_.farewell = this;
+  }
   void watch(HttpInEv& frontIn) { frontIn_ = &frontIn; }  // it is done once every answer has left
   ~NodeFarewell() override {
     loop_.farewell = nullptr;
@@ -82,12 +87,14 @@
       quietFromUs_ = nowUs + (front_ != nullptr ? std::min(kUnseenUs, graceUs_ / 2) : 0);
     }
     const bool idle = node_.idle() && (frontIn_ == nullptr || frontIn_->openRequests() == 0);
-    if ((idle && nowUs >= quietFromUs_) || nowUs >= untilUs_) loop_.stop();
-    else loop_.arm(50 * kMilliUs, *this);
+    if ((idle && nowUs >= quietFromUs_) || nowUs >= untilUs_)
+      loop_.stop();
+    else
+      loop_.arm(50 * kMilliUs, *this);
   }
 
  private:
-  static constexpr Us kLastUs = 700 * kMilliUs;    // of the grace, kept for the end itself
+  static constexpr Us kLastUs = 700 * kMilliUs;     // of the grace, kept for the end itself
   static constexpr Us kUnseenUs = 2800 * kMilliUs;  // until those who send callers have seen it
   Loop& loop_;
   Node& node_;
@@ -135,11 +142,14 @@
   }
   HttpInEv frontIn(loop, settings.front);
   HttpInEv readinessIn(loop, settings.readiness);
-  if (settings.front.set() && !frontIn.listen()) return say(Exit::kUsage, "settings: cannot listen on " + addressText(settings.front));
-  if (settings.readiness.set() && !readinessIn.listen()) return say(Exit::kUsage, "settings: cannot listen on " + addressText(settings.readiness));
+  if (settings.front.set() && !frontIn.listen())
+    return say(Exit::kUsage, "settings: cannot listen on " + addressText(settings.front));
+  if (settings.readiness.set() && !readinessIn.listen())
+    return say(Exit::kUsage, "settings: cannot listen on " + addressText(settings.readiness));
   Node node(ports, settings, plan);
   std::unique_ptr<platform::Front> front;
-  if (settings.front.set()) front = std::make_unique<platform::Front>(node, frontIn, settings.readiness.set() ? &readinessIn : nullptr);
+  if (settings.front.set())
+    front = std::make_unique<platform::Front>(node, frontIn, settings.readiness.set() ? &readinessIn : nullptr);
   NodeFarewell farewell(loop, node, front.get(), settings.bounds.graceUs);
   if (front != nullptr) farewell.watch(frontIn);
   serve(loop, node);
@@ -153,7 +163,8 @@
   plan.gossip = gossip;
   if (onPlatform) plan.list = &list;
   HttpInEv controlIn(loop, settings.control);
-  if (settings.control.set() && !controlIn.listen()) return say(Exit::kUsage, "settings: cannot listen on " + addressText(settings.control));
+  if (settings.control.set() && !controlIn.listen())
+    return say(Exit::kUsage, "settings: cannot listen on " + addressText(settings.control));
   Core core(ports, settings, plan);
   PlatformOperator operators(core.operators(), &core.retireService(), {settings.zones.begin(), settings.zones.end()});
   if (settings.control.set()) operators.begin(controlIn);
@@ -163,7 +174,9 @@
 }  // namespace
 
 int runProcess(const std::string& role) {
-  const SettingsFor kind = role == "core" ? SettingsFor::kCore : role == "store" ? SettingsFor::kStore : SettingsFor::kNode;
+  const SettingsFor kind = role == "core"    ? SettingsFor::kCore
+                           : role == "store" ? SettingsFor::kStore
+                                             : SettingsFor::kNode;
   bool onPlatform = false;
   SettingsVerdict read = learnPlace(kind, onPlatform);
   if (auto* fault = std::get_if<SettingsFault>(&read))
@@ -179,7 +192,8 @@
   Chance chance(freshSeed());
   std::unique_ptr<DiskFile> disk;
   if (kind != SettingsFor::kNode) {
-    if (!lockFolder(settings.data)) return say(Exit::kUsage, "settings: key data: another process uses " + settings.data);
+    if (!lockFolder(settings.data))
+      return say(Exit::kUsage, "settings: key data: another process uses " + settings.data);
     disk = std::make_unique<DiskFile>(loop, settings.data, static_cast<std::size_t>(settings.ringFiles),
                                       static_cast<std::size_t>(settings.ringFileBytes));
     if (!disk->open()) return say(Exit::kUsage, "settings: key data: cannot preallocate the ring in " + settings.data);
--- a/src/cli/rehearsal.cc
+++ b/src/cli/rehearsal.cc
@@ -56,12 +56,16 @@
 
 class Ending : public Continuation {
  public:
-  Ending(Loop& loop, RehearseCaller& caller, Us callingUs) : loop_(loop), caller_(caller) { loop_.arm(callingUs, *this); }
+  Ending(Loop& loop, RehearseCaller& caller, Us callingUs) : loop_(loop), caller_(caller) {
+    loop_.arm(callingUs, *this);
+  }
   ~Ending() override { loop_.disarm(*this); }
   void proceed() override {
     caller_.stop();
-    if (caller_.open() == 0) loop_.stop();
-    else loop_.arm(100 * kMilliUs, *this);
+    if (caller_.open() == 0)
+      loop_.stop();
+    else
+      loop_.arm(100 * kMilliUs, *this);
   }
 
  private:
--- a/src/config/config_cache.cc
+++ b/src/config/config_cache.cc
@@ -24,8 +24,8 @@
   if (!state_.absorb(given) || state_.revision() == before) return;
   STONEMOUNT_INVARIANT(state_.revision() > before);
   gossip_.self().control = state_.revision();
-  logEvent("control_news", {{"revision", absl::StrCat(state_.revision())},
-                            {"config", absl::StrCat(state_.configRevision())}});
+  logEvent("control_news",
+           {{"revision", absl::StrCat(state_.revision())}, {"config", absl::StrCat(state_.configRevision())}});
   news.emit();
 }
 
--- a/src/config/config_cache.h
+++ b/src/config/config_cache.h
@@ -2,9 +2,9 @@
 // (design.md 7.6). It goes on serving from it when control is lost.
 #pragma once
 
-#include "replication/client.h"
 #include "control/commands.h"
 #include "gossip/gossip.h"
+#include "replication/client.h"
 
 namespace stonemount {
 
--- a/src/config/config_check.cc
+++ b/src/config/config_check.cc
@@ -20,7 +20,8 @@
 
 // A rule is tried when it is pushed: it has to be read, and to say yes or no.
 std::optional<ConfigFault> checkRule(const Route& route, const std::string& field) {
-  if (route.when.empty() && !route.otherwise.empty()) return ConfigFault{field + "/otherwise", "needs a rule under when"};
+  if (route.when.empty() && !route.otherwise.empty())
+    return ConfigFault{field + "/otherwise", "needs a rule under when"};
   if (route.when.empty()) return std::nullopt;
   if (route.lots) return ConfigFault{field + "/when", "a route for lots takes no rule"};
   if (route.otherwise == route.name) return ConfigFault{field + "/otherwise", "names its own route"};
@@ -28,7 +29,8 @@
   const RuleVerdict verdict = book.judge(route.when, RuleSight{1, 1, "zone"});
   auto* fault = std::get_if<RuleFault>(&verdict);
   if (fault == nullptr) return std::nullopt;
-  return ConfigFault{field + "/when", absl::StrCat(ruleTroubleText(fault->trouble), fault->detail.empty() ? "" : ": ", fault->detail)};
+  return ConfigFault{field + "/when",
+                     absl::StrCat(ruleTroubleText(fault->trouble), fault->detail.empty() ? "" : ": ", fault->detail)};
 }
 
 RouteKind kindOf(const std::string& text) {
@@ -71,7 +73,8 @@
 }
 
 std::optional<ConfigFault> checkRoute(const Route& route, const std::string& field) {
-  if (route.lots && route.kind != RouteKind::kWhole) return ConfigFault{field + "/lots", "lots need a route of kind whole"};
+  if (route.lots && route.kind != RouteKind::kWhole)
+    return ConfigFault{field + "/lots", "lots need a route of kind whole"};
   if (route.kind == RouteKind::kLookup && !route.adapter.empty())
     return ConfigFault{field + "/adapter", "a lookup takes no adapter"};
   if (route.resumable && route.kind != RouteKind::kStream) return ConfigFault{field + "/resumable", "needs a stream"};
@@ -144,8 +147,10 @@
     }
   }
   if (document.HasMember("limits")) wish.limits = readLimits(document["limits"]);
-  if (std::optional<ConfigFault> fault = readRemoved(document, "remove", "routes", whole, names, wish.removed)) return *fault;
-  if (std::optional<ConfigFault> fault = readRemoved(document, "removePools", "pools", whole, poolNames, wish.removedPools))
+  if (std::optional<ConfigFault> fault = readRemoved(document, "remove", "routes", whole, names, wish.removed))
+    return *fault;
+  if (std::optional<ConfigFault> fault =
+          readRemoved(document, "removePools", "pools", whole, poolNames, wish.removedPools))
     return *fault;
   if (whole && !document.HasMember("routes")) return ConfigFault{"/routes", "is missing"};
   return wish;
--- a/src/config/config_text.cc
+++ b/src/config/config_text.cc
@@ -5,20 +5,28 @@
 
 const char* routeKindText(RouteKind kind) {
   switch (kind) {
-    case RouteKind::kStream: return "stream";
-    case RouteKind::kLookup: return "lookup";
-    case RouteKind::kWhole: return "whole";
+    case RouteKind::kStream:
+      return "stream";
+    case RouteKind::kLookup:
+      return "lookup";
+    case RouteKind::kWhole:
+      return "whole";
   }
   return "unknown";
 }
 
 const char* configFlawText(ConfigFlaw flaw) {
   switch (flaw) {
-    case ConfigFlaw::kNone: return "none";
-    case ConfigFlaw::kUnknownPool: return "unknown_pool";
-    case ConfigFlaw::kSamePlace: return "same_place";
-    case ConfigFlaw::kNoWeight: return "no_weight";
-    case ConfigFlaw::kNoTime: return "no_time";
+    case ConfigFlaw::kNone:
+      return "none";
+    case ConfigFlaw::kUnknownPool:
+      return "unknown_pool";
+    case ConfigFlaw::kSamePlace:
+      return "same_place";
+    case ConfigFlaw::kNoWeight:
+      return "no_weight";
+    case ConfigFlaw::kNoTime:
+      return "no_time";
   }
   return "unknown";
 }
--- a/src/config/control_state.h
+++ b/src/config/control_state.h
@@ -22,22 +22,23 @@
   std::uint32_t prefixBytes = 64;  // how much of a prompt decides its spot
   std::string adapter;
   bool lots = false;  // lots may be handed in for it
-  std::string when;       // a rule; where it does not hold, the route named by `otherwise` is asked
+  std::string when;   // a rule; where it does not hold, the route named by `otherwise` is asked
   std::string otherwise;
   // A route that is chosen by host and path; its requests are passed through as they came (design.md 9.6).
-  std::string host;    // empty: chosen by name only
+  std::string host;  // empty: chosen by name only
   std::string prefix;
-  std::vector<PoolShare> shares;   // several pools by weight; empty: `pool` alone
-  Us targetUs = 0;                 // an answer within it has its full worth; of lots: the acknowledgement
-  Us gapTargetUs = 0;              // longest pause between the parts of a stream that is still in time
-  Us completionUs = 0;             // lots: all results are due within it
-  Us retentionUs = 0;              // lots: an item may be given up after it; 0: never
-  std::uint32_t attempts = 0;      // workers that one request may be sent to; lots: failures until given up; 0: our own bound
-  std::uint32_t precedence = 0;    // 0 is the highest
-  bool affinity = false;           // requests name the parts of their prompts
-  bool resumable = false;          // a stream may go on at another worker
-  std::string given;               // the operator's own text of it, to be read back
-  std::uint64_t order = 0;         // where it stands in the operator's text, beside the others
+  std::vector<PoolShare> shares;  // several pools by weight; empty: `pool` alone
+  Us targetUs = 0;                // an answer within it has its full worth; of lots: the acknowledgement
+  Us gapTargetUs = 0;             // longest pause between the parts of a stream that is still in time
+  Us completionUs = 0;            // lots: all results are due within it
+  Us retentionUs = 0;             // lots: an item may be given up after it; 0: never
+  std::uint32_t attempts =
+      0;  // workers that one request may be sent to; lots: failures until given up; 0: our own bound
+  std::uint32_t precedence = 0;  // 0 is the highest
+  bool affinity = false;         // requests name the parts of their prompts
+  bool resumable = false;        // a stream may go on at another worker
+  std::string given;             // the operator's own text of it, to be read back
+  std::uint64_t order = 0;       // where it stands in the operator's text, beside the others
   Revision changed = 0;
   template <class Archive>
   void serialize(Archive& archive) {
@@ -51,10 +52,10 @@
 struct Pool {
   std::string name;
   std::string healthPath;
-  std::uint32_t mostChannels = 0;   // that a worker takes from all together; 0: not told
-  Us warmUs = 0;                    // how long a worker is cold after its start
-  std::uint64_t warmPerKs = 0;      // requests in 1,000 s that a cold one bears; 0: no bound
-  std::uint32_t slots = 0;          // requests that run at once; 0: see the list
+  std::uint32_t mostChannels = 0;  // that a worker takes from all together; 0: not told
+  Us warmUs = 0;                   // how long a worker is cold after its start
+  std::uint64_t warmPerKs = 0;     // requests in 1,000 s that a cold one bears; 0: no bound
+  std::uint32_t slots = 0;         // requests that run at once; 0: see the list
   std::uint64_t cacheTokens = 0;
   std::string given;
   std::uint64_t order = 0;
@@ -78,8 +79,8 @@
   std::string zone;
   std::uint32_t slots = 1;
   bool leaving = false;
-  std::string life;    // names one start of it; empty: the platform does not tell
-  Us coldLeftUs = 0;   // how much longer it was slow when it was listed
+  std::string life;   // names one start of it; empty: the platform does not tell
+  Us coldLeftUs = 0;  // how much longer it was slow when it was listed
   Revision changed = 0;
   STONEMOUNT_PACK(address, pool, zone, slots, leaving, life, coldLeftUs, changed)
   // A list tells of coldness only as it begins; that is a change.
--- a/src/config/json.cc
+++ b/src/config/json.cc
@@ -10,8 +10,8 @@
   JsonDocument document;
   // Iterative, so that depth in the text is no depth on the stack.
   // In full precision, so that a fraction that is told again is the one that was given.
-  document.Parse<rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag | rapidjson::kParseFullPrecisionFlag>(
-      text.c_str(), text.size());
+  document.Parse<rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag |
+                 rapidjson::kParseFullPrecisionFlag>(text.c_str(), text.size());
   if (document.HasParseError()) return BadJson{document.GetErrorOffset()};
   return document;
 }
--- a/src/config/platform_list.cc
+++ b/src/config/platform_list.cc
@@ -11,9 +11,12 @@
 
 const char* listTroubleText(ListTrouble trouble) {
   switch (trouble) {
-    case ListTrouble::kUnreachable: return "unreachable";
-    case ListTrouble::kBusy: return "busy";
-    case ListTrouble::kUnreadable: return "unreadable";
+    case ListTrouble::kUnreachable:
+      return "unreachable";
+    case ListTrouble::kBusy:
+      return "busy";
+    case ListTrouble::kUnreadable:
+      return "unreadable";
   }
   return "unknown";
 }
--- a/src/config/rule.cc
+++ b/src/config/rule.cc
@@ -12,9 +12,12 @@
 
 const char* ruleTroubleText(RuleTrouble trouble) {
   switch (trouble) {
-    case RuleTrouble::kTooLong: return "is too long for a rule";
-    case RuleTrouble::kUnreadable: return "cannot be read as a rule";
-    case RuleTrouble::kNotYesOrNo: return "is neither true nor false";
+    case RuleTrouble::kTooLong:
+      return "is too long for a rule";
+    case RuleTrouble::kUnreadable:
+      return "cannot be read as a rule";
+    case RuleTrouble::kNotYesOrNo:
+      return "is neither true nor false";
   }
   return "unknown";
 }
--- a/src/config/rule.h
+++ b/src/config/rule.h
@@ -5,7 +5,7 @@
 
 namespace stonemount {
 
-struct RuleSight {  // what a rule may speak of
+struct RuleSight {           // what a rule may speak of
   std::int64_t bytes = 0;    // of the prompt, or of the key
   std::int64_t limitUs = 0;  // that the caller allows
   std::string zone;          // of the node that was asked
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -49,8 +49,10 @@
   const std::vector<std::string> parts = absl::StrSplit(value, ',', absl::SkipEmpty());
   if (key == "seeds") return readAddresses(key, parts, settings.seeds);
   if (key == "founders") return readAddresses(key, parts, settings.founders);
-  if (key == "zone") settings.zone = value;
-  else if (key == "data") settings.data = value;
+  if (key == "zone")
+    settings.zone = value;
+  else if (key == "data")
+    settings.data = value;
   else if (key == "ringFiles" || key == "ringFileBytes") {
     std::int64_t number = 0;
     if (!absl::SimpleAtoi(value, &number) || number < 4) return SettingsFault{key, "is not a number of 4 or more"};
--- a/src/config/worker_list.h
+++ b/src/config/worker_list.h
@@ -12,7 +12,7 @@
 };
 enum class ListTrouble : std::uint8_t {
   kUnreachable,
-  kBusy,        // asked too often: ask less
+  kBusy,  // asked too often: ask less
   kUnreadable,
 };
 const char* listTroubleText(ListTrouble trouble);
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -46,17 +46,23 @@
 };
 using ControlCommand = std::variant<PutConfig, SetZone, PutWorkers, ReturnConfig, Rebuild, FoundStore, RetireStore>;
 
-enum class ControlOutcome : std::uint8_t { kDone, kConflict, kUnknownRevision, kUnreadable, kUnchanged,
-                                            kNotAbove,  // the operator's number is not above the current one
-                                            kInvalid,   // see the flaw
-                                            kOlder };   // another list came first
+enum class ControlOutcome : std::uint8_t {
+  kDone,
+  kConflict,
+  kUnknownRevision,
+  kUnreadable,
+  kUnchanged,
+  kNotAbove,  // the operator's number is not above the current one
+  kInvalid,   // see the flaw
+  kOlder
+};  // another list came first
 struct ControlVerdict {
   ControlOutcome outcome = ControlOutcome::kDone;
   Revision configRevision = 0;
   Revision revision = 0;
   std::uint64_t platformVersion = 0;  // of the list that stands
   ConfigFlaw flaw = ConfigFlaw::kNone;
-  std::string flawed;                 // the route that has it
+  std::string flawed;  // the route that has it
   STONEMOUNT_PACK(outcome, configRevision, revision, platformVersion, flaw, flawed)
 };
 
--- a/src/control/config_merge.cc
+++ b/src/control/config_merge.cc
@@ -20,8 +20,10 @@
 template <class Item>
 void put(Item item, const std::map<std::string, Item>& standing, std::vector<ItemChange<Item>>& changes) {
   auto found = standing.find(item.name);
-  if (found == standing.end()) changes.push_back({std::nullopt, std::move(item)});
-  else if (!sameItem(found->second, item)) changes.push_back({found->second, std::move(item)});
+  if (found == standing.end())
+    changes.push_back({std::nullopt, std::move(item)});
+  else if (!sameItem(found->second, item))
+    changes.push_back({found->second, std::move(item)});
 }
 
 template <class Item>
@@ -71,8 +73,10 @@
   std::vector<ItemChange<Item>> changes;
   for (const auto& [name, item] : target) {
     auto found = standing.find(name);
-    if (item) put(*item, standing, changes);
-    else if (found != standing.end()) changes.push_back({found->second, std::nullopt});
+    if (item)
+      put(*item, standing, changes);
+    else if (found != standing.end())
+      changes.push_back({found->second, std::nullopt});
   }
   return changes;
 }
@@ -84,8 +88,10 @@
   std::map<std::string, const Item*> result;
   for (const auto& [name, item] : standing) result.emplace_hint(result.end(), name, &item);
   for (const ItemChange<Item>& change : changes) {
-    if (change.after) result[change.after->name] = &*change.after;
-    else result.erase(change.before->name);
+    if (change.after)
+      result[change.after->name] = &*change.after;
+    else
+      result.erase(change.before->name);
   }
   return result;
 }
--- a/src/control/control_machine.cc
+++ b/src/control/control_machine.cc
@@ -33,11 +33,16 @@
   if (auto* found = std::get_if<FoundStore>(command)) return pack(applyOrder(orders_, *found));
   if (auto* retire = std::get_if<RetireStore>(command)) return pack(applyOrder(orders_, *retire));
   ControlVerdict done;
-  if (auto* config = std::get_if<PutConfig>(command)) done = put(*config);
-  else if (auto* zone = std::get_if<SetZone>(command)) done = put(*zone);
-  else if (auto* workers = std::get_if<PutWorkers>(command)) done = put(*workers);
-  else if (auto* rebuild = std::get_if<Rebuild>(command)) done = put(*rebuild);
-  else done = put(std::get<ReturnConfig>(*command));
+  if (auto* config = std::get_if<PutConfig>(command))
+    done = put(*config);
+  else if (auto* zone = std::get_if<SetZone>(command))
+    done = put(*zone);
+  else if (auto* workers = std::get_if<PutWorkers>(command))
+    done = put(*workers);
+  else if (auto* rebuild = std::get_if<Rebuild>(command))
+    done = put(*rebuild);
+  else
+    done = put(std::get<ReturnConfig>(*command));
   packedNews_.clear();
   return pack(done);
 }
@@ -73,8 +78,10 @@
   for (const RouteChange& change : step.changes)
     if (change.after) state_.putRoute(*change.after);
   for (const PoolChange& change : step.pools) {
-    if (change.after) state_.putPool(*change.after);
-    else state_.removePool(change.before->name);
+    if (change.after)
+      state_.putPool(*change.after);
+    else
+      state_.removePool(change.before->name);
   }
   if (step.limits.after) state_.setLimits(*step.limits.after);
   if (step.given.after) state_.setGiven(*step.given.after);
@@ -95,7 +102,8 @@
 ControlVerdict ControlMachine::put(const ReturnConfig& command) {
   if (command.base != state_.configRevision()) return verdict(ControlOutcome::kConflict);
   std::vector<const ConfigStep*> steps;
-  for (auto step = history_.rbegin(); step != history_.rend() && step->revision > command.to; ++step) steps.push_back(&*step);
+  for (auto step = history_.rbegin(); step != history_.rend() && step->revision > command.to; ++step)
+    steps.push_back(&*step);
   // Numbers may leap: only what stood after a step, or before the oldest, is known.
   const Revision reached = steps.empty() ? state_.configRevision() : steps.back()->base;
   if (reached != command.to) return verdict(ControlOutcome::kUnknownRevision);
@@ -152,15 +160,16 @@
   if (auto* news = std::get_if<NewsAsk>(query)) {
     if (news->since == state_.revision() && state_.revision() != 0 && !mustAnswer) return Hold{};
     auto found = packedNews_.find(news->since);
-    if (found == packedNews_.end())
-      found = packedNews_.emplace(news->since, pack(state_.newsSince(news->since))).first;
+    if (found == packedNews_.end()) found = packedNews_.emplace(news->since, pack(state_.newsSince(news->since))).first;
     return found->second;
   }
   if (std::holds_alternative<OrdersAsk>(*query)) return pack(orders_);
   return pack(HistoryVerdict{{history_.begin(), history_.end()}});
 }
 
-Bytes ControlMachine::save() const { return pack(Saved{kStateFormat, state_, platformVersion_, history_, taken_, orders_}); }
+Bytes ControlMachine::save() const {
+  return pack(Saved{kStateFormat, state_, platformVersion_, history_, taken_, orders_});
+}
 
 bool ControlMachine::load(const Bytes& state) {
   auto read = unpack<Saved>(state);
--- a/src/control/control_machine.h
+++ b/src/control/control_machine.h
@@ -1,8 +1,8 @@
 // The state behind the control chain (design.md 7.1).
 #pragma once
 
-#include "replication/machine.h"
 #include "control/commands.h"
+#include "replication/machine.h"
 
 namespace stonemount {
 
--- a/src/control/core.cc
+++ b/src/control/core.cc
@@ -7,13 +7,22 @@
 namespace stonemount {
 
 Core::Core(Ports& ports, Settings settings, CorePlan plan)
-    : ports_(ports), settings_(std::move(settings)), plan_(plan), rpc_(ports.timers, ports.wire, ports.chance),
-      gossip_(ports, rpc_, room_, plan.gossip), replica_(ports, rpc_, room_, machine_, replicaPlanOf(settings_)),
-      core_(ports, rpc_, settings_.founders), store_(ports, rpc_, {}), election_(ports, rpc_, room_, plan.election),
-      sampler_(ports, rpc_, room_, election_, store_, replica_, plan.gauge), rebuilder_(ports, rpc_, gossip_, core_, machine_),
-      ownList_(ports, settings_.platform), workerDiscovery_(core_, machine_, plan.list != nullptr ? plan.list : &ownList_),
+    : ports_(ports),
+      settings_(std::move(settings)),
+      plan_(plan),
+      rpc_(ports.timers, ports.wire, ports.chance),
+      gossip_(ports, rpc_, room_, plan.gossip),
+      replica_(ports, rpc_, room_, machine_, replicaPlanOf(settings_)),
+      core_(ports, rpc_, settings_.founders),
+      store_(ports, rpc_, {}),
+      election_(ports, rpc_, room_, plan.election),
+      sampler_(ports, rpc_, room_, election_, store_, replica_, plan.gauge),
+      rebuilder_(ports, rpc_, gossip_, core_, machine_),
+      ownList_(ports, settings_.platform),
+      workerDiscovery_(core_, machine_, plan.list != nullptr ? plan.list : &ownList_),
       operators_(ports, core_),
-      membershipManager_(ports, rpc_, room_, election_, gossip_, replica_, machine_, core_, store_, membershipPlanOf(settings_, plan.membershipManager)),
+      membershipManager_(ports, rpc_, room_, election_, gossip_, replica_, machine_, core_, store_,
+                         membershipPlanOf(settings_, plan.membershipManager)),
       retireService_(ports, rpc_, gossip_, core_, store_, settings_.bounds.lostMachines) {}
 
 Core::~Core() {
@@ -79,7 +88,10 @@
 
 void Core::onAsked(const HttpAsk& ask, ReplyPtr reply) {
   JsonOut out;
-  out.object().field("role", "core").field("sampler", election_.holds(Sampler::kDuty)).field("lister", election_.holds(kWorkerDiscovery));
+  out.object()
+      .field("role", "core")
+      .field("sampler", election_.holds(Sampler::kDuty))
+      .field("lister", election_.holds(kWorkerDiscovery));
   answerReplicaMetrics(ask, *reply, out, replica_, rpc_);
 }
 
--- a/src/control/core.h
+++ b/src/control/core.h
@@ -1,17 +1,17 @@
 // A core process: a member of the control chain, and the duties of sampler and lister (design.md 2).
 #pragma once
 
-#include "replication/replica.h"
-#include "membership/retire.h"
-#include "membership/membership_manager.h"
-#include "control/control_machine.h"
-#include "control/worker_discovery.h"
-#include "control/operator_service.h"
-#include "safe_time/sampler.h"
 #include "config/platform_list.h"
 #include "config/settings.h"
-#include "restore/rebuild.h"
+#include "control/control_machine.h"
+#include "control/operator_service.h"
+#include "control/worker_discovery.h"
 #include "gossip/gossip.h"
+#include "membership/membership_manager.h"
+#include "membership/retire.h"
+#include "replication/replica.h"
+#include "restore/rebuild.h"
+#include "safe_time/sampler.h"
 
 namespace stonemount {
 
--- a/src/control/member_orders.cc
+++ b/src/control/member_orders.cc
@@ -1,8 +1,8 @@
 // Orders of the store's membership in the control chain (design.md 6.10).
-#include "control/commands.h"
-
 #include <algorithm>
 
+#include "control/commands.h"
+
 namespace stonemount {
 
 namespace {
--- a/src/control/operator_service.cc
+++ b/src/control/operator_service.cc
@@ -49,12 +49,18 @@
   }
   ControlVerdict& verdict = std::get<ControlVerdict>(answer);
   switch (verdict.outcome) {
-    case ControlOutcome::kDone: co_return ConfigTaken{verdict.configRevision, false};
-    case ControlOutcome::kUnchanged: co_return ConfigTaken{verdict.configRevision, true};
-    case ControlOutcome::kConflict: co_return ConfigConflict{verdict.configRevision};
-    case ControlOutcome::kNotAbove: co_return ConfigNotAbove{verdict.configRevision};
-    case ControlOutcome::kInvalid: co_return ConfigInvalid{verdict.flaw, std::move(verdict.flawed)};
-    default: break;
+    case ControlOutcome::kDone:
+      co_return ConfigTaken{verdict.configRevision, false};
+    case ControlOutcome::kUnchanged:
+      co_return ConfigTaken{verdict.configRevision, true};
+    case ControlOutcome::kConflict:
+      co_return ConfigConflict{verdict.configRevision};
+    case ControlOutcome::kNotAbove:
+      co_return ConfigNotAbove{verdict.configRevision};
+    case ControlOutcome::kInvalid:
+      co_return ConfigInvalid{verdict.flaw, std::move(verdict.flawed)};
+    default:
+      break;
   }
   co_return CallUntaken{};  // the machine could not read it
 }
--- a/src/control/operator_service.h
+++ b/src/control/operator_service.h
@@ -2,8 +2,8 @@
 // 2.5 s; one that is known to have changed nothing within 0.8 s, so that another core can be tried.
 #pragma once
 
-#include "replication/client.h"
 #include "control/commands.h"
+#include "replication/client.h"
 
 namespace stonemount {
 
--- a/src/control/worker_discovery.h
+++ b/src/control/worker_discovery.h
@@ -2,9 +2,9 @@
 // has changed (design.md 7.7).
 #pragma once
 
-#include "replication/client.h"
-#include "control/control_machine.h"
 #include "config/worker_list.h"
+#include "control/control_machine.h"
+#include "replication/client.h"
 
 namespace stonemount {
 
--- a/src/election/election.cc
+++ b/src/election/election.cc
@@ -91,7 +91,7 @@
   const std::vector<Seat> electors = electors_;
   const std::uint64_t term = std::max(duties_[name].term, duties_[name].voted) + 1;
   SeatPoll<DutyVote> poll(rpc_, DutyBallot{name, term, rpc_.self()}, electors, electors.size() / 2 + 1,
-                         plan_.heartbeatUs * 2);
+                          plan_.heartbeatUs * 2);
   co_await poll;
   Duty& duty = duties_[name];
   if (poll.enough() && duty.term < term) take(name, duty, term);
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -29,8 +29,8 @@
 
 struct ElectionPlan {
   Us heartbeatUs = 250 * kMilliUs;
-  Us voteUs = 450 * kMilliUs;     // a vote given keeps others waiting so long for the first heartbeat
-  Us vacantUs = 900 * kMilliUs;   // no heartbeat for so long: the duty is vacant
+  Us voteUs = 450 * kMilliUs;       // a vote given keeps others waiting so long for the first heartbeat
+  Us vacantUs = 900 * kMilliUs;     // no heartbeat for so long: the duty is vacant
   Us standDownUs = 800 * kMilliUs;  // a holder that no majority nods to lets go
 };
 
--- a/src/gossip/gossip.cc
+++ b/src/gossip/gossip.cc
@@ -6,10 +6,14 @@
 
 const char* roleText(Role role) {
   switch (role) {
-    case Role::kCore: return "core";
-    case Role::kStore: return "store";
-    case Role::kNode: return "node";
-    case Role::kOther: return "other";
+    case Role::kCore:
+      return "core";
+    case Role::kStore:
+      return "store";
+    case Role::kNode:
+      return "node";
+    case Role::kOther:
+      return "other";
   }
   return "unknown";
 }
@@ -27,9 +31,7 @@
   room_.start(shuffle());
 }
 
-bool Gossip::isAlive(const Sight& sight) const {
-  return ports_.clock.monoUs() - sight.heardUs <= plan_.silentUs;
-}
+bool Gossip::isAlive(const Sight& sight) const { return ports_.clock.monoUs() - sight.heardUs <= plan_.silentUs; }
 
 std::vector<PeerRecord> Gossip::alive(Role role) const {
   std::vector<PeerRecord> records;
@@ -72,8 +74,10 @@
 void Gossip::trim() {
   const Us nowUs = ports_.clock.monoUs();
   for (auto sight = sights_.begin(); sight != sights_.end();) {
-    if (nowUs - sight->second.heardUs > plan_.forgetUs) sight = sights_.erase(sight);
-    else ++sight;
+    if (nowUs - sight->second.heardUs > plan_.forgetUs)
+      sight = sights_.erase(sight);
+    else
+      ++sight;
   }
   while (sights_.size() > plan_.most) {
     auto victim = sights_.begin();
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -17,8 +17,8 @@
   std::uint64_t beat = 0;  // grows while it runs
   Revision control = 0;    // the newest control revision that it has
   bool draining = false;
-  std::string machine;     // its name, where it has one
-  bool empty = false;      // a store on the fleet's first start that no chain has taken in
+  std::string machine;  // its name, where it has one
+  bool empty = false;   // a store on the fleet's first start that no chain has taken in
   STONEMOUNT_PACK(wire, http, role, zone, life, beat, control, draining, machine, empty)
 };
 struct Shuffle {
@@ -30,7 +30,7 @@
 struct GossipPlan {
   std::vector<Address> seeds;
   Us shuffleUs = 400 * kMilliUs;
-  Us youngUs = 120 * kMilliUs;    // instead, for so long after the start
+  Us youngUs = 120 * kMilliUs;  // instead, for so long after the start
   Us youngForUs = 3 * kSecondUs;
   Us silentUs = 2500 * kMilliUs;  // no newer beat: not counted as alive
   Us forgetUs = 30 * kSecondUs;
--- a/src/membership/failure_detector.cc
+++ b/src/membership/failure_detector.cc
@@ -23,12 +23,16 @@
     if (blind) sight.heardUs = nowUs;
   for (auto sight = sights_.begin(); sight != sights_.end();) {
     const bool seated = findMember(view, sight->first) != nullptr;
-    if (!seated && nowUs - sight->second.heardUs > plan_.deadUs) sight = sights_.erase(sight);
-    else ++sight;
+    if (!seated && nowUs - sight->second.heardUs > plan_.deadUs)
+      sight = sights_.erase(sight);
+    else
+      ++sight;
   }
 }
 
-void FailureDetector::suppose(const Address& member, Us heardUs) { sights_.try_emplace(member, Sight{heardUs, false, {}}); }
+void FailureDetector::suppose(const Address& member, Us heardUs) {
+  sights_.try_emplace(member, Sight{heardUs, false, {}});
+}
 
 void FailureDetector::heard(const Address& member, const Pong& pong, Us heardUs) {
   Sight& sight = sights_[member];
--- a/src/membership/failure_detector.h
+++ b/src/membership/failure_detector.h
@@ -22,10 +22,10 @@
 };
 
 struct FailureDetectorPlan {
-  Us deadUs = 2500 * kMilliUs;    // silent to all for so long: another may take its seat
-  Us doubtUs = 1500 * kMilliUs;   // silent for so long: another had better be caughtUp, which costs the chain
-  Us lateUs = 700 * kMilliUs;     // silent for so long: what it said last is not gone by
-  Us blindUs = 1500 * kMilliUs;   // not looked for so long: whoever watches was frozen itself
+  Us deadUs = 2500 * kMilliUs;   // silent to all for so long: another may take its seat
+  Us doubtUs = 1500 * kMilliUs;  // silent for so long: another had better be caughtUp, which costs the chain
+  Us lateUs = 700 * kMilliUs;    // silent for so long: what it said last is not gone by
+  Us blindUs = 1500 * kMilliUs;  // not looked for so long: whoever watches was frozen itself
 };
 
 class FailureDetector {
--- a/src/membership/membership_manager.cc
+++ b/src/membership/membership_manager.cc
@@ -15,10 +15,21 @@
   return plan;
 }
 
-MembershipManager::MembershipManager(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, Gossip& gossip, const Replica& control,
-                 const ControlMachine& machine, ChainClient& core, ChainClient& store, MembershipPlan plan)
-    : ports_(ports), rpc_(rpc), room_(room), election_(election), gossip_(gossip), control_(control), machine_(machine),
-      core_(core), store_(store), plan_(plan), controlDetector_(plan.watch), storeDetector_(plan.watch) {}
+MembershipManager::MembershipManager(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, Gossip& gossip,
+                                     const Replica& control, const ControlMachine& machine, ChainClient& core,
+                                     ChainClient& store, MembershipPlan plan)
+    : ports_(ports),
+      rpc_(rpc),
+      room_(room),
+      election_(election),
+      gossip_(gossip),
+      control_(control),
+      machine_(machine),
+      core_(core),
+      store_(store),
+      plan_(plan),
+      controlDetector_(plan.watch),
+      storeDetector_(plan.watch) {}
 
 void MembershipManager::begin() {
   room_.start(tendControl());
@@ -103,7 +114,8 @@
       if (seat.address == rpc_.self()) continue;
       if (watch.dead(view, seat.address, nowUs)) need.dead.insert(seat.address);
       if (watch.doubted(seat.address, nowUs)) need.doubted.insert(seat.address);
-      if (role == Role::kStore && machine_.orders().retires(seat.address, nameAt(seat.address))) need.retired.insert(seat.address);
+      if (role == Role::kStore && machine_.orders().retires(seat.address, nameAt(seat.address)))
+        need.retired.insert(seat.address);
     }
   }
   for (const PeerRecord& record : gossip_.alive(role)) {
@@ -142,8 +154,8 @@
       if (!may) co_return true;
     }
   }
-  logEvent("seat_change", {{"chain", roleText(role)}, {"add", addressText(change.add)},
-                           {"remove", addressText(change.remove)}});
+  logEvent("seat_change",
+           {{"chain", roleText(role)}, {"add", addressText(change.add)}, {"remove", addressText(change.remove)}});
   Job<std::variant<ChangeReply, PeerSilent>> job = client.changeVoters(change, plan_.changeUs);
   co_await job;
   co_return true;
--- a/src/membership/membership_manager.h
+++ b/src/membership/membership_manager.h
@@ -2,44 +2,45 @@
 // the seats of both chains without anybody telling it where machines are (design.md 6.10).
 #pragma once
 
-#include "replication/client.h"
-#include "replication/replica.h"
-#include "membership/replica_placement.h"
-#include "membership/failure_detector.h"
-#include "control/control_machine.h"
 #include "config/settings.h"
+#include "control/control_machine.h"
 #include "election/election.h"
 #include "gossip/gossip.h"
+#include "membership/failure_detector.h"
+#include "membership/replica_placement.h"
+#include "replication/client.h"
+#include "replication/replica.h"
 
 namespace stonemount {
 
 struct MembershipPlan {
   FailureDetectorPlan watch;
-  Us roundUs = 250 * kMilliUs;      // where there is something to do
+  Us roundUs = 250 * kMilliUs;  // where there is something to do
   Us restUs = 500 * kMilliUs;
   Us peekUs = 250 * kMilliUs;
   Us changeUs = 2500 * kMilliUs;
-  Us settledUs = 800 * kMilliUs;    // no other empty store came for so long
-  Us foundWaitUs = 3 * kSecondUs;   // the most that is waited for more stores or zones
-  std::size_t seats = 3;            // twice the machines that may be lost at once, and one
+  Us settledUs = 800 * kMilliUs;   // no other empty store came for so long
+  Us foundWaitUs = 3 * kSecondUs;  // the most that is waited for more stores or zones
+  std::size_t seats = 3;           // twice the machines that may be lost at once, and one
 };
 MembershipPlan membershipPlanOf(const Settings& settings, MembershipPlan plan);
 
 class MembershipManager {
  public:
-  MembershipManager(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, Gossip& gossip, const Replica& control,
-          const ControlMachine& machine, ChainClient& core, ChainClient& store, MembershipPlan plan);
+  MembershipManager(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, Gossip& gossip,
+                    const Replica& control, const ControlMachine& machine, ChainClient& core, ChainClient& store,
+                    MembershipPlan plan);
   void begin();
   static constexpr const char* kDuty = "steward";
 
  private:
   Task tendControl();
   Task tendStore();
-  Job<Done> found();                      // the store chain
+  Job<Done> found();  // the store chain
   Job<Done> rememberFounded();
-  Job<bool> peek(const View& view);       // the store's members and those who may become one
+  Job<bool> peek(const View& view);  // the store's members and those who may become one
   Job<bool> tend(ChainClient& client, FailureDetector& watch, View view, Role role);  // true: there is more to do
-  Job<bool> ordered(Address add);         // may it be seated, by the control chain's own word?
+  Job<bool> ordered(Address add);                 // may it be seated, by the control chain's own word?
   std::string nameAt(const Address& wire) const;  // empty: not known
   SeatNeed needOf(const FailureDetector& watch, const View& view, Role role) const;
   void noteEmpties();
@@ -56,7 +57,7 @@
   FailureDetector controlDetector_, storeDetector_;
   std::vector<Address> founders_;  // of the store, as the control chain agreed
   absl::btree_set<Address> empties_;
-  Us emptiesSinceUs_ = -1;         // when the set last changed
+  Us emptiesSinceUs_ = -1;  // when the set last changed
   Us firstEmptyUs_ = -1;
 };
 
--- a/src/membership/replica_placement.cc
+++ b/src/membership/replica_placement.cc
@@ -21,8 +21,10 @@
   if (add != nullptr) giveSeat(after, *add);
   if (!remove.set()) return after;
   for (const Seat& nonVoter : std::exchange(after.nonVoters, {})) {
-    if (!need.dead.contains(nonVoter.address)) giveSeat(after, nonVoter);
-    else after.nonVoters.push_back(nonVoter);
+    if (!need.dead.contains(nonVoter.address))
+      giveSeat(after, nonVoter);
+    else
+      after.nonVoters.push_back(nonVoter);
   }
   return after;
 }
@@ -54,8 +56,8 @@
 // members than are needed. Else another for the seat.
 ChangeVoters replacement(const SeatNeed& need, const Seat& old) {
   const View alone = changed(need, nullptr, old.address);
-  const std::size_t floor = need.retired.contains(old.address) ? std::min(need.wanted, need.view.voters.size())
-                                                               : need.view.voters.size();
+  const std::size_t floor =
+      need.retired.contains(old.address) ? std::min(need.wanted, need.view.voters.size()) : need.view.voters.size();
   if (alone.voters.size() >= floor && keepsZones(need.view, alone)) return {Address(), old.address};
   // An operator's order stands even where a zone's loss could stop the rest for a while, as long as what was
   // acknowledged stays in two zones and enough members remain (design.md 6.10).
@@ -64,8 +66,10 @@
   for (const Seat& seat : need.fit) {
     const View after = changed(need, &seat, old.address);
     if (after.voters.size() < need.view.voters.size()) continue;
-    if (keepsZones(need.view, after)) best.weigh(seat, after);
-    else if (ordered && spansZones(after.voters)) narrow.weigh(seat, after);
+    if (keepsZones(need.view, after))
+      best.weigh(seat, after);
+    else if (ordered && spansZones(after.voters))
+      narrow.weigh(seat, after);
   }
   if (best.add != nullptr) return {best.add->address, old.address};
   if (ordered && alone.voters.size() >= floor && spansZones(alone.voters)) return {Address(), old.address};
@@ -103,7 +107,8 @@
   for (const Seat& seat : need.fit) {
     for (auto old = need.view.voters.rbegin(); old != need.view.voters.rend(); ++old) {
       const View after = changed(need, &seat, old->address);
-      if (after.voters.size() >= need.view.voters.size() && outlivesZones(after.voters)) return {seat.address, old->address};
+      if (after.voters.size() >= need.view.voters.size() && outlivesZones(after.voters))
+        return {seat.address, old->address};
     }
   }
   return {};
--- a/src/membership/retire.cc
+++ b/src/membership/retire.cc
@@ -1,7 +1,7 @@
 #include "membership/retire.h"
 
-#include "membership/replica_placement.h"
 #include "membership/failure_detector.h"
+#include "membership/replica_placement.h"
 
 namespace stonemount {
 
@@ -20,8 +20,13 @@
 
 RetireByOrder::RetireByOrder(Ports& ports, RpcEndpoint& rpc, Gossip& gossip, ChainClient& core, ChainClient& store,
                              std::uint32_t lostMachines)
-    : ports_(ports), rpc_(rpc), gossip_(gossip), core_(core), store_(store),
-      needed_(2 * static_cast<std::size_t>(lostMachines) + 1), begunUs_(ports.clock.monoUs()) {}
+    : ports_(ports),
+      rpc_(rpc),
+      gossip_(gossip),
+      core_(core),
+      store_(store),
+      needed_(2 * static_cast<std::size_t>(lostMachines) + 1),
+      begunUs_(ports.clock.monoUs()) {}
 
 bool RetireByOrder::young() const { return ports_.clock.monoUs() - begunUs_ < kYoungUs; }
 
--- a/src/membership/retire.h
+++ b/src/membership/retire.h
@@ -2,17 +2,18 @@
 // any core may be asked (design.md 6.10).
 #pragma once
 
-#include "replication/client.h"
-#include "membership/retire_service.h"
-#include "control/commands.h"
 #include "config/settings.h"
+#include "control/commands.h"
 #include "gossip/gossip.h"
+#include "membership/retire_service.h"
+#include "replication/client.h"
 
 namespace stonemount {
 
 class RetireByOrder : public RetireService {
  public:
-  RetireByOrder(Ports& ports, RpcEndpoint& rpc, Gossip& gossip, ChainClient& core, ChainClient& store, std::uint32_t lostMachines);
+  RetireByOrder(Ports& ports, RpcEndpoint& rpc, Gossip& gossip, ChainClient& core, ChainClient& store,
+                std::uint32_t lostMachines);
   Job<RetireOutcome> retire(std::string machine) override;
   Job<RetireState> stateOf(std::string machine) override;
 
--- a/src/node/doctor.cc
+++ b/src/node/doctor.cc
@@ -31,12 +31,12 @@
     findings.push_back({"D" + number + "02", name + ": the chain lies in one zone; writes and reads are refused",
                         "bring back a " + name + " machine in another zone"});
   else if (sight.view.chain.size() < members)
-    findings.push_back({"D" + number + "03", absl::StrCat(name, ": ", sight.view.chain.size(), " of ",
-                                                          members, " members in the chain"),
+    findings.push_back({"D" + number + "03",
+                        absl::StrCat(name, ": ", sight.view.chain.size(), " of ", members, " members in the chain"),
                         "see which member is silent or broken; replace it if it does not return"});
   if (sight.view.voters.size() < 3)
-    findings.push_back({"D" + number + "04", name + ": fewer than three voters; no loss can be mended",
-                        "add a " + name + " machine"});
+    findings.push_back(
+        {"D" + number + "04", name + ": fewer than three voters; no loss can be mended", "add a " + name + " machine"});
   if (!outlivesZones(sight.view.voters))
     findings.push_back({"D" + number + "10", name + ": the loss of one zone would leave no majority of voters",
                         "spread the " + name + " machines over three zones, none with half of them"});
@@ -61,8 +61,9 @@
 
 void lookAtClock(const ClockVerdict& clock, Findings& findings) {
   if (!clock.cut.certain)
-    findings.push_back({"D301", std::string("the cut is uncertain: ") + doubtText(clock.cut.doubt),
-                        "lots are kept and wait; it clears by itself once a core and the store's head sample steadily"});
+    findings.push_back(
+        {"D301", std::string("the cut is uncertain: ") + doubtText(clock.cut.doubt),
+         "lots are kept and wait; it clears by itself once a core and the store's head sample steadily"});
   if (clock.cut.anchored && clock.cut.lagUs > kLagUs)
     findings.push_back({"D302", absl::StrCat("the cut lags wall time by ", clock.cut.lagUs / kSecondUs, " s"),
                         "expiries come late by as much; events made now allow for it"});
@@ -107,13 +108,16 @@
     auto read = unpack<WorkVerdict>(std::get<Bytes>(openWork));
     if (auto* verdict = std::get_if<WorkVerdict>(&read)) lookAtLots(*verdict, control, findings);
   }
-  if (!configCache_.ready()) findings.push_back({"D401", "no configuration has reached this node", "push one; see core"});
+  if (!configCache_.ready())
+    findings.push_back({"D401", "no configuration has reached this node", "push one; see core"});
   Revision newest = control.revision();
   for (const PeerRecord& record : gossip_.alive(Role::kNode)) newest = std::max(newest, record.control);
   for (const PeerRecord& record : gossip_.alive(Role::kNode))
     if (record.control < newest)
-      findings.push_back({"D402", absl::StrCat("node ", addressText(record.wire), " is at control revision ", record.control,
-                                               " of ", newest), "normal for a second; else see its way to the core"});
+      findings.push_back(
+          {"D402",
+           absl::StrCat("node ", addressText(record.wire), " is at control revision ", record.control, " of ", newest),
+           "normal for a second; else see its way to the core"});
   absl::btree_set<std::string> pools;
   // Where requests are passed through, workers are asked nothing: the list and their answers tell.
   for (const auto& [name, pool] : control.pools())
@@ -122,10 +126,12 @@
     const std::string who = "worker " + addressText(address);
     if (pools_ != nullptr || !board_.listed(address)) continue;
     const bool silent = sight.reportedUs < 0 || ports_.clock.monoUs() - sight.reportedUs > 3 * kSecondUs;
-    if (silent) findings.push_back({"D501", who + " reports no fitness", "see its process; the platform lists it"});
+    if (silent)
+      findings.push_back({"D501", who + " reports no fitness", "see its process; the platform lists it"});
     else if (sight.listed.leaving || sight.report.leaving)
       findings.push_back({"D502", who + " is leaving", "nothing new goes there"});
-    else pools.insert(sight.listed.pool);
+    else
+      pools.insert(sight.listed.pool);
     if (!silent && sight.cold()) findings.push_back({"D503", who + " is cold", "its share grows as it answers"});
     if (!silent && sight.report.load >= sight.report.slots && sight.report.slots > 0)
       findings.push_back({"D504", who + " is at its limit", "add workers if it stays so"});
@@ -134,7 +140,8 @@
   }
   for (const auto& [name, route] : control.routes())
     if (!pools.contains(route.pool))
-      findings.push_back({"D505", "route " + name + " has no fit worker in pool " + route.pool, "see the platform's list"});
+      findings.push_back(
+          {"D505", "route " + name + " has no fit worker in pool " + route.pool, "see the platform's list"});
   std::size_t known = 0;
   for (const Address& seed : settings_.seeds) {
     auto found = gossip_.sights().find(seed);
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -20,9 +20,12 @@
 
 const char* pathOf(RouteKind kind) {
   switch (kind) {
-    case RouteKind::kStream: return "streams";
-    case RouteKind::kLookup: return "lookups";
-    case RouteKind::kWhole: return "answers";
+    case RouteKind::kStream:
+      return "streams";
+    case RouteKind::kLookup:
+      return "lookups";
+    case RouteKind::kWhole:
+      return "answers";
   }
   return "unknown";
 }
--- a/src/node/inspect.cc
+++ b/src/node/inspect.cc
@@ -154,8 +154,7 @@
     sendVerdict(*reply, 400, "bad_request", {{"field", "add, remove"}, {"why", "are not IP numbers with ports"}});
     co_return;
   }
-  Job<std::variant<ChangeReply, PeerSilent>> sending =
-      (core ? core_ : store_).changeVoters(wish, 8 * kSecondUs);
+  Job<std::variant<ChangeReply, PeerSilent>> sending = (core ? core_ : store_).changeVoters(wish, 8 * kSecondUs);
   const std::variant<ChangeReply, PeerSilent> answer = co_await sending;
   auto* verdict = std::get_if<ChangeReply>(&answer);
   if (verdict == nullptr) {
--- a/src/node/lot_carrier.h
+++ b/src/node/lot_carrier.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "config/control_state.h"
-#include "store/queries.h"
 #include "runtime/await.h"
+#include "store/queries.h"
 
 namespace stonemount {
 
@@ -14,18 +14,22 @@
   LotItem item;
   std::string route;  // by name: it may change while the item waits
   std::string host;
-  Us takenUs = 0;     // monotonic, as near as is known: when its lot was taken
-  Us heardUs = 0;     // monotonic, when the question was asked by which the store last wanted this run
-  Address worker;     // whose slot it takes
-  bool over = false;      // nobody wants it any more, or this node has no more time: end it
-  bool leaving = false;   // the node is to stop: what is not at a worker goes back
-  Event knock;             // rung when either changes
+  Us takenUs = 0;        // monotonic, as near as is known: when its lot was taken
+  Us heardUs = 0;        // monotonic, when the question was asked by which the store last wanted this run
+  Address worker;        // whose slot it takes
+  bool over = false;     // nobody wants it any more, or this node has no more time: end it
+  bool leaving = false;  // the node is to stop: what is not at a worker goes back
+  Event knock;           // rung when either changes
 };
 using LotRunPtr = std::shared_ptr<LotRun>;
 
-struct ItemWhole { Bytes answer; };
-struct ItemDeclined { Bytes verdict; };  // a worker's final no
-struct ItemGivenBack {                   // brought no whole answer; it may be granted anew
+struct ItemWhole {
+  Bytes answer;
+};
+struct ItemDeclined {
+  Bytes verdict;
+};                      // a worker's final no
+struct ItemGivenBack {  // brought no whole answer; it may be granted anew
   bool began = false;   // a worker began it
   bool failed = false;  // a worker told its own failure
 };
--- a/src/node/lot_delivery.cc
+++ b/src/node/lot_delivery.cc
@@ -38,8 +38,10 @@
       }
       const std::size_t dropped = sealed > 0 ? 0 : std::min(toDrop_.size(), kDeliverRuns);
       StoreCommand command;
-      if (sealed > 0) command = SealRuns{{toSeal_.begin(), toSeal_.begin() + static_cast<std::ptrdiff_t>(sealed)}, false};
-      else command = DropRuns{{toDrop_.begin(), toDrop_.begin() + static_cast<std::ptrdiff_t>(dropped)}, false};
+      if (sealed > 0)
+        command = SealRuns{{toSeal_.begin(), toSeal_.begin() + static_cast<std::ptrdiff_t>(sealed)}, false};
+      else
+        command = DropRuns{{toDrop_.begin(), toDrop_.begin() + static_cast<std::ptrdiff_t>(dropped)}, false};
       Job<ChainAnswer> telling = store_.submit(pack(command), kDeliverUs);
       ChainAnswer answer = co_await telling;
       auto* failure = std::get_if<ChainFailure>(&answer);
--- a/src/node/lot_desk.cc
+++ b/src/node/lot_desk.cc
@@ -27,7 +27,8 @@
   const OpenCall open(calls_);
   auto route = control_.routes().find(lot.route);
   const std::size_t bytes = bytesOf(lot.items);
-  if (route == control_.routes().end() || (bytesIn_ > 0 && bytesIn_ + bytes > plan_.bytesAtOnce)) co_return LotRefused{kFullAgainUs};
+  if (route == control_.routes().end() || (bytesIn_ > 0 && bytesIn_ + bytes > plan_.bytesAtOnce))
+    co_return LotRefused{kFullAgainUs};
   SubmitLot command;
   command.name = std::move(lot.name);
   command.route = std::move(lot.route);
--- a/src/node/lot_desk.h
+++ b/src/node/lot_desk.h
@@ -14,17 +14,21 @@
 };
 struct LotServicePlan {
   Us submitUs = 2500 * kMilliUs;
-  Us readUs = 1200 * kMilliUs;              // beside the time for which a read is held
-  Us keepUs = 150 * kSecondUs;              // results, after the last of them or the lot's end
-  Us keyUs = 24 * 3600 * kSecondUs;         // its name, after that
-  std::size_t bytesAtOnce = 24 << 20;       // of lots that are being handed in
+  Us readUs = 1200 * kMilliUs;         // beside the time for which a read is held
+  Us keepUs = 150 * kSecondUs;         // results, after the last of them or the lot's end
+  Us keyUs = 24 * 3600 * kSecondUs;    // its name, after that
+  std::size_t bytesAtOnce = 24 << 20;  // of lots that are being handed in
 };
 
-struct LotTaken { bool again = false; };    // it is the system's to keep, and on two disks in two zones
-struct LotConflict {};                      // the name belongs to a lot with other items; nothing changed
-struct LotRefused { Us againUs = 0; };      // nothing of it was taken, nor will be by this call
-struct LotTooLong {};                       // nor could it ever be kept
-struct LotUnsure {};                        // it may have been taken: nothing is promised
+struct LotTaken {
+  bool again = false;
+};                      // it is the system's to keep, and on two disks in two zones
+struct LotConflict {};  // the name belongs to a lot with other items; nothing changed
+struct LotRefused {
+  Us againUs = 0;
+};                     // nothing of it was taken, nor will be by this call
+struct LotTooLong {};  // nor could it ever be kept
+struct LotUnsure {};   // it may have been taken: nothing is promised
 using LotSubmitted = std::variant<LotTaken, LotConflict, LotRefused, LotTooLong, LotUnsure>;
 
 struct LotUnknown {};      // the store is sure that there is none, or not any more
@@ -41,7 +45,9 @@
   std::vector<LotResult> results;
 };
 using LotRead = std::variant<LotPage, LotUnknown, LotUnreachable>;
-struct LotBody { Bytes bytes; };
+struct LotBody {
+  Bytes bytes;
+};
 struct LotNoBody {};  // no such item, or it is listed, or its lot has ended
 using LotBodyRead = std::variant<LotBody, LotNoBody, LotUnknown, LotUnreachable>;
 struct LotEnded {};
@@ -49,7 +55,8 @@
 
 class LotService {
  public:
-  LotService(Ports& ports, RpcEndpoint& rpc, ChainClient& store, Scheduler& scheduler, const ControlState& control, LotServicePlan plan)
+  LotService(Ports& ports, RpcEndpoint& rpc, ChainClient& store, Scheduler& scheduler, const ControlState& control,
+             LotServicePlan plan)
       : ports_(ports), rpc_(rpc), store_(store), scheduler_(scheduler), control_(control), plan_(plan) {}
   Job<LotSubmitted> submit(StandingLot lot);
   // Results from a position on, at least one if there is one, then as far as `mostBytes` reach; held for
--- a/src/node/lot_leases.cc
+++ b/src/node/lot_leases.cc
@@ -1,8 +1,8 @@
 // What the scheduler does for runs that it has: begins those granted with their lot, renews, gives back.
-#include "node/scheduler.h"
-
 #include <algorithm>
 
+#include "node/scheduler.h"
+
 namespace stonemount {
 
 std::uint32_t Scheduler::reserveAtOnce(std::size_t items) {
@@ -14,7 +14,8 @@
   return reserved;
 }
 
-void Scheduler::startTaken(std::uint32_t reserved, const SubmitLot& lot, const std::vector<GrantedRun>& granted, Us askedUs) {
+void Scheduler::startTaken(std::uint32_t reserved, const SubmitLot& lot, const std::vector<GrantedRun>& granted,
+                           Us askedUs) {
   STONEMOUNT_INVARIANT(reserved <= reserved_);
   reserved_ -= reserved;
   for (const GrantedRun& one : granted) {
@@ -41,7 +42,8 @@
     command.licenceUs = plan_.licenceUs;
     std::vector<LotRunPtr> runs;
     for (const auto& [key, run] : running_) {
-      if (!(run->worker == rpc_.self() && runner_ != nullptr ? runner_->mayRenew(*run) : sealer_.mayRenew(*run))) continue;
+      if (!(run->worker == rpc_.self() && runner_ != nullptr ? runner_->mayRenew(*run) : sealer_.mayRenew(*run)))
+        continue;
       command.runs.push_back(run->name);
       runs.push_back(run);
     }
--- a/src/node/lot_runner.cc
+++ b/src/node/lot_runner.cc
@@ -31,7 +31,9 @@
 class LotRunner::Trip : public PassSink {
  public:
   Trip(LotRunner& runner, LotRunPtr given, Us dueUs)
-      : run(std::move(given)), runner_(runner), place_(dueUs, ++runner.lastTrip_) { runner_.trips_.emplace(place_, this); }
+      : run(std::move(given)), runner_(runner), place_(dueUs, ++runner.lastTrip_) {
+    runner_.trips_.emplace(place_, this);
+  }
   ~Trip() override {
     if (waits) --runner_.waiting_;
     runner_.trips_.erase(place_);
@@ -152,7 +154,8 @@
 
 Job<ItemEnding> LotRunner::carry(LotRunPtr run) {
   auto known = control_.routes().find(run->route);
-  const Us lengthUs = known != control_.routes().end() && known->second.completionUs > 0 ? known->second.completionUs : kDueUs;
+  const Us lengthUs =
+      known != control_.routes().end() && known->second.completionUs > 0 ? known->second.completionUs : kDueUs;
   Trip trip(*this, run, run->takenUs + lengthUs);
   trip.firstLimitUs = std::clamp<Us>(lengthUs / 3, 2 * kSecondUs, 5 * kSecondUs);
   trip.gapLimitUs = std::clamp<Us>(lengthUs / 5, 1500 * kMilliUs, 3 * kSecondUs);
--- a/src/node/lot_runner.h
+++ b/src/node/lot_runner.h
@@ -2,28 +2,32 @@
 // answer broke off, the most urgent first (design.md 9.8).
 #pragma once
 
-#include "proxy/attempt.h"
 #include "node/lot_carrier.h"
+#include "proxy/attempt.h"
 
 namespace stonemount {
 
 struct LotRunnerPlan {
-  std::uint32_t mostRunning = 96;   // items at this node
-  std::uint32_t mostTries = 10;     // at workers, for one run
-  Us freshUs = 2 * kSecondUs;       // no try is begun for what the store has not wanted for longer
-  Us limitUs = 30 * kSecondUs;      // of one try
+  std::uint32_t mostRunning = 96;  // items at this node
+  std::uint32_t mostTries = 10;    // at workers, for one run
+  Us freshUs = 2 * kSecondUs;      // no try is begun for what the store has not wanted for longer
+  Us limitUs = 30 * kSecondUs;     // of one try
 };
 struct LotRunnerCounts {
-  std::uint64_t tries = 0, whole = 0, declined = 0, failed = 0, notRun = 0, broken = 0, silent = 0, resumed = 0, anew = 0;
+  std::uint64_t tries = 0, whole = 0, declined = 0, failed = 0, notRun = 0, broken = 0, silent = 0, resumed = 0,
+                anew = 0;
 };
 
 class LotRunner : public ItemCarrier {
  public:
-  LotRunner(Ports& ports, TaskRoom& room, ItemPasser& passer, const ControlState& control, Address self, LotRunnerPlan plan)
+  LotRunner(Ports& ports, TaskRoom& room, ItemPasser& passer, const ControlState& control, Address self,
+            LotRunnerPlan plan)
       : ports_(ports), room_(room), passer_(passer), control_(control), self_(self), plan_(plan) {}
   void begin() { room_.start(pump()); }
   // The worker is chosen only as the item is sent: what the store charges is a place at this node.
-  std::optional<CarrierPlace> reserve(const Route&, std::uint64_t) override { return CarrierPlace{self_, plan_.mostRunning}; }
+  std::optional<CarrierPlace> reserve(const Route&, std::uint64_t) override {
+    return CarrierPlace{self_, plan_.mostRunning};
+  }
   void release(const CarrierPlace&) override {}
   bool mayRenew(const LotRun& run) const override { return !run.over; }
   Job<ItemEnding> carry(LotRunPtr run) override;
--- a/src/node/lot_sealer.cc
+++ b/src/node/lot_sealer.cc
@@ -28,7 +28,9 @@
   return CarrierPlace{*chosenWorker, board_.lotSlots(board_.sights().at(*chosenWorker))};
 }
 
-void LotSealer::release(const CarrierPlace& place) { board_.giveBack(place.worker, true, WorkerLoadTable::Ending::kLeft); }
+void LotSealer::release(const CarrierPlace& place) {
+  board_.giveBack(place.worker, true, WorkerLoadTable::Ending::kLeft);
+}
 
 Job<ItemEnding> LotSealer::carry(LotRunPtr run) {
   auto route = control_.routes().find(run->route);
--- a/src/node/lot_sealer.h
+++ b/src/node/lot_sealer.h
@@ -2,8 +2,8 @@
 // once they are sealed (design.md 9.5).
 #pragma once
 
-#include "proxy/exchange.h"
 #include "node/lot_carrier.h"
+#include "proxy/exchange.h"
 
 namespace stonemount {
 
--- a/src/node/lots.cc
+++ b/src/node/lots.cc
@@ -34,10 +34,14 @@
 
 const char* stateText(ItemState state) {
   switch (state) {
-    case ItemState::kWaiting: return "waiting";
-    case ItemState::kRunning: return "running";
-    case ItemState::kSealed: return "sealed";
-    case ItemState::kRefused: return "refused";
+    case ItemState::kWaiting:
+      return "waiting";
+    case ItemState::kRunning:
+      return "running";
+    case ItemState::kSealed:
+      return "sealed";
+    case ItemState::kRefused:
+      return "refused";
   }
   return "unknown";
 }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -3,7 +3,6 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
-
 namespace stonemount {
 
 namespace {
@@ -14,14 +13,20 @@
 }  // namespace
 
 Node::Node(Ports& ports, Settings settings, NodePlan plan)
-    : ports_(ports), settings_(std::move(settings)), rpc_(ports.timers, ports.wire, ports.chance),
-      gossip_(ports, rpc_, room_, plan.gossip), core_(ports, rpc_, plan.dialect != nullptr ? settings_.seeds : std::vector<Address>()), store_(ports, rpc_, {}),
+    : ports_(ports),
+      settings_(std::move(settings)),
+      rpc_(ports.timers, ports.wire, ports.chance),
+      gossip_(ports, rpc_, room_, plan.gossip),
+      core_(ports, rpc_, plan.dialect != nullptr ? settings_.seeds : std::vector<Address>()),
+      store_(ports, rpc_, {}),
       configCache_(ports, rpc_, room_, core_, gossip_),
-      board_(ports.clock, configCache_.state(), {settings_.zone, settings_.wire}), health_(ports, room_, board_),
+      board_(ports.clock, configCache_.state(), {settings_.zone, settings_.wire}),
+      health_(ports, room_, board_),
       proxy_(ports, room_, board_, configCache_.state(), plan.proxy, hexText(ports.chance.next())),
       scheduler_(ports, rpc_, room_, store_, board_, configCache_.state(), gossip_, settings_.zone,
                  plan.dialect != nullptr ? passingPlan(plan.scheduler, settings_.bounds) : plan.scheduler),
-      ownList_(ports, settings_.platform), list_(plan.list) {
+      ownList_(ports, settings_.platform),
+      list_(plan.list) {
   if (list_ == nullptr && settings_.platform.set()) list_ = &ownList_;
   if (plan.dialect == nullptr) return;
   PoolLoadTablePlan board;
@@ -78,8 +83,10 @@
 
 void Node::onNews() {
   board_.relist();
-  if (pools_ != nullptr) pools_->relist();
-  else health_.relist();
+  if (pools_ != nullptr)
+    pools_->relist();
+  else
+    health_.relist();
 }
 
 Task Node::keepNodes() {
@@ -122,7 +129,8 @@
         board_.setLeavingMarks(std::move(marks), nowUs);
         marked = true;
       }
-      const bool turnedAway = std::holds_alternative<ListTrouble>(verdict) && std::get<ListTrouble>(verdict) == ListTrouble::kBusy;
+      const bool turnedAway =
+          std::holds_alternative<ListTrouble>(verdict) && std::get<ListTrouble>(verdict) == ListTrouble::kBusy;
       busy = turnedAway ? std::min<std::uint64_t>(busy + 1, 4) : 0;
       againUs = static_cast<Us>((600 << busy) + ports_.chance.below(300 << busy)) * kMilliUs;
     } else if (marked && nowUs - silentUs > kMarksKeptUs) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -6,10 +6,10 @@
 #include "config/platform_list.h"
 #include "config/rule.h"
 #include "config/settings.h"
-#include "proxy/health_watch.h"
+#include "node/lot_desk.h"
 #include "proxy/gateway.h"
+#include "proxy/health_watch.h"
 #include "proxy/proxy.h"
-#include "node/lot_desk.h"
 
 namespace stonemount {
 
@@ -20,7 +20,7 @@
   GatewayPlan gateway;
   LotServicePlan lotService;
   const WorkerDialect* dialect = nullptr;  // set: requests are passed through to workers that are spoken to in it
-  WorkerListSource* list = nullptr;  // none: the settings' platform, if there is one
+  WorkerListSource* list = nullptr;        // none: the settings' platform, if there is one
 };
 
 class Node {
@@ -32,8 +32,8 @@
   bool idle() const;
   // Takes requests: it knows a configuration, is not leaving, and does not go by news from before a freeze.
   bool ready() const { return configCache_.ready() && !draining_ && board_.awake(); }
-  Gateway* gateway() { return gateway_.get(); }  // none: nothing is passed through here
-  LotService* lotService() { return lotService_.get(); }    // none: no standing lots are taken here
+  Gateway* gateway() { return gateway_.get(); }           // none: nothing is passed through here
+  LotService* lotService() { return lotService_.get(); }  // none: no standing lots are taken here
   sigc::signal<void()>& almanacNews() { return configCache_.news; }
   const ConfigCache& configCache() const { return configCache_; }
   const Proxy& proxy() const { return proxy_; }
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -13,9 +13,9 @@
 constexpr Us kAgainUs = 150 * kMilliUs;
 constexpr Us kFullUs = 500 * kMilliUs;
 constexpr Us kGatherUs = 60 * kMilliUs;
-constexpr Us kTurnUs = 250 * kMilliUs;     // an heir waits so long for each that comes before it
+constexpr Us kTurnUs = 250 * kMilliUs;  // an heir waits so long for each that comes before it
 constexpr std::size_t kHeirs = 4;
-constexpr std::uint32_t kBlock = 8;        // items of a standing lot that have one home
+constexpr std::uint32_t kBlock = 8;  // items of a standing lot that have one home
 constexpr std::uint32_t kLotsTold = 64;
 constexpr std::size_t kWishes = 32;
 }  // namespace
@@ -30,8 +30,17 @@
 
 Scheduler::Scheduler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& store, WorkerLoadTable& board,
                      const ControlState& control, Gossip& gossip, std::string zone, SchedulerPlan plan)
-    : ports_(ports), rpc_(rpc), room_(room), store_(store), board_(board), control_(control), gossip_(gossip),
-      zone_(std::move(zone)), plan_(plan), sealer_(ports, board, control), delivery_(ports, room, store, plan.gatherUs) {}
+    : ports_(ports),
+      rpc_(rpc),
+      room_(room),
+      store_(store),
+      board_(board),
+      control_(control),
+      gossip_(gossip),
+      zone_(std::move(zone)),
+      plan_(plan),
+      sealer_(ports, board, control),
+      delivery_(ports, room, store, plan.gatherUs) {}
 
 SchedulerPlan passingPlan(SchedulerPlan plan, const Bounds& bounds) {
   plan.licenceUs = 3500 * kMilliUs;  // a lost node's items are due soon; the grace after a doubt is no longer
--- a/src/node/scheduler.h
+++ b/src/node/scheduler.h
@@ -2,12 +2,12 @@
 // store what became of them (design.md 9.5, 9.8).
 #pragma once
 
-#include "hash_ring/hash_ring.h"
 #include "config/settings.h"
+#include "gossip/gossip.h"
+#include "hash_ring/hash_ring.h"
 #include "node/lot_delivery.h"
 #include "node/lot_runner.h"
 #include "node/lot_sealer.h"
-#include "gossip/gossip.h"
 
 namespace stonemount {
 
@@ -15,8 +15,8 @@
   Us licenceUs = 8 * kSecondUs;
   Us renewUs = kSecondUs;
   std::size_t mostRunning = 64;
-  Us gatherUs = 0;                // how long answers are gathered before the store is told them together
-  Us drainUs = 4 * kSecondUs;     // that items at workers have once the node is to stop
+  Us gatherUs = 0;             // how long answers are gathered before the store is told them together
+  Us drainUs = 4 * kSecondUs;  // that items at workers have once the node is to stop
   LotRunnerPlan runner;
 };
 // For a node that passes items through, within what its deployment promises.
@@ -71,7 +71,7 @@
   std::unique_ptr<LotRunner> runner_;  // none: standing lots are left to other nodes
   LotDelivery delivery_;
   std::map<std::pair<std::string, std::uint32_t>, LotRunPtr> running_;
-  std::size_t passed_ = 0;     // of them, in standing lots
+  std::size_t passed_ = 0;  // of them, in standing lots
   std::uint32_t reserved_ = 0;
   absl::flat_hash_map<std::string, Us> firstSeen_;  // lots with waiting items, and since when it is known here
   Event workEvent_;
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -38,7 +38,8 @@
     co_await hear;
   }
   flow.reset();
-  if (board_.lifeOf(worker) != life) told_ = PoolLoadTable::Ending::kLeft;  // of its former life; says nothing of this one
+  if (board_.lifeOf(worker) != life)
+    told_ = PoolLoadTable::Ending::kLeft;  // of its former life; says nothing of this one
   board_.giveBack(worker, order.lot, told_);
   co_return std::move(*ending_);
 }
@@ -77,7 +78,8 @@
 void Attempt::takeData(const Bytes& bytes) {
   if (word_.word != WorkerWord::kSealed) {
     failure_ += bytes;
-    if (failure_.size() > kFailureBytes) end(PassBroken{true}, PoolLoadTable::Ending::kWhole);  // ran; too long to be kept
+    if (failure_.size() > kFailureBytes)
+      end(PassBroken{true}, PoolLoadTable::Ending::kWhole);  // ran; too long to be kept
     return;
   }
   if (!series_) return sink_->bytes(bytes);
@@ -96,11 +98,16 @@
     case WorkerWord::kSealed:
       if (series_ && !events_.between()) return end(PassBroken{true}, PoolLoadTable::Ending::kBroken);
       return end(PassWhole{head_.status}, PoolLoadTable::Ending::kWhole);
-    case WorkerWord::kNotRun: return end(PassNotRun{}, PoolLoadTable::Ending::kRefused);
-    case WorkerWord::kOtherLife: return end(PassNotRun{}, PoolLoadTable::Ending::kOtherLife);
-    case WorkerWord::kDeclined: return end(PassDeclined{head_, std::move(failure_)}, PoolLoadTable::Ending::kWhole);
-    case WorkerWord::kFailed: return end(PassFailed{head_.status, head_, std::move(failure_)}, PoolLoadTable::Ending::kWhole);
-    case WorkerWord::kForeign: return end(PassBroken{true}, PoolLoadTable::Ending::kBroken);
+    case WorkerWord::kNotRun:
+      return end(PassNotRun{}, PoolLoadTable::Ending::kRefused);
+    case WorkerWord::kOtherLife:
+      return end(PassNotRun{}, PoolLoadTable::Ending::kOtherLife);
+    case WorkerWord::kDeclined:
+      return end(PassDeclined{head_, std::move(failure_)}, PoolLoadTable::Ending::kWhole);
+    case WorkerWord::kFailed:
+      return end(PassFailed{head_.status, head_, std::move(failure_)}, PoolLoadTable::Ending::kWhole);
+    case WorkerWord::kForeign:
+      return end(PassBroken{true}, PoolLoadTable::Ending::kBroken);
   }
 }
 
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -9,36 +9,51 @@
 namespace stonemount {
 
 struct PassOrder {
-  std::string exchange;   // the id that the worker must echo
-  std::string pool;       // whose workers may run it
-  HttpAsk ask;            // as it goes out; what concerns one worker is added when it is sent
-  std::uint64_t spot = 0; // of its shared prompt; 0: none
+  std::string exchange;    // the id that the worker must echo
+  std::string pool;        // whose workers may run it
+  HttpAsk ask;             // as it goes out; what concerns one worker is added when it is sent
+  std::uint64_t spot = 0;  // of its shared prompt; 0: none
   std::uint32_t tokens = 0;
   std::optional<std::uint64_t> lastEvent;  // go on after this event
   bool lot = false;
-  bool urgent = false;    // of a lot: short of time
-  Us limitUs = 0;         // that it may take from now on
+  bool urgent = false;  // of a lot: short of time
+  Us limitUs = 0;       // that it may take from now on
 };
 
-struct PassWhole { int status = 0; };           // a whole 2xx answer with its seal
-struct PassNotRun { Us againUs = 0; };          // proven: no worker ran it (refused, unsent, none had room)
-struct PassFailed { int status = 0; HttpHead head; Bytes body; };  // the worker's own whole failure: it ran
-struct PassDeclined { HttpHead head; Bytes body; };  // it can never be done
-struct PassBroken { bool began = true; };        // may have run; not whole
-struct PassLapsed { bool sent = false; };        // limitUs passed
+struct PassWhole {
+  int status = 0;
+};  // a whole 2xx answer with its seal
+struct PassNotRun {
+  Us againUs = 0;
+};  // proven: no worker ran it (refused, unsent, none had room)
+struct PassFailed {
+  int status = 0;
+  HttpHead head;
+  Bytes body;
+};  // the worker's own whole failure: it ran
+struct PassDeclined {
+  HttpHead head;
+  Bytes body;
+};  // it can never be done
+struct PassBroken {
+  bool began = true;
+};  // may have run; not whole
+struct PassLapsed {
+  bool sent = false;
+};  // limitUs passed
 using PassEnding = std::variant<PassWhole, PassNotRun, PassFailed, PassDeclined, PassBroken, PassLapsed>;
 
 class PassSink {
  public:
   virtual ~PassSink() = default;
-  virtual void head(const HttpHead&) {}          // of a sealed 2xx answer, before any of its bytes
-  virtual void bytes(const Bytes&) {}            // of an answer that is no series of events
-  virtual void event(PassEvent&& event) = 0;     // in order, each once
-  virtual bool left() const = 0;                  // nobody wants it any more: end it
-  virtual Event& event() = 0;                       // rung when that changes
+  virtual void head(const HttpHead&) {}       // of a sealed 2xx answer, before any of its bytes
+  virtual void bytes(const Bytes&) {}         // of an answer that is no series of events
+  virtual void event(PassEvent&& event) = 0;  // in order, each once
+  virtual bool left() const = 0;              // nobody wants it any more: end it
+  virtual Event& event() = 0;                 // rung when that changes
 };
 
-class ItemPasser {                                // implemented by the live path
+class ItemPasser {  // implemented by the live path
  public:
   virtual ~ItemPasser() = default;
   // One worker, one try: chooses a worker, sends, reads to the end. Never two workers in one call.
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -8,9 +8,7 @@
 // Collects the flow's pieces for the task that reads them.
 class PieceBox : public sigc::trackable {
  public:
-  PieceBox(HttpFlow& flow, Event& event) : event_(event) {
-    flow.piece.connect(sigc::mem_fun(*this, &PieceBox::put));
-  }
+  PieceBox(HttpFlow& flow, Event& event) : event_(event) { flow.piece.connect(sigc::mem_fun(*this, &PieceBox::put)); }
   std::deque<HttpPiece> pieces;
 
  private:
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -21,13 +21,17 @@
 };
 struct WorkUnsent {};   // proven: no worker has seen a byte of it
 struct WorkRefused {};  // the worker said under our exchange id that it has not run and will not
-struct WorkDeclined { Bytes verdict; };  // the worker's own final no
+struct WorkDeclined {
+  Bytes verdict;
+};                   // the worker's own final no
 struct WorkBroken {  // may have run; not whole
   SealFault fault = SealFault::kNone;
   bool began = true;  // the worker answered something, or broke off what it had been sent
 };
-struct WorkLapsed { bool began = false; };  // our own limit passed; the worker had answered something
-struct WorkLeft {};     // the caller went away
+struct WorkLapsed {
+  bool began = false;
+};                   // our own limit passed; the worker had answered something
+struct WorkLeft {};  // the caller went away
 using WorkEnding = std::variant<WorkSealed, WorkUnsent, WorkRefused, WorkDeclined, WorkBroken, WorkLapsed, WorkLeft>;
 
 // Where the parts go as they come.
@@ -35,9 +39,9 @@
  public:
   virtual ~PartSink() = default;
   virtual void part(const Bytes& data) = 0;
-  virtual void alive() {}      // any bytes at all
+  virtual void alive() {}  // any bytes at all
   virtual bool left() const = 0;
-  virtual Event& event() = 0;    // rung when the caller leaves
+  virtual Event& event() = 0;  // rung when the caller leaves
 };
 
 class Exchange {
--- a/src/proxy/gateway.cc
+++ b/src/proxy/gateway.cc
@@ -7,12 +7,12 @@
 namespace stonemount {
 
 namespace {
-constexpr std::size_t kFirst = 4;               // of a queue, that may look for a worker at once
-constexpr Us kLookUs = 20 * kMilliUs;           // between two looks of the first of a queue
+constexpr std::size_t kFirst = 4;      // of a queue, that may look for a worker at once
+constexpr Us kLookUs = 20 * kMilliUs;  // between two looks of the first of a queue
 }  // namespace
 
-Gateway::Gateway(Ports& ports, TaskRoom& room, PoolLoadTable& board, const ControlState& control, const WorkerDialect& dialect,
-                 GatewayPlan plan)
+Gateway::Gateway(Ports& ports, TaskRoom& room, PoolLoadTable& board, const ControlState& control,
+                 const WorkerDialect& dialect, GatewayPlan plan)
     : ports_(ports), room_(room), board_(board), control_(control), dialect_(dialect), plan_(plan) {
   roomMade_ = board_.roomMade.connect(sigc::mem_fun(*this, &Gateway::onRoom));
 }
@@ -117,14 +117,18 @@
     }
     const Us leftUs = caller->limitAtUs - ports_.clock.monoUs();
     if (!chosen) {
-      if (caller->mayHaveRun) fail(*caller, 502, "not_whole");
-      else refuse(*caller, "no_capacity");
+      if (caller->mayHaveRun)
+        fail(*caller, 502, "not_whole");
+      else
+        refuse(*caller, "no_capacity");
       co_return;
     }
     if (leftUs < kLeastLeftUs) {
       board_.giveBack(*caller->worker, false, PoolLoadTable::Ending::kLeft);
-      if (caller->mayHaveRun) fail(*caller, 504, "limit_passed");
-      else refuse(*caller, "limit_passed");
+      if (caller->mayHaveRun)
+        fail(*caller, 504, "limit_passed");
+      else
+        refuse(*caller, "limit_passed");
       co_return;
     }
     PassOrder order;
@@ -144,7 +148,8 @@
     ++counts_.retried;
     caller->wish.passedOver.insert(*caller->worker);
     // What is known not to have run may look for another worker as long as its answer could be early.
-    caller->holdUntilUs = std::min(caller->limitAtUs, std::max(caller->holdUntilUs, ports_.clock.monoUs() + plan_.holdUs / 4));
+    caller->holdUntilUs =
+        std::min(caller->limitAtUs, std::max(caller->holdUntilUs, ports_.clock.monoUs() + plan_.holdUs / 4));
   }
 }
 
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -60,7 +60,7 @@
   GatewayPlan plan_;
   std::uint64_t lastEntered_ = 0;
   using Queue = std::map<std::pair<std::uint32_t, std::uint64_t>, Caller*>;  // by precedence, then as they came
-  std::map<std::string, Queue> queues_;  // by pool
+  std::map<std::string, Queue> queues_;                                      // by pool
   std::size_t held_ = 0;
   std::size_t relaying_ = 0;
   sigc::connection roomMade_;
--- a/src/proxy/gateway_answer.cc
+++ b/src/proxy/gateway_answer.cc
@@ -11,9 +11,9 @@
 namespace {
 // Headers that concern one connection only.
 bool concernsChannel(const std::string& name) {
-  return name == "connection" || name == "keep-alive" || name == "transfer-encoding" || name == "te" || name == "trailer" ||
-         name == "upgrade" || name == "proxy-connection" || name == "proxy-authenticate" || name == "content-length" ||
-         name == "date";
+  return name == "connection" || name == "keep-alive" || name == "transfer-encoding" || name == "te" ||
+         name == "trailer" || name == "upgrade" || name == "proxy-connection" || name == "proxy-authenticate" ||
+         name == "content-length" || name == "date";
 }
 }  // namespace
 
@@ -49,8 +49,10 @@
     const Us nowUs = ports_.clock.monoUs();
     paceUs_ = (paceUs_ * 7 + std::min<Us>(nowUs - lastWholeUs_, kSecondUs)) / 8;
     lastWholeUs_ = nowUs;
-    if (caller.begun) caller.reply->end();
-    else caller.reply->whole(caller.head_.status, passedOn(caller.head_.headers), caller.gathered);
+    if (caller.begun)
+      caller.reply->end();
+    else
+      caller.reply->whole(caller.head_.status, passedOn(caller.head_.headers), caller.gathered);
     return false;
   }
   if (caller.gone) {
@@ -59,20 +61,27 @@
   }
   if (std::holds_alternative<PassNotRun>(ending)) {
     if (mayTryAgain(caller)) return true;
-    if (caller.begun || caller.mayHaveRun) fail(caller, 502, "not_whole");
-    else refuse(caller, "no_capacity");
+    if (caller.begun || caller.mayHaveRun)
+      fail(caller, 502, "not_whole");
+    else
+      refuse(caller, "no_capacity");
     return false;
   }
   caller.mayHaveRun = true;
   if (auto* failed = std::get_if<PassFailed>(&ending)) {
-    if (caller.begun) fail(caller, 502, "not_whole");
-    else if (repeats && failed->status >= 500 && mayTryAgain(caller)) return true;
-    else caller.reply->whole(failed->status, passedOn(failed->head.headers), failed->body);
+    if (caller.begun)
+      fail(caller, 502, "not_whole");
+    else if (repeats && failed->status >= 500 && mayTryAgain(caller))
+      return true;
+    else
+      caller.reply->whole(failed->status, passedOn(failed->head.headers), failed->body);
     return false;
   }
   if (auto* declined = std::get_if<PassDeclined>(&ending)) {
-    if (caller.begun) fail(caller, 502, "not_whole");
-    else caller.reply->whole(declined->head.status, passedOn(declined->head.headers), declined->body);
+    if (caller.begun)
+      fail(caller, 502, "not_whole");
+    else
+      caller.reply->whole(declined->head.status, passedOn(declined->head.headers), declined->body);
     return false;
   }
   if (std::holds_alternative<PassLapsed>(ending)) {
@@ -94,13 +103,16 @@
 }
 
 Us Gateway::againUs() const {
-  return draining_ ? 20 * kMilliUs : std::clamp<Us>(paceUs_ * static_cast<Us>(2 + held_), 50 * kMilliUs, 400 * kMilliUs);
+  return draining_ ? 20 * kMilliUs
+                   : std::clamp<Us>(paceUs_ * static_cast<Us>(2 + held_), 50 * kMilliUs, 400 * kMilliUs);
 }
 
 // It may have run: nothing is promised. What was begun must not look complete.
 void Gateway::fail(Caller& caller, int status, const char* why) {
-  if (caller.begun) caller.reply->abort();
-  else sendRefusal(*caller.reply, status, why, 0);
+  if (caller.begun)
+    caller.reply->abort();
+  else
+    sendRefusal(*caller.reply, status, why, 0);
 }
 
 }  // namespace stonemount
--- a/src/proxy/pool_load_table.cc
+++ b/src/proxy/pool_load_table.cc
@@ -8,7 +8,7 @@
 constexpr Us kToldKeepsUs = 2 * kSecondUs;  // what was told of others' requests stands so long,
 constexpr Us kToldHalvesUs = kSecondUs;     // then counts half after each
 constexpr std::uint32_t kLeastLots = 4;     // at workers, whatever the share
-constexpr std::uint32_t kSpareUse = 2;   // over the mean, before a spot's worker is passed over
+constexpr std::uint32_t kSpareUse = 2;      // over the mean, before a spot's worker is passed over
 }  // namespace
 
 void PoolLoadTable::relist() {
@@ -32,14 +32,17 @@
       worker.live = live;  // of its former life; they end by themselves
       worker.lots = lots;
     }
-    if (listed.changed != worker.listed.changed && listed.coldLeftUs > 0) worker.coldUntilUs = nowUs + listed.coldLeftUs;
+    if (listed.changed != worker.listed.changed && listed.coldLeftUs > 0)
+      worker.coldUntilUs = nowUs + listed.coldLeftUs;
     worker.listed = listed;
     pools_[listed.pool].push_back(address);
   }
   roomMade.emit();
 }
 
-void PoolLoadTable::setNodes(std::size_t nodes) { nodes_ = static_cast<std::uint32_t>(std::max<std::size_t>(1, nodes)); }
+void PoolLoadTable::setNodes(std::size_t nodes) {
+  nodes_ = static_cast<std::uint32_t>(std::max<std::size_t>(1, nodes));
+}
 
 bool PoolLoadTable::usable(const PoolWorker& worker) const {
   return !worker.listed.pool.empty() && !worker.listed.leaving && !worker.otherLife &&
@@ -87,8 +90,10 @@
     const std::uint64_t hash = spread(std::string_view(reinterpret_cast<const char*>(&worker->listed.address.ip), 4),
                                       spot + worker->listed.address.port);
     std::uint64_t rank = hash >> 8;
-    if (spot == 0) rank = (static_cast<std::uint64_t>(use(*worker)) * 1000 / slots(*worker) << 32) + (hash >> 40);
-    else if (use(*worker) > most) rank |= 1ULL << 60;
+    if (spot == 0)
+      rank = (static_cast<std::uint64_t>(use(*worker)) * 1000 / slots(*worker) << 32) + (hash >> 40);
+    else if (use(*worker) > most)
+      rank |= 1ULL << 60;
     if (chosen != nullptr && rank >= chosenRank) continue;
     chosen = worker;
     chosenRank = rank;
--- a/src/proxy/pool_load_table.h
+++ b/src/proxy/pool_load_table.h
@@ -11,7 +11,7 @@
   std::string pool;
   std::uint64_t spot = 0;  // of its shared prompt: requests of one spot meet at one worker; 0: none
   bool lot = false;
-  bool urgent = false;     // an item of a lot that is short of time: yields less
+  bool urgent = false;  // an item of a lot that is short of time: yields less
   absl::flat_hash_set<Address> passedOver;
 };
 
@@ -21,11 +21,11 @@
   WorkerLoad told;                   // by its newest answer to this node
   Us toldUs = -1;
   std::uint32_t inFlightAtTold = 0;
-  std::deque<Us> sentUs;             // of the last second, while it is cold
+  std::deque<Us> sentUs;  // of the last second, while it is cold
   Us coldUntilUs = 0;
-  Us suspectUntilUs = 0;             // it failed lately: only where no other will do
-  std::uint32_t failures = 0;        // in a row
-  bool otherLife = false;            // somebody else has its address; until it is listed anew
+  Us suspectUntilUs = 0;       // it failed lately: only where no other will do
+  std::uint32_t failures = 0;  // in a row
+  bool otherLife = false;      // somebody else has its address; until it is listed anew
   std::uint32_t inFlight() const { return live + lots; }
 };
 
@@ -33,11 +33,11 @@
   std::string zone;
   std::uint32_t coldOverPercent = 100;
   std::uint32_t coldSlack = 0;
-  std::uint32_t calmPercent = 85;    // of a worker's slots: up to here it gets requests before another zone does
-  std::uint32_t lotPercent = 80;     // up to here lots start; of all slots, all nodes' lots together take no more,
-  std::uint32_t idlePercent = 55;    // but for workers that are known to have less to do than this
-  std::uint32_t fullPercent = 140;   // from here on it has no room: what waits there would be late
-  Us suspectUs = 400 * kMilliUs;     // doubles with each failure in a row
+  std::uint32_t calmPercent = 85;   // of a worker's slots: up to here it gets requests before another zone does
+  std::uint32_t lotPercent = 80;    // up to here lots start; of all slots, all nodes' lots together take no more,
+  std::uint32_t idlePercent = 55;   // but for workers that are known to have less to do than this
+  std::uint32_t fullPercent = 140;  // from here on it has no room: what waits there would be late
+  Us suspectUs = 400 * kMilliUs;    // doubles with each failure in a row
   Us mostSuspectUs = 4 * kSecondUs;
 };
 
@@ -45,7 +45,7 @@
  public:
   PoolLoadTable(const Clock& clock, const ControlState& control, PoolLoadTablePlan plan)
       : clock_(clock), control_(control), plan_(std::move(plan)) {}
-  void relist();  // after news from control
+  void relist();                     // after news from control
   void setNodes(std::size_t nodes);  // that share the workers, this one among them
   std::optional<Address> choose(const PoolRequest& wish) const;
   void take(const Address& worker, bool lot);
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -65,7 +65,11 @@
 
 Proxy::Proxy(Ports& ports, TaskRoom& room, WorkerLoadTable& board, const ControlState& control, ProxyPlan plan,
              std::string exchangePrefix)
-    : ports_(ports), room_(room), board_(board), control_(control), plan_(plan),
+    : ports_(ports),
+      room_(room),
+      board_(board),
+      control_(control),
+      plan_(plan),
       exchangePrefix_(std::move(exchangePrefix)) {
   roomMade_ = board_.roomMade.connect(sigc::mem_fun(waitingEvent_, &Event::notify));
 }
@@ -213,7 +217,8 @@
       caller.reply->whole(200, {{"x-exchange", caller.order.exchange}}, out.take() + "\n");
       return;
     }
-    if (!caller.begun) caller.reply->begin(200, {{"content-type", "application/x-ndjson"}, {"x-exchange", caller.order.exchange}});
+    if (!caller.begun)
+      caller.reply->begin(200, {{"content-type", "application/x-ndjson"}, {"x-exchange", caller.order.exchange}});
     caller.reply->chunk(out.take() + "\n");
     caller.reply->end();
     return;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -57,7 +57,7 @@
   bool draining_ = false;
 };
 
-void sendVerdict(HttpReply& reply, int status, const std::string& verdict,
-                 std::initializer_list<LogPair> pairs = {}, int retryAfter = 0);
+void sendVerdict(HttpReply& reply, int status, const std::string& verdict, std::initializer_list<LogPair> pairs = {},
+                 int retryAfter = 0);
 
 }  // namespace stonemount
--- a/src/proxy/sealed_reader.cc
+++ b/src/proxy/sealed_reader.cc
@@ -10,13 +10,20 @@
 
 const char* sealFaultText(SealFault fault) {
   switch (fault) {
-    case SealFault::kNone: return "none";
-    case SealFault::kUnreadable: return "unreadable";
-    case SealFault::kOtherExchange: return "other_exchange";
-    case SealFault::kOutOfOrder: return "out_of_order";
-    case SealFault::kBadSeal: return "bad_seal";
-    case SealFault::kAfterSeal: return "after_seal";
-    case SealFault::kTooLong: return "too_long";
+    case SealFault::kNone:
+      return "none";
+    case SealFault::kUnreadable:
+      return "unreadable";
+    case SealFault::kOtherExchange:
+      return "other_exchange";
+    case SealFault::kOutOfOrder:
+      return "out_of_order";
+    case SealFault::kBadSeal:
+      return "bad_seal";
+    case SealFault::kAfterSeal:
+      return "after_seal";
+    case SealFault::kTooLong:
+      return "too_long";
   }
   return "unknown";
 }
--- a/src/proxy/worker_dialect.h
+++ b/src/proxy/worker_dialect.h
@@ -28,7 +28,8 @@
  public:
   virtual ~WorkerDialect() = default;
   // Adds what concerns one try at one worker: its life, what is left of the limit, where to go on.
-  virtual void direct(HttpAsk& ask, const std::string& life, Us leftUs, std::optional<std::uint64_t> lastEvent) const = 0;
+  virtual void direct(HttpAsk& ask, const std::string& life, Us leftUs,
+                      std::optional<std::uint64_t> lastEvent) const = 0;
   virtual HttpVia via(const std::string& exchange) const = 0;
   virtual WorkerHead read(const HttpHead& head) const = 0;
 };
--- a/src/proxy/worker_load_table.cc
+++ b/src/proxy/worker_load_table.cc
@@ -22,8 +22,10 @@
   }
   for (auto sight = sights_.begin(); sight != sights_.end();) {
     const bool gone = sight->second.listed.pool.empty() && sight->second.inFlight() == 0;
-    if (gone) sight = sights_.erase(sight);
-    else ++sight;
+    if (gone)
+      sight = sights_.erase(sight);
+    else
+      ++sight;
   }
   roomMade.emit();
 }
@@ -99,7 +101,8 @@
 bool WorkerLoadTable::hasRoom(const WorkerSight& sight, bool lot) const {
   if (sight.inFlight() >= allowance(sight)) return false;
   // Others' share of the reported load, and ours as it is now, must fit in what it can bear.
-  const std::uint32_t others = sight.report.load > sight.inFlightAtReport ? sight.report.load - sight.inFlightAtReport : 0;
+  const std::uint32_t others =
+      sight.report.load > sight.inFlightAtReport ? sight.report.load - sight.inFlightAtReport : 0;
   const std::uint32_t bear = std::min(sight.report.bear, sight.listed.slots);
   if (others + sight.inFlight() >= bear) return false;
   if (!lot) {
@@ -123,7 +126,8 @@
     if (wish.passedOver.contains(address) || !usable(sight) || !hasRoom(sight, wish.lot)) continue;
     const bool own = sight.listed.zone == plan_.zone && !control_.evacuated(plan_.zone);
     const std::vector<std::string>& adapters = sight.report.adapters;
-    const bool fits = wish.adapter.empty() || std::find(adapters.begin(), adapters.end(), wish.adapter) != adapters.end();
+    const bool fits =
+        wish.adapter.empty() || std::find(adapters.begin(), adapters.end(), wish.adapter) != adapters.end();
     const int rank = (own ? 2 : 0) + (fits ? 1 : 0);
     if (chosen && rank <= chosenRank) continue;
     chosen = address;
@@ -136,8 +140,10 @@
 void WorkerLoadTable::take(const Address& worker, bool lot) {
   WorkerSight& sight = sights_.at(worker);
   ++sight.sent;
-  if (lot) ++sight.lotInFlight;
-  else ++sight.liveInFlight;
+  if (lot)
+    ++sight.lotInFlight;
+  else
+    ++sight.liveInFlight;
 }
 
 void WorkerLoadTable::giveBack(const Address& worker, bool lot, Ending ending) {
@@ -165,7 +171,8 @@
       sight.reportedUs = -1;
       sight.mutedUntilUs = clock_.monoUs() + plan_.muteUs;
       break;
-    case Ending::kLeft: break;
+    case Ending::kLeft:
+      break;
   }
   roomMade.emit();
 }
--- a/src/proxy/worker_load_table.h
+++ b/src/proxy/worker_load_table.h
@@ -1,8 +1,8 @@
 // What this node knows of each worker, and how much it may send there (design.md 9.3).
 #pragma once
 
-#include "hash_ring/hash_ring.h"
 #include "config/control_state.h"
+#include "hash_ring/hash_ring.h"
 #include "runtime/await.h"
 
 namespace stonemount {
@@ -41,9 +41,9 @@
   std::string zone;
   Address self;
   Us frozenUs = 700 * kMilliUs;
-  Us marksWaitUs = kSecondUs;         // after waking, wait so long for the platform before control will do
-  Us newsWaitUs = 2500 * kMilliUs;    // and so long for either before going on with what is known
-  Us staleUs = 1500 * kMilliUs;  // a worker that has not reported for so long gets nothing new
+  Us marksWaitUs = kSecondUs;       // after waking, wait so long for the platform before control will do
+  Us newsWaitUs = 2500 * kMilliUs;  // and so long for either before going on with what is known
+  Us staleUs = 1500 * kMilliUs;     // a worker that has not reported for so long gets nothing new
   Us muteUs = 500 * kMilliUs;
 };
 
@@ -89,8 +89,8 @@
   std::vector<Address> nodes_;
   absl::btree_set<Address> leavingMarks_;  // told by the platform itself
   Us tickUs_ = -1;
-  Us wokeUs_ = 0;          // its start, or the end of its last freeze
-  Us marksHeardUs_ = -1;   // when the questions were asked that were answered last
+  Us wokeUs_ = 0;         // its start, or the end of its last freeze
+  Us marksHeardUs_ = -1;  // when the questions were asked that were answered last
   Us controlHeardUs_ = -1;
   bool lotsWaiting_ = false;
   bool liveWaiting_ = false;
--- a/src/replication/bootstrap.cc
+++ b/src/replication/bootstrap.cc
@@ -18,8 +18,8 @@
       Seat seat{founder, memory_.incarnation, plan_.zone};
       if (founder != self_) {
         const PeerSight& sight = peers_[founder];
-        allEmpty &= sight.heardUs >= 0 && nowUs - sight.heardUs < plan_.suspectUs &&
-                    sight.pong.revision == 0 && sight.pong.state == ReplicaState::kBootstrapping;
+        allEmpty &= sight.heardUs >= 0 && nowUs - sight.heardUs < plan_.suspectUs && sight.pong.revision == 0 &&
+                    sight.pong.state == ReplicaState::kBootstrapping;
         seat.incarnation = sight.pong.incarnation;
         seat.zone = sight.pong.zone;
       }
--- a/src/replication/catch_up.cc
+++ b/src/replication/catch_up.cc
@@ -39,7 +39,9 @@
       snapshot_ = Bytes();
     }
     if (fetchBytes_ == 0) fetchBytes_ = kPartBytes;
-    if (state_ != ReplicaState::kOutside || fetching_ || (findMember(memory_.view, self_) == nullptr && !invited()) || appended_ > end_ || nowUs < heldUntilUs_) continue;
+    if (state_ != ReplicaState::kOutside || fetching_ || (findMember(memory_.view, self_) == nullptr && !invited()) ||
+        appended_ > end_ || nowUs < heldUntilUs_)
+      continue;
     if (memory_.view.chain.empty()) continue;
     const Address source = memory_.view.chain.back().address;
     fetching_ = true;
@@ -97,8 +99,8 @@
     }
   }
   imageLoose_ = false;
-  logEvent("caughtUp", {{"from", addressText(source)}, {"bytes", absl::StrCat(state.size())},
-                        {"end", absl::StrCat(end_)}});
+  logEvent("caughtUp",
+           {{"from", addressText(source)}, {"bytes", absl::StrCat(state.size())}, {"end", absl::StrCat(end_)}});
   co_return true;
 }
 
@@ -148,8 +150,8 @@
   if (!std::holds_alternative<FetchState>(message)) return;
   const FetchState& request = std::get<FetchState>(message);
   StatePart part;
-  const bool mine = holdsSeat(memory_.view.chain, self_, memory_.incarnation) &&
-                    memory_.view.chain.back().address == self_;
+  const bool mine =
+      holdsSeat(memory_.view.chain, self_, memory_.incarnation) && memory_.view.chain.back().address == self_;
   const Us nowUs = ports_.clock.monoUs();
   // A snapshot is good as long as the log that follows it is kept.
   const bool follows = snapshotEnd_ == end_ || (!recent_.empty() && recent_.front().index <= snapshotEnd_ + 1);
@@ -178,8 +180,8 @@
   const FetchLog& request = std::get<FetchLog>(message);
   LogPart part;
   part.end = end_;
-  const bool mine = holdsSeat(memory_.view.chain, self_, memory_.incarnation) &&
-                    request.revision == memory_.view.revision;
+  const bool mine =
+      holdsSeat(memory_.view.chain, self_, memory_.incarnation) && request.revision == memory_.view.revision;
   const bool holds = mine && (tail() || state_ == ReplicaState::kSealed);
   if (!holds) {
     part.end = 0;  // ask again later; nothing is said about the log
@@ -189,7 +191,8 @@
     const std::size_t next = request.after + 1 - recent_.front().index;
     part.granted = (next == 0 ? keptAfterRevision_ : recent_[next - 1].revision) == request.afterRevision;
     std::size_t bytes = 0;
-    for (std::size_t i = next; part.granted && i < recent_.size() && bytes < std::min<std::size_t>(request.most, kPartBytes); ++i) {
+    for (std::size_t i = next;
+         part.granted && i < recent_.size() && bytes < std::min<std::size_t>(request.most, kPartBytes); ++i) {
       bytes += recent_[i].command.size();
       part.entries.push_back(recent_[i]);
     }
--- a/src/replication/client.cc
+++ b/src/replication/client.cc
@@ -13,7 +13,9 @@
 class ViewPoll : public Poll {
  public:
   ViewPoll(RpcEndpoint& rpc, const absl::btree_set<Address>& members, bool wantsHead)
-      : Poll(rpc, ViewAsk::kKind, pack(ViewAsk{}), kViewUs), silent(members), members_(members.begin(), members.end()),
+      : Poll(rpc, ViewAsk::kKind, pack(ViewAsk{}), kViewUs),
+        silent(members),
+        members_(members.begin(), members.end()),
         wantsHead_(wantsHead) {
     for (const Address& member : members_) add(member);
     needed_ = members_.size() / 2 + 1;
@@ -48,11 +50,16 @@
 
 const char* troubleText(ChainError trouble) {
   switch (trouble) {
-    case ChainError::kUnreachable: return "unreachable";
-    case ChainError::kTooFewCopies: return "too_few_copies";
-    case ChainError::kBusy: return "busy";
-    case ChainError::kRingFull: return "ring_full";
-    case ChainError::kTooLong: return "too_long";
+    case ChainError::kUnreachable:
+      return "unreachable";
+    case ChainError::kTooFewCopies:
+      return "too_few_copies";
+    case ChainError::kBusy:
+      return "busy";
+    case ChainError::kRingFull:
+      return "ring_full";
+    case ChainError::kTooLong:
+      return "too_long";
   }
   return "unknown";
 }
@@ -93,7 +100,7 @@
   ViewPoll poll(rpc_, members_, true);
   co_await poll;
   takeView(poll.newest);
-  co_return poll.newest.revision == view_.revision && poll.headHeard();
+  co_return poll.newest.revision == view_.revision&& poll.headHeard();
 }
 
 Job<ChainAnswer> ChainClient::submit(Bytes command, Us limitUs, Us sureUs) {
@@ -143,13 +150,12 @@
       read.holdUs = tailSilent_ ? 0 : holdUs;  // where the tail may be gone, ask it for a short answer only
       const Us leftUs = untilUs - ports_.clock.monoUs();
       if (leftUs <= 0) break;
-      Job<std::variant<ChainReply, PeerSilent>> job =
-          ask<ChainReply>(rpc_, view_.chain.back().address, read, std::min(leftUs, holdUs > 0 ? kHeldUs + read.holdUs : kTryUs));
+      Job<std::variant<ChainReply, PeerSilent>> job = ask<ChainReply>(
+          rpc_, view_.chain.back().address, read, std::min(leftUs, holdUs > 0 ? kHeldUs + read.holdUs : kTryUs));
       std::variant<ChainReply, PeerSilent> verdict = co_await job;
       auto* answered = std::get_if<ChainReply>(&verdict);
       tailSilent_ = answered == nullptr;
-      if (answered != nullptr && answered->outcome == ChainOutcome::kDone)
-        co_return std::move(answered->body);
+      if (answered != nullptr && answered->outcome == ChainOutcome::kDone) co_return std::move(answered->body);
     }
     if (ports_.clock.monoUs() + kAgainUs >= untilUs) break;
     Job<Done> refreshing = refresh();
--- a/src/replication/client.h
+++ b/src/replication/client.h
@@ -7,11 +7,11 @@
 namespace stonemount {
 
 enum class ChainError : std::uint8_t {
-  kUnreachable,    // no answer in time; a command may or may not have been taken
-  kTooFewCopies,   // refused: it could not have been kept in two zones
+  kUnreachable,   // no answer in time; a command may or may not have been taken
+  kTooFewCopies,  // refused: it could not have been kept in two zones
   kBusy,
   kRingFull,
-  kTooLong,        // no record of the ring could hold it
+  kTooLong,  // no record of the ring could hold it
 };
 const char* troubleText(ChainError trouble);
 struct ChainFailure {
@@ -31,7 +31,8 @@
   const View& view() const { return view_; }
   void learnMember(const Address& member) { members_.insert(member); }
   Job<Done> refresh();
-  // Looks for the newest view, and whether its head and most voters can be heard. False: a command sent now would be sent in vain.
+  // Looks for the newest view, and whether its head and most voters can be heard. False: a command sent now would be
+  // sent in vain.
   Job<bool> findHead();
 
  private:
--- a/src/replication/configuration_request.cc
+++ b/src/replication/configuration_request.cc
@@ -15,15 +15,19 @@
   const ChangeVoters request = std::get<ChangeVoters>(message);
   ChangeReply verdict;
   // What the membershipManager has done already is done.
-  const bool fulfilled = request.add.set() && request.remove.set() && findSeat(memory_.view.chain, request.add) != nullptr;
+  const bool fulfilled =
+      request.add.set() && request.remove.set() && findSeat(memory_.view.chain, request.add) != nullptr;
   const bool knows = !request.remove.set() || fulfilled || findMember(memory_.view, request.remove) != nullptr;
   std::vector<Seat> rest = memory_.view.chain;
   std::erase_if(rest, SeatAt{request.remove});
   // Who wishes for the same waits along: the membershipManager and an operator may see the same need.
   const bool same = request_ && request_->add == request.add && request_->remove == request.remove;
-  if ((request_ && !same) || !votes(memory_.view.revision)) verdict.outcome = ChangeOutcome::kBusy;
-  else if (!knows || (!request.add.set() && !request.remove.set())) verdict.outcome = ChangeOutcome::kUnknown;
-  else if (!request.add.set() && (rest.empty() || !spansZones(rest))) verdict.outcome = ChangeOutcome::kTooFew;
+  if ((request_ && !same) || !votes(memory_.view.revision))
+    verdict.outcome = ChangeOutcome::kBusy;
+  else if (!knows || (!request.add.set() && !request.remove.set()))
+    verdict.outcome = ChangeOutcome::kUnknown;
+  else if (!request.add.set() && (rest.empty() || !spansZones(rest)))
+    verdict.outcome = ChangeOutcome::kTooFew;
   else {
     request_ = request;
     ++requesters_;
--- a/src/replication/machine.h
+++ b/src/replication/machine.h
@@ -32,7 +32,7 @@
   virtual StampVerdict stamp(const Bytes& command, const HeadSight& sight) = 0;
   virtual QueryVerdict answer(const Bytes& query, bool mustAnswer) = 0;
   virtual bool enlarges(const Bytes& command) const = 0;  // takes in new work, not needed to finish old
-  virtual std::size_t owedBytes() const { return 0; }  // by which what was taken in will yet enlarge the state
+  virtual std::size_t owedBytes() const { return 0; }     // by which what was taken in will yet enlarge the state
   virtual Bytes save() const = 0;
   virtual bool load(const Bytes& state) = 0;
 };
--- a/src/replication/messages.h
+++ b/src/replication/messages.h
@@ -28,7 +28,8 @@
   Us worstSyncUs = 0;
   Us wallUs = 0;
   std::vector<Address> suspects;  // to whom it has no way there and back
-  STONEMOUNT_PACK(incarnation, revision, state, zone, end, caughtUp, ballotOpen, stalledUs, worstSyncUs, wallUs, suspects)
+  STONEMOUNT_PACK(incarnation, revision, state, zone, end, caughtUp, ballotOpen, stalledUs, worstSyncUs, wallUs,
+                  suspects)
 };
 struct ViewAsk {
   static constexpr std::uint16_t kKind = 2;
@@ -116,7 +117,7 @@
   static constexpr std::uint16_t kKind = 10;
   std::uint64_t token = 0;  // 0: take a new snapshot
   std::uint64_t offset = 0;
-  std::uint32_t most = 0;   // bytes
+  std::uint32_t most = 0;  // bytes
   STONEMOUNT_PACK(token, offset, most)
 };
 struct StatePart {
--- a/src/replication/polls.h
+++ b/src/replication/polls.h
@@ -11,7 +11,9 @@
  public:
   template <class Message>
   SeatPoll(RpcEndpoint& rpc, const Message& message, std::vector<Seat> seats, std::size_t needed, Us limitUs)
-      : Poll(rpc, Message::kKind, pack(message), limitUs), seats_(std::move(seats)), needed_(needed),
+      : Poll(rpc, Message::kKind, pack(message), limitUs),
+        seats_(std::move(seats)),
+        needed_(needed),
         verdicts_(seats_.size()) {
     for (const Seat& seat : seats_) add(seat.address);
   }
--- a/src/replication/propose.cc
+++ b/src/replication/propose.cc
@@ -3,8 +3,8 @@
 
 #include <algorithm>
 
-#include "replication/replica.h"
 #include "replication/polls.h"
+#include "replication/replica.h"
 
 namespace stonemount {
 
@@ -68,8 +68,10 @@
   std::vector<Seat> stays;
   std::optional<Seat> joiner;
   for (const Seat& seat : target.chain) {
-    if (holdsSeat(memory_.view.chain, seat.address, seat.incarnation)) stays.push_back(seat);
-    else joiner = seat;
+    if (holdsSeat(memory_.view.chain, seat.address, seat.incarnation))
+      stays.push_back(seat);
+    else
+      joiner = seat;
   }
   if (stays.empty()) {
     Job<bool> sealing = fenceHolder(target);
@@ -87,8 +89,7 @@
   for (std::size_t i = 0; i < stays.size(); ++i)
     if (stays[i] == last) tailEnd = poll.verdicts()[i]->end;
   CatchUp request{memory_.view.revision, last.address, tailEnd};
-  Job<std::variant<FenceReply, PeerSilent>> job =
-      ask<FenceReply>(rpc_, joiner->address, request, kCatchUpLimitUs);
+  Job<std::variant<FenceReply, PeerSilent>> job = ask<FenceReply>(rpc_, joiner->address, request, kCatchUpLimitUs);
   std::variant<FenceReply, PeerSilent> verdict = co_await job;
   auto* caught = std::get_if<FenceReply>(&verdict);
   if (caught != nullptr && caught->granted && caught->incarnation == joiner->incarnation) {
@@ -97,8 +98,10 @@
   }
   // Without the joiner the sealed members still need a view; the seats stay as they were.
   logDoubt("joiner_not_caught_up", {{"peer", addressText(joiner->address)}});
-  if (!request_ || !request_->remove.set()) target.voters = memory_.view.voters, target.nonVoters = memory_.view.nonVoters;
-  else co_return false;
+  if (!request_ || !request_->remove.set())
+    target.voters = memory_.view.voters, target.nonVoters = memory_.view.nonVoters;
+  else
+    co_return false;
   co_return true;
 }
 
@@ -109,8 +112,8 @@
   co_await poll;
   if (!poll.enough()) co_return false;
   ++counts_.restartedNarrow;
-  logDoubt("chain_restarted_from_holder", {{"peer", addressText(target.chain.front().address)},
-                                           {"end", absl::StrCat(poll.verdicts().front()->end)}});
+  logDoubt("chain_restarted_from_holder",
+           {{"peer", addressText(target.chain.front().address)}, {"end", absl::StrCat(poll.verdicts().front()->end)}});
   co_return true;
 }
 
--- a/src/replication/reader.cc
+++ b/src/replication/reader.cc
@@ -1,7 +1,7 @@
 // Reads: answered at the tail, after a majority of voters has confirmed its view, and only from a chain in
 // two zones: nothing is shown that one lost disk could take back (design.md 6.6).
-#include "replication/replica.h"
 #include "replication/polls.h"
+#include "replication/replica.h"
 
 namespace stonemount {
 
@@ -32,8 +32,10 @@
     const Us nowUs = ports_.clock.monoUs();
     std::vector<Waiting> stillHeld;
     for (Waiting& waiting : held_) {
-      if (waiting.untilUs <= nowUs || !tail()) batch.push_back(std::move(waiting));
-      else stillHeld.push_back(std::move(waiting));
+      if (waiting.untilUs <= nowUs || !tail())
+        batch.push_back(std::move(waiting));
+      else
+        stillHeld.push_back(std::move(waiting));
     }
     held_ = std::move(stillHeld);
     if (batch.empty()) continue;
@@ -62,7 +64,7 @@
       continue;
     }
     rpc_.reply(waiting.asked,
-                ChainReply{ChainOutcome::kDone, memory_.view.revision, std::get<Bytes>(std::move(verdict))});
+               ChainReply{ChainOutcome::kDone, memory_.view.revision, std::get<Bytes>(std::move(verdict))});
   }
 }
 
--- a/src/replication/reconfigurer.cc
+++ b/src/replication/reconfigurer.cc
@@ -32,7 +32,8 @@
 Task Replica::ping(Address peer) {
   while (state_ != ReplicaState::kBroken) {
     Ping message{memory_.view.revision, memory_.incarnation};
-    // Just started, or woken, it is in a hurry to hear of everyone: a question that met a closed port is soon put again.
+    // Just started, or woken, it is in a hurry to hear of everyone: a question that met a closed port is soon put
+    // again.
     const bool hurries = ports_.clock.monoUs() < blindUntilUs_ && !heardLately(peer);
     Call call(rpc_, peer, Ping::kKind, pack(message), hurries ? plan_.pingUs : plan_.pingLimitUs);
     auto raw = co_await call;
@@ -43,8 +44,7 @@
         sight.heardUs = ports_.clock.monoUs();
         sight.pong = std::move(*pong);
         if (sight.pong.revision > memory_.view.revision && state_ != ReplicaState::kOpening) {
-          Job<std::variant<ViewReply, PeerSilent>> job =
-              ask<ViewReply>(rpc_, peer, ViewAsk{}, plan_.suspectUs);
+          Job<std::variant<ViewReply, PeerSilent>> job = ask<ViewReply>(rpc_, peer, ViewAsk{}, plan_.suspectUs);
           std::variant<ViewReply, PeerSilent> verdict = co_await job;
           if (auto* found = std::get_if<ViewReply>(&verdict)) {
             Job<bool> taken = takeView(found->view);
@@ -158,7 +158,8 @@
   if (wanted.chain.empty()) return viewFromHolder();
   needed |= wanted.chain.size() != now.chain.size();
   // A replacement waits until the new machine is caughtUp; all else is mended meanwhile.
-  const bool waits = request_ && request_->add.set() && findMember(now, request_->add) == nullptr && !ready(request_->add);
+  const bool waits =
+      request_ && request_->add.set() && findMember(now, request_->add) == nullptr && !ready(request_->add);
   const bool removing = request_ && findMember(now, request_->remove) != nullptr && !waits;
   if (removing) {
     std::erase_if(wanted.chain, SeatAt{request_->remove});
@@ -172,8 +173,10 @@
   } else if (removing) {
     needed = true;
     for (const Seat& nonVoter : std::exchange(wanted.nonVoters, {})) {  // one may have a vote now
-      if (aliveSeat(nonVoter)) giveSeat(wanted, nonVoter);
-      else wanted.nonVoters.push_back(nonVoter);
+      if (aliveSeat(nonVoter))
+        giveSeat(wanted, nonVoter);
+      else
+        wanted.nonVoters.push_back(nonVoter);
     }
   }
   needed |= added;
@@ -223,7 +226,8 @@
     // After a freeze everyone looks dead; hear from them again first.
     if (nowUs - lastUs > plan_.suspectUs / 2) blindUntilUs_ = nowUs + plan_.suspectUs;
     lastUs = nowUs;
-    // (Who has heard from all already suspects nobody: after a restart of the whole chain there is nothing to wait for.)
+    // (Who has heard from all already suspects nobody: after a restart of the whole chain there is nothing to wait
+    // for.)
     if ((nowUs < blindUntilUs_ && !hearsAll()) || proposing_ || !votes(memory_.view.revision)) continue;
     std::optional<View> wanted = wantedView();
     if (!wanted) {
--- a/src/replication/relay.cc
+++ b/src/replication/relay.cc
@@ -174,7 +174,7 @@
   if (release) {
     committed_ = end_;
     rpc_.replyTo(entry.client, Submit::kKind, entry.exchange,
-                  pack(ChainReply{ChainOutcome::kDone, memory_.view.revision, known->second}));
+                 pack(ChainReply{ChainOutcome::kDone, memory_.view.revision, known->second}));
     wakeHeld();
   }
   applied.emit(entry, release);
@@ -182,8 +182,8 @@
 
 // Its log parted from ours, or it lacks more than we keep: a new view will have it caughtUp.
 void Replica::leaveBehind(const Address& successor, std::uint64_t itsEnd) {
-  logDoubt("successor_left_behind", {{"peer", addressText(successor)}, {"its_end", absl::StrCat(itsEnd)},
-                                     {"end", absl::StrCat(end_)}});
+  logDoubt("successor_left_behind",
+           {{"peer", addressText(successor)}, {"its_end", absl::StrCat(itsEnd)}, {"end", absl::StrCat(end_)}});
   ++counts_.leftBehind;
   changeState(ReplicaState::kSealed);
   tooFarBehind_ = successor;
--- a/src/replication/replica.cc
+++ b/src/replication/replica.cc
@@ -25,19 +25,31 @@
 
 const char* replicaStateText(ReplicaState state) {
   switch (state) {
-    case ReplicaState::kOpening: return "opening";
-    case ReplicaState::kBootstrapping: return "founding";
-    case ReplicaState::kOutside: return "outside";
-    case ReplicaState::kSealed: return "sealed";
-    case ReplicaState::kActive: return "active";
-    case ReplicaState::kBroken: return "broken";
+    case ReplicaState::kOpening:
+      return "opening";
+    case ReplicaState::kBootstrapping:
+      return "founding";
+    case ReplicaState::kOutside:
+      return "outside";
+    case ReplicaState::kSealed:
+      return "sealed";
+    case ReplicaState::kActive:
+      return "active";
+    case ReplicaState::kBroken:
+      return "broken";
   }
   return "unknown";
 }
 
 Replica::Replica(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Machine& machine, ReplicaPlan plan)
-    : ports_(ports), rpc_(rpc), room_(room), machine_(machine), plan_(std::move(plan)),
-      self_(rpc.self()), wal_(*ports.disk, ports.timers, ports.clock), groupCommit_(wal_, ports.timers, room) {}
+    : ports_(ports),
+      rpc_(rpc),
+      room_(room),
+      machine_(machine),
+      plan_(std::move(plan)),
+      self_(rpc.self()),
+      wal_(*ports.disk, ports.timers, ports.clock),
+      groupCommit_(wal_, ports.timers, room) {}
 
 Replica::~Replica() { refused_.disconnect(); }
 
@@ -67,8 +79,10 @@
 
 void Replica::changeState(ReplicaState next) {
   if (next == state_ || state_ == ReplicaState::kBroken) return;
-  logEvent("replica_state", {{"from", replicaStateText(state_)}, {"to", replicaStateText(next)},
-                        {"view", absl::StrCat(memory_.view.revision)}, {"end", absl::StrCat(end_)}});
+  logEvent("replica_state", {{"from", replicaStateText(state_)},
+                             {"to", replicaStateText(next)},
+                             {"view", absl::StrCat(memory_.view.revision)},
+                             {"end", absl::StrCat(end_)}});
   state_ = next;
   inbox_.clear();
   inboxBytes_ = 0;
@@ -126,7 +140,8 @@
   }
   durableRevision_ = memory_.view.revision;
   logEvent("opened", {{"incarnation", hexText(memory_.incarnation)},
-                      {"view", absl::StrCat(memory_.view.revision)}, {"end", absl::StrCat(end_)}});
+                      {"view", absl::StrCat(memory_.view.revision)},
+                      {"end", absl::StrCat(end_)}});
   if (memory_.view.revision == 0) {
     changeState(ReplicaState::kBootstrapping);
     room_.start(bootstrap());
@@ -194,8 +209,10 @@
   // Chosen while a fetched state is not yet on its disk: it waits for a later view.
   changeState(mine ? (imageLoose_ ? ReplicaState::kSealed : ReplicaState::kActive) : ReplicaState::kOutside);
   std::string chain;
-  for (const Seat& seat : memory_.view.chain) absl::StrAppend(&chain, chain.empty() ? "" : ",", addressText(seat.address));
-  logEvent("view", {{"revision", absl::StrCat(memory_.view.revision)}, {"chain", chain},
+  for (const Seat& seat : memory_.view.chain)
+    absl::StrAppend(&chain, chain.empty() ? "" : ",", addressText(seat.address));
+  logEvent("view", {{"revision", absl::StrCat(memory_.view.revision)},
+                    {"chain", chain},
                     {"voters", absl::StrCat(memory_.view.voters.size())}});
 }
 
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -3,8 +3,8 @@
 
 #include "replication/machine.h"
 #include "replication/messages.h"
-#include "write_ahead_log/group_commit.h"
 #include "runtime/rpc_endpoint.h"
+#include "write_ahead_log/group_commit.h"
 
 namespace stonemount {
 
@@ -156,11 +156,11 @@
   std::deque<Entry> recent_;     // entries that a successor may still need
   std::size_t recentBytes_ = 0;
   std::size_t imageBytes_ = 0;  // of the newest checkpoint
-  std::deque<Entry> inbox_;      // received in this view, not yet durable
+  std::deque<Entry> inbox_;     // received in this view, not yet durable
   std::size_t inboxBytes_ = 0;
   std::vector<Asked> appendsWaiting_;
-  std::uint64_t appended_ = 0;   // last entry handed to the disk, durable or not
-  Revision endRevision_ = 0;     // of the entry at end_
+  std::uint64_t appended_ = 0;  // last entry handed to the disk, durable or not
+  Revision endRevision_ = 0;    // of the entry at end_
   std::uint64_t received() const;
   Event inboxEvent_, passEvent_, readEvent_, reconfigureEvent_;
   std::optional<std::uint64_t> successorEnd_;  // once its log is known to be the beginning of ours
@@ -169,8 +169,8 @@
   // Our log is known to be the beginning of our predecessor's, in this view, and to hold all that the
   // head held as the view began.
   bool verified_ = false;
-  std::uint64_t verifiedEnd_ = 0;  // where it ended then
-  Revision keptAfterRevision_ = 0;  // of the entry before the first in recent_
+  std::uint64_t verifiedEnd_ = 0;        // where it ended then
+  Revision keptAfterRevision_ = 0;       // of the entry before the first in recent_
   std::map<CommandId, Bytes> verdicts_;  // of commands applied lately; a retry finds its own
   std::deque<CommandId> verdictOrder_;
   std::size_t verdictBytes_ = 0;
@@ -184,20 +184,20 @@
   Us needSinceUs_ = -1;
   Us blindUntilUs_ = 0;  // since a start or a freeze it has not heard enough to suspect anyone
   bool proposing_ = false;
-  Us promisedUs_ = 0;  // when it last promised another's ballot
+  Us promisedUs_ = 0;             // when it last promised another's ballot
   Revision durableRevision_ = 0;  // of the newest view that its disk holds
   std::optional<ChangeVoters> request_;
   std::size_t requesters_ = 0;  // who wait for it
-  Address tooFarBehind_;  // a successor left behind, until the next view
+  Address tooFarBehind_;        // a successor left behind, until the next view
   // refill
   Us invitedUntilUs_ = 0;  // by who wants it in; else a member without a seat copies nothing
   Event catchUpEvent_;
   bool caughtUp_ = false;
   bool fetching_ = false;
   bool fetchRefused_ = false;
-  std::size_t fetchBytes_ = 0;    // asked for at a time; less over a slow link
-  bool imageLoose_ = false;       // a fetched state is in memory and not yet on the disk
-  Us heldUntilUs_ = 0;            // sealed as a holder: fetches nothing meanwhile
+  std::size_t fetchBytes_ = 0;  // asked for at a time; less over a slow link
+  bool imageLoose_ = false;     // a fetched state is in memory and not yet on the disk
+  Us heldUntilUs_ = 0;          // sealed as a holder: fetches nothing meanwhile
   sigc::connection refused_;
   std::uint64_t snapshotToken_ = 0;
   Us snapshotUsedUs_ = 0;
--- a/src/replication/replica_status.cc
+++ b/src/replication/replica_status.cc
@@ -10,7 +10,8 @@
   return plan;
 }
 
-void answerReplicaMetrics(const HttpAsk& ask, HttpReply& reply, JsonOut& out, const Replica& member, const RpcEndpoint& rpc) {
+void answerReplicaMetrics(const HttpAsk& ask, HttpReply& reply, JsonOut& out, const Replica& member,
+                          const RpcEndpoint& rpc) {
   if (ask.path != "/metrics") {
     JsonOut unknown;
     unknown.object().field("verdict", "unknown_path").field("path", ask.path).closeObject();
--- a/src/replication/view.h
+++ b/src/replication/view.h
@@ -17,8 +17,8 @@
   Revision revision = 0;
   std::vector<Seat> voters;
   std::vector<Seat> nonVoters;  // may be in the chain, and have no vote (design.md 6.1)
-  std::vector<Seat> chain;  // head first, tail last
-  std::vector<Seat> wide;   // the newest chain in two zones: each of it holds all that was acknowledged or shown
+  std::vector<Seat> chain;      // head first, tail last
+  std::vector<Seat> wide;       // the newest chain in two zones: each of it holds all that was acknowledged or shown
   friend bool operator==(const View&, const View&) = default;
   STONEMOUNT_PACK(revision, voters, nonVoters, chain, wide)
   std::size_t majority() const { return voters.size() / 2 + 1; }
@@ -81,10 +81,10 @@
 struct VoterMemory {
   std::uint64_t incarnation = 0;
   View view;
-  Ballot promised;               // for the view that would follow
+  Ballot promised;  // for the view that would follow
   Ballot acceptedBallot;
   std::optional<View> accepted;
-  Revision heldRevision = 0;     // in this view it caught up to join the next: what it holds it keeps
+  Revision heldRevision = 0;  // in this view it caught up to join the next: what it holds it keeps
   STONEMOUNT_PACK(incarnation, view, promised, acceptedBallot, accepted, heldRevision)
 };
 
@@ -107,12 +107,12 @@
 };
 
 enum class ReplicaState : std::uint8_t {
-  kOpening,    // reading its disk
-  kBootstrapping,   // no view known yet
-  kOutside,    // a view is known; this incarnation is not in its chain
-  kSealed,     // in the chain, but must not pass on or acknowledge until a later view
-  kActive,     // serves in the current view
-  kBroken,     // its disk failed; takes part in nothing
+  kOpening,        // reading its disk
+  kBootstrapping,  // no view known yet
+  kOutside,        // a view is known; this incarnation is not in its chain
+  kSealed,         // in the chain, but must not pass on or acknowledge until a later view
+  kActive,         // serves in the current view
+  kBroken,         // its disk failed; takes part in nothing
 };
 const char* replicaStateText(ReplicaState state);
 
--- a/src/replication/voter.cc
+++ b/src/replication/voter.cc
@@ -67,8 +67,7 @@
 
 // May this incarnation vote on what follows the given view?
 bool Replica::votes(Revision revision) const {
-  return memory_.view.revision == revision && state_ != ReplicaState::kBroken &&
-         state_ != ReplicaState::kOpening &&
+  return memory_.view.revision == revision && state_ != ReplicaState::kBroken && state_ != ReplicaState::kOpening &&
          holdsSeat(memory_.view.voters, self_, memory_.incarnation);
 }
 
@@ -117,8 +116,10 @@
   verdict.promised = memory_.promised;
   verdict.acceptedBallot = memory_.acceptedBallot;
   verdict.accepted = memory_.accepted;
-  if (verdict.granted) room_.start(answerDurably(asked, verdict));
-  else rpc_.reply(asked, verdict);
+  if (verdict.granted)
+    room_.start(answerDurably(asked, verdict));
+  else
+    rpc_.reply(asked, verdict);
 }
 
 void Replica::onAccept(const Asked& asked) {
@@ -135,8 +136,10 @@
     memory_.accepted = accept.view;
   }
   verdict.promised = memory_.promised;
-  if (verdict.granted) room_.start(answerDurably(asked, verdict));
-  else rpc_.reply(asked, verdict);
+  if (verdict.granted)
+    room_.start(answerDurably(asked, verdict));
+  else
+    rpc_.reply(asked, verdict);
 }
 
 // "Yes" only while no later view can have been decided with this voter's vote.
--- a/src/restore/rebuild.cc
+++ b/src/restore/rebuild.cc
@@ -17,7 +17,8 @@
   for (const PeerRecord& record : gossip_.alive(Role::kNode))
     if (record.control > newest.control) newest = record;
   if (newest.control <= machine_.state().revision()) co_return Done{};
-  Job<std::variant<ControlNews, PeerSilent>> asking = ask<ControlNews>(rpc_, newest.wire, ConfigCacheRequest{0}, kAskUs);
+  Job<std::variant<ControlNews, PeerSilent>> asking =
+      ask<ControlNews>(rpc_, newest.wire, ConfigCacheRequest{0}, kAskUs);
   std::variant<ControlNews, PeerSilent> verdict = co_await asking;
   auto* told = std::get_if<ControlNews>(&verdict);
   if (told == nullptr || told->configRevision == 0) co_return Done{};
--- a/src/restore/rebuild.h
+++ b/src/restore/rebuild.h
@@ -2,9 +2,9 @@
 // from the nodes' configCaches (design.md 7.8).
 #pragma once
 
-#include "replication/client.h"
 #include "control/control_machine.h"
 #include "gossip/gossip.h"
+#include "replication/client.h"
 
 namespace stonemount {
 
--- a/src/runtime/pack.h
+++ b/src/runtime/pack.h
@@ -44,12 +44,10 @@
 };
 
 template <class Number>
-  requires std::is_arithmetic_v<Number>
-void CEREAL_SAVE_FUNCTION_NAME(PackOut& archive, const Number& number) {
-  archive.put(&number, sizeof(number));
-}
+requires std::is_arithmetic_v<Number>
+void CEREAL_SAVE_FUNCTION_NAME(PackOut& archive, const Number& number) { archive.put(&number, sizeof(number)); }
 template <class Number>
-  requires std::is_arithmetic_v<Number>
+requires std::is_arithmetic_v<Number>
 void CEREAL_LOAD_FUNCTION_NAME(PackIn& archive, Number& number) {
   if constexpr (std::is_same_v<Number, bool>) {
     std::uint8_t byte = 0;
@@ -111,10 +109,10 @@
   }
 }
 
-#define STONEMOUNT_PACK(...)                \
-  template <class Archive>                  \
-  void serialize(Archive& archive_) {       \
-    archive_(__VA_ARGS__);                  \
+#define STONEMOUNT_PACK(...)          \
+  template <class Archive>            \
+  void serialize(Archive& archive_) { \
+    archive_(__VA_ARGS__);            \
   }
 
 }  // namespace stonemount
--- a/src/runtime/rpc_endpoint.cc
+++ b/src/runtime/rpc_endpoint.cc
@@ -20,8 +20,7 @@
     if (sinks_.contains(exchange)) sink->lose(exchange, peer);
 }
 
-void RpcEndpoint::send(const Address& peer, std::uint16_t kind, bool verdict, std::uint64_t exchange,
-                Bytes body) {
+void RpcEndpoint::send(const Address& peer, std::uint16_t kind, bool verdict, std::uint64_t exchange, Bytes body) {
   Envelope envelope;
   envelope.kind = kind;
   envelope.verdict = verdict;
--- a/src/runtime/rpc_endpoint.h
+++ b/src/runtime/rpc_endpoint.h
@@ -75,8 +75,13 @@
 class Call : public Waiter, public ReplySink {
  public:
   Call(RpcEndpoint& rpc, const Address& peer, std::uint16_t kind, Bytes body, Us limitUs)
-      : Waiter(rpc.timers()), rpc_(rpc), peer_(peer), kind_(kind), body_(std::move(body)),
-        limitUs_(limitUs), exchange_(rpc.freshExchange()) {}
+      : Waiter(rpc.timers()),
+        rpc_(rpc),
+        peer_(peer),
+        kind_(kind),
+        body_(std::move(body)),
+        limitUs_(limitUs),
+        exchange_(rpc.freshExchange()) {}
   ~Call() override { rpc_.sinks_.erase(exchange_); }
   std::uint64_t exchange() const { return exchange_; }
   bool await_ready() const { return false; }
--- a/src/runtime/task.h
+++ b/src/runtime/task.h
@@ -65,8 +65,7 @@
   absl::btree_map<std::uint64_t, std::coroutine_handle<Task::promise_type>> tasks_;
 };
 
-inline void Task::promise_type::Leave::await_suspend(
-    std::coroutine_handle<promise_type> handle) noexcept {
+inline void Task::promise_type::Leave::await_suspend(std::coroutine_handle<promise_type> handle) noexcept {
   TaskRoom* room = handle.promise().room;
   const std::uint64_t key = handle.promise().key;
   room->forget(key);
--- a/src/safe_time/cut.cc
+++ b/src/safe_time/cut.cc
@@ -7,13 +7,20 @@
 
 const char* doubtText(Doubt doubt) {
   switch (doubt) {
-    case Doubt::kNone: return "none";
-    case Doubt::kNeverCertain: return "never_certain";
-    case Doubt::kTakeover: return "takeover";
-    case Doubt::kClockStep: return "clock_step";
-    case Doubt::kLongGap: return "long_gap";
-    case Doubt::kSessionLost: return "session_lost";
-    case Doubt::kRates: return "clock_rates";
+    case Doubt::kNone:
+      return "none";
+    case Doubt::kNeverCertain:
+      return "never_certain";
+    case Doubt::kTakeover:
+      return "takeover";
+    case Doubt::kClockStep:
+      return "clock_step";
+    case Doubt::kLongGap:
+      return "long_gap";
+    case Doubt::kSessionLost:
+      return "session_lost";
+    case Doubt::kRates:
+      return "clock_rates";
   }
   return "unknown";
 }
--- a/src/safe_time/cut.h
+++ b/src/safe_time/cut.h
@@ -11,12 +11,12 @@
 // Free values of the design; see design.md 8.3 for how they fit in 12 s.
 struct SafeTimePlan {
   Us sampleUs = 300 * kMilliUs;
-  Us gapUs = 2 * kSecondUs;       // longer between two rounds: doubt
-  Us stepUs = 250 * kMilliUs;     // wall against monotonic in one round: doubt
-  Us graceUs = kSecondUs;         // of stable monotonic time before certainty
+  Us gapUs = 2 * kSecondUs;    // longer between two rounds: doubt
+  Us stepUs = 250 * kMilliUs;  // wall against monotonic in one round: doubt
+  Us graceUs = kSecondUs;      // of stable monotonic time before certainty
   std::uint32_t stableSamples = 3;
-  Us agreeUs = kSecondUs;         // wall clocks nearer than this agree
-  Us driftUs = kSecondUs;         // between the two monotonic clocks, beyond 1 in 1,000: doubt
+  Us agreeUs = kSecondUs;  // wall clocks nearer than this agree
+  Us driftUs = kSecondUs;  // between the two monotonic clocks, beyond 1 in 1,000: doubt
   Us horizonUs = 3650LL * 24 * 3600 * kSecondUs;
 };
 
@@ -25,11 +25,11 @@
   std::uint64_t epoch = 0;
   std::uint64_t session = 0;
   std::uint64_t round = 0;
-  Us samplerElapsedUs = 0;  // monotonic, since the sampler's last round
-  Us samplerStepUs = 0;     // wall less monotonic, over the same span
-  Us headElapsedUs = 0;     // stamped
-  Us headStepUs = 0;        // stamped
-  std::vector<Us> wallsUs;  // wall clocks of the cores, as the sampler sees them; the head adds the stores'
+  Us samplerElapsedUs = 0;   // monotonic, since the sampler's last round
+  Us samplerStepUs = 0;      // wall less monotonic, over the same span
+  Us headElapsedUs = 0;      // stamped
+  Us headStepUs = 0;         // stamped
+  std::vector<Us> wallsUs;   // wall clocks of the cores, as the sampler sees them; the head adds the stores'
   std::uint32_t clocks = 0;  // of how many: all voters of both chains, seen or not
   STONEMOUNT_PACK(epoch, session, round, samplerElapsedUs, samplerStepUs, headElapsedUs, headStepUs, wallsUs, clocks)
 };
--- a/src/safe_time/sampler.cc
+++ b/src/safe_time/sampler.cc
@@ -11,8 +11,8 @@
 constexpr Us kAgainUs = 200 * kMilliUs;
 }  // namespace
 
-Sampler::Sampler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, ChainClient& store, const Replica& clocks,
-                 SafeTimePlan plan)
+Sampler::Sampler(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, Election& election, ChainClient& store,
+                 const Replica& clocks, SafeTimePlan plan)
     : ports_(ports), rpc_(rpc), room_(room), election_(election), store_(store), clocks_(clocks), plan_(plan) {}
 
 Task Sampler::run() {
--- a/src/safe_time/sampler.h
+++ b/src/safe_time/sampler.h
@@ -1,10 +1,10 @@
 // The sampler: one core's duty, pinned to one session at the store's head (design.md 8.2).
 #pragma once
 
+#include "election/election.h"
 #include "replication/client.h"
 #include "replication/replica.h"
 #include "safe_time/session.h"
-#include "election/election.h"
 
 namespace stonemount {
 
@@ -18,8 +18,8 @@
 
  private:
   Task run();
-  Job<bool> pin();        // a session and the lock; advances the epoch
-  Job<bool> round();      // false: the leadership is over
+  Job<bool> pin();    // a session and the lock; advances the epoch
+  Job<bool> round();  // false: the leadership is over
   Job<Done> sweep();
   Ports& ports_;
   RpcEndpoint& rpc_;
--- a/src/simulator/checker.cc
+++ b/src/simulator/checker.cc
@@ -38,7 +38,8 @@
   Revision newest = 0;
   for (Part* other : fleet_.of(part.kind))
     if (const Replica* one = fleet_.memberOf(*other)) newest = std::max(newest, one->view().revision);
-  if (member.active() && member.view().revision == newest) entries.see(part.kind, part.host->name(), entry, acknowledged);
+  if (member.active() && member.view().revision == newest)
+    entries.see(part.kind, part.host->name(), entry, acknowledged);
   if (part.kind != PartKind::kStore || !acknowledged || entry.index <= seenStore_) return;
   seenStore_ = entry.index;
   auto stamped = stampedUs_.find({entry.index, entry.revision});
@@ -122,9 +123,11 @@
     for (const std::string& seen : part->callerLedger.faults) fault(part->host->name() + ": " + seen);
     for (const auto& [key, lot] : part->callerLedger.lots) {
       if (operators_.lotEndAsked.contains(lot.lot)) continue;
-      if (!lot.complete) fault(absl::StrCat("accepted lot not complete: ", lot.lot, " has ", lot.results.size(), " of ",
-                                            lot.prompts.size()));
-      else if (lot.results.size() != lot.prompts.size()) fault("complete lot lacks results: " + lot.lot);
+      if (!lot.complete)
+        fault(absl::StrCat("accepted lot not complete: ", lot.lot, " has ", lot.results.size(), " of ",
+                           lot.prompts.size()));
+      else if (lot.results.size() != lot.prompts.size())
+        fault("complete lot lacks results: " + lot.lot);
     }
   }
 }
@@ -154,7 +157,8 @@
       if (member == nullptr || !member->active()) continue;
       Bytes state = part->core ? part->core->machine().save() : part->store->machine().save();
       auto first = states.emplace(member->end(), std::make_pair(part->host->name(), state)).first;
-      if (first->second.second != state) fault(absl::StrCat(part->host->name(), " and ", first->second.first, " differ"));
+      if (first->second.second != state)
+        fault(absl::StrCat(part->host->name(), " and ", first->second.first, " differ"));
     }
   }
 }
@@ -163,7 +167,8 @@
 void Checker::judgeCold() {
   for (Part* part : fleet_.of(PartKind::kWorker))
     if (part->workerLedger.worstExcess > kExcess)
-      fault(absl::StrCat("cold ", part->host->name(), " was flooded: ", part->workerLedger.worstExcess, " more than it bears"));
+      fault(absl::StrCat("cold ", part->host->name(), " was flooded: ", part->workerLedger.worstExcess,
+                         " more than it bears"));
 }
 
 void Checker::conclude() {
--- a/src/simulator/checker.h
+++ b/src/simulator/checker.h
@@ -46,7 +46,7 @@
 class Checker : public sigc::trackable {
  public:
   Checker(Fleet& fleet, OperatorLedger& operators);
-  void look();    // often, while it runs
+  void look();      // often, while it runs
   void conclude();  // once, at rest
   const std::vector<std::string>& faults() const { return faults_; }
   Tally tally();
--- a/src/simulator/checker_store.cc
+++ b/src/simulator/checker_store.cc
@@ -23,7 +23,8 @@
   }
   ++ended;
   auto found = promised_.find(key);
-  const bool early = note.term == Term::kClose ? trueWallUs < note.lengthUs : found != promised_.end() && stampedUs < found->second;
+  const bool early =
+      note.term == Term::kClose ? trueWallUs < note.lengthUs : found != promised_.end() && stampedUs < found->second;
   const Us byUs = note.term == Term::kClose ? note.lengthUs - trueWallUs : early ? found->second - stampedUs : 0;
   if (early && faults.size() < kMostFaults)
     faults.push_back(absl::StrCat("expired early: ", termText(note.term), " ", note.name, " by ", byUs));
@@ -38,7 +39,8 @@
     faults.push_back(absl::StrCat("epoch ", cut.epoch, " has two holders"));
   if (cut.cutUs < lastCutUs_) faults.push_back(absl::StrCat("the cut went back by ", lastCutUs_ - cut.cutUs));
   lastCutUs_ = std::max(lastCutUs_, cut.cutUs);
-  if (cut.cutUs > trueWallUs) faults.push_back(absl::StrCat("the cut is ahead of true time by ", cut.cutUs - trueWallUs));
+  if (cut.cutUs > trueWallUs)
+    faults.push_back(absl::StrCat("the cut is ahead of true time by ", cut.cutUs - trueWallUs));
   if (!held) return;
   const Us lagUs = stampedUs - cut.cutUs;
   if (leastLagUs_ != -1 && lagUs < leastLagUs_)
--- a/src/simulator/fault_schedule.cc
+++ b/src/simulator/fault_schedule.cc
@@ -13,20 +13,53 @@
 }  // namespace
 
 const char* faultText(Fault fault) {
-  constexpr const char* kTexts[] = {
-      "kill", "power", "wipe", "freeze", "cut_off", "cut_one_way", "split_core", "clock_step", "slow_disk",
-      "stalled_disk", "worker_crash", "worker_leaves", "zone_lost", "all_lost", "restart_node", "push",
-      "race_of_pushes", "evacuate", "end_lot", "wipe_after_ack", "corrupt", "cut_pair", "cut_pair_one_way",
-      "slow_machine", "slow_link", "worker_gone", "short_notice", "replace_workers", "platform_down", "old_list",
-      "evacuate_head", "many_routes", "crowd", "replace_core", "replace_store", "add_store", "retire_store"};
+  constexpr const char* kTexts[] = {"kill",
+                                    "power",
+                                    "wipe",
+                                    "freeze",
+                                    "cut_off",
+                                    "cut_one_way",
+                                    "split_core",
+                                    "clock_step",
+                                    "slow_disk",
+                                    "stalled_disk",
+                                    "worker_crash",
+                                    "worker_leaves",
+                                    "zone_lost",
+                                    "all_lost",
+                                    "restart_node",
+                                    "push",
+                                    "race_of_pushes",
+                                    "evacuate",
+                                    "end_lot",
+                                    "wipe_after_ack",
+                                    "corrupt",
+                                    "cut_pair",
+                                    "cut_pair_one_way",
+                                    "slow_machine",
+                                    "slow_link",
+                                    "worker_gone",
+                                    "short_notice",
+                                    "replace_workers",
+                                    "platform_down",
+                                    "old_list",
+                                    "evacuate_head",
+                                    "many_routes",
+                                    "crowd",
+                                    "replace_core",
+                                    "replace_store",
+                                    "add_store",
+                                    "retire_store"};
   static_assert(std::size(kTexts) == static_cast<std::size_t>(Fault::kCount));
   return kTexts[static_cast<std::size_t>(fault)];
 }
 
 FaultSchedule::FaultSchedule(std::uint64_t seed, FleetShape shape, FaultSchedulePlan plan)
-    : plan_(std::move(plan)), fleet_(seed, std::move(shape)),
+    : plan_(std::move(plan)),
+      fleet_(seed, std::move(shape)),
       operatorHost_(fleet_.world().addHost("operators", "outside", kOperatorWire, kOperatorHttp)),
-      checker_(fleet_, ledger_), chance_(seed ^ 0x5EED) {
+      checker_(fleet_, ledger_),
+      chance_(seed ^ 0x5EED) {
   operatorHost_.rise();
   fleet_.applied.connect(sigc::mem_fun(*this, &FaultSchedule::onApplied));
   for (int i = 0; i < 3; ++i) operators_.push_back(std::make_unique<SimOperator>(fleet_, operatorHost_, ledger_));
@@ -75,9 +108,15 @@
         fleet_.world().setCut(*other, *part.host, false);
       }
       break;
-    case Fault::kSlowDisk: part.host->disk->extraUs = 0; break;
-    case Fault::kSlowMachine: part.host->slowUs = 0; break;
-    case Fault::kSlowLink: part.host->usPerKilobyte = 0; break;
+    case Fault::kSlowDisk:
+      part.host->disk->extraUs = 0;
+      break;
+    case Fault::kSlowMachine:
+      part.host->slowUs = 0;
+      break;
+    case Fault::kSlowLink:
+      part.host->usPerKilobyte = 0;
+      break;
     case Fault::kOldList:
       if (fleet_.platform().platform) fleet_.platform().platform->tellOld(false);
       break;
@@ -90,12 +129,16 @@
       fleet_.start(part);
       if (fleet_.platform().platform) fleet_.platform().platform->put(fleet_.listing(part));
       break;
-    case Fault::kShortNotice: fleet_.kill(part, false); break;
+    case Fault::kShortNotice:
+      fleet_.kill(part, false);
+      break;
     case Fault::kEvacuate:
       operators_[0]->setZone(evacuated_, false);
       evacuated_.clear();
       break;
-    default: fleet_.start(part); break;
+    default:
+      fleet_.start(part);
+      break;
   }
 }
 
@@ -145,8 +188,8 @@
 void FaultSchedule::cause(Fault fault) {
   // Mostly short; at times longer than a licence.
   const Us shortUs = (300 * kMilliUs + static_cast<Us>(chance_.below(5000)) * kMilliUs) * (chance_.oneIn(5) ? 4 : 1);
-  const bool struck = strikeMachine(fault, shortUs) || strikeLink(fault, shortUs) || strikeWork(fault, shortUs) ||
-                      strikeChange(fault);
+  const bool struck =
+      strikeMachine(fault, shortUs) || strikeLink(fault, shortUs) || strikeWork(fault, shortUs) || strikeChange(fault);
   logEvent("fault", {{"what", faultText(fault)}, {"struck", struck ? "yes" : "no"}});
   hits_[static_cast<std::size_t>(fault)] += struck ? 1 : 0;
 }
--- a/src/simulator/fault_schedule.h
+++ b/src/simulator/fault_schedule.h
@@ -8,11 +8,44 @@
 namespace stonemount {
 
 enum class Fault : std::uint8_t {
-  kKill, kPower, kWipe, kFreeze, kCutOff, kCutOneWay, kSplitCore, kClockStep, kSlowDisk, kStalledDisk,
-  kWorkerCrash, kWorkerLeaves, kZoneLost, kAllLost, kRestartNode, kPush, kRaceOfPushes, kEvacuate, kEndLot,
-  kWipeAfterAck, kCorrupt, kCutPair, kCutPairOneWay, kSlowMachine, kSlowLink, kWorkerGone, kShortNotice,
-  kReplaceWorkers, kPlatformDown, kOldList, kEvacuateHead, kManyRoutes, kCrowd, kReplaceCore, kReplaceStore,
-  kAddStore, kRetireStore, kCount
+  kKill,
+  kPower,
+  kWipe,
+  kFreeze,
+  kCutOff,
+  kCutOneWay,
+  kSplitCore,
+  kClockStep,
+  kSlowDisk,
+  kStalledDisk,
+  kWorkerCrash,
+  kWorkerLeaves,
+  kZoneLost,
+  kAllLost,
+  kRestartNode,
+  kPush,
+  kRaceOfPushes,
+  kEvacuate,
+  kEndLot,
+  kWipeAfterAck,
+  kCorrupt,
+  kCutPair,
+  kCutPairOneWay,
+  kSlowMachine,
+  kSlowLink,
+  kWorkerGone,
+  kShortNotice,
+  kReplaceWorkers,
+  kPlatformDown,
+  kOldList,
+  kEvacuateHead,
+  kManyRoutes,
+  kCrowd,
+  kReplaceCore,
+  kReplaceStore,
+  kAddStore,
+  kRetireStore,
+  kCount
 };
 const char* faultText(Fault fault);
 
@@ -21,8 +54,8 @@
   Us everyUs = 1500 * kMilliUs;
   std::vector<Fault> faults;  // empty: any
   Us settleUs = 200 * kSecondUs;
-  bool lateFault = true;      // one more, just before the end
-  bool lastStays = false;     // and, with all else healed, a machine, a disk or a zone that never comes back
+  bool lateFault = true;   // one more, just before the end
+  bool lastStays = false;  // and, with all else healed, a machine, a disk or a zone that never comes back
 };
 
 class FaultSchedule : public sigc::trackable {
@@ -46,7 +79,7 @@
   void cause(Fault fault);
   bool strikeMachine(Fault fault, Us shortUs);  // chaos_machines.cc; false: nothing to strike
   bool strikeLink(Fault fault, Us shortUs);
-  bool strikeWork(Fault fault, Us shortUs);     // chaos_work.cc
+  bool strikeWork(Fault fault, Us shortUs);  // chaos_work.cc
   bool strikeChange(Fault fault);
   void lastFault();
   void step(Us lengthUs);
--- a/src/simulator/fault_schedule_machines.cc
+++ b/src/simulator/fault_schedule_machines.cc
@@ -91,7 +91,8 @@
       later(100 * kMilliUs, part, Fault::kKill);
       return true;
     }
-    default: return false;
+    default:
+      return false;
   }
 }
 
@@ -108,7 +109,9 @@
 bool FaultSchedule::strikeLink(Fault fault, Us shortUs) {
   switch (fault) {
     case Fault::kCutOff:
-    case Fault::kCutOneWay: cutOff(anyMachine(), fault == Fault::kCutOneWay, shortUs); return true;
+    case Fault::kCutOneWay:
+      cutOff(anyMachine(), fault == Fault::kCutOneWay, shortUs);
+      return true;
     case Fault::kCutPair:
     case Fault::kCutPairOneWay: {
       Part& one = anyMachine();
@@ -141,7 +144,8 @@
       }
       return true;
     }
-    default: return false;
+    default:
+      return false;
   }
 }
 
--- a/src/simulator/fault_schedule_run.cc
+++ b/src/simulator/fault_schedule_run.cc
@@ -19,8 +19,9 @@
 void FaultSchedule::trouble() {
   const Us untilUs = fleet_.world().nowUs() + plan_.lengthUs;
   while (fleet_.world().nowUs() < untilUs) {
-    const Fault fault = plan_.faults.empty() ? static_cast<Fault>(chance_.below(static_cast<std::uint64_t>(Fault::kCount)))
-                                             : plan_.faults[chance_.below(plan_.faults.size())];
+    const Fault fault = plan_.faults.empty()
+                            ? static_cast<Fault>(chance_.below(static_cast<std::uint64_t>(Fault::kCount)))
+                            : plan_.faults[chance_.below(plan_.faults.size())];
     cause(fault);
     step(plan_.everyUs / 4 + static_cast<Us>(chance_.below(static_cast<std::uint64_t>(plan_.everyUs))));
   }
@@ -34,7 +35,8 @@
   if (which == 0) {
     const std::string zone = fleet_.shape().zones[chance_.below(fleet_.shape().zones.size())];
     for (Part& part : fleet_.parts())
-      if (part.host->zone() == zone && part.kind != PartKind::kCaller && part.kind != PartKind::kPlatform) lost.push_back(&part);
+      if (part.host->zone() == zone && part.kind != PartKind::kCaller && part.kind != PartKind::kPlatform)
+        lost.push_back(&part);
   } else {
     lost.push_back(&anyMachine());
   }
--- a/src/simulator/fault_schedule_work.cc
+++ b/src/simulator/fault_schedule_work.cc
@@ -65,15 +65,20 @@
     case Fault::kCrowd:
       for (Part* part : fleet_.of(PartKind::kCaller)) part->caller->burst(kCrowd);
       return true;
-    default: return false;
+    default:
+      return false;
   }
 }
 
 bool FaultSchedule::strikeChange(Fault fault) {
   const Us nowUs = fleet_.world().nowUs();
   switch (fault) {
-    case Fault::kPush: operators_[0]->pushRoutes(false); return true;
-    case Fault::kManyRoutes: operators_[0]->pushRoutes(false, kManyRoutes); return true;
+    case Fault::kPush:
+      operators_[0]->pushRoutes(false);
+      return true;
+    case Fault::kManyRoutes:
+      operators_[0]->pushRoutes(false, kManyRoutes);
+      return true;
     case Fault::kRaceOfPushes:
       operators_[0]->pushRoutes(false);
       operators_[1]->pushRoutes(false);
@@ -84,7 +89,8 @@
       evacuated_ = fleet_.shape().zones[chance_.below(fleet_.shape().zones.size())];
       if (fault == Fault::kEvacuateHead)  // of the store's head, or of the sampler
         for (Part* part : fleet_.standing(chance_.oneIn(2) ? PartKind::kCore : PartKind::kStore))
-          if ((part->store && part->store->replica().head()) || (part->core && part->core->election().holds(Sampler::kDuty)))
+          if ((part->store && part->store->replica().head()) ||
+              (part->core && part->core->election().holds(Sampler::kDuty)))
             evacuated_ = part->host->zone();
       operators_[0]->setZone(evacuated_, true);
       undos_.push_back({nowUs + 15 * kSecondUs, Fault::kEvacuate, &fleet_.parts().front()});
@@ -109,14 +115,18 @@
         fleet_.kill(old, true);
         old.gone = true;
       }
-      wish(kind == PartKind::kCore ? "/op/core/replace" : add ? "/op/store/add" : "/op/store/replace", &fresh, add ? nullptr : &old);
+      wish(kind == PartKind::kCore ? "/op/core/replace"
+           : add                   ? "/op/store/add"
+                                   : "/op/store/replace",
+           &fresh, add ? nullptr : &old);
       return true;
     }
     case Fault::kRetireStore:
       if (fleet_.standing(PartKind::kStore).size() < 4 || !mayLoseDisk(PartKind::kStore)) return false;
       wish("/op/store/retire", nullptr, &anyOf(PartKind::kStore));
       return true;
-    default: return false;
+    default:
+      return false;
   }
 }
 
--- a/src/simulator/fleet.cc
+++ b/src/simulator/fleet.cc
@@ -148,7 +148,8 @@
       break;
     }
     case PartKind::kWorker:
-      part.worker = std::make_unique<RehearseWorker>(*part.ports, part.host->http(), part.workerPlan, part.workerLedger);
+      part.worker =
+          std::make_unique<RehearseWorker>(*part.ports, part.host->http(), part.workerPlan, part.workerLedger);
       part.worker->begin();
       break;
     case PartKind::kPlatform:
--- a/src/simulator/fleet.h
+++ b/src/simulator/fleet.h
@@ -1,9 +1,9 @@
 // A whole fleet in one process: the real tasks on simulated machines (design.md 13).
 #pragma once
 
-#include "simulator/world.h"
 #include "control/core.h"
 #include "node/node.h"
+#include "simulator/world.h"
 #include "stand_ins/caller.h"
 #include "stand_ins/platform.h"
 #include "stand_ins/worker.h"
@@ -54,9 +54,9 @@
   std::unique_ptr<RehearseCaller> caller;
   std::vector<std::pair<Us, Us>> leaves;  // a worker: from when until when the platform lists it as leaving
   bool leaving(Us nowUs) const { return !leaves.empty() && leaves.back().second > nowUs; }
-  Us troubledUs = 0;     // until when it was cut, frozen or down
+  Us troubledUs = 0;  // until when it was cut, frozen or down
   Revision seenControl = 0;
-  bool gone = false;     // for good
+  bool gone = false;            // for good
   std::vector<TermNote> terms;  // noted by the command that is being applied
 };
 
--- a/src/simulator/main.cc
+++ b/src/simulator/main.cc
@@ -21,7 +21,8 @@
   using namespace stonemount;
   absl::ParseCommandLine(argc, argv);
   if (absl::GetFlag(FLAGS_list)) {
-    for (std::uint8_t i = 0; i < static_cast<std::uint8_t>(Fault::kCount); ++i) std::puts(faultText(static_cast<Fault>(i)));
+    for (std::uint8_t i = 0; i < static_cast<std::uint8_t>(Fault::kCount); ++i)
+      std::puts(faultText(static_cast<Fault>(i)));
     return 0;
   }
   FaultSchedulePlan plan;
@@ -40,24 +41,28 @@
     if (absl::GetFlag(FLAGS_loud)) chaos.loud();
     const std::vector<std::string>& faults = chaos.run();
     const Tally tally = chaos.tally();
-    std::printf("seed=%llu started=%d faults=%zu asked=%llu served=%llu turned_away=%llu not_whole=%llu silent=%llu "
-                "lots=%llu/%llu cold_refused=%llu/%llu excess=%llu compared=%llu terms=%llu reads_at_rest=%llu doubts=%llu dark_us=%lld steps=%llu trace=%s\n",
-                static_cast<unsigned long long>(seed), chaos.started() ? 1 : 0, faults.size(),
-                static_cast<unsigned long long>(tally.asked), static_cast<unsigned long long>(tally.served),
-                static_cast<unsigned long long>(tally.turnedAway), static_cast<unsigned long long>(tally.notWhole),
-                static_cast<unsigned long long>(tally.silent), static_cast<unsigned long long>(tally.lotsComplete),
-                static_cast<unsigned long long>(tally.lotsAccepted), static_cast<unsigned long long>(tally.coldRefused),
-                static_cast<unsigned long long>(tally.started), static_cast<unsigned long long>(tally.worstExcess),
-                static_cast<unsigned long long>(tally.entriesCompared), static_cast<unsigned long long>(tally.termsEnded),
-                static_cast<unsigned long long>(tally.readsAtRest), static_cast<unsigned long long>(tally.doubts),
-                static_cast<long long>(tally.longestDarkUs), static_cast<unsigned long long>(chaos.fleet().world().steps()),
-                hexText(chaos.fleet().world().traceDigest()).c_str());
+    std::printf(
+        "seed=%llu started=%d faults=%zu asked=%llu served=%llu turned_away=%llu not_whole=%llu silent=%llu "
+        "lots=%llu/%llu cold_refused=%llu/%llu excess=%llu compared=%llu terms=%llu reads_at_rest=%llu doubts=%llu "
+        "dark_us=%lld steps=%llu trace=%s\n",
+        static_cast<unsigned long long>(seed), chaos.started() ? 1 : 0, faults.size(),
+        static_cast<unsigned long long>(tally.asked), static_cast<unsigned long long>(tally.served),
+        static_cast<unsigned long long>(tally.turnedAway), static_cast<unsigned long long>(tally.notWhole),
+        static_cast<unsigned long long>(tally.silent), static_cast<unsigned long long>(tally.lotsComplete),
+        static_cast<unsigned long long>(tally.lotsAccepted), static_cast<unsigned long long>(tally.coldRefused),
+        static_cast<unsigned long long>(tally.started), static_cast<unsigned long long>(tally.worstExcess),
+        static_cast<unsigned long long>(tally.entriesCompared), static_cast<unsigned long long>(tally.termsEnded),
+        static_cast<unsigned long long>(tally.readsAtRest), static_cast<unsigned long long>(tally.doubts),
+        static_cast<long long>(tally.longestDarkUs), static_cast<unsigned long long>(chaos.fleet().world().steps()),
+        hexText(chaos.fleet().world().traceDigest()).c_str());
     std::printf("struck");
     for (std::uint8_t f = 0; f < static_cast<std::uint8_t>(Fault::kCount); ++f)
       if (chaos.hits(static_cast<Fault>(f)) > 0)
-        std::printf(" %s=%llu", faultText(static_cast<Fault>(f)), static_cast<unsigned long long>(chaos.hits(static_cast<Fault>(f))));
+        std::printf(" %s=%llu", faultText(static_cast<Fault>(f)),
+                    static_cast<unsigned long long>(chaos.hits(static_cast<Fault>(f))));
     std::printf("\n");
-    for (const std::string& fault : faults) std::printf("  seed=%llu fault: %s\n", static_cast<unsigned long long>(seed), fault.c_str());
+    for (const std::string& fault : faults)
+      std::printf("  seed=%llu fault: %s\n", static_cast<unsigned long long>(seed), fault.c_str());
     std::fflush(stdout);
     bad += faults.empty() && chaos.started() ? 0 : 1;
   }
--- a/src/simulator/operators.cc
+++ b/src/simulator/operators.cc
@@ -10,7 +10,12 @@
 void usualRoutes(JsonOut& out) {
   out.object().field("name", "digest").field("kind", "stream").field("pool", "models").closeObject();
   out.object().field("name", "review").field("kind", "whole").field("pool", "models").field("lots", true).closeObject();
-  out.object().field("name", "record").field("kind", "lookup").field("pool", "apps").field("limitUs", 5000000).closeObject();
+  out.object()
+      .field("name", "record")
+      .field("kind", "lookup")
+      .field("pool", "apps")
+      .field("limitUs", 5000000)
+      .closeObject();
 }
 }  // namespace
 
@@ -63,9 +68,12 @@
   Job<HttpVerdict> pushing = ask(first ? "PUT" : "PATCH", "/op/config", out.take(), 6 * kSecondUs);
   const HttpVerdict verdict = co_await pushing;
   auto* whole = std::get_if<HttpWhole>(&verdict);
-  if (whole == nullptr || whole->status >= 500) ++ledger_.unsure;
-  else if (whole->status == 409) ++ledger_.conflicts;
-  else if (whole->status != 200) ++ledger_.refused;
+  if (whole == nullptr || whole->status >= 500)
+    ++ledger_.unsure;
+  else if (whole->status == 409)
+    ++ledger_.conflicts;
+  else if (whole->status != 200)
+    ++ledger_.refused;
   else {
     JsonVerdict read = parseJson(whole->body);
     if (auto* document = std::get_if<JsonDocument>(&read))
@@ -95,7 +103,8 @@
     ledger_.zoneEvacuated.erase(name);
     ledger_.zoneRestoreAsked.insert(name);
   }
-  Job<HttpVerdict> asking = ask("POST", "/op/zones/" + name + (evacuated ? "/evacuate" : "/restore"), "", 6 * kSecondUs);
+  Job<HttpVerdict> asking =
+      ask("POST", "/op/zones/" + name + (evacuated ? "/evacuate" : "/restore"), "", 6 * kSecondUs);
   const HttpVerdict verdict = co_await asking;
   auto* whole = std::get_if<HttpWhole>(&verdict);
   if (whole != nullptr && whole->status == 200 && evacuated && !ledger_.zoneRestoreAsked.contains(name))
--- a/src/simulator/operators.h
+++ b/src/simulator/operators.h
@@ -6,9 +6,9 @@
 namespace stonemount {
 
 struct OperatorLedger {
-  std::map<Revision, Us> configAcked;          // when each was first acknowledged
+  std::map<Revision, Us> configAcked;  // when each was first acknowledged
   std::uint64_t pushes = 0, conflicts = 0, unsure = 0, refused = 0;
-  std::map<std::string, Us> zoneEvacuated;     // since when, where acknowledged
+  std::map<std::string, Us> zoneEvacuated;  // since when, where acknowledged
   std::set<std::string> zoneRestoreAsked;
   std::map<std::string, Us> lotEnded;
   std::set<std::string> lotEndAsked;
@@ -18,7 +18,7 @@
  public:
   SimOperator(Fleet& fleet, SimHost& host, OperatorLedger& ledger);
   ~SimOperator() { room_.clear(); }
-  void pushRoutes(bool first, std::size_t routes = 5);   // the usual routes, and some that change each time
+  void pushRoutes(bool first, std::size_t routes = 5);  // the usual routes, and some that change each time
   void createEvent(const std::string& name, Us openForUs);
   void setZone(const std::string& zone, bool evacuated);
   void endLot(const std::string& lot);
--- a/src/simulator/sim_disk.cc
+++ b/src/simulator/sim_disk.cc
@@ -88,8 +88,10 @@
   const std::size_t to = turn + 1 < turns.size() ? turns[turn + 1] : syncing_.size();
   for (std::size_t i = 0; i < to; ++i) {
     const std::size_t whole = syncing_[i].bytes.size();
-    if (i < from || chance.oneIn(2)) keep(syncing_[i], whole);
-    else if (chance.oneIn(2)) keep(syncing_[i], chance.below(whole + 1));
+    if (i < from || chance.oneIn(2))
+      keep(syncing_[i], whole);
+    else if (chance.oneIn(2))
+      keep(syncing_[i], chance.below(whole + 1));
   }
   syncing_.clear();
 }
--- a/src/simulator/sim_disk.h
+++ b/src/simulator/sim_disk.h
@@ -23,8 +23,8 @@
   void losePower(Chance& chance);
   void wipe();
   void corrupt(Chance& chance);  // one byte of what had lasted
-  Us extraUs = 0;        // a slow disk
-  Us stalledUntilUs = 0;  // a stalled one
+  Us extraUs = 0;                // a slow disk
+  Us stalledUntilUs = 0;         // a stalled one
   bool failing = false;
 
  private:
--- a/src/simulator/sim_http.cc
+++ b/src/simulator/sim_http.cc
@@ -40,9 +40,12 @@
 std::string encoded(const std::string& text) {
   std::string out;
   for (const char letter : text) {
-    const bool plain = absl::ascii_isalnum(static_cast<unsigned char>(letter)) || std::string_view("-._~").find(letter) != std::string_view::npos;
-    if (plain) out += letter;
-    else absl::StrAppend(&out, "%", absl::Hex(static_cast<unsigned char>(letter), absl::kZeroPad2));
+    const bool plain = absl::ascii_isalnum(static_cast<unsigned char>(letter)) ||
+                       std::string_view("-._~").find(letter) != std::string_view::npos;
+    if (plain)
+      out += letter;
+    else
+      absl::StrAppend(&out, "%", absl::Hex(static_cast<unsigned char>(letter), absl::kZeroPad2));
   }
   return out;
 }
@@ -51,8 +54,10 @@
   std::string out;
   for (std::size_t i = 0; i < text.size(); ++i) {
     const bool coded = text[i] == '%' && i + 2 < text.size();
-    if (coded) out += static_cast<char>(std::strtol(std::string(text.substr(i + 1, 2)).c_str(), nullptr, 16));
-    else out += text[i] == '+' ? ' ' : text[i];
+    if (coded)
+      out += static_cast<char>(std::strtol(std::string(text.substr(i + 1, 2)).c_str(), nullptr, 16));
+    else
+      out += text[i] == '+' ? ' ' : text[i];
     if (coded) i += 2;
   }
   return out;
@@ -63,7 +68,8 @@
   if (ask.target.empty()) {
     ask.target = ask.path;
     for (const auto& [name, value] : ask.query)
-      absl::StrAppend(&ask.target, ask.target.size() == ask.path.size() ? "?" : "&", encoded(name), "=", encoded(value));
+      absl::StrAppend(&ask.target, ask.target.size() == ask.path.size() ? "?" : "&", encoded(name), "=",
+                      encoded(value));
     return ask;
   }
   const std::string_view target = ask.target;
@@ -83,22 +89,19 @@
 
 class SimFlow : public HttpFlow {
  public:
-  explicit SimFlow(ChannelPtr channel) : channel_(std::move(channel)) {
-    channel_->flow = this;
-  }
+  explicit SimFlow(ChannelPtr channel) : channel_(std::move(channel)) { channel_->flow = this; }
   ~SimFlow() override {
     channel_->flow = nullptr;
     tellGone(channel_);
   }
+
  private:
   ChannelPtr channel_;
 };
 
 class SimReply : public HttpReply {
  public:
-  explicit SimReply(ChannelPtr channel) : channel_(std::move(channel)) {
-    channel_->reply = this;
-  }
+  explicit SimReply(ChannelPtr channel) : channel_(std::move(channel)) { channel_->reply = this; }
   ~SimReply() override {
     channel_->reply = nullptr;
     if (!channel_->ended) carry(channel_, HttpBroken{false});
@@ -147,7 +150,8 @@
   explicit GoneEvent(ChannelPtr channel) : channel_(std::move(channel)) {}
   void happen() override {
     if (channel_->world.cut(*channel_->client, *channel_->server)) {
-      channel_->world.schedule(channel_->world.nowUs() + kHeldUs, channel_->server, std::make_unique<GoneEvent>(channel_));
+      channel_->world.schedule(channel_->world.nowUs() + kHeldUs, channel_->server,
+                               std::make_unique<GoneEvent>(channel_));
       return;
     }
     if (channel_->reply != nullptr) channel_->reply->gone.emit();
@@ -193,7 +197,8 @@
   channel->ended = std::holds_alternative<HttpEnd>(piece) || std::holds_alternative<HttpBroken>(piece);
   if (channel->flow == nullptr) return;
   auto* data = std::get_if<HttpData>(&piece);
-  const Us carriageUs = channel->world.carriageUs(*channel->server, *channel->client, data != nullptr ? data->bytes.size() : 0);
+  const Us carriageUs =
+      channel->world.carriageUs(*channel->server, *channel->client, data != nullptr ? data->bytes.size() : 0);
   channel->toClient.push_back(std::move(piece));
   if (std::exchange(channel->carrying, true)) return;
   const Us atUs = channel->world.nowUs() + channel->world.latency(*channel->server, *channel->client) + carriageUs;
--- a/src/simulator/world.cc
+++ b/src/simulator/world.cc
@@ -37,8 +37,14 @@
 }  // namespace
 
 SimHost::SimHost(World& world, std::size_t place, std::string name, std::string zone, Address wire, Address http)
-    : chance(world.chance().next()), world_(world), place_(place), name_(std::move(name)), zone_(std::move(zone)),
-      wire_(wire), http_(http), monoOffsetUs_(static_cast<Us>(1000 + 13 * place) * kSecondUs) {}
+    : chance(world.chance().next()),
+      world_(world),
+      place_(place),
+      name_(std::move(name)),
+      zone_(std::move(zone)),
+      wire_(wire),
+      http_(http),
+      monoOffsetUs_(static_cast<Us>(1000 + 13 * place) * kSecondUs) {}
 
 SimHost::~SimHost() = default;
 
@@ -113,8 +119,10 @@
 }
 
 void World::setCut(const SimHost& from, const SimHost& to, bool isCut) {
-  if (isCut) cuts_.insert({from.place(), to.place()});
-  else cuts_.erase({from.place(), to.place()});
+  if (isCut)
+    cuts_.insert({from.place(), to.place()});
+  else
+    cuts_.erase({from.place(), to.place()});
 }
 
 std::uint64_t World::enqueue(Us atUs, SimHost& host, Continuation& continuation) {
@@ -170,7 +178,8 @@
 }
 
 void World::line(bool doubt, const std::string& text) {
-  const std::string whole = std::to_string(nowUs_) + " " + (current_ != nullptr ? current_->name() : "world") + " " + text;
+  const std::string whole =
+      std::to_string(nowUs_) + " " + (current_ != nullptr ? current_->name() : "world") + " " + text;
   traceDigest_ = spread(whole, traceDigest_);
   if (loud) std::fprintf(stderr, "%s%s\n", doubt ? "! " : "  ", whole.c_str());
 }
--- a/src/simulator/world.h
+++ b/src/simulator/world.h
@@ -41,8 +41,8 @@
   bool up() const { return up_; }
   bool frozen() const;
   std::uint64_t life() const { return life_; }
-  void rise();   // a process is about to run here
-  void fall();   // it is gone; its channels break
+  void rise();  // a process is about to run here
+  void fall();  // it is gone; its channels break
   Us frozenUntilUs = 0;
   Us wallOffsetUs = 0;
   Us usPerKilobyte = 0;  // a slow link: each frame and piece to or from here takes so long besides
--- a/src/stand_ins/caller.cc
+++ b/src/stand_ins/caller.cc
@@ -29,7 +29,8 @@
 
 Task RehearseCaller::every(Kind kind, Us periodUs) {
   while (!stopped_) {
-    Pause pause(ports_.timers, periodUs / 2 + static_cast<Us>(ports_.chance.below(static_cast<std::uint64_t>(periodUs))));
+    Pause pause(ports_.timers,
+                periodUs / 2 + static_cast<Us>(ports_.chance.below(static_cast<std::uint64_t>(periodUs))));
     co_await pause;
     if (!stopped_) room_.start(call(kind));
   }
@@ -76,7 +77,8 @@
     }
   }
   const std::uint32_t parts = kind == Kind::kLookup ? 1 : plan_.workerParts;
-  if (!rehearsedWell(prompt, answer, parts)) ledger_.faults.push_back("success that is not the whole right answer: " + prompt);
+  if (!rehearsedWell(prompt, answer, parts))
+    ledger_.faults.push_back("success that is not the whole right answer: " + prompt);
   return true;
 }
 
--- a/src/stand_ins/caller.h
+++ b/src/stand_ins/caller.h
@@ -32,11 +32,11 @@
 
 struct CallerLedger {
   std::uint64_t asked = 0, served = 0, turnedAway = 0, notWhole = 0, silent = 0, lotsOffered = 0;
-  std::map<std::string, LotRecord> lots;     // accepted ones
-  std::vector<std::string> toldNeverRuns;    // prompts
-  std::vector<std::pair<Us, bool>> outcomes; // when, and whether served
-  std::vector<std::pair<Us, bool>> reads;    // of accepted lots
-  std::vector<std::string> faults;           // what must never happen, seen from outside
+  std::map<std::string, LotRecord> lots;      // accepted ones
+  std::vector<std::string> toldNeverRuns;     // prompts
+  std::vector<std::pair<Us, bool>> outcomes;  // when, and whether served
+  std::vector<std::pair<Us, bool>> reads;     // of accepted lots
+  std::vector<std::string> faults;            // what must never happen, seen from outside
 };
 
 class RehearseCaller {
--- a/src/stand_ins/caller_lots.cc
+++ b/src/stand_ins/caller_lots.cc
@@ -102,8 +102,10 @@
   }
   for (const auto& [id, answer] : record.results) {
     auto found = now.find(id);
-    if (found == now.end()) ledger_.faults.push_back("result gone: " + record.lot + " " + id);
-    else if (found->second != answer) ledger_.faults.push_back("result changed: " + record.lot + " " + id);
+    if (found == now.end())
+      ledger_.faults.push_back("result gone: " + record.lot + " " + id);
+    else if (found->second != answer)
+      ledger_.faults.push_back("result changed: " + record.lot + " " + id);
   }
   record.results = std::move(now);
   record.complete = jsonString(*document, "state") == "complete";
--- a/src/stand_ins/pass_worker.cc
+++ b/src/stand_ins/pass_worker.cc
@@ -46,7 +46,8 @@
 }
 
 Bytes passEvent(std::size_t number, std::uint64_t id) {
-  const std::string second = id % 3 == 0 ? absl::StrCat("data: ", hexText(spread(std::to_string(number), id)), "\n") : "";
+  const std::string second =
+      id % 3 == 0 ? absl::StrCat("data: ", hexText(spread(std::to_string(number), id)), "\n") : "";
   return absl::StrCat("id: ", id, "\ndata: ", kRunMark, number, " event=", id, "\n", second, "\n");
 }
 
@@ -58,7 +59,8 @@
   const std::string_view rest = bytes.substr(at + sizeof kRunMark - 1);
   std::size_t number = 0;
   const std::size_t end = rest.find(' ');
-  if (end == std::string_view::npos || !absl::SimpleAtoi(absl::string_view(rest.data(), end), &number)) return std::nullopt;
+  if (end == std::string_view::npos || !absl::SimpleAtoi(absl::string_view(rest.data(), end), &number))
+    return std::nullopt;
   return number;
 }
 
@@ -143,7 +145,10 @@
   if (deed == PassDeed::kSilent) script.end = ScriptEnd::kHang;
   if (deed == PassDeed::kBreakBeforeHead || deed == PassDeed::kBreakAfterHead) script.end = ScriptEnd::kBreak;
   if (deed == PassDeed::kSilent || deed == PassDeed::kBreakBeforeHead) return script;
-  script.status = deed == PassDeed::kFail || deed == PassDeed::kBigFail ? 500 : deed == PassDeed::kDecline ? 422 : deed == PassDeed::kBareRefusal ? 503 : 200;
+  script.status = deed == PassDeed::kFail || deed == PassDeed::kBigFail ? 500
+                  : deed == PassDeed::kDecline                          ? 422
+                  : deed == PassDeed::kBareRefusal                      ? 503
+                                                                        : 200;
   script.headers = headersFor(record, number);
   if (deed == PassDeed::kBreakAfterHead) return script;
   const bool body = deed == PassDeed::kBodyForEvents || deed == PassDeed::kBigForEvents || script.status != 200;
--- a/src/stand_ins/pass_worker.h
+++ b/src/stand_ins/pass_worker.h
@@ -7,15 +7,15 @@
 namespace stonemount {
 
 enum class PassDeed : std::uint8_t {
-  kWhole,         // a sealed answer, whole: events where it is asked for a stream
-  kBig,           // the same, longer than a gateway may keep back
-  kBodyForEvents, // a sealed body where events were asked for
+  kWhole,          // a sealed answer, whole: events where it is asked for a stream
+  kBig,            // the same, longer than a gateway may keep back
+  kBodyForEvents,  // a sealed body where events were asked for
   kBigForEvents,
-  kRefuse,        // says that it has not run it and will not
-  kBareRefusal,   // the status alone, without that word: it ran
-  kFail,          // a failure of its own
-  kBigFail,       // a long one
-  kDecline,       // can never be done
+  kRefuse,       // says that it has not run it and will not
+  kBareRefusal,  // the status alone, without that word: it ran
+  kFail,         // a failure of its own
+  kBigFail,      // a long one
+  kDecline,      // can never be done
   kUnsealed,
   kForeign,       // the answer of another exchange
   kSilent,        // takes it, and nothing comes
@@ -48,15 +48,15 @@
 
 struct PassAsk {
   Address worker;
-  std::string pool;   // of the worker that was there
+  std::string pool;  // of the worker that was there
   HttpAsk ask;
-  Us atUs = 0;        // by the worker's clock
+  Us atUs = 0;  // by the worker's clock
   PassDeed deed = PassDeed::kWhole;
   std::optional<std::uint64_t> lastEvent;  // it was asked to go on after this one
   bool ran = false;
   bool otherLife = false;  // it was meant for another
   bool whole = false;      // its answer went out whole
-  Us overUs = -1;     // its answer ended, or its caller was seen to have gone; -1: still at work
+  Us overUs = -1;          // its answer ended, or its caller was seen to have gone; -1: still at work
 };
 using PassLedger = std::deque<PassAsk>;  // a run's number is its place
 
--- a/src/stand_ins/platform.cc
+++ b/src/stand_ins/platform.cc
@@ -64,10 +64,14 @@
   // A worker that has itself listed again and again does not take its mark off; its removal does.
   auto known = workers_.find(worker.address);
   worker.leaving |= known != workers_.end() && known->second.leaving;
-  if (ask.path == "/platform/put") put(worker);
-  else if (ask.path == "/platform/leave") leave(worker.address);
-  else if (ask.path == "/platform/remove") remove(worker.address);
-  else return reply->whole(404, {}, "{\"verdict\":\"unknown_path\"}\n");
+  if (ask.path == "/platform/put")
+    put(worker);
+  else if (ask.path == "/platform/leave")
+    leave(worker.address);
+  else if (ask.path == "/platform/remove")
+    remove(worker.address);
+  else
+    return reply->whole(404, {}, "{\"verdict\":\"unknown_path\"}\n");
   reply->whole(200, {}, "{\"verdict\":\"taken\"}\n");
 }
 
--- a/src/stand_ins/worker.cc
+++ b/src/stand_ins/worker.cc
@@ -76,7 +76,8 @@
 // For scripts/measure: how long ago it last started anything, and a lot's item; -1: never.
 void RehearseWorker::sendMetrics(HttpReply& reply) const {
   Us liveAgoUs = -1, lotAgoUs = -1;
-  for (const WorkerLedger::Start& start : ledger_.starts) (start.lot ? lotAgoUs : liveAgoUs) = ports_.clock.monoUs() - start.atUs;
+  for (const WorkerLedger::Start& start : ledger_.starts)
+    (start.lot ? lotAgoUs : liveAgoUs) = ports_.clock.monoUs() - start.atUs;
   JsonOut out;
   out.object().field("started", ledger_.started).field("finished", ledger_.finished).field("refused", ledger_.refused);
   out.field("coldRefused", ledger_.coldRefused).field("liveAgoUs", liveAgoUs).field("lotAgoUs", lotAgoUs).closeObject();
--- a/src/stand_ins/worker.h
+++ b/src/stand_ins/worker.h
@@ -10,24 +10,25 @@
   std::string pool = "models";
   std::string zone;
   std::uint32_t slots = 4;
-  std::uint32_t coldBear = 2;       // what it bears when cold
-  std::uint32_t warmAfter = 12;     // answers until it is warm
+  std::uint32_t coldBear = 2;    // what it bears when cold
+  std::uint32_t warmAfter = 12;  // answers until it is warm
   std::uint32_t parts = 4;
   Us partUs = 40 * kMilliUs;
-  Us missUs = 80 * kMilliUs;        // more for a prefix that it has not cached
+  Us missUs = 80 * kMilliUs;  // more for a prefix that it has not cached
   std::size_t cachePrefixes = 64;
   std::vector<std::string> adapters;
-  Address platform;                 // where it has itself listed, if anywhere
-  std::uint64_t oddsTruncate = 0;   // one in so many; 0: never
+  Address platform;                // where it has itself listed, if anywhere
+  std::uint64_t oddsTruncate = 0;  // one in so many; 0: never
   std::uint64_t oddsSwap = 0;
   std::uint64_t oddsSilent = 0;
-  std::size_t padBytes = 0;         // more in each part
+  std::size_t padBytes = 0;  // more in each part
   Us silentUs = 5 * kSecondUs;
   std::uint64_t oddsWholeAtEnd = 4;
 };
 
 struct WorkerLedger {
-  std::uint64_t started = 0, finished = 0, refused = 0, coldRefused = 0, worstExcess = 0, cacheHits = 0, cacheMisses = 0;
+  std::uint64_t started = 0, finished = 0, refused = 0, coldRefused = 0, worstExcess = 0, cacheHits = 0,
+                cacheMisses = 0;
   struct Start {
     Us atUs = 0;
     Bytes prompt;
--- a/src/stonemount.cc
+++ b/src/stonemount.cc
@@ -11,8 +11,8 @@
 namespace stonemount {
 
 std::string addressText(const Address& address) {
-  return absl::StrCat(address.ip >> 24, ".", (address.ip >> 16) & 255, ".", (address.ip >> 8) & 255,
-                      ".", address.ip & 255, ":", address.port);
+  return absl::StrCat(address.ip >> 24, ".", (address.ip >> 16) & 255, ".", (address.ip >> 8) & 255, ".",
+                      address.ip & 255, ":", address.port);
 }
 
 std::variant<Address, BadAddress> parseAddress(std::string_view text) {
@@ -20,8 +20,7 @@
   if (halves.size() != 2) return BadAddress{};
   const std::vector<std::string> parts = absl::StrSplit(halves[0], '.');
   std::uint32_t port = 0;
-  if (parts.size() != 4 || !absl::SimpleAtoi(halves[1], &port) || port == 0 || port > 65535)
-    return BadAddress{};
+  if (parts.size() != 4 || !absl::SimpleAtoi(halves[1], &port) || port == 0 || port > 65535) return BadAddress{};
   Address address;
   for (const std::string& part : parts) {
     std::uint32_t number = 0;
@@ -51,8 +50,7 @@
     tables[0][i] = value;
   }
   for (std::size_t k = 1; k < 8; ++k)
-    for (std::size_t i = 0; i < 256; ++i)
-      tables[k][i] = (tables[k - 1][i] >> 8) ^ tables[0][tables[k - 1][i] & 255];
+    for (std::size_t i = 0; i < 256; ++i) tables[k][i] = (tables[k - 1][i] >> 8) ^ tables[0][tables[k - 1][i] & 255];
   return tables;
 }
 constexpr Tables kTables = makeTables();
@@ -67,7 +65,8 @@
     __builtin_memcpy(&high, bytes.data() + at + 4, 4);
     low ^= value;
     value = kTables[7][low & 255] ^ kTables[6][low >> 8 & 255] ^ kTables[5][low >> 16 & 255] ^ kTables[4][low >> 24] ^
-            kTables[3][high & 255] ^ kTables[2][high >> 8 & 255] ^ kTables[1][high >> 16 & 255] ^ kTables[0][high >> 24];
+            kTables[3][high & 255] ^ kTables[2][high >> 8 & 255] ^ kTables[1][high >> 16 & 255] ^
+            kTables[0][high >> 24];
   }
   for (; at < bytes.size(); ++at)
     value = kTables[0][(value ^ static_cast<unsigned char>(bytes[at])) & 255] ^ (value >> 8);
--- a/src/stonemount.h
+++ b/src/stonemount.h
@@ -176,16 +176,18 @@
 // How a channel to a server is come by. Kept ones wait for the next request until the server's own
 // Keep-Alive time, less a margin, or until it says that it closes.
 struct HttpVia {
-  bool keep = false;      // may ride on a kept channel, and leaves its own behind
-  bool fresh = false;     // must not ride on one that was used before
-  std::string echoName;   // the answer must repeat this header with this value, or it is another request's
+  bool keep = false;     // may ride on a kept channel, and leaves its own behind
+  bool fresh = false;    // must not ride on one that was used before
+  std::string echoName;  // the answer must repeat this header with this value, or it is another request's
   std::string echoValue;
 };
 class HttpOut {
  public:
   virtual ~HttpOut() = default;
   virtual std::unique_ptr<HttpFlow> open(const Address& server, const HttpAsk& ask) = 0;
-  virtual std::unique_ptr<HttpFlow> open(const Address& server, const HttpAsk& ask, const HttpVia&) { return open(server, ask); }
+  virtual std::unique_ptr<HttpFlow> open(const Address& server, const HttpAsk& ask, const HttpVia&) {
+    return open(server, ask);
+  }
   virtual void closeKept(const Address&) {}  // the server is gone, or another has its address
 };
 
@@ -232,8 +234,8 @@
 
 // Invariants live in the code and stop the process (or fail the run) when broken.
 [[noreturn]] void invariantBroken(const char* what, const char* file, int line);
-#define STONEMOUNT_INVARIANT(condition)                                      \
-  do {                                                                       \
+#define STONEMOUNT_INVARIANT(condition)                                              \
+  do {                                                                               \
     if (!(condition)) ::stonemount::invariantBroken(#condition, __FILE__, __LINE__); \
   } while (false)
 
--- a/src/store/answers.cc
+++ b/src/store/answers.cc
@@ -39,8 +39,10 @@
     for (const std::uint32_t place : lot.waiting) {
       if (lot.standing() ? standingTold >= kStandingTold : open.waiting.size() >= kWaitingTold) break;
       open.waiting.push_back(place);
-      if (lot.standing()) ++standingTold;
-      else open.prefixes.push_back(spread(lot.items[place].given.body.substr(0, kPrefixBytes)));
+      if (lot.standing())
+        ++standingTold;
+      else
+        open.prefixes.push_back(spread(lot.items[place].given.body.substr(0, kPrefixBytes)));
     }
     verdict.lots.push_back(std::move(open));
     if (verdict.lots.size() >= ask.most) break;
@@ -109,8 +111,8 @@
   EventsVerdict verdict;
   for (const auto& [name, event] : state_.events) {
     if (!ask.name.empty() && ask.name != name) continue;
-    verdict.events.push_back({name, event.startUs, event.closeUs, event.open, event.closed, event.lots, event.quota,
-                              event.windowUs});
+    verdict.events.push_back(
+        {name, event.startUs, event.closeUs, event.open, event.closed, event.lots, event.quota, event.windowUs});
   }
   return pack(verdict);
 }
