--- a/src/store/commands.h
+++ b/src/store/commands.h
@@ -44,11 +44,11 @@
   Us wallUs = 0;  // stamped
   // A standing lot belongs to no event (`event` and `key` empty) and is named by its caller.
   std::string name;
-  std::string host;             // that its items are meant for
-  Us retentionUs = 0;           // after which an item may be given up; 0: never
-  Us keepUs = 0;                // how long results are kept after the lot's end; 0: as the store is set
-  Us keyUs = 0;                 // how long its name is remembered after that; 0: as the store is set
-  std::uint32_t attempts = 0;   // failures after which an item is given up; 0: no number of them
+  std::string host;            // that its items are meant for
+  Us retentionUs = 0;          // after which an item may be given up; 0: never
+  Us keepUs = 0;               // how long results are kept after the lot's end; 0: as the store is set
+  Us keyUs = 0;                // how long its name is remembered after that; 0: as the store is set
+  std::uint32_t attempts = 0;  // failures after which an item is given up; 0: no number of them
   // Runs that the node that took it in would begin at once: granted with the lot, where the cut is certain.
   Address node;
   Us licenceUs = 0;
@@ -56,8 +56,8 @@
   std::uint32_t slotCap = 0;
   bool certainHere = false;  // stamped
   bool standing() const { return event.empty(); }
-  STONEMOUNT_PACK(event, key, route, digest, items, wallUs, name, host, retentionUs, keepUs, keyUs, attempts, node, licenceUs,
-                  atOnce, slotCap, certainHere)
+  STONEMOUNT_PACK(event, key, route, digest, items, wallUs, name, host, retentionUs, keepUs, keyUs, attempts, node,
+                  licenceUs, atOnce, slotCap, certainHere)
 };
 struct EndLot {
   std::string lot;
@@ -96,7 +96,7 @@
 };
 struct DroppedRun {
   RunName run;
-  bool began = false;  // a worker answered something, or broke off what it had been sent whole
+  bool began = false;   // a worker answered something, or broke off what it had been sent whole
   bool failed = false;  // a worker told its own failure
   STONEMOUNT_PACK(run, began, failed)
 };
@@ -105,7 +105,7 @@
   bool certainHere = false;  // stamped
   STONEMOUNT_PACK(runs, certainHere)
 };
-struct Sweep {  // expiry, release of freed slots, collection: all judged against the persisted cut
+struct Sweep {               // expiry, release of freed slots, collection: all judged against the persisted cut
   bool certainHere = false;  // stamped
   Us wallUs = 0;             // stamped
   STONEMOUNT_PACK(certainHere, wallUs)
@@ -114,8 +114,8 @@
   std::uint64_t epoch = 0;
   STONEMOUNT_PACK(epoch)
 };
-using StoreCommand = std::variant<CreateEvent, CloseEvent, SubmitLot, EndLot, GrantRuns, RenewRuns, SealRuns,
-                                  DropRuns, Sweep, LockWish, CutProposal, DoubtCut>;
+using StoreCommand = std::variant<CreateEvent, CloseEvent, SubmitLot, EndLot, GrantRuns, RenewRuns, SealRuns, DropRuns,
+                                  Sweep, LockWish, CutProposal, DoubtCut>;
 
 // As the head stamps it: with the time since the cut's last sample, which the cut does not hold yet. What
 // is promised for a time lasts from now, not from that sample (design.md 8.1).
@@ -126,12 +126,22 @@
 };
 
 enum class StoreOutcome : std::uint8_t {
-  kDone, kAgain, kConflict, kUnknownEvent, kUnknownLot, kNotOpen, kClosed, kEnded, kUncertain, kLost, kUnreadable
+  kDone,
+  kAgain,
+  kConflict,
+  kUnknownEvent,
+  kUnknownLot,
+  kNotOpen,
+  kClosed,
+  kEnded,
+  kUncertain,
+  kLost,
+  kUnreadable
 };
 struct GrantedRun {
   std::uint32_t wish = 0;  // which of the wishes; of those granted with a lot: which item
   std::uint32_t run = 0;
-  LotItem item;            // left out where the node has it already
+  LotItem item;  // left out where the node has it already
   STONEMOUNT_PACK(wish, run, item)
 };
 struct StoreVerdict {
--- a/src/store/events.cc
+++ b/src/store/events.cc
@@ -33,8 +33,10 @@
   const CutState& cut = state_.cut;
   if (event.closed || !cut.anchored) return;
   const Us lagUs = wallUs != 0 ? wallUs - fromUs_ : cut.lagUs;
-  if (!event.anchored) event.closeCutUs = event.closeUs - lagUs;
-  else if (wallUs != 0) event.closeCutUs = std::max(event.closeCutUs, event.closeUs - lagUs);
+  if (!event.anchored)
+    event.closeCutUs = event.closeUs - lagUs;
+  else if (wallUs != 0)
+    event.closeCutUs = std::max(event.closeCutUs, event.closeUs - lagUs);
   event.anchored = true;
   if (!event.open) event.open = fromUs_ + lagUs >= event.startUs;
   event.closed = cut.cutUs >= event.closeCutUs;
@@ -45,8 +47,10 @@
   StoreVerdict verdict;
   verdict.name = command.name;
   auto found = state_.events.find(command.name);
-  if (found == state_.events.end()) verdict.outcome = StoreOutcome::kUnknownEvent;
-  else if (std::exchange(found->second.closed, true)) verdict.outcome = StoreOutcome::kAgain;
+  if (found == state_.events.end())
+    verdict.outcome = StoreOutcome::kUnknownEvent;
+  else if (std::exchange(found->second.closed, true))
+    verdict.outcome = StoreOutcome::kAgain;
   return verdict;
 }
 
@@ -61,8 +65,10 @@
     const bool named = (key != state_.tombstones.end() && key->first.first == event->first) ||
                        (lot != state_.lotByKey.end() && lot->first.first == event->first);
     const bool over = event->second.closed && event->second.closeCutUs + plan_.gauge.horizonUs <= cutUs;
-    if (named || !over) ++event;
-    else event = state_.events.erase(event);
+    if (named || !over)
+      ++event;
+    else
+      event = state_.events.erase(event);
   }
 }
 
--- a/src/store/lots.cc
+++ b/src/store/lots.cc
@@ -90,8 +90,10 @@
     return verdict;
   }
   KeptLot& lot = found->second;
-  if (std::exchange(lot.ended, true)) verdict.outcome = StoreOutcome::kAgain;
-  else if (!lot.standing() || !lot.waiting.empty()) ++state_.workVersion;
+  if (std::exchange(lot.ended, true))
+    verdict.outcome = StoreOutcome::kAgain;
+  else if (!lot.standing() || !lot.waiting.empty())
+    ++state_.workVersion;
   // Nothing of a standing lot is owed after its end but what is listed.
   for (KeptItem& item : lot.items)
     if (lot.standing() && !item.final()) item.given.body = Bytes();
@@ -100,8 +102,10 @@
 }
 
 void StoreMachine::noteWaiting(const KeptLot& lot) {
-  if (lot.ended || lot.waiting.empty()) state_.openLots.erase({lot.createdUs, lot.name});
-  else state_.openLots.insert({lot.createdUs, lot.name});
+  if (lot.ended || lot.waiting.empty())
+    state_.openLots.erase({lot.createdUs, lot.name});
+  else
+    state_.openLots.insert({lot.createdUs, lot.name});
   index_.note(lot, keepOf(lot));
 }
 
@@ -130,7 +134,8 @@
 void StoreMachine::dropBodies() {
   while (std::optional<StoreIndex::ItemName> due = index_.takeDueBody(state_.cut.cutUs)) {
     auto lot = state_.lots.find(due->first);
-    if (lot != state_.lots.end()) lot->second.items[due->second].given = LotItem{lot->second.items[due->second].given.id};
+    if (lot != state_.lots.end())
+      lot->second.items[due->second].given = LotItem{lot->second.items[due->second].given.id};
   }
 }
 
--- a/src/store/runs.cc
+++ b/src/store/runs.cc
@@ -52,7 +52,8 @@
   return verdict;
 }
 
-void StoreMachine::startRun(KeptLot& lot, std::uint32_t place, const Address& node, Us licenceUs, const Address& worker) {
+void StoreMachine::startRun(KeptLot& lot, std::uint32_t place, const Address& node, Us licenceUs,
+                            const Address& worker) {
   KeptItem& item = lot.items[place];
   STONEMOUNT_INVARIANT(item.state == ItemState::kWaiting && !lot.ended);
   item.state = ItemState::kRunning;
--- a/src/store/store.cc
+++ b/src/store/store.cc
@@ -7,9 +7,13 @@
 namespace stonemount {
 
 Store::Store(Ports& ports, Settings settings, GossipPlan gossip, StorePlan plan)
-    : ports_(ports), settings_(std::move(settings)), rpc_(ports.timers, ports.wire, ports.chance),
-      gossip_(ports, rpc_, room_, std::move(gossip)), machine_(ports.chance, plan),
-      replica_(ports, rpc_, room_, machine_, replicaPlanOf(settings_)), client_(ports, rpc_, settings_.founders) {}
+    : ports_(ports),
+      settings_(std::move(settings)),
+      rpc_(ports.timers, ports.wire, ports.chance),
+      gossip_(ports, rpc_, room_, std::move(gossip)),
+      machine_(ports.chance, plan),
+      replica_(ports, rpc_, room_, machine_, replicaPlanOf(settings_)),
+      client_(ports, rpc_, settings_.founders) {}
 
 Store::~Store() {
   asked_.disconnect();
@@ -39,19 +43,23 @@
 
 // Empty, on the fleet's first start, and nobody told it who founds: it may become a founder.
 void Store::onView() {
-  gossip_.self().empty = settings_.firstStart && settings_.founders.empty() && replica_.state() == ReplicaState::kBootstrapping;
+  gossip_.self().empty =
+      settings_.firstStart && settings_.founders.empty() && replica_.state() == ReplicaState::kBootstrapping;
 }
 
 // One line for each change of epoch or certainty, from the tail alone.
 void Store::tellCut() {
   const StoreState& state = machine_.state();
-  const bool news = state.cut.epoch != toldCut_.epoch || state.cut.certain != toldCut_.certain ||
-                    state.cut.doubts != toldCut_.doubts;
+  const bool news =
+      state.cut.epoch != toldCut_.epoch || state.cut.certain != toldCut_.certain || state.cut.doubts != toldCut_.doubts;
   if (!replica_.tail() || !news) return;
   toldCut_ = state.cut;
-  logEvent("cut", {{"epoch", absl::StrCat(state.cut.epoch)}, {"cut_us", absl::StrCat(state.cut.cutUs)},
-                   {"certain", state.cut.certain ? "yes" : "no"}, {"cause", doubtText(state.cut.doubt)},
-                   {"lag_us", absl::StrCat(state.cut.lagUs)}, {"paused_expiries", absl::StrCat(state.pausedExpiries)}});
+  logEvent("cut", {{"epoch", absl::StrCat(state.cut.epoch)},
+                   {"cut_us", absl::StrCat(state.cut.cutUs)},
+                   {"certain", state.cut.certain ? "yes" : "no"},
+                   {"cause", doubtText(state.cut.doubt)},
+                   {"lag_us", absl::StrCat(state.cut.lagUs)},
+                   {"paused_expiries", absl::StrCat(state.pausedExpiries)}});
 }
 
 // The head knows first that the sampler is gone, and has the doubt written down: grants and expiry
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -1,10 +1,10 @@
 // A store process: a member of the store chain (design.md 2).
 #pragma once
 
-#include "replication/client.h"
-#include "replication/replica.h"
 #include "config/settings.h"
 #include "gossip/gossip.h"
+#include "replication/client.h"
+#include "replication/replica.h"
 #include "store/store_machine.h"
 
 namespace stonemount {
--- a/src/store/store_machine.cc
+++ b/src/store/store_machine.cc
@@ -59,18 +59,30 @@
   StoreCommand* command = &entry->command;
   fromUs_ = state_.cut.cutUs + std::max<Us>(0, entry->agoUs);
   StoreVerdict verdict;
-  if (auto* create = std::get_if<CreateEvent>(command)) verdict = run(*create);
-  else if (auto* close = std::get_if<CloseEvent>(command)) verdict = run(*close);
-  else if (auto* submit = std::get_if<SubmitLot>(command)) verdict = run(*submit);
-  else if (auto* end = std::get_if<EndLot>(command)) verdict = run(*end);
-  else if (auto* grant = std::get_if<GrantRuns>(command)) verdict = run(*grant);
-  else if (auto* renew = std::get_if<RenewRuns>(command)) verdict = run(*renew);
-  else if (auto* seal = std::get_if<SealRuns>(command)) verdict = run(*seal);
-  else if (auto* drop = std::get_if<DropRuns>(command)) verdict = run(*drop);
-  else if (auto* sweep = std::get_if<Sweep>(command)) verdict = run(*sweep);
-  else if (auto* lock = std::get_if<LockWish>(command)) verdict = run(*lock);
-  else if (auto* proposal = std::get_if<CutProposal>(command)) verdict = run(*proposal);
-  else verdict = run(std::get<DoubtCut>(*command));
+  if (auto* create = std::get_if<CreateEvent>(command))
+    verdict = run(*create);
+  else if (auto* close = std::get_if<CloseEvent>(command))
+    verdict = run(*close);
+  else if (auto* submit = std::get_if<SubmitLot>(command))
+    verdict = run(*submit);
+  else if (auto* end = std::get_if<EndLot>(command))
+    verdict = run(*end);
+  else if (auto* grant = std::get_if<GrantRuns>(command))
+    verdict = run(*grant);
+  else if (auto* renew = std::get_if<RenewRuns>(command))
+    verdict = run(*renew);
+  else if (auto* seal = std::get_if<SealRuns>(command))
+    verdict = run(*seal);
+  else if (auto* drop = std::get_if<DropRuns>(command))
+    verdict = run(*drop);
+  else if (auto* sweep = std::get_if<Sweep>(command))
+    verdict = run(*sweep);
+  else if (auto* lock = std::get_if<LockWish>(command))
+    verdict = run(*lock);
+  else if (auto* proposal = std::get_if<CutProposal>(command))
+    verdict = run(*proposal);
+  else
+    verdict = run(std::get<DoubtCut>(*command));
   return pack(verdict);
 }
 
@@ -104,7 +116,8 @@
 bool StoreMachine::enlarges(const Bytes& bytes) const {
   auto read = unpack<StoreCommand>(bytes);
   auto* command = std::get_if<StoreCommand>(&read);
-  return command != nullptr && (std::holds_alternative<SubmitLot>(*command) || std::holds_alternative<CreateEvent>(*command));
+  return command != nullptr &&
+         (std::holds_alternative<SubmitLot>(*command) || std::holds_alternative<CreateEvent>(*command));
 }
 
 // Answers of items that are accepted and not over: as long as those kept are, on the whole.
--- a/src/store/store_machine.h
+++ b/src/store/store_machine.h
@@ -64,7 +64,7 @@
   void noteTerminal(KeptLot& lot);
   void grantAtOnce(KeptLot& lot, const SubmitLot& command, StoreVerdict& verdict);
   void expireLicences();
-  void retire();       // items whose lot's retention is over
+  void retire();  // items whose lot's retention is over
   void dropBodies();
   void collect();
   void collectLots();
@@ -79,7 +79,7 @@
   SessionKeeper sessions_;
   StoreState state_;
   StoreIndex index_;  // follows from the state
-  Us fromUs_ = 0;  // while a command is applied: the cut and the time since its sample; promises last from here
+  Us fromUs_ = 0;     // while a command is applied: the cut and the time since its sample; promises last from here
 };
 
 }  // namespace stonemount
--- a/src/store/store_state.h
+++ b/src/store/store_state.h
@@ -14,7 +14,7 @@
   Address node;
   Address worker;
   Us limitUs = 0;  // of the licence, in cut time
-  Us finalUs = 0;   // the cut when it was sealed or given up
+  Us finalUs = 0;  // the cut when it was sealed or given up
   Bytes answer;
   bool final() const { return state == ItemState::kSealed || state == ItemState::kRefused; }
   STONEMOUNT_PACK(given, state, run, spent, failed, node, worker, limitUs, finalUs, answer)
@@ -34,8 +34,8 @@
   Us terminalUs = 0;  // the cut when it had nothing more to do; 0: not yet
   bool standing() const { return event.empty(); }
   bool finished() const { return sealed + refused == items.size() || (ended && running == 0); }
-  STONEMOUNT_PACK(name, event, key, route, host, digest, ended, items, sealed, refused, running, waiting, listed, answerBytes,
-                  attempts, retentionUs, keepUs, keyUs, createdUs, terminalUs)
+  STONEMOUNT_PACK(name, event, key, route, host, digest, ended, items, sealed, refused, running, waiting, listed,
+                  answerBytes, attempts, retentionUs, keepUs, keyUs, createdUs, terminalUs)
 };
 struct KeptEvent {
   std::string name;
@@ -68,8 +68,8 @@
   std::uint64_t lastLot = 0;
   std::uint64_t workVersion = 1;
   std::uint64_t pausedExpiries = 0, lateExpiries = 0, expired = 0;
-  STONEMOUNT_PACK(cut, events, lots, lotByKey, tombstones, charged, pendingSlots, runningItems, openLots, lastLot, workVersion,
-                  pausedExpiries, lateExpiries, expired)
+  STONEMOUNT_PACK(cut, events, lots, lotByKey, tombstones, charged, pendingSlots, runningItems, openLots, lastLot,
+                  workVersion, pausedExpiries, lateExpiries, expired)
 };
 
 }  // namespace stonemount
--- a/src/write_ahead_log/group_commit.h
+++ b/src/write_ahead_log/group_commit.h
@@ -7,9 +7,7 @@
 
 class GroupCommit {
  public:
-  GroupCommit(WriteAheadLog& wal, Timers& timers, TaskRoom& room) : wal_(wal), timers_(timers) {
-    room.start(run());
-  }
+  GroupCommit(WriteAheadLog& wal, Timers& timers, TaskRoom& room) : wal_(wal), timers_(timers) { room.start(run()); }
   class Wait : public Waiter {
    public:
     explicit Wait(GroupCommit& groupCommit) : Waiter(groupCommit.timers_), groupCommit_(groupCommit) {}
--- a/src/write_ahead_log/record.cc
+++ b/src/write_ahead_log/record.cc
@@ -15,7 +15,8 @@
 
 }  // namespace
 
-Bytes encodeRecord(RecordKind kind, std::uint64_t sequence, std::uint64_t synced, std::uint32_t before, const Bytes& body) {
+Bytes encodeRecord(RecordKind kind, std::uint64_t sequence, std::uint64_t synced, std::uint32_t before,
+                   const Bytes& body) {
   Bytes out;
   out.reserve(kRecordHeaderBytes + body.size());
   putNumber(out, kMagic);
@@ -32,7 +33,9 @@
   if (at + kHeaderBytesOne > view.size()) return std::nullopt;
   const std::uint32_t magic = getNumber<std::uint32_t>(view, at);
   if (magic != kMagic && magic != kMagicTwo && magic != kMagicOne) return std::nullopt;
-  const std::size_t header = magic == kMagic ? kRecordHeaderBytes : magic == kMagicTwo ? kHeaderBytesTwo : kHeaderBytesOne;
+  const std::size_t header = magic == kMagic      ? kRecordHeaderBytes
+                             : magic == kMagicTwo ? kHeaderBytesTwo
+                                                  : kHeaderBytesOne;
   const std::size_t length = getNumber<std::uint32_t>(view, at + 4);
   if (length > view.size() || at + header + length > view.size()) return std::nullopt;
   const std::string_view body = view.substr(at + header, length);
--- a/src/write_ahead_log/record.h
+++ b/src/write_ahead_log/record.h
@@ -28,7 +28,8 @@
 }
 
 // `before` is the checksum of the record before it in its file, 0 for the first.
-Bytes encodeRecord(RecordKind kind, std::uint64_t sequence, std::uint64_t synced, std::uint32_t before, const Bytes& body);
+Bytes encodeRecord(RecordKind kind, std::uint64_t sequence, std::uint64_t synced, std::uint32_t before,
+                   const Bytes& body);
 struct FoundRecord {
   Record record;
   std::uint64_t synced = 0;
--- a/src/write_ahead_log/write_ahead_log.h
+++ b/src/write_ahead_log/write_ahead_log.h
@@ -1,9 +1,9 @@
 // The wal: records in a ring of preallocated files (design.md 5).
 #pragma once
 
-#include "write_ahead_log/record.h"
 #include "runtime/await.h"
 #include "runtime/pack.h"
+#include "write_ahead_log/record.h"
 
 namespace stonemount {
 
@@ -11,8 +11,10 @@
 struct RecordTooLong {};
 using AppendResult = std::variant<std::uint64_t, RingFull, RecordTooLong>;
 
-struct LogEmpty {};                 // a fresh or wiped disk
-struct LogDamaged { std::uint64_t atSequence = 0; };  // synced records are missing or altered
+struct LogEmpty {};  // a fresh or wiped disk
+struct LogDamaged {
+  std::uint64_t atSequence = 0;
+};  // synced records are missing or altered
 struct LogContent {
   Bytes checkpoint;  // empty: none yet
   bool hasCheckpoint = false;
@@ -58,8 +60,8 @@
   std::variant<std::vector<Head>, DiskFailure> readHeads(std::uint64_t& synced);
   struct Scan {
     std::vector<Record> records;
-    std::size_t end = 0;      // behind the last of them
-    std::uint32_t sum = 0;    // its checksum
+    std::size_t end = 0;    // behind the last of them
+    std::uint32_t sum = 0;  // its checksum
   };
   Scan scanFile(const Bytes& bytes, std::uint64_t& synced) const;
   std::variant<Done, RingFull> turnFile();
--- a/tests/ages_test.cc
+++ b/tests/ages_test.cc
@@ -20,7 +20,8 @@
 }
 
 struct Years {
-  explicit Years(std::size_t bodyBytes, std::size_t answerBytes) : chance(1), machine(chance, yearsPlan()), body(bodyBytes, 'b'), answer(answerBytes, 'a') {
+  explicit Years(std::size_t bodyBytes, std::size_t answerBytes)
+      : chance(1), machine(chance, yearsPlan()), body(bodyBytes, 'b'), answer(answerBytes, 'a') {
     apply(LockWish{{1, 1}, 7});
     for (int i = 0; i < 5; ++i) pass(kSecondUs);
   }
@@ -78,12 +79,14 @@
     worst = std::max(worst, bytes);
     expect(years.machine.state().lots.size() <= kLots * 9, "results go after their retention");
   }
-  std::printf("120 nights of %d lots of %d: state at most %zu bytes, slowest save %.1f ms (not asserted)\n", kLots, kItems, worst, slowestMs);
+  std::printf("120 nights of %d lots of %d: state at most %zu bytes, slowest save %.1f ms (not asserted)\n", kLots,
+              kItems, worst, slowestMs);
   expect(worst < (16u * (8u << 20)) / 4, "the state stays below a quarter of the ring as it comes");
   // Keys of every age are known, the newest with their lots.
   for (int night = 0; night < 120; night += 7) {
     const StoreVerdict again = years.handIn(night, 3);
-    expect(again.outcome == StoreOutcome::kAgain && !again.name.empty(), absl::StrCat("a key of night ", night, " is known"));
+    expect(again.outcome == StoreOutcome::kAgain && !again.name.empty(),
+           absl::StrCat("a key of night ", night, " is known"));
   }
 }
 
@@ -98,7 +101,8 @@
     if (night == 3600) expect(years.handIn(0, 3).outcome == StoreOutcome::kAgain, "a key is known after 3,600 days");
   }
   const std::size_t bytes = years.machine.save().size();
-  std::printf("11 years: tombstones at most %zu, events %zu, state %zu bytes\n", most, years.machine.state().events.size(), bytes);
+  std::printf("11 years: tombstones at most %zu, events %zu, state %zu bytes\n", most,
+              years.machine.state().events.size(), bytes);
   expect(most <= static_cast<std::size_t>(kLots) * 3652, "no more than ten years of tombstones");
   expect(most >= static_cast<std::size_t>(kLots) * 3640, "and no fewer");
   expect(years.machine.state().events.size() <= 3655, "events go with their keys");
--- a/tests/chain_loss_test.cc
+++ b/tests/chain_loss_test.cc
@@ -52,7 +52,8 @@
     if (i != last && i != (last + 1) % members) rig.kill(i);
   rig.world.runUntil(rig.world.nowUs() + 2 * kSecondUs);
   writeSome(rig, 200, 1000);
-  for (std::size_t i = 0; i < members; ++i) rig.hosts[i]->usPerKilobyte = i == last || i == (last + 1) % members ? 0 : 30000;
+  for (std::size_t i = 0; i < members; ++i)
+    rig.hosts[i]->usPerKilobyte = i == last || i == (last + 1) % members ? 0 : 30000;
   for (std::size_t i = 0; i < members; ++i) rig.start(i);
   rig.world.runUntil(rig.world.nowUs() + kSecondUs);
   rig.kill((last + 1) % members);
@@ -128,7 +129,8 @@
 // A tail that slept through the end of its view, and a reader that knows no newer one.
 struct Asker {
   Task run(Rig& rig, Address tail, Revision revision) {
-    Job<std::variant<ChainReply, PeerSilent>> job = ask<ChainReply>(*rig.rpc, tail, Read{revision, "all", 0}, 6 * kSecondUs);
+    Job<std::variant<ChainReply, PeerSilent>> job =
+        ask<ChainReply>(*rig.rpc, tail, Read{revision, "all", 0}, 6 * kSecondUs);
     std::variant<ChainReply, PeerSilent> verdict = co_await job;
     auto* given = std::get_if<ChainReply>(&verdict);
     answered = given != nullptr && given->outcome == ChainOutcome::kDone;
--- a/tests/chain_rig.h
+++ b/tests/chain_rig.h
@@ -39,7 +39,9 @@
 
 struct Process {
   Process(SimHost& host, ReplicaPlan plan, Views& given)
-      : views(given), ports(host.ports()), rpc(host, host, host.chance),
+      : views(given),
+        ports(host.ports()),
+        rpc(host, host, host.chance),
         member(ports, rpc, room, machine, std::move(plan)) {
     member.viewMoved.connect(sigc::mem_fun(*this, &Process::onView));
     member.begin();
@@ -64,8 +66,11 @@
       : world(seed), chance(seed ^ 7), kept(keptEntries) {
     for (std::size_t i = 0; i < members; ++i) addresses.push_back({1, static_cast<std::uint16_t>(1 + i)});
     for (std::size_t i = 0; i < members; ++i) {
-      hosts.push_back(&world.addHost("m" + std::to_string(i), "zone-" + std::to_string(i % (zones > 0 ? zones : members == 4 ? 4 : 3)), addresses[i],
-                                     {2, static_cast<std::uint16_t>(1 + i)}));
+      hosts.push_back(&world.addHost("m" + std::to_string(i),
+                                     "zone-" + std::to_string(i % (zones > 0      ? zones
+                                                                   : members == 4 ? 4
+                                                                                  : 3)),
+                                     addresses[i], {2, static_cast<std::uint16_t>(1 + i)}));
       hosts.back()->disk = std::make_unique<SimDisk>(*hosts.back(), kFiles, fileBytes);
       processes.emplace_back();
       start(i);
@@ -94,14 +99,16 @@
     const ReplicaCounts& counts = processes[i]->member.counts();
     leftBehind += counts.leftBehind;
     restartedNarrow += counts.restartedNarrow;
-    if (processes[i]->member.state() != ReplicaState::kOpening) lives[addresses[i]] = processes[i]->member.incarnation();
+    if (processes[i]->member.state() != ReplicaState::kOpening)
+      lives[addresses[i]] = processes[i]->member.incarnation();
     processes[i].reset();
     hosts[i]->fall();
     hosts[i]->disk->losePower(chance);
   }
   bool wholeAndActive() const {
     for (const auto& process : processes)
-      if (!process || !process->member.active() || process->member.view().chain.size() != processes.size()) return false;
+      if (!process || !process->member.active() || process->member.view().chain.size() != processes.size())
+        return false;
     return true;
   }
   // Would the disk's loss leave most voters, and someone else who holds all that was acknowledged?
@@ -165,10 +172,10 @@
   const std::vector<Bytes>& list = std::get<std::vector<Bytes>>(read);
   ++rig.reads;
   const std::set<Bytes> seen(list.begin(), list.end());
-  STONEMOUNT_INVARIANT(seen.size() == list.size());  // nothing applied twice
+  STONEMOUNT_INVARIANT(seen.size() == list.size());                                    // nothing applied twice
   for (const Bytes& value : rig.refused) STONEMOUNT_INVARIANT(!seen.contains(value));  // nor taken though told no
-  for (const Bytes& value : ackedBefore) STONEMOUNT_INVARIANT(seen.contains(value));  // nothing lost
-  STONEMOUNT_INVARIANT(list.size() >= longestBefore.size());  // reads never go back
+  for (const Bytes& value : ackedBefore) STONEMOUNT_INVARIANT(seen.contains(value));   // nothing lost
+  STONEMOUNT_INVARIANT(list.size() >= longestBefore.size());                           // reads never go back
   for (std::size_t i = 0; i < longestBefore.size(); ++i) STONEMOUNT_INVARIANT(list[i] == longestBefore[i]);
   if (list.size() > rig.longest.size()) rig.longest = list;
 }
--- a/tests/chain_test.cc
+++ b/tests/chain_test.cc
@@ -21,7 +21,9 @@
       rig.wipe(victim);
       backUs[victim] = nowUs + lengthUs;
       break;
-    case 3: host.frozenUntilUs = nowUs + lengthUs; break;
+    case 3:
+      host.frozenUntilUs = nowUs + lengthUs;
+      break;
     case 4:
     case 5:
       for (auto& other : rig.world.hosts()) {
@@ -30,10 +32,18 @@
         if (!rig.chance.oneIn(3)) rig.world.setCut(*other, host, true);
       }
       break;
-    case 6: rig.world.healAll(); break;
-    case 7: host.disk->extraUs = rig.chance.oneIn(2) ? 0 : lengthUs / 4; break;
-    case 8: host.usPerKilobyte = rig.chance.oneIn(2) ? 0 : static_cast<Us>(rig.chance.below(20000)); break;
-    case 9: host.slowUs = rig.chance.oneIn(2) ? 0 : static_cast<Us>(rig.chance.below(3000)); break;
+    case 6:
+      rig.world.healAll();
+      break;
+    case 7:
+      host.disk->extraUs = rig.chance.oneIn(2) ? 0 : lengthUs / 4;
+      break;
+    case 8:
+      host.usPerKilobyte = rig.chance.oneIn(2) ? 0 : static_cast<Us>(rig.chance.below(20000));
+      break;
+    case 9:
+      host.slowUs = rig.chance.oneIn(2) ? 0 : static_cast<Us>(rig.chance.below(3000));
+      break;
     default:  // everything at once
       if (!rig.chance.oneIn(4)) break;
       for (std::size_t i = 0; i < rig.hosts.size(); ++i) {
--- a/tests/checker_test.cc
+++ b/tests/checker_test.cc
@@ -41,7 +41,8 @@
 Part& worker(FaultSchedule& chaos) { return *chaos.fleet().of(PartKind::kWorker)[0]; }
 Part& caller(FaultSchedule& chaos) { return *chaos.fleet().of(PartKind::kCaller)[0]; }
 WorkerLedger::Start lastStart(FaultSchedule& chaos, bool lot) {
-  for (auto start = worker(chaos).workerLedger.starts.rbegin(); start != worker(chaos).workerLedger.starts.rend(); ++start)
+  for (auto start = worker(chaos).workerLedger.starts.rbegin(); start != worker(chaos).workerLedger.starts.rend();
+       ++start)
     if (start->lot == lot && !start->lookup) return *start;
   return {};
 }
@@ -50,22 +51,28 @@
 void lotLost(FaultSchedule& chaos) { lot(chaos).complete = false; }
 void lotLacks(FaultSchedule& chaos) { lot(chaos).results.erase(lot(chaos).results.begin()); }
 void streamTwice(FaultSchedule& chaos) { worker(chaos).workerLedger.starts.push_back(lastStart(chaos, false)); }
-void toldNever(FaultSchedule& chaos) { caller(chaos).callerLedger.toldNeverRuns.push_back(lastStart(chaos, false).prompt); }
+void toldNever(FaultSchedule& chaos) {
+  caller(chaos).callerLedger.toldNeverRuns.push_back(lastStart(chaos, false).prompt);
+}
 void leavingStarts(FaultSchedule& chaos) {
   const Us atUs = worker(chaos).host->worldUs(lastStart(chaos, false).atUs);
   worker(chaos).leaves.emplace_back(atUs - 3 * kSecondUs - 1, atUs + kSecondUs);
 }
 void evacuatedStarts(FaultSchedule& chaos) {
-  chaos.ledger().zoneEvacuated[worker(chaos).host->zone()] = worker(chaos).host->worldUs(lastStart(chaos, false).atUs) - 5 * kSecondUs - 1;
+  chaos.ledger().zoneEvacuated[worker(chaos).host->zone()] =
+      worker(chaos).host->worldUs(lastStart(chaos, false).atUs) - 5 * kSecondUs - 1;
 }
 void endedStarts(FaultSchedule& chaos) {
   const WorkerLedger::Start start = lastStart(chaos, true);
   for (Part* part : chaos.fleet().of(PartKind::kCaller))
     for (const auto& [key, record] : part->callerLedger.lots)
       for (const Bytes& prompt : record.prompts)
-        if (prompt == start.prompt) chaos.ledger().lotEnded[record.lot] = worker(chaos).host->worldUs(start.atUs) - 3 * kSecondUs - 1;
+        if (prompt == start.prompt)
+          chaos.ledger().lotEnded[record.lot] = worker(chaos).host->worldUs(start.atUs) - 3 * kSecondUs - 1;
+}
+void configIgnored(FaultSchedule& chaos) {
+  chaos.ledger().configAcked[1000] = chaos.fleet().world().nowUs() - 2 * kSecondUs - 1;
 }
-void configIgnored(FaultSchedule& chaos) { chaos.ledger().configAcked[1000] = chaos.fleet().world().nowUs() - 2 * kSecondUs - 1; }
 void configBack(FaultSchedule& chaos) { chaos.fleet().of(PartKind::kNode)[0]->seenControl += 1; }
 void coldFlooded(FaultSchedule& chaos) { worker(chaos).workerLedger.worstExcess = 9; }
 void unserved(FaultSchedule& chaos) {
@@ -78,7 +85,8 @@
 void cutBack(FaultSchedule& chaos) {
   CutState cut = chaos.fleet().of(PartKind::kStore)[0]->store->machine().state().cut;
   --cut.cutUs;
-  chaos.judge().terms.seeCut(cut, chaos.fleet().world().nowUs(), World::kStartWallUs + chaos.fleet().world().nowUs(), true);
+  chaos.judge().terms.seeCut(cut, chaos.fleet().world().nowUs(), World::kStartWallUs + chaos.fleet().world().nowUs(),
+                             true);
 }
 void cutFast(FaultSchedule& chaos) {
   CutState cut = chaos.fleet().of(PartKind::kStore)[0]->store->machine().state().cut;
@@ -90,7 +98,8 @@
 void epochShared(FaultSchedule& chaos) {
   CutState cut = chaos.fleet().of(PartKind::kStore)[0]->store->machine().state().cut;
   ++cut.session;
-  chaos.judge().terms.seeCut(cut, chaos.fleet().world().nowUs(), World::kStartWallUs + chaos.fleet().world().nowUs(), true);
+  chaos.judge().terms.seeCut(cut, chaos.fleet().world().nowUs(), World::kStartWallUs + chaos.fleet().world().nowUs(),
+                             true);
 }
 template <Term term>
 void early(FaultSchedule& chaos) {
--- a/tests/clock_test.cc
+++ b/tests/clock_test.cc
@@ -65,7 +65,8 @@
     const Answer shown = fleet.ask("GET", "/v1/events/watched");
     if (seen.openUs == 0 && (shown.has("\"open\"") || shown.has("\"closed\""))) seen.openUs = trueWallUs(fleet);
     if (shown.has("\"closed\"")) seen.closedUs = trueWallUs(fleet);
-    if (const CutState* cut = cutOf(fleet)) seen.farthestAheadUs = std::max(seen.farthestAheadUs, cut->cutUs - trueWallUs(fleet));
+    if (const CutState* cut = cutOf(fleet))
+      seen.farthestAheadUs = std::max(seen.farthestAheadUs, cut->cutUs - trueWallUs(fleet));
     fleet.fleet.run(250 * kMilliUs);
   }
   return seen;
@@ -77,25 +78,30 @@
   const Us startUs = trueWallUs(fleet) + 10 * kSecondUs;
   const Us closeUs = startUs + 30 * kSecondUs;
   const std::string what = absl::StrCat(now.name, now.putRight ? ", put right" : "", " seed=", seed);
-  fleet.ask("POST", "/op/events", absl::StrCat(R"({"name":"watched","startUs":)", startUs, R"(,"closeUs":)", closeUs, "}"));
+  fleet.ask("POST", "/op/events",
+            absl::StrCat(R"({"name":"watched","startUs":)", startUs, R"(,"closeUs":)", closeUs, "}"));
   const Seen seen = watchEvent(fleet, seed, now, startUs, closeUs);
-  if (now.opensRight) fleet.expect(seen.openUs >= startUs && seen.openUs <= startUs + kOpenLateUs,
-               absl::StrCat("opens in time: ", what, ", late by ", seen.openUs - startUs));
+  if (now.opensRight)
+    fleet.expect(seen.openUs >= startUs && seen.openUs <= startUs + kOpenLateUs,
+                 absl::StrCat("opens in time: ", what, ", late by ", seen.openUs - startUs));
   fleet.expect(seen.closedUs == 0 || seen.closedUs >= closeUs,
                absl::StrCat("closes no moment early: ", what, ", late by ", seen.closedUs - closeUs));
   // Each doubt stops the cut for the grace and a little, and the close is late by as much.
   fleet.expect(seen.closedUs != 0, absl::StrCat("closes: ", what));
-  fleet.expect(seen.farthestAheadUs <= 0, absl::StrCat("the cut is not ahead of true time: ", what, ", ", seen.farthestAheadUs));
+  fleet.expect(seen.farthestAheadUs <= 0,
+               absl::StrCat("the cut is not ahead of true time: ", what, ", ", seen.farthestAheadUs));
 }
 
 // Small steps, each too small to be seen in its round, over and over on the sampler's and the head's machine.
 void smallSteps() {
   Asking fleet(5);
   const Us startUs = trueWallUs(fleet) + 20 * kSecondUs;
-  fleet.ask("POST", "/op/events", absl::StrCat(R"({"name":"watched","startUs":)", startUs, R"(,"closeUs":)", startUs + 20 * kSecondUs, "}"));
+  fleet.ask("POST", "/op/events",
+            absl::StrCat(R"({"name":"watched","startUs":)", startUs, R"(,"closeUs":)", startUs + 20 * kSecondUs, "}"));
   bool early = false;
   while (trueWallUs(fleet) < startUs) {
-    for (const PartKind kind : {PartKind::kStore, PartKind::kCore}) fleet.fleet.of(kind)[0]->host->wallOffsetUs += 200 * kMilliUs;
+    for (const PartKind kind : {PartKind::kStore, PartKind::kCore})
+      fleet.fleet.of(kind)[0]->host->wallOffsetUs += 200 * kMilliUs;
     early |= trueWallUs(fleet) + 400 * kMilliUs < startUs && fleet.ask("GET", "/v1/events/watched").has("\"open\"");
     fleet.fleet.run(400 * kMilliUs);
   }
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -22,11 +22,15 @@
   if (std::holds_alternative<BadConfig>(reading)) return std::nullopt;
   return give(machine, std::get<ConfigRequest>(reading));
 }
-bool taken(const std::optional<ControlVerdict>& verdict) { return verdict && verdict->outcome == ControlOutcome::kDone; }
+bool taken(const std::optional<ControlVerdict>& verdict) {
+  return verdict && verdict->outcome == ControlOutcome::kDone;
+}
 
 struct ByOrder {
   template <class Item>
-  bool operator()(const Item& left, const Item& right) const { return left.order < right.order; }
+  bool operator()(const Item& left, const Item& right) const {
+    return left.order < right.order;
+  }
 };
 std::string told(const ControlMachine& machine) {
   ControlNews news = machine.state().newsSince(0);
@@ -74,7 +78,8 @@
   ControlMachine loaded;
   RC_ASSERT(loaded.load(machine.save()));
   for (std::uint64_t revision = 20; revision < 270; ++revision)
-    RC_ASSERT(taken(send(loaded, configAsk("PUT", std::to_string(loaded.state().configRevision()), plainPut(revision)))));
+    RC_ASSERT(
+        taken(send(loaded, configAsk("PUT", std::to_string(loaded.state().configRevision()), plainPut(revision)))));
   RC_ASSERT(send(loaded, left)->outcome == ControlOutcome::kUnchanged);
   RC_ASSERT(send(loaded, right)->outcome == ControlOutcome::kConflict);
   // The same number with other content, or on another base, is another wish.
@@ -102,7 +107,8 @@
       wish.name = absl::StrCat("r-", number);
       wish.prefix = absl::StrCat("/p", number, "/");
       wish.guard = absl::StrCat(1 + chance.below(9000), ".", chance.below(1000));
-      wish.services = chance.oneIn(2) ? R"("Service":"s0")" : R"("Distribution":[{"Service":"s0","Share":0.3},{"Service":"s1","Share":7}])";
+      wish.services = chance.oneIn(2) ? R"("Service":"s0")"
+                                      : R"("Distribution":[{"Service":"s0","Share":0.3},{"Service":"s1","Share":7}])";
       wished.emplace_back(wish.name, routeText(wish));
       texts.push_back(wished.back().second);
     }
@@ -112,14 +118,19 @@
       for (const auto& item : wished) {
         auto found = listed.begin();
         while (found != listed.end() && found->first != item.first) ++found;
-        if (found == listed.end()) listed.push_back(item);
-        else *found = item;
+        if (found == listed.end())
+          listed.push_back(item);
+        else
+          *found = item;
       }
       for (std::uint64_t number = 0; number < 12; ++number) {
         if (used.contains(number) || !chance.oneIn(6)) continue;
         removed.push_back(absl::StrCat("r-", number));
         for (auto item = listed.begin(); item != listed.end(); ++item)
-          if (item->first == removed.back()) { listed.erase(item); break; }
+          if (item->first == removed.back()) {
+            listed.erase(item);
+            break;
+          }
       }
     }
     const std::string body = whole ? putText(next, texts, services) : patchText(next, texts, removed);
@@ -137,7 +148,8 @@
 // What is kept beside: other fields of the whole, and what a return brings back.
 void theRestIsKept() {
   ControlMachine machine;
-  const std::string body = R"({"Extra":[1.25],"Revision":3,"Routes":[)" + routeText({}) + R"(],"Services":[)" + serviceText("s0") + "]}";
+  const std::string body =
+      R"({"Extra":[1.25],"Revision":3,"Routes":[)" + routeText({}) + R"(],"Services":[)" + serviceText("s0") + "]}";
   RC_ASSERT(taken(send(machine, configAsk("PUT", "0", body))));
   RC_ASSERT(canonical(told(machine)) == canonical(body));
   RC_ASSERT(taken(send(machine, configAsk("PUT", "3", putText(10, {}, {})))));
@@ -151,7 +163,8 @@
   RC_ASSERT(route.kind == RouteKind::kStream && route.limitUs == 4000500 && route.targetUs == 400 * kMilliUs);
   RC_ASSERT(route.resumable && route.affinity && route.attempts == 2 && route.pool == "s0");
   const Pool& pool = machine.state().pools().at("s0");
-  RC_ASSERT(pool.warmPerKs == 32250 && pool.warmUs == 3500 * kMilliUs && pool.slots == 32 && pool.cacheTokens == 830505);
+  RC_ASSERT(pool.warmPerKs == 32250 && pool.warmUs == 3500 * kMilliUs && pool.slots == 32 &&
+            pool.cacheTokens == 830505);
   ControlCommand unknown = ReturnConfig{11, 7};  // a number that was leapt over
   auto read = unpack<ControlVerdict>(machine.apply(pack(unknown)));
   RC_ASSERT(std::get<ControlVerdict>(read).outcome == ControlOutcome::kUnknownRevision);
@@ -163,7 +176,8 @@
   std::string body = chance.oneIn(2) ? plainPut(7) : patchText(7, {routeText({.prefix = "/two/"})}, {"r-9"});
   const HttpAsk whole = configAsk(body.find("Upsert") == std::string::npos ? "PUT" : "PATCH", "5", body);
   for (std::uint64_t i = 0; i <= chance.below(4); ++i) {
-    const char* pieces[] = {"null", "-1", "1e400", "{}", "[", "\"", "\\u0000", "1e300", "9223372036854775808", "\xff", "true"};
+    const char* pieces[] = {"null", "-1",  "1e400", "{}", "[", "\"", "\\u0000", "1e300", "9223372036854775808",
+                            "\xff", "true"};
     const std::size_t at = chance.below(body.size());
     const std::uint64_t harm = chance.below(3);
     if (harm == 0) body.resize(at + 1);
@@ -183,7 +197,8 @@
 
 // In the product's own terms: pools and what goes with them, and a number of the operator's own.
 void ownTerms() {
-  JsonVerdict read = parseJson(R"({"base":0,"next":4,"routes":[{"name":"a","kind":"stream","host":"h","prefix":"/a/","resumable":true,
+  JsonVerdict read =
+      parseJson(R"({"base":0,"next":4,"routes":[{"name":"a","kind":"stream","host":"h","prefix":"/a/","resumable":true,
     "shares":[{"pool":"p","weight":9},{"pool":"q","weight":1}],"targetUs":5,"gapTargetUs":6,"attempts":2,"precedence":1,"affinity":true}],
     "pools":[{"name":"p","healthPath":"/h","warmPerKs":5},{"name":"q"}],"limits":{"idleUs":9000}})");
   ConfigVerdict verdict = readConfig(std::get<JsonDocument>(read), true);
@@ -204,7 +219,8 @@
   away.base = 5;
   away.removedPools = {"q"};
   const ControlVerdict refused = give(machine, away);
-  RC_ASSERT(refused.outcome == ControlOutcome::kInvalid && refused.flaw == ConfigFlaw::kUnknownPool && refused.flawed == "a");
+  RC_ASSERT(refused.outcome == ControlOutcome::kInvalid && refused.flaw == ConfigFlaw::kUnknownPool &&
+            refused.flawed == "a");
 }
 
 ControlOutcome list(ControlMachine& machine, std::uint64_t number, bool numbered, const std::string& life) {
--- a/tests/decoder_test.cc
+++ b/tests/decoder_test.cc
@@ -2,14 +2,14 @@
 // process; all answer with a failure of their own type. Run under sanitizers too.
 #include <rapidcheck.h>
 
-#include "replication/messages.h"
-#include "control/control_machine.h"
 #include "config/config_check.h"
 #include "config/platform_list.h"
 #include "config/settings.h"
+#include "control/control_machine.h"
 #include "proxy/sealed_reader.h"
-#include "store/store_machine.h"
+#include "replication/messages.h"
 #include "runtime/rpc_endpoint.h"
+#include "store/store_machine.h"
 
 using namespace stonemount;
 
@@ -24,8 +24,10 @@
 Bytes damaged(Bytes bytes, Chance& chance) {
   for (std::uint64_t i = 0; i <= chance.below(3); ++i) {
     if (bytes.empty()) break;
-    if (chance.oneIn(3)) bytes.resize(chance.below(bytes.size()));
-    else bytes[chance.below(bytes.size())] = static_cast<char>(chance.below(256));
+    if (chance.oneIn(3))
+      bytes.resize(chance.below(bytes.size()));
+    else
+      bytes[chance.below(bytes.size())] = static_cast<char>(chance.below(256));
   }
   return bytes;
 }
@@ -99,7 +101,8 @@
     RC_ASSERT(std::get<ConfigFault>(verdict).field == field);
     RC_ASSERT(!std::get<ConfigFault>(verdict).why.empty());
   }
-  const HeaderMap good{{"wire", "127.0.0.1:1"}, {"http", "127.0.0.1:2"}, {"zone", "z"}, {"seeds", "127.0.0.1:3"}, {"data", "d"}};
+  const HeaderMap good{
+      {"wire", "127.0.0.1:1"}, {"http", "127.0.0.1:2"}, {"zone", "z"}, {"seeds", "127.0.0.1:3"}, {"data", "d"}};
   RC_ASSERT(std::holds_alternative<Settings>(readSettings("", good, SettingsFor::kCore)));
   for (const char* key : {"wire", "http", "zone", "seeds", "data"}) {
     HeaderMap lacking = good;
--- a/tests/doctor_test.cc
+++ b/tests/doctor_test.cc
@@ -14,7 +14,8 @@
 };
 
 void found(Asking& fleet, const std::string& code) {
-  fleet.expect(fleet.until(Finds{fleet, code}), "the doctor finds " + code + ": " + fleet.ask("GET", "/op/doctor").body);
+  fleet.expect(fleet.until(Finds{fleet, code}),
+               "the doctor finds " + code + ": " + fleet.ask("GET", "/op/doctor").body);
 }
 void gone(Asking& fleet, const std::string& code) {
   fleet.expect(fleet.until(Finds{fleet, code, false}), code + " is gone: " + fleet.ask("GET", "/op/doctor").body);
@@ -75,7 +76,8 @@
   for (Part* store : fleet.fleet.of(PartKind::kStore)) store->host->wallOffsetUs += 600 * kSecondUs;
   found(fleet, "D302");
   for (const PartKind kind : {PartKind::kCore, PartKind::kStore})
-    for (std::size_t i = 0; i < 2; ++i) fleet.fleet.of(kind)[i]->host->wallOffsetUs += static_cast<Us>(100 * i + 50) * kSecondUs;
+    for (std::size_t i = 0; i < 2; ++i)
+      fleet.fleet.of(kind)[i]->host->wallOffsetUs += static_cast<Us>(100 * i + 50) * kSecondUs;
   found(fleet, "D305");
 }
 
--- a/tests/drawer_test.cc
+++ b/tests/drawer_test.cc
@@ -12,8 +12,7 @@
 constexpr std::size_t kFileBytes = 16 << 10;
 
 struct Bench {
-  explicit Bench(std::uint64_t seed)
-      : world(seed), host(world.addHost("disk", "zone", {1, 1}, {1, 2})) {
+  explicit Bench(std::uint64_t seed) : world(seed), host(world.addHost("disk", "zone", {1, 1}, {1, 2})) {
     host.disk = std::make_unique<SimDisk>(host, kFiles, kFileBytes);
     host.rise();
   }
@@ -87,7 +86,8 @@
       if (model.nextOpen && !wal->checkpointing()) {
         model.checkpoint = model.nextCheckpoint;
         model.hasCheckpoint = true;
-        model.appended.erase(model.appended.begin(), model.appended.begin() + static_cast<std::ptrdiff_t>(model.nextFrom));
+        model.appended.erase(model.appended.begin(),
+                             model.appended.begin() + static_cast<std::ptrdiff_t>(model.nextFrom));
         model.synced = model.appended.size();
         model.nextOpen = false;
       }
@@ -143,7 +143,9 @@
     wal.open();
     for (int round = 0; round < 3; ++round) {
       for (std::uint64_t i = 1 + chance.below(20); i > 0; --i)
-        written += std::holds_alternative<std::uint64_t>(wal.append(RecordKind::kEntry, Bytes(chance.below(900), 'y'))) ? 1 : 0;
+        written += std::holds_alternative<std::uint64_t>(wal.append(RecordKind::kEntry, Bytes(chance.below(900), 'y')))
+                       ? 1
+                       : 0;
       for (int again = 0; again < 2; ++again) {
         bool done = false;
         TaskRoom room;
@@ -156,8 +158,10 @@
   bench.host.disk->corrupt(chance);
   WriteAheadLog again(*bench.host.disk, bench.host, bench.host);
   const OpenResult opened = again.open();
-  if (auto* content = std::get_if<LogContent>(&opened)) RC_ASSERT(content->records.size() == written);
-  else RC_ASSERT(std::holds_alternative<LogDamaged>(opened));
+  if (auto* content = std::get_if<LogContent>(&opened))
+    RC_ASSERT(content->records.size() == written);
+  else
+    RC_ASSERT(std::holds_alternative<LogDamaged>(opened));
 }
 // A ring that was filled many times over opens from its newest files: time and memory go with the state
 // and what came since, not with the ring.
--- a/tests/event_reader_test.cc
+++ b/tests/event_reader_test.cc
@@ -1,9 +1,9 @@
 // Events come out whole, each once and byte for byte as they came, however the bytes are split
 // (design.md 9.6). What is no event of a number, or longer than any may be, is refused.
-#include <rapidcheck.h>
-
 #include "proxy/event_reader.h"
 
+#include <rapidcheck.h>
+
 using namespace stonemount;
 
 namespace {
@@ -97,7 +97,8 @@
 
 void refused(std::uint64_t seed) {
   Chance chance(seed);
-  for (const char* event : {"data: a\n\n", "id: x\ndata: a\n\n", "id: -1\n\n", "id:\n\n", "id: 99999999999999999999\n\n", ": note\n\n"}) {
+  for (const char* event :
+       {"data: a\n\n", "id: x\ndata: a\n\n", "id: -1\n\n", "id:\n\n", "id: 99999999999999999999\n\n", ": note\n\n"}) {
     EventReader reader;
     std::vector<PassEvent> read;
     const std::vector<PassEvent> before = randomEvents(chance);
--- a/tests/faulty_workers_test.cc
+++ b/tests/faulty_workers_test.cc
@@ -28,7 +28,8 @@
       if (part->store) expired = std::max(expired, part->store->machine().state().expired);
     std::printf("seed=%d asked=%d served=%d not_whole=%d broken=%d lot_runs_dropped=%d licences_expired=%d\n",
                 static_cast<int>(seed), static_cast<int>(tally.asked), static_cast<int>(tally.served),
-                static_cast<int>(tally.notWhole), static_cast<int>(broken), static_cast<int>(dropped), static_cast<int>(expired));
+                static_cast<int>(tally.notWhole), static_cast<int>(broken), static_cast<int>(dropped),
+                static_cast<int>(expired));
     // The faults did happen, and work went on.
     const bool well = faults.empty() && broken > 20 && dropped > 20 && tally.served * 2 > tally.asked;
     ++(well ? passed : failed);
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -34,9 +34,13 @@
     const bool heavy = plan.faults[0] == Fault::kAllLost || plan.faults[0] == Fault::kZoneLost;
     const bool crowd = plan.faults[0] == Fault::kCrowd;  // more than all workers can do
     const double share = static_cast<double>(tally.served) / static_cast<double>(tally.asked);
-    expect(share > (heavy ? 0.15 : crowd ? 0.5 : 0.75), std::string("share served under ") + faultText(plan.faults[0]) + " in " +
-                                                  shape.name + ": " + std::to_string(share));
-    expect(tally.lotsAccepted > 0 && tally.coldRefused * 50 <= tally.started, std::string("lots taken, cold spared: ") + faultText(plan.faults[0]));
+    expect(share > (heavy   ? 0.15
+                    : crowd ? 0.5
+                            : 0.75),
+           std::string("share served under ") + faultText(plan.faults[0]) + " in " + shape.name + ": " +
+               std::to_string(share));
+    expect(tally.lotsAccepted > 0 && tally.coldRefused * 50 <= tally.started,
+           std::string("lots taken, cold spared: ") + faultText(plan.faults[0]));
   }
 }
 
@@ -46,7 +50,8 @@
     // Safety is not to be bought by refusing, nor a judge's peace by looking at nothing.
     const std::string what = "any " + shape.name + " seed=" + std::to_string(2000 + seed);
     expect(tally.served * 2 > tally.asked, "share served: " + what);
-    expect(tally.lotsAccepted > 0 && tally.entriesCompared > 500 && tally.readsAtRest > 0, "looked at something: " + what);
+    expect(tally.lotsAccepted > 0 && tally.entriesCompared > 500 && tally.readsAtRest > 0,
+           "looked at something: " + what);
   }
 }
 
--- a/tests/gateway_cases_test.cc
+++ b/tests/gateway_cases_test.cc
@@ -70,7 +70,8 @@
     for (std::size_t later = i + 1; later < count; ++later) {
       const Asked& other = *day.asked[order[later]];
       const bool waited = other.atUs < sentUs || (other.atUs == sentUs && order[later] < order[i]);
-      RC_ASSERT(!waited || std::make_pair(rank, order[i]) < std::make_pair(other.request.route.precedence, order[later]));
+      RC_ASSERT(!waited ||
+                std::make_pair(rank, order[i]) < std::make_pair(other.request.route.precedence, order[later]));
     }
   }
 }
@@ -151,7 +152,8 @@
   day.add(kFirst, PassDeed::kBigFail, 4);
   Asked& caller = day.come(RouteKind::kWhole);
   day.world.runUntil(20 * kSecondUs);
-  RC_ASSERT(caller.answer->status != 500 || caller.answer->state != Answer::State::kWhole || caller.answer->body == passBody(0, true));
+  RC_ASSERT(caller.answer->status != 500 || caller.answer->state != Answer::State::kWhole ||
+            caller.answer->body == passBody(0, true));
 }
 
 // Whoever is here when the node is told to leave gets a whole answer.
--- a/tests/gateway_judge.h
+++ b/tests/gateway_judge.h
@@ -20,20 +20,24 @@
   }
   // After the day: nothing is under way any more, at workers either.
   const std::vector<std::string>& judge() {
-    for (std::size_t i = 0; i < rig_.ledger.size(); ++i) byExchange_[headerOf(rig_.ledger[i].ask.headers, platform::kAttempt)].push_back(i);
+    for (std::size_t i = 0; i < rig_.ledger.size(); ++i)
+      byExchange_[headerOf(rig_.ledger[i].ask.headers, platform::kAttempt)].push_back(i);
     for (const auto& asked : rig_.asked) {
       asked_ = asked.get();
       runs_ = byExchange_[asked->request.exchange];
       opened_ = rig_.echoing.opened[asked->request.exchange];
       judgeAsks();
-      if (asked->item) judgeItem();
-      else judgeAnswer();
+      if (asked->item)
+        judgeItem();
+      else
+        judgeAnswer();
       byExchange_.erase(asked->request.exchange);
     }
     asked_ = nullptr;
     hold(byExchange_.empty(), "UNASKED: an id that nobody sent");
     hold(rig_.quiet(), "something is under way for ever");
-    for (const auto& [address, worker] : rig_.board.workers()) hold(worker.inFlight() == 0, "the board was not given all back");
+    for (const auto& [address, worker] : rig_.board.workers())
+      hold(worker.inFlight() == 0, "the board was not given all back");
     return faults_;
   }
   std::uint64_t countWhole = 0, countRefused = 0, countBroken = 0, countResumed = 0, countLapsed = 0, countFailed = 0;
@@ -48,7 +52,10 @@
     return found == headers.end() ? "" : found->second;
   }
   void hold(bool holds, const char* what) {
-    if (!holds) faults_.push_back(absl::StrCat(what, asked_ != nullptr ? " " + asked_->request.exchange : "", asked_ != nullptr && asked_->answer ? absl::StrCat(" status=", asked_->answer->status) : ""));
+    if (!holds)
+      faults_.push_back(
+          absl::StrCat(what, asked_ != nullptr ? " " + asked_->request.exchange : "",
+                       asked_ != nullptr && asked_->answer ? absl::StrCat(" status=", asked_->answer->status) : ""));
   }
   const PassAsk& run(std::size_t number) const { return rig_.ledger[number]; }
   std::size_t ran() const {
@@ -74,7 +81,8 @@
       bool allowed = ask.pool == request.route.pool && request.route.shares.empty();
       for (const PoolShare& share : request.route.shares) allowed |= share.pool == ask.pool && share.weight > 0;
       hold(allowed || ask.otherLife, "ROUTE");
-      hold(ask.ask.method == request.ask.method && ask.ask.target == request.ask.target && ask.ask.body == request.ask.body,
+      hold(ask.ask.method == request.ask.method && ask.ask.target == request.ask.target &&
+               ask.ask.body == request.ask.body,
            "UNASKED: changed");
       HeaderMap left = ask.ask.headers;
       for (const auto& [name, value] : request.ask.headers) {
@@ -84,13 +92,15 @@
       }
       std::int64_t toldMs = 0;
       const Us leftUs = asked_->limitUs - (atUs - asked_->atUs);
-      hold(absl::SimpleAtoi(headerOf(left, platform::kDeadline), &toldMs) && toldMs > 0 && toldMs * kMilliUs <= leftUs + kWayUs &&
-               toldMs * kMilliUs > leftUs - 1 * kMilliUs, "another limit was told");
+      hold(absl::SimpleAtoi(headerOf(left, platform::kDeadline), &toldMs) && toldMs > 0 &&
+               toldMs * kMilliUs <= leftUs + kWayUs && toldMs * kMilliUs > leftUs - 1 * kMilliUs,
+           "another limit was told");
       for (const char* name : {platform::kDeadline, platform::kInstance, platform::kLastEvent}) left.erase(name);
       hold(left.empty(), "UNASKED: headers came on");
       for (const Span& span : barred_[ask.worker])
         hold(atUs <= span.fromUs + kWayUs || (span.toUs >= 0 && atUs >= span.toUs) || ask.otherLife, "DRAIN or EVAC");
-      hold(ask.overUs >= 0 && (ask.whole || !ask.ran || rig_.worldUs(ask, ask.overUs) <= endUs() + 2 * kWayUs), "a worker was left at work");
+      hold(ask.overUs >= 0 && (ask.whole || !ask.ran || rig_.worldUs(ask, ask.overUs) <= endUs() + 2 * kWayUs),
+           "a worker was left at work");
     }
   }
 
@@ -106,7 +116,8 @@
       const Bytes event = known ? passEvent(*number, id) : "";
       if (!known || bytes.compare(at, event.size(), event) != 0) return hold(false, "ORDER");
       if (number != from) {
-        hold(headerOf(run(*number).ask.headers, platform::kAttempt) == asked_->request.exchange, "MIXED: another request's event");
+        hold(headerOf(run(*number).ask.headers, platform::kAttempt) == asked_->request.exchange,
+             "MIXED: another request's event");
         hold(run(*number).deed != PassDeed::kForeign, "MIXED: an answer that told another id");
         hold(run(*number).lastEvent == last, "ORDER: it was not asked to go on there");
         hold(!from || asked_->request.route.resumable, "ORDER: two runs joined");
@@ -133,17 +144,22 @@
       return judgeEvents(answer.body, complete, &seal);
     }
     const std::optional<std::size_t> number = passRunOf(std::string_view(answer.body).substr(0, 64));
-    if (!number || *number >= rig_.ledger.size()) return hold(answer.body.empty() && !complete, "MIXED: nobody's bytes");
+    if (!number || *number >= rig_.ledger.size())
+      return hold(answer.body.empty() && !complete, "MIXED: nobody's bytes");
     const PassAsk& own = run(*number);
-    const bool big = own.deed == PassDeed::kBig || own.deed == PassDeed::kBigForEvents || own.deed == PassDeed::kBreakBetween;
+    const bool big =
+        own.deed == PassDeed::kBig || own.deed == PassDeed::kBigForEvents || own.deed == PassDeed::kBreakBetween;
     const Bytes whole = passBody(*number, big);
     hold(headerOf(own.ask.headers, platform::kAttempt) == asked_->request.exchange, "MIXED: another request's answer");
-    hold(headerOf(answer.headers, platform::kAttempt) == asked_->request.exchange, "MIXED: an answer that told another id");
+    hold(headerOf(answer.headers, platform::kAttempt) == asked_->request.exchange,
+         "MIXED: an answer that told another id");
     hold(headerOf(answer.headers, "x-own") == absl::StrCat("of run ", *number), "MIXED: another answer's head");
-    hold(complete ? answer.body == whole && own.whole : whole.compare(0, answer.body.size(), answer.body) == 0, "MIXED: not one run's bytes");
+    hold(complete ? answer.body == whole && own.whole : whole.compare(0, answer.body.size(), answer.body) == 0,
+         "MIXED: not one run's bytes");
     const std::string length = headerOf(answer.headers, "content-length");
     hold(length.empty() || length == std::to_string(whole.size()), "MIXED: another length");
-    if (answer.status == 200) hold(seal == passSeal(*number) && own.deed != PassDeed::kUnsealed, "MIXED: success without its seal");
+    if (answer.status == 200)
+      hold(seal == passSeal(*number) && own.deed != PassDeed::kUnsealed, "MIXED: success without its seal");
     if (answer.status == 500) hold(own.deed == PassDeed::kFail && complete, "MIXED: another failure");
   }
 
@@ -153,8 +169,10 @@
     hold(answer.settled(), "never answered");
     if (!answer.settled()) return;
     const Us tookUs = answer.overUs - asked_->atUs;
-    hold(tookUs <= asked_->limitUs + kMilliUs, absl::StrCat("held longer than its limit: ", tookUs, " of ", asked_->limitUs).c_str());
-    for (const char* name : {"connection", "transfer-encoding", "keep-alive"}) hold(!answer.headers.contains(name), "a channel's header");
+    hold(tookUs <= asked_->limitUs + kMilliUs,
+         absl::StrCat("held longer than its limit: ", tookUs, " of ", asked_->limitUs).c_str());
+    for (const char* name : {"connection", "transfer-encoding", "keep-alive"})
+      hold(!answer.headers.contains(name), "a channel's header");
     const bool complete = answer.state == Answer::State::kWhole;
     switch (answer.status) {
       case 200:
@@ -184,8 +202,10 @@
     const Route& route = asked_->request.route;
     double again = 0;
     hold(ran() == 0, "REFUSED though it ran");
-    hold(absl::SimpleAtod(headerOf(asked_->answer->headers, "retry-after"), &again) && again > 0 && again <= 0.5, absl::StrCat("no time to come back: ", headerOf(asked_->answer->headers, "retry-after")).c_str());
-    const Us holdUs = std::min(route.targetUs > 0 ? std::min(rig_.plan.holdUs, route.targetUs / 5) : rig_.plan.holdUs, asked_->limitUs / 3);
+    hold(absl::SimpleAtod(headerOf(asked_->answer->headers, "retry-after"), &again) && again > 0 && again <= 0.5,
+         absl::StrCat("no time to come back: ", headerOf(asked_->answer->headers, "retry-after")).c_str());
+    const Us holdUs = std::min(route.targetUs > 0 ? std::min(rig_.plan.holdUs, route.targetUs / 5) : rig_.plan.holdUs,
+                               asked_->limitUs / 3);
     Us mostUs = holdUs + kMilliUs;  // once it was refused it may look on for a moment
     if (!opened_.empty()) mostUs = std::max(mostUs, opened_.back() - asked_->atUs + 2 * kWayUs + rig_.plan.holdUs / 4);
     hold(tookUs <= mostUs, "refused late");
@@ -197,9 +217,12 @@
     judgeEvents(asked_->item->raw, std::holds_alternative<PassWhole>(ending) && asked_->item->body.empty(), nullptr);
     if (!asked_->item->body.empty()) hold(runs_.size() == 1 && asked_->item->raw.empty(), "MIXED: a body and events");
     if (std::holds_alternative<PassNotRun>(ending)) hold(ran() == 0, "REFUSED: an item ran");
-    if (std::holds_alternative<PassDeclined>(ending)) hold(ran() == 1 && run(runs_.front()).deed == PassDeed::kDecline, "nobody declined");
-    if (std::holds_alternative<PassFailed>(ending)) hold(ran() == 1 && run(runs_.front()).deed == PassDeed::kFail, "nobody failed");
-    if (auto* lapsed = std::get_if<PassLapsed>(&ending)) hold(lapsed->sent && asked_->itemOverUs >= asked_->atUs + asked_->limitUs, "lapsed too soon");
+    if (std::holds_alternative<PassDeclined>(ending))
+      hold(ran() == 1 && run(runs_.front()).deed == PassDeed::kDecline, "nobody declined");
+    if (std::holds_alternative<PassFailed>(ending))
+      hold(ran() == 1 && run(runs_.front()).deed == PassDeed::kFail, "nobody failed");
+    if (auto* lapsed = std::get_if<PassLapsed>(&ending))
+      hold(lapsed->sent && asked_->itemOverUs >= asked_->atUs + asked_->limitUs, "lapsed too soon");
   }
 
   GatewayRig& rig_;
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -2,10 +2,10 @@
 // they get (design.md 9.6, 13). Times are the world's.
 #pragma once
 
-#include "simulator/world.h"
-#include "proxy/gateway.h"
 #include "platform/words.h"
 #include "platform/workers.h"
+#include "proxy/gateway.h"
+#include "simulator/world.h"
 #include "stand_ins/pass_worker.h"
 
 namespace stonemount {
@@ -116,8 +116,12 @@
 
 struct GatewayRig {
   GatewayRig(std::uint64_t seed, GatewayPlan plan)
-      : world(seed), plan(plan), node(rise(world.addHost("node", "a", {1, 1}, {1, 2}))), echoing(world, node),
-        ports{node, node, node, node, echoing, nullptr, node.chance}, board(node, control, boardPlan()),
+      : world(seed),
+        plan(plan),
+        node(rise(world.addHost("node", "a", {1, 1}, {1, 2}))),
+        echoing(world, node),
+        ports{node, node, node, node, echoing, nullptr, node.chance},
+        board(node, control, boardPlan()),
         gateway(ports, room, board, control, dialect, plan) {}
   ~GatewayRig() {
     room.clear();
@@ -138,7 +142,8 @@
   }
   SimHost& hostOf(const Address& address, const std::string& zone) {
     SimHost* host = world.hostByHttp(address);
-    return host != nullptr ? *host : world.addHost("worker" + std::to_string(address.ip), zone, {address.ip, 1}, address);
+    return host != nullptr ? *host
+                           : world.addHost("worker" + std::to_string(address.ip), zone, {address.ip, 1}, address);
   }
   // A process starts at that address; the list is told apart.
   void startWorker(const Address& address, const std::string& zone, PassWorkerPlan workerPlan) {
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -40,7 +40,10 @@
 class AnyDay {
  public:
   AnyDay(std::uint64_t seed, Deeds odd, DayKind kind)
-      : chance_(seed * 7919 + 1), rig_(seed, planOf(chance_, kind == DayKind::kCrowded)), checker_(rig_, kEvents), quiet_(kind == DayKind::kCalm) {
+      : chance_(seed * 7919 + 1),
+        rig_(seed, planOf(chance_, kind == DayKind::kCrowded)),
+        checker_(rig_, kEvents),
+        quiet_(kind == DayKind::kCalm) {
     Deeds deeds{{PassDeed::kWhole, 6}};
     for (const auto& [deed, weight] : odd)
       if (chance_.oneIn(2)) deeds.emplace_back(deed, weight);
@@ -56,8 +59,8 @@
       rig_.control.putPool(pool);
     }
     for (std::size_t i = 0; i < kWorkers; ++i) start(i, i == 4 ? "q" : "p", true);
-    routes_ = {routeOf("whole", RouteKind::kWhole), routeOf("lookup", RouteKind::kLookup), routeOf("once", RouteKind::kStream),
-               routeOf("goeson", RouteKind::kStream)};
+    routes_ = {routeOf("whole", RouteKind::kWhole), routeOf("lookup", RouteKind::kLookup),
+               routeOf("once", RouteKind::kStream), routeOf("goeson", RouteKind::kStream)};
     routes_[3].resumable = true;
     for (Route& route : routes_) {
       route.attempts = static_cast<std::uint32_t>(chance_.below(4));
@@ -74,7 +77,8 @@
     for (const Us atUs : comingUs) {
       rig_.world.runUntil(atUs);
       if (chance_.oneIn(15) && !quiet_) operate();
-      if (chance_.oneIn(6) && !rig_.asked.empty()) rig_.leave(*rig_.asked[rig_.asked.size() - 1 - chance_.below(std::min<std::size_t>(8, rig_.asked.size()))]);
+      if (chance_.oneIn(6) && !rig_.asked.empty())
+        rig_.leave(*rig_.asked[rig_.asked.size() - 1 - chance_.below(std::min<std::size_t>(8, rig_.asked.size()))]);
       ask();
     }
     rig_.world.runUntil(kDayUs + 5 * kSecondUs);
@@ -105,9 +109,12 @@
     const Address address = addressOf(place);
     auto found = rig_.control.workers().find(address);
     switch (chance_.below(6)) {
-      case 0: return start(place, chance_.oneIn(3) ? "q" : "p", true);   // a new life, and known at once
-      case 1: return start(place, chance_.oneIn(3) ? "q" : "p", false);  // somebody else, and nobody knows
-      case 2: return rig_.stopWorker(address);
+      case 0:
+        return start(place, chance_.oneIn(3) ? "q" : "p", true);  // a new life, and known at once
+      case 1:
+        return start(place, chance_.oneIn(3) ? "q" : "p", false);  // somebody else, and nobody knows
+      case 2:
+        return rig_.stopWorker(address);
       case 3:
         rig_.control.bump();
         rig_.control.removeWorker(address);
@@ -117,7 +124,8 @@
         if (found == rig_.control.workers().end()) return;
         checker_.bar(address);
         return leaveList(found->second);
-      case 5: return setZone(chance_.oneIn(2) ? "a" : "b");
+      case 5:
+        return setZone(chance_.oneIn(2) ? "a" : "b");
     }
   }
   void leaveList(ListedWorker worker) {
@@ -131,8 +139,10 @@
     rig_.board.relist();
     for (std::size_t i = zone == "a" ? 0 : 1; i < kWorkers; i += 2) {
       auto found = rig_.control.workers().find(addressOf(i));
-      if (evacuates) checker_.bar(addressOf(i));
-      else if (found != rig_.control.workers().end() && !found->second.leaving) checker_.unbar(addressOf(i));
+      if (evacuates)
+        checker_.bar(addressOf(i));
+      else if (found != rig_.control.workers().end() && !found->second.leaving)
+        checker_.unbar(addressOf(i));
     }
   }
   void ask() {
@@ -155,10 +165,23 @@
   std::uint64_t lives_ = 0;
 };
 
-const Deeds kOdd{{PassDeed::kBig, 1}, {PassDeed::kRefuse, 3}, {PassDeed::kBareRefusal, 1}, {PassDeed::kFail, 2}, {PassDeed::kDecline, 1},
-                 {PassDeed::kUnsealed, 1}, {PassDeed::kForeign, 1}, {PassDeed::kSilent, 1}, {PassDeed::kSilentInside, 1},
-                 {PassDeed::kBreakBeforeHead, 1}, {PassDeed::kBreakAfterHead, 1}, {PassDeed::kBreakInside, 2},
-                 {PassDeed::kBreakBetween, 2}, {PassDeed::kEndInside, 1}, {PassDeed::kGap, 1}, {PassDeed::kRepeat, 1}, {PassDeed::kDeaf, 2}};
+const Deeds kOdd{{PassDeed::kBig, 1},
+                 {PassDeed::kRefuse, 3},
+                 {PassDeed::kBareRefusal, 1},
+                 {PassDeed::kFail, 2},
+                 {PassDeed::kDecline, 1},
+                 {PassDeed::kUnsealed, 1},
+                 {PassDeed::kForeign, 1},
+                 {PassDeed::kSilent, 1},
+                 {PassDeed::kSilentInside, 1},
+                 {PassDeed::kBreakBeforeHead, 1},
+                 {PassDeed::kBreakAfterHead, 1},
+                 {PassDeed::kBreakInside, 2},
+                 {PassDeed::kBreakBetween, 2},
+                 {PassDeed::kEndInside, 1},
+                 {PassDeed::kGap, 1},
+                 {PassDeed::kRepeat, 1},
+                 {PassDeed::kDeaf, 2}};
 
 struct Sum {
   std::uint64_t whole = 0, refused = 0, broken = 0, resumed = 0, lapsed = 0, failed = 0;
@@ -169,7 +192,8 @@
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     AnyDay day(seed, odd, kind);
     const std::vector<std::string>& faults = day.play();
-    for (const std::string& fault : faults) std::printf("%s seed=%d fault: %s\n", name, static_cast<int>(seed), fault.c_str());
+    for (const std::string& fault : faults)
+      std::printf("%s seed=%d fault: %s\n", name, static_cast<int>(seed), fault.c_str());
     failed += faults.empty() ? 0 : 1;
     const GatewayJudge& judge = day.judge();
     sum.whole += judge.countWhole, sum.refused += judge.countRefused, sum.broken += judge.countBroken;
@@ -188,9 +212,11 @@
   Deeds bodies = kOdd;  // where events were asked for
   bodies.insert(bodies.end(), {{PassDeed::kBodyForEvents, 3}, {PassDeed::kBigForEvents, 2}});
   well &= days("bodies_day", bodies, DayKind::kCalm, 150, sum);
-  std::printf("whole=%d refused=%d broken=%d resumed=%d lapsed=%d failed=%d\n", static_cast<int>(sum.whole), static_cast<int>(sum.refused),
-              static_cast<int>(sum.broken), static_cast<int>(sum.resumed), static_cast<int>(sum.lapsed), static_cast<int>(sum.failed));
+  std::printf("whole=%d refused=%d broken=%d resumed=%d lapsed=%d failed=%d\n", static_cast<int>(sum.whole),
+              static_cast<int>(sum.refused), static_cast<int>(sum.broken), static_cast<int>(sum.resumed),
+              static_cast<int>(sum.lapsed), static_cast<int>(sum.failed));
   // All of it did happen, and work went on.
-  well &= sum.whole > 8000 && sum.refused > 2000 && sum.broken > 2000 && sum.resumed > 250 && sum.lapsed > 400 && sum.failed > 400;
+  well &= sum.whole > 8000 && sum.refused > 2000 && sum.broken > 2000 && sum.resumed > 250 && sum.lapsed > 400 &&
+          sum.failed > 400;
   return well ? 0 : 1;
 }
--- a/tests/http_faults_test.cc
+++ b/tests/http_faults_test.cc
@@ -10,13 +10,14 @@
 void brokenAnswers() {
   const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   for (const std::string& text :
-       {chunked + "4\r\nabcd\r\n", chunked + "4\r\nab", chunked + "4\r\nabcd\r\n0\r\n", chunked + "zz\r\nabcd\r\n0\r\n\r\n",
-        std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabcd"), std::string("HTTP/1.1 200 OK\r\n\r\nabcd"),
+       {chunked + "4\r\nabcd\r\n", chunked + "4\r\nab", chunked + "4\r\nabcd\r\n0\r\n",
+        chunked + "zz\r\nabcd\r\n0\r\n\r\n", std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabcd"),
+        std::string("HTTP/1.1 200 OK\r\n\r\nabcd"),
         std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcd"),
         std::string("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\nabcd"), std::string("\x16\x03\x01 no answer\r\n\r\n"),
-        std::string("HTTP/1.1 102 Processing\r\n\r\n"), std::string("HTTP/1.1 100 Continue\r\n\r\n"), std::string("HTTP/1.1"),
-        std::string("HTTP/1.1 200 OK\r\nno colon here\r\n\r\n"), std::string("HTTP/1.1 7 odd\r\nContent-Length: 0\r\n\r\n"),
-        std::string()}) {
+        std::string("HTTP/1.1 102 Processing\r\n\r\n"), std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+        std::string("HTTP/1.1"), std::string("HTTP/1.1 200 OK\r\nno colon here\r\n\r\n"),
+        std::string("HTTP/1.1 7 odd\r\nContent-Length: 0\r\n\r\n"), std::string()}) {
     OutRig rig;
     Gathered got(rig.open());
     UNTIL(rig.loop, rig.server.ends.size() == 1 && rig.end(0).has("body-1"));
@@ -58,7 +59,8 @@
   getsockname(listener, reinterpret_cast<sockaddr*>(&where), &length);
   std::vector<std::unique_ptr<Gathered>> asked;
   for (int i = 0; i < 6; ++i)
-    asked.push_back(std::make_unique<Gathered>(rig.out.open({(127u << 24) | 1, ntohs(where.sin_port)}, rig.ask(), rig.via())));
+    asked.push_back(
+        std::make_unique<Gathered>(rig.out.open({(127u << 24) | 1, ntohs(where.sin_port)}, rig.ask(), rig.via())));
   UNTIL(rig.loop, asked.back()->over());
   EXPECT(asked.back()->broken && asked.back()->broken->provenUnsent && !asked.front()->over());
   asked.clear();
--- a/tests/http_out_test.cc
+++ b/tests/http_out_test.cc
@@ -93,7 +93,8 @@
   via.echoValue = "3";
   Gathered next(rig.out.open(rig.server.address, rig.ask("3"), via));
   UNTIL(rig.loop, rig.end(3).has("body-3"));
-  rig.end(3).say(kSurplus + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nAttempt-Id: 3\r\n\r\nok");  // where the next is due
+  rig.end(3).say(kSurplus +
+                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nAttempt-Id: 3\r\n\r\nok");  // where the next is due
   UNTIL(rig.loop, next.over());
   EXPECT(next.broken && !next.broken->provenUnsent && next.broken->reused && !next.head && next.body.empty());
   UNTIL(rig.loop, rig.end(3).gone);
@@ -107,7 +108,8 @@
   Chance chance(5);
   for (char& byte : ask.body) byte = static_cast<char>(chance.next());
   Gathered got(rig.out.open(rig.server.address, ask, rig.via()));
-  UNTIL(rig.loop, rig.server.ends.size() == 1 && rig.end(0).heard.size() > ask.body.size() && rig.end(0).heard.ends_with(ask.body));
+  UNTIL(rig.loop, rig.server.ends.size() == 1 && rig.end(0).heard.size() > ask.body.size() &&
+                      rig.end(0).heard.ends_with(ask.body));
   rig.end(0).say("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
   UNTIL(rig.loop, got.head.has_value());
   EXPECT(got.body.empty());
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -32,8 +32,9 @@
 void readsRequests() {
   Rig rig;
   RawEnd caller(rig.loop, rig.in->self());
-  caller.say("POST /a%2Fb/?q=%20&&r HTTP/1.1\r\nHost: h.example\r\nX-Two: 1\r\nTransfer-Encoding: chunked\r\nx-two: 2\r\n\r\n"
-             "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n");
+  caller.say(
+      "POST /a%2Fb/?q=%20&&r HTTP/1.1\r\nHost: h.example\r\nX-Two: 1\r\nTransfer-Encoding: chunked\r\nx-two: 2\r\n\r\n"
+      "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n");
   UNTIL(rig.loop, rig.asks.size() == 1);
   EXPECT(rig.asks[0].method == "POST" && rig.asks[0].target == "/a%2Fb/?q=%20&&r" && rig.asks[0].path == "/a%2Fb/");
   EXPECT(rig.asks[0].headers["x-two"] == "1, 2" && rig.asks[0].headers["host"] == "h.example");
@@ -118,7 +119,8 @@
     RawEnd caller(rig.loop, rig.in->self());
     caller.say(kGet);
     UNTIL(rig.loop, rig.asks.size() == 1);
-    rig.replies[0]->begin(200, cut == Cut::kTooShort || cut == Cut::kTooLong ? HeaderMap{{"content-length", "5"}} : HeaderMap());
+    rig.replies[0]->begin(
+        200, cut == Cut::kTooShort || cut == Cut::kTooLong ? HeaderMap{{"content-length", "5"}} : HeaderMap());
     rig.replies[0]->chunk("abcd");
     UNTIL(rig.loop, caller.has("abcd"));
     if (cut == Cut::kAborted) rig.replies[0]->abort();
--- a/tests/limits_test.cc
+++ b/tests/limits_test.cc
@@ -72,7 +72,8 @@
   const auto [revision, ackedUs] = *stage.ledger.configAcked.rbegin();
   while (true) {
     bool all = true;
-    for (Part* node : stage.fleet.of(PartKind::kNode)) all &= node->node->configCache().state().configRevision() >= revision;
+    for (Part* node : stage.fleet.of(PartKind::kNode))
+      all &= node->node->configCache().state().configRevision() >= revision;
     if (all) return stage.fleet.world().nowUs() - ackedUs;
     stage.fleet.run(kMilliUs);
   }
@@ -137,7 +138,8 @@
   stage.fleet.run(6 * kSecondUs);
   for (Part& part : stage.fleet.parts()) stage.fleet.start(part);
   const Us backUs = stage.fleet.world().nowUs();
-  while (!certainAfter(stage.fleet, epoch) && stage.fleet.world().nowUs() < backUs + 60 * kSecondUs) stage.fleet.run(10 * kMilliUs);
+  while (!certainAfter(stage.fleet, epoch) && stage.fleet.world().nowUs() < backUs + 60 * kSecondUs)
+    stage.fleet.run(10 * kMilliUs);
   return stage.fleet.world().nowUs() - backUs;
 }
 
--- a/tests/listing_test.cc
+++ b/tests/listing_test.cc
@@ -31,7 +31,8 @@
   Asking fleet(seed);
   AskCount count(*fleet.fleet.platform().host);
   fleet.fleet.run(10 * kSecondUs);
-  fleet.expect(count.asks >= 10 && count.asks <= 18, absl::StrCat("one asks while control is heard: ", count.asks, " in 10 s"));
+  fleet.expect(count.asks >= 10 && count.asks <= 18,
+               absl::StrCat("one asks while control is heard: ", count.asks, " in 10 s"));
   for (Part* core : fleet.fleet.of(PartKind::kCore)) fleet.fleet.kill(*core, false);
   fleet.fleet.run(3 * kSecondUs);
   count.asks = 0;
@@ -42,12 +43,15 @@
   fleet.expect(fleet.fleet.world().nowUs() - markedUs < 2 * kSecondUs, "within 2 s");
   fleet.fleet.run(10 * kSecondUs);
   const std::uint64_t nodes = fleet.fleet.of(PartKind::kNode).size();
-  fleet.expect(count.asks >= nodes * 10 && count.asks <= nodes * 20, absl::StrCat("each asks in silence: ", count.asks, " in some 11 s"));
+  fleet.expect(count.asks >= nodes * 10 && count.asks <= nodes * 20,
+               absl::StrCat("each asks in silence: ", count.asks, " in some 11 s"));
   for (Part* core : fleet.fleet.of(PartKind::kCore)) fleet.fleet.start(*core);
   fleet.fleet.run(4 * kSecondUs);
   for (Part* node : fleet.fleet.of(PartKind::kNode))
-    fleet.expect(node->node->configCache().state().workers().at(worker.host->http()).leaving, "control tells it afterwards");
-  fleet.expect(fleet.until(AllMarked{fleet.fleet, worker.host->http(), false}), "and the marks of the silence are dropped");
+    fleet.expect(node->node->configCache().state().workers().at(worker.host->http()).leaving,
+                 "control tells it afterwards");
+  fleet.expect(fleet.until(AllMarked{fleet.fleet, worker.host->http(), false}),
+               "and the marks of the silence are dropped");
   count.asks = 0;
   fleet.fleet.run(10 * kSecondUs);
   fleet.expect(count.asks <= 18, absl::StrCat("one asks again: ", count.asks, " in 10 s"));
--- a/tests/lot_store_test.cc
+++ b/tests/lot_store_test.cc
@@ -58,7 +58,9 @@
     apply(machine, CutProposal{1, 7, ++round, 0, 0, 0, 0, {10 * kSecondUs, 10 * kSecondUs}, 2});
   }
   void tick(Us elapsedUs) {
-    apply(machine, CutProposal{machine.state().cut.epoch, 7, ++round, elapsedUs, 0, elapsedUs, 0, {10 * kSecondUs, 10 * kSecondUs}, 2});
+    apply(machine,
+          CutProposal{
+              machine.state().cut.epoch, 7, ++round, elapsedUs, 0, elapsedUs, 0, {10 * kSecondUs, 10 * kSecondUs}, 2});
   }
   void submit(const std::string& name) {
     SubmitLot lot = lotNamed(name);
@@ -88,7 +90,9 @@
     const bool counts = at != nullptr && at->state == ItemState::kRunning && at->run == run;
     const std::uint32_t runBefore = at == nullptr ? 0 : at->run;
     switch (chance.below(9)) {
-      case 0: submit(name); break;
+      case 0:
+        submit(name);
+        break;
       case 1: {
         const StoreVerdict verdict = apply(machine, GrantRuns{kNode, 3 * kSecondUs, {{name, item, kNode, 8}}, certain});
         RC_ASSERT(verdict.granted.empty() || (certain && machine.state().cut.certain && !lots[name].ended));
@@ -104,7 +108,8 @@
       case 3: {
         const bool refused = chance.oneIn(4);
         lots[name].declined[item] += refused && at != nullptr && run <= runBefore ? 1 : 0;
-        apply(machine, SealRuns{{{{name, item, run}, refused, refused ? "" : "text of " + std::to_string(run)}}, certain});
+        apply(machine,
+              SealRuns{{{{name, item, run}, refused, refused ? "" : "text of " + std::to_string(run)}}, certain});
         break;
       }
       case 4: {
@@ -112,12 +117,15 @@
         RC_ASSERT(verdict.over.empty() == (at != nullptr && !at->final() && at->run == run && !lots[name].ended));
         break;
       }
-      case 5: apply(machine, Sweep{certain, 0}); break;
+      case 5:
+        apply(machine, Sweep{certain, 0});
+        break;
       case 6:
         if (!chance.oneIn(20)) break;
         lots[name].ended |= apply(machine, EndLot{name}).outcome != StoreOutcome::kUnknownLot;
         break;
-      default: tick(chance.oneIn(12) ? 5 * kSecondUs : 500 * kMilliUs);
+      default:
+        tick(chance.oneIn(12) ? 5 * kSecondUs : 500 * kMilliUs);
     }
   }
   void look(const std::string& name) {
@@ -138,7 +146,8 @@
       const ItemSight& sight = verdict.sights[i];
       RC_ASSERT(places.insert(sight.item).second);
       if (i < seen.results.size()) {
-        RC_ASSERT(sight.id == seen.results[i].id && sight.state == seen.results[i].state && sight.answer == seen.results[i].answer);
+        RC_ASSERT(sight.id == seen.results[i].id && sight.state == seen.results[i].state &&
+                  sight.answer == seen.results[i].answer);
         continue;
       }
       if (sight.state != ItemState::kRefused) continue;
--- a/tests/lots_rig.h
+++ b/tests/lots_rig.h
@@ -7,9 +7,9 @@
 
 #include <cstdio>
 
-#include "simulator/fleet.h"
 #include "config/json.h"
 #include "platform/lots.h"
+#include "simulator/fleet.h"
 
 namespace stonemount {
 
@@ -22,7 +22,9 @@
   std::vector<std::string> wrong;
 };
 
-inline std::string eventText(const std::string& item, std::uint64_t number) { return absl::StrCat("\"", item, "\"\t", number); }
+inline std::string eventText(const std::string& item, std::uint64_t number) {
+  return absl::StrCat("\"", item, "\"\t", number);
+}
 inline std::uint64_t eventsOf(const std::string& item) { return 3 + spread(item) % 9; }
 
 // Plays the workers: whole answers, broken ones, refusals, failures, silence.
@@ -34,9 +36,9 @@
     ItemLog& log = log_.items[item];
     if (oddsNotRun > 0 && ports_.chance.oneIn(oddsNotRun)) co_return PassNotRun{20 * kMilliUs};
     ++log.sends;
-    const bool asHanded = order.ask.method == "POST" && order.ask.target == "/bulk/" + item + "?a=b" && order.ask.headers["attempt-id"] == item &&
-                          order.ask.headers["host"] == "h.example" && order.ask.headers["model"] == "m" && order.ask.body == bodyOf(item) &&
-                          order.pool == "models";
+    const bool asHanded = order.ask.method == "POST" && order.ask.target == "/bulk/" + item + "?a=b" &&
+                          order.ask.headers["attempt-id"] == item && order.ask.headers["host"] == "h.example" &&
+                          order.ask.headers["model"] == "m" && order.ask.body == bodyOf(item) && order.pool == "models";
     if (!asHanded) log_.wrong.push_back(item + " was sent otherwise than handed in");
     lastSendUs[item] = ports_.clock.monoUs();
     if (item.find("poison") != std::string::npos) {
@@ -69,7 +71,9 @@
     co_return PassWhole{200};
   }
   bool roomForLots(const std::string&) const override { return room; }
-  static Bytes bodyOf(const std::string& item) { return Bytes("\0\xff\n", 3) + item + Bytes(spread(item) % 50, '\x80'); }
+  static Bytes bodyOf(const std::string& item) {
+    return Bytes("\0\xff\n", 3) + item + Bytes(spread(item) % 50, '\x80');
+  }
   std::uint64_t oddsNotRun = 0, oddsFailed = 0, oddsBroken = 0, oddsDark = 0, oddsSkips = 0;
   Us eventUs = 40 * kMilliUs;
   bool room = true;
@@ -85,7 +89,9 @@
   void begin(int given, const HeaderMap& head) override { status = given, headers = head; }
   void chunk(const Bytes& bytes) override { body += bytes; }
   void end() override { done = true; }
-  void whole(int given, const HeaderMap& head, const Bytes& bytes) override { status = given, headers = head, body = bytes, done = true; }
+  void whole(int given, const HeaderMap& head, const Bytes& bytes) override {
+    status = given, headers = head, body = bytes, done = true;
+  }
   std::size_t backlogBytes() const override { return 0; }
   int status = 0;
   HeaderMap headers;
@@ -96,10 +102,16 @@
 // A node as far as standing lots go.
 struct LotNode {
   LotNode(SimHost& given, GossipPlan gossipPlan, const ControlState& control, WorkLog& log)
-      : host(given), ports(given.ports()), rpc(given, given, given.chance), gossip(ports, rpc, room, std::move(gossipPlan)),
-        store(ports, rpc, {}), board(given, control, {given.zone(), given.wire()}), workers(ports, log),
+      : host(given),
+        ports(given.ports()),
+        rpc(given, given, given.chance),
+        gossip(ports, rpc, room, std::move(gossipPlan)),
+        store(ports, rpc, {}),
+        board(given, control, {given.zone(), given.wire()}),
+        workers(ports, log),
         scheduler(ports, rpc, room, store, board, control, gossip, given.zone(), passingPlan({}, Bounds())),
-        lotService(ports, rpc, store, scheduler, control, {}), lots(lotService) {
+        lotService(ports, rpc, store, scheduler, control, {}),
+        lots(lotService) {
     PeerRecord record;
     record.role = Role::kNode;
     record.zone = given.zone();
@@ -127,7 +139,8 @@
 
 class LotsRig {
  public:
-  explicit LotsRig(std::uint64_t seed, std::size_t nodes = 3, Us retentionUs = 60 * kSecondUs) : fleet(seed, shapeOf()) {
+  explicit LotsRig(std::uint64_t seed, std::size_t nodes = 3, Us retentionUs = 60 * kSecondUs)
+      : fleet(seed, shapeOf()) {
     Route route;
     route.name = "nightly";
     route.host = "h.example";
@@ -142,7 +155,8 @@
     fleet.runUntilReady(30 * kSecondUs);
     for (std::uint32_t i = 0; i < nodes; ++i) {
       const std::uint32_t ip = (127u << 24) | (1u << 16) | (300 + i);
-      hosts.push_back(&fleet.world().addHost(absl::StrCat("edge-", i), fleet.shape().zones[i % fleet.shape().zones.size()], {ip, 7000}, {ip, 8000}));
+      hosts.push_back(&fleet.world().addHost(
+          absl::StrCat("edge-", i), fleet.shape().zones[i % fleet.shape().zones.size()], {ip, 7000}, {ip, 8000}));
       this->nodes.emplace_back();
       start(i);
     }
@@ -163,7 +177,8 @@
     nodes[i].reset();
     hosts[i]->fall();
   }
-  std::shared_ptr<HeardReply> begin(std::size_t node, const std::string& method, const std::string& path, HeaderMap headers = {}, Bytes body = "") {
+  std::shared_ptr<HeardReply> begin(std::size_t node, const std::string& method, const std::string& path,
+                                    HeaderMap headers = {}, Bytes body = "") {
     HttpAsk ask;
     ask.method = method;
     ask.target = path;
@@ -179,7 +194,8 @@
     if (!nodes[node]->lots.handle(ask, reply)) reply->status = -1, reply->done = true;
     return reply;
   }
-  std::shared_ptr<HeardReply> ask(std::size_t node, const std::string& method, const std::string& path, HeaderMap headers = {}, Bytes body = "") {
+  std::shared_ptr<HeardReply> ask(std::size_t node, const std::string& method, const std::string& path,
+                                  HeaderMap headers = {}, Bytes body = "") {
     auto reply = begin(node, method, path, std::move(headers), std::move(body));
     for (int i = 0; i < 8000 && !reply->done; ++i) fleet.run(kMilliUs);
     return reply;
@@ -187,8 +203,9 @@
   static Bytes lotOf(const std::vector<std::string>& items) {
     Bytes body = R"({"Entries":[)";
     for (const std::string& item : items)
-      absl::StrAppend(&body, body.back() == '[' ? "" : ",", R"({"Id":")", item, R"(","Path":"/bulk/)", item, R"(?a=b","Headers":{"Model":"m"},"Body":")",
-                      absl::Base64Escape(PlayedWorkers::bodyOf(item)), R"(","Tokens":9})");
+      absl::StrAppend(&body, body.back() == '[' ? "" : ",", R"({"Id":")", item, R"(","Path":"/bulk/)", item,
+                      R"(?a=b","Headers":{"Model":"m"},"Body":")", absl::Base64Escape(PlayedWorkers::bodyOf(item)),
+                      R"(","Tokens":9})");
     return body + "]}";
   }
   std::shared_ptr<HeardReply> submit(std::size_t node, const std::string& lot, const std::vector<std::string>& items) {
@@ -196,7 +213,8 @@
   }
   static Bytes textOf(const std::string& item) {
     Bytes text;
-    for (std::uint64_t number = 1; number <= eventsOf(item); ++number) text += (number > 1 ? "\n" : "") + eventText(item, number);
+    for (std::uint64_t number = 1; number <= eventsOf(item); ++number)
+      text += (number > 1 ? "\n" : "") + eventText(item, number);
     return text;
   }
   static void expect(bool well, const std::string& what) {
--- a/tests/lots_test.cc
+++ b/tests/lots_test.cc
@@ -10,7 +10,8 @@
 namespace {
 Bytes lotOf(const std::string& key, int items) {
   Bytes body = absl::StrCat(R"({"key":")", key, R"(","route":"review","items":[)");
-  for (int i = 0; i < items; ++i) absl::StrAppend(&body, i > 0 ? "," : "", R"({"id":"i)", i, R"(","prompt":"p)", key, i, R"("})");
+  for (int i = 0; i < items; ++i)
+    absl::StrAppend(&body, i > 0 ? "," : "", R"({"id":"i)", i, R"(","prompt":"p)", key, i, R"("})");
   return body + "]}";
 }
 
@@ -40,7 +41,8 @@
   eachWorker(fleet, false);
   fleet.expect(fleet.until(Complete{fleet, "lot-1"}), "the lot is complete once they take work again");
   const Answer shown = fleet.ask("GET", "/v1/lots/lot-1");
-  fleet.expect(shown.has("\"refused\":0") && shown.has("\"sealed\":4"), "and nothing of it was given up: " + shown.body);
+  fleet.expect(shown.has("\"refused\":0") && shown.has("\"sealed\":4"),
+               "and nothing of it was given up: " + shown.body);
 }
 
 // Runs that a worker began and broke off, time after time: the item ends, and says why.
@@ -76,7 +78,8 @@
   std::uint64_t sealed = 0;
   for (Part* node : fleet.fleet.of(PartKind::kNode)) sealed = std::max(sealed, node->node->scheduler().counts().sealed);
   for (Part* store : stores) fleet.fleet.start(*store);
-  fleet.expect(fleet.until(Complete{fleet, "lot-1"}), absl::StrCat("all that was sealed meanwhile arrives: ", fleet.ask("GET", "/v1/lots/lot-1").body));
+  fleet.expect(fleet.until(Complete{fleet, "lot-1"}),
+               absl::StrCat("all that was sealed meanwhile arrives: ", fleet.ask("GET", "/v1/lots/lot-1").body));
 }
 
 // An answer too long for any record: its item ends with that verdict; the others are not held up.
@@ -125,7 +128,8 @@
   fleet.fleet.run(5 * kSecondUs);
   fleet.expect(fleet.ask("GET", "/v1/lots/lot-1").has("\"state\":\"open\""), "a lot without its route waits");
   fleet.expect(fleet.ask("GET", "/op/doctor").has("\"D506\""), "and the doctor says so");
-  fleet.ask("PATCH", "/op/config", R"({"base":2,"routes":[{"name":"review","kind":"whole","pool":"models","lots":true}]})");
+  fleet.ask("PATCH", "/op/config",
+            R"({"base":2,"routes":[{"name":"review","kind":"whole","pool":"models","lots":true}]})");
   fleet.expect(fleet.until(Complete{fleet, "lot-1"}), "and is complete once the route is back");
 }
 
@@ -137,7 +141,8 @@
   fleet.expect(fleet.ask("POST", "/op/events/night/close").status == 200, "the event is closed");
   eachWorker(fleet, false);
   fleet.expect(fleet.ask("POST", "/v1/events/night/lots", lotOf("b", 1)).status == 409, "it takes no other lot");
-  fleet.expect(fleet.ask("POST", "/v1/events/night/lots", lotOf("a", 6)).has("\"again\":true"), "but knows its own again");
+  fleet.expect(fleet.ask("POST", "/v1/events/night/lots", lotOf("a", 6)).has("\"again\":true"),
+               "but knows its own again");
   fleet.expect(fleet.until(Complete{fleet, "lot-1"}), "and the accepted one is finished");
 }
 }  // namespace
--- a/tests/members_stage.h
+++ b/tests/members_stage.h
@@ -29,9 +29,11 @@
 
 struct Stage {
   explicit Stage(std::uint64_t given)
-      : seed(given), fleet(seed, shapeOf(seed)),
+      : seed(given),
+        fleet(seed, shapeOf(seed)),
         host(fleet.world().addHost("operators", "outside", {(127u << 24) | 999, 7000}, {(127u << 24) | 999, 8000})),
-        judge(fleet, ledger), chance(seed ^ 0xABC) {
+        judge(fleet, ledger),
+        chance(seed ^ 0xABC) {
     fleet.world().loud = loud;
     host.rise();
     operators = std::make_unique<SimOperator>(fleet, host, ledger);
--- a/tests/members_test.cc
+++ b/tests/members_test.cc
@@ -26,7 +26,8 @@
   stage.serve();
   for (int round = 0; round < 2; ++round) {
     Part* membershipManager = stage.membershipManager();
-    Part& old = kind == PartKind::kCore && managerToo && membershipManager != nullptr ? *membershipManager : stage.seated(kind);
+    Part& old =
+        kind == PartKind::kCore && managerToo && membershipManager != nullptr ? *membershipManager : stage.seated(kind);
     const std::string zone = old.host->zone();
     stage.lose(old);
     stage.run(static_cast<Us>(stage.chance.below(4000)) * kMilliUs);
@@ -40,8 +41,8 @@
     }
     const Us tookUs = stage.untilWhole(kind, 12 * kSecondUs) + 0;
     const Us wholeUs = stage.fleet.world().nowUs() - arrivedUs;
-    std::printf("replaced seed=%d kind=%d membershipManager=%d whole_us=%lld\n", static_cast<int>(seed), static_cast<int>(kind),
-                managerToo ? 1 : 0, static_cast<long long>(wholeUs));
+    std::printf("replaced seed=%d kind=%d membershipManager=%d whole_us=%lld\n", static_cast<int>(seed),
+                static_cast<int>(kind), managerToo ? 1 : 0, static_cast<long long>(wholeUs));
     // A membershipManager that was lost on top is a loss of its own: its time counts from its return.
     expect(stage.whole(kind) && (managerToo ? tookUs : wholeUs) <= kSyncUs, seed, "a newcomer is seated in time");
     if (wholeUs < kSyncUs) stage.run(kSyncUs - wholeUs);
@@ -62,17 +63,20 @@
 void retired(std::uint64_t seed) {
   Stage stage(seed);
   stage.serve();
-  expect(stage.ask(stage.anyService().retire("nobody")) == RetireOutcome::kUnknown, seed, "an unknown machine is unknown");
+  expect(stage.ask(stage.anyService().retire("nobody")) == RetireOutcome::kUnknown, seed,
+         "an unknown machine is unknown");
   expect(stage.ask(stage.anyService().stateOf("nobody")) == RetireState::kUnknown, seed, "and has no state");
   Part& old = stage.seated(PartKind::kStore);
   if (stage.fleet.standing(PartKind::kStore).size() == 3) {
-    expect(stage.ask(stage.anyService().retire(old.settings.name)) == RetireOutcome::kTooFew, seed, "three are too few");
+    expect(stage.ask(stage.anyService().retire(old.settings.name)) == RetireOutcome::kTooFew, seed,
+           "three are too few");
     stage.arrive(PartKind::kStore, old.host->zone());
     stage.run(2 * kSecondUs);
   }
   expect(stage.ask(stage.anyService().stateOf(old.settings.name)) == RetireState::kServing, seed, "it serves");
   expect(stage.ask(stage.anyService().retire(old.settings.name)) == RetireOutcome::kTaken, seed, "it is retired");
-  expect(stage.ask(stage.anyService().retire(old.settings.name)) == RetireOutcome::kUnderWay, seed, "it was asked before");
+  expect(stage.ask(stage.anyService().retire(old.settings.name)) == RetireOutcome::kUnderWay, seed,
+         "it was asked before");
   if (Part* membershipManager = stage.membershipManager(); seed % 3 == 0 && membershipManager != nullptr) {
     stage.fleet.kill(*membershipManager, true);
     stage.run(kSecondUs);
@@ -82,7 +86,8 @@
   const Us sinceUs = stage.fleet.world().nowUs();
   while (state != RetireState::kComplete && stage.fleet.world().nowUs() < sinceUs + 10 * kSecondUs)
     state = stage.ask(stage.anyService().stateOf(old.settings.name));
-  std::printf("retired seed=%d us=%lld\n", static_cast<int>(seed), static_cast<long long>(stage.fleet.world().nowUs() - sinceUs));
+  std::printf("retired seed=%d us=%lld\n", static_cast<int>(seed),
+              static_cast<long long>(stage.fleet.world().nowUs() - sinceUs));
   expect(state == RetireState::kComplete, seed, "it may be taken away");
   stage.lose(old);
   Part& next = stage.seated(PartKind::kStore);
@@ -102,7 +107,8 @@
   Part& old = stage.seated(PartKind::kStore);
   Part& fresh = stage.arrive(PartKind::kStore, old.host->zone());
   stage.run(4 * kSecondUs);
-  expect(fresh.store->replica().state() == ReplicaState::kOutside && fresh.store->replica().end() == 0, seed, "it is to spare");
+  expect(fresh.store->replica().state() == ReplicaState::kOutside && fresh.store->replica().end() == 0, seed,
+         "it is to spare");
   stage.lose(old);
   expect(stage.untilWhole(PartKind::kStore, 12 * kSecondUs) <= 6 * kSecondUs, seed, "one to spare takes the seat");
   stage.conclude();
--- a/tests/operators_test.cc
+++ b/tests/operators_test.cc
@@ -61,13 +61,15 @@
   fleet.expect(first.status == 201 && first.has("lot-1"), "a lot is accepted: " + first.body);
   for (std::size_t node = 0; node < 6; ++node)
     fleet.expect(fleet.ask("GET", "/v1/lots/lot-1", "", node).status == 200, "readable at once from every node");
-  fleet.expect(fleet.ask("POST", "/v1/events/night/lots", body, 3).has("\"again\":true"), "the same key is the same lot");
+  fleet.expect(fleet.ask("POST", "/v1/events/night/lots", body, 3).has("\"again\":true"),
+               "the same key is the same lot");
   const Bytes other = R"({"key":"k1","route":"review","items":[{"id":"a","prompt":"three"}]})";
   const Answer conflict = fleet.ask("POST", "/v1/events/night/lots", other, 4);
   fleet.expect(conflict.status == 409 && conflict.has("lot-1"), "the same key with another body is a conflict");
   fleet.fleet.run(10 * kSecondUs);
   const Answer results = fleet.ask("GET", "/v1/lots/lot-1/results?count=1", "", 5);
-  fleet.expect(results.has("\"next\":1") && results.has("\"id\":\"a\"") && !results.has("\"id\":\"b\""), "results are paged");
+  fleet.expect(results.has("\"next\":1") && results.has("\"id\":\"a\"") && !results.has("\"id\":\"b\""),
+               "results are paged");
   fleet.expect(fleet.ask("GET", "/v1/lots/lot-1/results?from=1", "", 1).has("\"id\":\"b\""), "the next page");
   fleet.expect(fleet.ask("GET", "/v1/lots/lot-1/bodies", "", 2).has("\"prompt\":\"two\""), "bodies as handed in");
   fleet.expect(fleet.ask("POST", "/op/events/night/close", "", 2).status == 200, "an event is closed");
@@ -86,14 +88,16 @@
     while (!left.idle() || !right.idle()) fleet.fleet.run(20 * kMilliUs);
     for (const auto& [revision, atUs] : one.configAcked)
       fleet.expect(!other.configAcked.contains(revision), "two operators were told the same revision");
-    fleet.expect(one.configAcked.size() + other.configAcked.size() + one.refused + other.refused > 0, "a race has a winner");
+    fleet.expect(one.configAcked.size() + other.configAcked.size() + one.refused + other.refused > 0,
+                 "a race has a winner");
   }
   fleet.fleet.run(2 * kSecondUs);
   const Bytes first = fleet.ask("GET", "/op/config", "", 0).body;
   for (std::size_t node = 1; node < 6; ++node)
     fleet.expect(fleet.ask("GET", "/op/config", "", node).body == first, "every node answers alike");
-  const Answer returned = fleet.ask("POST", "/op/config/return",
-                                    absl::StrCat(R"({"base":)", jsonNumber(std::get<JsonDocument>(parseJson(first)), "base"), R"(,"to":1})"));
+  const Answer returned = fleet.ask(
+      "POST", "/op/config/return",
+      absl::StrCat(R"({"base":)", jsonNumber(std::get<JsonDocument>(parseJson(first)), "base"), R"(,"to":1})"));
   fleet.expect(returned.status == 200, "an older content comes back as a new revision: " + returned.body);
   fleet.expect(fleet.ask("GET", "/op/config/history").has("return to 1"), "and history tells it");
 }
@@ -131,7 +135,8 @@
   const Address oldCore = fleet.fleet.of(PartKind::kCore)[2]->host->wire();
   const Answer added = fleet.ask("POST", "/op/store/add", say(newStore.host->wire(), {}));
   fleet.expect(added.status == 200, "a store is added: " + added.body);
-  fleet.expect(fleet.until(ChainHas{fleet.fleet, PartKind::kStore, newStore.host->wire(), true}), "and is in the chain");
+  fleet.expect(fleet.until(ChainHas{fleet.fleet, PartKind::kStore, newStore.host->wire(), true}),
+               "and is in the chain");
   const Answer retired = fleet.ask("POST", "/op/store/retire", say({}, oldStore));
   fleet.expect(retired.status == 200, "a store is retired: " + retired.body);
   fleet.expect(fleet.until(ChainHas{fleet.fleet, PartKind::kStore, oldStore, false}), "and out of the chain");
@@ -140,7 +145,8 @@
   fleet.fleet.run(3 * kSecondUs);
   const Answer replaced = fleet.ask("POST", "/op/core/replace", say(newCore.host->wire(), oldCore));
   fleet.expect(replaced.status == 200, "a core is replaced: " + replaced.body);
-  fleet.expect(fleet.until(ChainHas{fleet.fleet, PartKind::kCore, newCore.host->wire(), true}), "the new core is in the chain");
+  fleet.expect(fleet.until(ChainHas{fleet.fleet, PartKind::kCore, newCore.host->wire(), true}),
+               "the new core is in the chain");
   // Now the replaced ones may go without loss, and one more machine of each.
   fleet.fleet.kill(*fleet.fleet.of(PartKind::kStore)[1], true);
   fleet.fleet.kill(*fleet.fleet.of(PartKind::kStore)[0], true);
@@ -151,7 +157,8 @@
   Checker judge(fleet.fleet, fleet.ledger);
   judge.conclude();
   for (const std::string& fault : judge.faults()) fleet.expect(false, fault);
-  fleet.expect(judge.tally().lotsComplete == judge.tally().lotsAccepted && judge.tally().lotsAccepted > 0, "all lots complete");
+  fleet.expect(judge.tally().lotsComplete == judge.tally().lotsAccepted && judge.tally().lotsAccepted > 0,
+               "all lots complete");
 }
 }  // namespace
 
--- a/tests/parts_test.cc
+++ b/tests/parts_test.cc
@@ -3,10 +3,10 @@
 
 #include <cstdio>
 
-#include "hash_ring/hash_ring.h"
-#include "safe_time/session.h"
 #include "config/control_state.h"
+#include "hash_ring/hash_ring.h"
 #include "proxy/sealed_reader.h"
+#include "safe_time/session.h"
 
 using namespace stonemount;
 
@@ -26,10 +26,18 @@
     const std::string name = "route-" + std::to_string(chance.below(20));
     const Address worker{1, static_cast<std::uint16_t>(1 + chance.below(9))};
     switch (chance.below(5)) {
-      case 0: state.removeRoute(name); break;
-      case 1: state.putWorker({worker, "pool", "zone", 1 + static_cast<std::uint32_t>(chance.below(4))}); break;
-      case 2: state.removeWorker(worker); break;
-      case 3: state.setZone("zone", chance.oneIn(2)); break;
+      case 0:
+        state.removeRoute(name);
+        break;
+      case 1:
+        state.putWorker({worker, "pool", "zone", 1 + static_cast<std::uint32_t>(chance.below(4))});
+        break;
+      case 2:
+        state.removeWorker(worker);
+        break;
+      case 3:
+        state.setZone("zone", chance.oneIn(2));
+        break;
       default: {
         Route route;
         route.name = name;
@@ -188,7 +196,8 @@
       const Us passedUs = 450 * kMilliUs + static_cast<Us>(chance.below(100)) * kMilliUs;
       const Us laterUs = static_cast<Us>(chance.below(200)) * kMilliUs;
       trueUs += passedUs;
-      CutProposal proposal{1, 7, round, passedUs + passedUs * apart / 1000000, 0, passedUs + laterUs - lateUs, 0, {}, 6};
+      CutProposal proposal{1, 7,  round, passedUs + passedUs * apart / 1000000, 0, passedUs + laterUs - lateUs,
+                           0, {}, 6};
       lateUs = laterUs;
       RC_ASSERT(cut.propose(proposal, plan, false));
       RC_ASSERT(cut.cutUs <= trueUs + std::max<Us>(0, apart) * trueUs / 1000000);
--- a/tests/places_test.cc
+++ b/tests/places_test.cc
@@ -22,8 +22,10 @@
       bool free = true;
       for (const auto& [name, other] : state.routes())
         free = free && (name == route.name || other.host != route.host || other.prefix != route.prefix);
-      if (chance.oneIn(4)) state.removeRoute(route.name);
-      else if (free) state.putRoute(route);
+      if (chance.oneIn(4))
+        state.removeRoute(route.name);
+      else if (free)
+        state.putRoute(route);
     }
     if (chance.oneIn(2)) RC_ASSERT(follower.absorb(state.newsSince(follower.revision())));
     auto copied = unpack<ControlState>(pack(state));
--- a/tests/platform_lot_text_test.cc
+++ b/tests/platform_lot_text_test.cc
@@ -11,7 +11,8 @@
 
 namespace {
 Bytes entry(const std::string& id, const std::string& path, const std::string& headers, const std::string& body) {
-  return absl::StrCat(R"({"Id":")", id, R"(","Path":")", path, R"(","Headers":{)", headers, R"(},"Body":")", body, R"(","Tokens":940})");
+  return absl::StrCat(R"({"Id":")", id, R"(","Path":")", path, R"(","Headers":{)", headers, R"(},"Body":")", body,
+                      R"(","Tokens":940})");
 }
 bool taken(const Bytes& body) { return std::holds_alternative<std::vector<LotItem>>(readEntries(body, true)); }
 Bytes lot(const std::string& entries) { return absl::StrCat(R"({"Entries":[)", entries, "]}"); }
@@ -39,7 +40,9 @@
 }
 
 void bytesComeThrough(const std::string& bytes) {
-  const auto read = readEntries(lot(entry("a", "/p/1?x=%20", R"("Model":"m","Content-Length":"7","Connection":"close")", absl::Base64Escape(bytes))), true);
+  const auto read = readEntries(lot(entry("a", "/p/1?x=%20", R"("Model":"m","Content-Length":"7","Connection":"close")",
+                                          absl::Base64Escape(bytes))),
+                                true);
   const auto& items = std::get<std::vector<LotItem>>(read);
   RC_ASSERT(items.size() == 1 && items[0].body == bytes && items[0].target == "/p/1?x=%20" && items[0].tokens == 940);
   RC_ASSERT((items[0].headers == std::map<std::string, std::string>{{"attempt-id", "a"}, {"model", "m"}}));
@@ -51,9 +54,12 @@
   Bytes body = lot(entry("a", "/p/1", R"("Model":"m")", "q83vEjRWeJA=") + "," + entry("b", "/p/2", "", ""));
   for (std::uint64_t i = 0; i < 1 + chance.below(6); ++i) {
     const std::size_t at = chance.below(body.size());
-    if (chance.oneIn(3)) body.erase(at, 1 + chance.below(20));
-    else if (chance.oneIn(2)) body.insert(at, 1, static_cast<char>(chance.below(256)));
-    else body[at] = static_cast<char>(chance.below(256));
+    if (chance.oneIn(3))
+      body.erase(at, 1 + chance.below(20));
+    else if (chance.oneIn(2))
+      body.insert(at, 1, static_cast<char>(chance.below(256)));
+    else
+      body[at] = static_cast<char>(chance.below(256));
     if (body.empty()) break;
   }
   (void)taken(body);
@@ -65,7 +71,8 @@
   LotPage whole;
   whole.total = 40;
   for (int i = 0; i < 40; ++i)
-    whole.results.push_back({absl::StrCat("item", i), !chance.oneIn(5), Bytes(chance.below(9000), chance.oneIn(2) ? '\x01' : '"')});
+    whole.results.push_back(
+        {absl::StrCat("item", i), !chance.oneIn(5), Bytes(chance.below(9000), chance.oneIn(2) ? '\x01' : '"')});
   constexpr std::size_t kMost = 20000;
   std::uint32_t from = 0;
   while (from < whole.results.size()) {
--- a/tests/platform_lots_test.cc
+++ b/tests/platform_lots_test.cc
@@ -18,7 +18,8 @@
 // Reads a lot to its end, as far as it has come; false where a read was not answered with a page.
 bool readAll(LotsRig& rig, std::size_t node, const std::string& lot, std::vector<Result>& results, std::size_t items) {
   while (true) {
-    const auto reply = rig.ask(node, "GET", absl::StrCat("/api/lots/", lot, "?StartAfter=", results.size()), {{"hold-ms", "1000"}});
+    const auto reply =
+        rig.ask(node, "GET", absl::StrCat("/api/lots/", lot, "?StartAfter=", results.size()), {{"hold-ms", "1000"}});
     if (reply->status != 200) return false;
     JsonVerdict read = parseJson(reply->body);
     auto* page = std::get_if<JsonDocument>(&read);
@@ -28,19 +29,25 @@
     const std::size_t before = results.size();
     for (const JsonValue& one : (*page)["Outcomes"].GetArray())
       results.push_back({jsonString(one, "Id"), jsonString(one, "State"), jsonString(one, "Detail")});
-    LotsRig::expect(jsonNumber(*page, "NextToken") == static_cast<std::int64_t>(results.size()), "the next position is after the last");
+    LotsRig::expect(jsonNumber(*page, "NextToken") == static_cast<std::int64_t>(results.size()),
+                    "the next position is after the last");
     if (results.size() == before || results.size() >= items) return true;
   }
 }
 
-void judgeResults(LotsRig& rig, const std::vector<std::string>& items, const std::vector<Result>& results, const std::string& what) {
+void judgeResults(LotsRig& rig, const std::vector<std::string>& items, const std::vector<Result>& results,
+                  const std::string& what) {
   std::set<std::string> seen;
   for (const Result& result : results) {
     LotsRig::expect(seen.insert(result.id).second, what + ": each item once, " + result.id);
-    LotsRig::expect(std::find(items.begin(), items.end(), result.id) != items.end(), what + ": of this lot, " + result.id);
+    LotsRig::expect(std::find(items.begin(), items.end(), result.id) != items.end(),
+                    what + ": of this lot, " + result.id);
     const ItemLog& item = rig.log.items[result.id];
-    if (result.state == "complete") LotsRig::expect(result.text == LotsRig::textOf(result.id), what + ": the whole text, " + result.id);
-    else LotsRig::expect(result.state == "abandoned" && (item.declined > 0 || item.failures >= 3), what + ": given up for cause, " + result.id);
+    if (result.state == "complete")
+      LotsRig::expect(result.text == LotsRig::textOf(result.id), what + ": the whole text, " + result.id);
+    else
+      LotsRig::expect(result.state == "abandoned" && (item.declined > 0 || item.failures >= 3),
+                      what + ": given up for cause, " + result.id);
   }
   for (const std::string& wrong : rig.log.wrong) LotsRig::expect(false, what + ": " + wrong);
 }
@@ -61,21 +68,26 @@
       const std::string name = absl::StrCat("lot", i);
       lots[name] = itemsOf(name, i == 0 ? 200 : 40);
       LotsRig::expect(rig.submit(static_cast<std::size_t>(i) % 3, name, lots[name])->status == 202, "a lot is taken");
-      LotsRig::expect(rig.submit(static_cast<std::size_t>(i + 1) % 3, name, lots[name])->status == 202, "and known again elsewhere");
+      LotsRig::expect(rig.submit(static_cast<std::size_t>(i + 1) % 3, name, lots[name])->status == 202,
+                      "and known again elsewhere");
       LotsRig::expect(rig.submit(0, name, itemsOf(name, 3))->status == 409, "but not with other items");
     }
     std::map<std::string, std::vector<Result>> results;
     for (int round = 0; round < 12; ++round) {
-      for (auto& [name, items] : lots) LotsRig::expect(readAll(rig, static_cast<std::size_t>(round) % 3, name, results[name], items.size()), "a lot is read");
+      for (auto& [name, items] : lots)
+        LotsRig::expect(readAll(rig, static_cast<std::size_t>(round) % 3, name, results[name], items.size()),
+                        "a lot is read");
       if (round == 3 && seed % 2 == 1) rig.kill(2), rig.start(2);
       rig.fleet.run(kSecondUs);
     }
     for (auto& [name, items] : lots) {
       const std::string what = absl::StrCat("seed ", seed, " ", name);
-      LotsRig::expect(results[name].size() == items.size(), absl::StrCat(what, ": done in time, ", results[name].size(), " of ", items.size()));
+      LotsRig::expect(results[name].size() == items.size(),
+                      absl::StrCat(what, ": done in time, ", results[name].size(), " of ", items.size()));
       judgeResults(rig, items, results[name], what);
       std::vector<Result> again;
-      LotsRig::expect(readAll(rig, 1, name, again, items.size()) && again == results[name], what + ": the same from its start");
+      LotsRig::expect(readAll(rig, 1, name, again, items.size()) && again == results[name],
+                      what + ": the same from its start");
     }
   }
 }
@@ -90,7 +102,8 @@
   rig.kill(0);
   rig.fleet.run(9 * kSecondUs);
   std::vector<Result> results;
-  LotsRig::expect(readAll(rig, 1, "a", results, items.size()) && results.size() == items.size(), absl::StrCat("others finish it in 9 s: ", results.size()));
+  LotsRig::expect(readAll(rig, 1, "a", results, items.size()) && results.size() == items.size(),
+                  absl::StrCat("others finish it in 9 s: ", results.size()));
   judgeResults(rig, items, results, "node lost");
 }
 
@@ -126,7 +139,8 @@
     rig.fleet.run(8 * kSecondUs);
     for (std::size_t i = 0; i < rig.nodes.size(); ++i)
       for (const auto& [item, sentUs] : rig.nodes[i]->workers.lastSendUs)
-        LotsRig::expect(rig.hosts[i]->worldUs(sentUs) <= endedUs + 2 * kSecondUs, absl::StrCat("nothing starts after its end, seed ", seed));
+        LotsRig::expect(rig.hosts[i]->worldUs(sentUs) <= endedUs + 2 * kSecondUs,
+                        absl::StrCat("nothing starts after its end, seed ", seed));
     LotsRig::expect(rig.ask(2, "GET", "/api/items/a?Id=a-1")->status == 404, "its bodies are gone");
     LotsRig::expect(rig.ask(2, "GET", "/api/lots/a")->status == 200, "its results are not");
     rig.fleet.world().healAll();
@@ -149,7 +163,9 @@
   for (Part* store : stores) rig.fleet.start(*store);
   rig.fleet.run(12 * kSecondUs);
   LotsRig::expect(rig.ask(0, "GET", "/api/lots/never")->status == 404, "the store is sure of it");
-  LotsRig::expect(rig.ask(0, "GET", "/api/lots/b")->status == (handed->status == 503 ? 404 : 200) || handed->status == 504, "what was refused is not there");
+  LotsRig::expect(
+      rig.ask(0, "GET", "/api/lots/b")->status == (handed->status == 503 ? 404 : 200) || handed->status == 504,
+      "what was refused is not there");
   if (handed->status == 503) LotsRig::expect(!rig.log.items.contains("b-0"), "nor does it run");
   std::vector<Result> results;
   LotsRig::expect(readAll(rig, 1, "known", results, 1) && results.size() == 1, "what was taken is");
@@ -162,7 +178,8 @@
   LotsRig::expect(rig.submit(0, "a", {"a-1", "a-2"})->status == 202, "a lot is taken");
   for (const char* item : {"a-1", "a-2"}) {
     const auto body = rig.ask(1, "GET", absl::StrCat("/api/items/a?Id=", item));
-    LotsRig::expect(body->status == 200 && body->body == PlayedWorkers::bodyOf(item), "a body comes back byte for byte");
+    LotsRig::expect(body->status == 200 && body->body == PlayedWorkers::bodyOf(item),
+                    "a body comes back byte for byte");
   }
   LotsRig::expect(rig.ask(1, "GET", "/api/items/a?Id=a-3")->status == 404, "no such item");
   const Us beforeUs = rig.fleet.world().nowUs();
--- a/tests/platform_operator_test.cc
+++ b/tests/platform_operator_test.cc
@@ -46,21 +46,25 @@
   rig.expect(heard.status == 404, say("a retire that is not served", heard));
   for (std::size_t i = 0; i < 3; ++i) {
     heard = rig.ask(i, "GET", kConfig);
-    rig.expect(heard.status == 200 && canonical(heard.body) == canonical(plainPut(5)), say("reads back as sent", heard));
+    rig.expect(heard.status == 200 && canonical(heard.body) == canonical(plainPut(5)),
+               say("reads back as sent", heard));
   }
   // Two on one base, at two cores at the same moment.
-  const std::string bodies[] = {patchText(8, {routeText({.prefix = "/left/"})}, {}), patchText(9, {routeText({.prefix = "/right/"})}, {})};
+  const std::string bodies[] = {patchText(8, {routeText({.prefix = "/left/"})}, {}),
+                                patchText(9, {routeText({.prefix = "/right/"})}, {})};
   Heard both[2];
   for (std::size_t i = 0; i < 2; ++i) rig.send(i, configAsk("PATCH", "5", bodies[i]), both[i]);
   rig.finish();
   const std::size_t winner = both[0].status == 200 ? 0 : 1;
-  rig.expect(both[winner].status == 200 && both[1 - winner].status == 412, say("one prevails", both[0]) + say(" of two", both[1]));
+  rig.expect(both[winner].status == 200 && both[1 - winner].status == 412,
+             say("one prevails", both[0]) + say(" of two", both[1]));
   // Everyone loses power; what was acknowledged is there, and still known when it is sent again.
   for (PlatformRig::CoreProcess& one : rig.cores) rig.kill(one, true);
   for (PlatformRig::CoreProcess& one : rig.cores) rig.start(one);
   rig.run(6 * kSecondUs);
   heard = rig.ask(2, "GET", kConfig);
-  rig.expect(heard.status == 200 && heard.body.find(winner == 0 ? "/left/" : "/right/") != Bytes::npos, say("after the loss", heard));
+  rig.expect(heard.status == 200 && heard.body.find(winner == 0 ? "/left/" : "/right/") != Bytes::npos,
+             say("after the loss", heard));
   heard = rig.ask(2, "PATCH", kConfig, bodies[winner], "5");
   rig.expect(heard.status == 200, say("sent again after the loss", heard));
 }
@@ -136,7 +140,8 @@
     if (trouble == 2) rig.start(troubled);
     rig.run(static_cast<Us>(chance.below(3000)) * kMilliUs);
     Heard heard;
-    for (int i = 0; i < 20 && heard.status != 200; ++i, rig.run(200 * kMilliUs)) heard = rig.ask(chance.below(3), "GET", kConfig);
+    for (int i = 0; i < 20 && heard.status != 200; ++i, rig.run(200 * kMilliUs))
+      heard = rig.ask(chance.below(3), "GET", kConfig);
     rig.expect(heard.status == 200 && canonical(heard.body) == canonical(plainPut(standing)), say("reads back", heard));
   }
 }
@@ -144,7 +149,8 @@
 std::string listed(const PlatformRig& rig) {
   std::string text;
   for (const auto& [address, worker] : rig.cores[0].core->machine().state().workers())
-    absl::StrAppend(&text, worker.life, ":", worker.pool, worker.leaving ? ":leaving" : "", worker.coldLeftUs > 0 ? ":cold " : " ");
+    absl::StrAppend(&text, worker.life, ":", worker.pool, worker.leaving ? ":leaving" : "",
+                    worker.coldLeftUs > 0 ? ":cold " : " ");
   return text;
 }
 Instance instance(const std::string& id, std::uint32_t number, const std::string& state = "ready") {
@@ -160,7 +166,8 @@
   const std::uint64_t callsBefore = rig.instances->calls;
   rig.run(6 * kSecondUs);
   rig.expect(rig.cores[0].core->machine().state().revision() == calm, "what did not change is not told");
-  rig.expect(rig.instances->calls - callsBefore <= 33, absl::StrCat("one asks, for all: ", rig.instances->calls - callsBefore));
+  rig.expect(rig.instances->calls - callsBefore <= 33,
+             absl::StrCat("one asks, for all: ", rig.instances->calls - callsBefore));
   // Cold: told as it begins, once, and not while it counts down.
   rig.instances->instances[1].coldMs = 2000;
   for (int i = 0; i < 20; ++i, rig.run(100 * kMilliUs)) rig.instances->instances[1].coldMs -= 100;
@@ -184,7 +191,8 @@
   // An address has a new owner while the old one is still listed, whichever stands first.
   rig.instances->instances.insert(rig.instances->instances.begin(), instance("i-new", 3));
   rig.run(2 * kSecondUs);
-  rig.expect(listed(rig).find("i-new") != std::string::npos && listed(rig).find("i-3") == std::string::npos, "the new owner: " + listed(rig));
+  rig.expect(listed(rig).find("i-new") != std::string::npos && listed(rig).find("i-3") == std::string::npos,
+             "the new owner: " + listed(rig));
   // Every core starts anew; the numbers of lists go on.
   for (PlatformRig::CoreProcess& one : rig.cores) rig.kill(one, false);
   for (PlatformRig::CoreProcess& one : rig.cores) rig.start(one);
--- a/tests/platform_rig.h
+++ b/tests/platform_rig.h
@@ -5,11 +5,11 @@
 
 #include <cstdio>
 
-#include "simulator/world.h"
 #include "control/core.h"
 #include "platform/operator.h"
 #include "platform/worker_list.h"
 #include "platform_texts.h"
+#include "simulator/world.h"
 
 namespace stonemount {
 
@@ -30,7 +30,7 @@
   std::size_t pageSize = 2;
   std::uint64_t turnAway = 0;  // so many of the calls to come
   std::uint64_t calls = 0;
-  std::string broken;          // told instead, if set
+  std::string broken;  // told instead, if set
 
  private:
   void onAsked(const HttpAsk& ask, ReplyPtr reply) {
@@ -47,13 +47,16 @@
     out.object().key("Instances").array();
     for (std::size_t i = from; i < std::min(instances.size(), from + pageSize); ++i) {
       const Instance& one = instances[i];
-      out.raw(absl::StrCat(R"({"Id":")", one.id, R"(","Service":")", one.service, R"(","Address":")", addressText(one.address),
-                           R"(","Zone":")", one.zone, R"(","Revision":"v1","Capacity":32,"State":")", one.state,
-                           R"(","WarmupLeftMs":)", one.coldMs, R"(,"Phase":"dual","Models":[]})"));
+      out.raw(absl::StrCat(R"({"Id":")", one.id, R"(","Service":")", one.service, R"(","Address":")",
+                           addressText(one.address), R"(","Zone":")", one.zone,
+                           R"(","Revision":"v1","Capacity":32,"State":")", one.state, R"(","WarmupLeftMs":)",
+                           one.coldMs, R"(,"Phase":"dual","Models":[]})"));
     }
     out.closeArray().key("NextToken");
-    if (from + pageSize < instances.size()) out.text(absl::StrCat("p-", from + pageSize));
-    else out.raw("null");
+    if (from + pageSize < instances.size())
+      out.text(absl::StrCat("p-", from + pageSize));
+    else
+      out.raw("null");
     out.closeObject();
     reply->whole(200, {}, out.take());
   }
@@ -107,7 +110,8 @@
     plan.list = one.list.get();
     one.core = std::make_unique<Core>(*one.ports, one.settings, plan);
     one.core->begin();
-    one.face = std::make_unique<PlatformOperator>(one.core->operators(), nullptr, absl::btree_set<std::string>{"z1", "z2", "z3"});
+    one.face = std::make_unique<PlatformOperator>(one.core->operators(), nullptr,
+                                                  absl::btree_set<std::string>{"z1", "z2", "z3"});
   }
   void kill(CoreProcess& one, bool power) {
     if (!one.host->up()) return;
@@ -131,7 +135,8 @@
     ++open_;
     cores[core].face->handle(ask, std::make_shared<Reply>(*this, heard));
   }
-  Heard ask(std::size_t core, const std::string& method, const std::string& path, const Bytes& body = "", const std::string& match = "") {
+  Heard ask(std::size_t core, const std::string& method, const std::string& path, const Bytes& body = "",
+            const std::string& match = "") {
     HttpAsk wish = configAsk(method, match, body);
     wish.path = wish.target = path;
     Heard heard;
--- a/tests/pool_board_rig.h
+++ b/tests/pool_board_rig.h
@@ -136,8 +136,9 @@
     const std::size_t place = chance.below(flights.size());
     const Flight flight = flights[place];
     flights.erase(flights.begin() + static_cast<std::ptrdiff_t>(place));
-    const PoolLoadTable::Ending endings[] = {PoolLoadTable::Ending::kWhole, PoolLoadTable::Ending::kRefused, PoolLoadTable::Ending::kUnsent,
-                                         PoolLoadTable::Ending::kBroken, PoolLoadTable::Ending::kLeft};
+    const PoolLoadTable::Ending endings[] = {PoolLoadTable::Ending::kWhole, PoolLoadTable::Ending::kRefused,
+                                             PoolLoadTable::Ending::kUnsent, PoolLoadTable::Ending::kBroken,
+                                             PoolLoadTable::Ending::kLeft};
     PoolLoadTable::Ending ending = endings[chance.oneIn(2) ? 0 : chance.below(5)];
     auto listed = control.workers().find(flight.worker);
     if (chance.oneIn(20) && listed != control.workers().end() && listed->second.life == flight.life) {
--- a/tests/pool_board_test.cc
+++ b/tests/pool_board_test.cc
@@ -10,10 +10,14 @@
   BoardRig rig(seed);
   for (int i = 0; i < 600; ++i) {
     const std::uint64_t deed = rig.chance.below(20);
-    if (deed == 0) rig.operate();
-    else if (deed == 1) rig.hear();
-    else if (deed < 7) rig.giveBack();
-    else rig.ask();
+    if (deed == 0)
+      rig.operate();
+    else if (deed == 1)
+      rig.hear();
+    else if (deed < 7)
+      rig.giveBack();
+    else
+      rig.ask();
     rig.clock.nowUs += static_cast<Us>(rig.chance.below(rig.chance.oneIn(40) ? kSecondUs : 20 * kMilliUs));
   }
   while (!rig.flights.empty()) rig.giveBack();
--- a/tests/raw_peer.h
+++ b/tests/raw_peer.h
@@ -33,11 +33,11 @@
   Loop& loop_;
 };
 // Turns the loop until the condition holds; fails if it does not in 10 s.
-#define UNTIL(loop, condition)                                                               \
-  do {                                                                                       \
-    TurnBound bound(loop);                                                                   \
-    while (!bound.over && !(condition)) event_base_loop((loop).base(), EVLOOP_ONCE);         \
-    expect((condition), "until " #condition, __LINE__);                                      \
+#define UNTIL(loop, condition)                                                       \
+  do {                                                                               \
+    TurnBound bound(loop);                                                           \
+    while (!bound.over && !(condition)) event_base_loop((loop).base(), EVLOOP_ONCE); \
+    expect((condition), "until " #condition, __LINE__);                              \
   } while (false)
 
 // One end: all that came, and whether the other end has gone.
@@ -57,7 +57,8 @@
   RawEnd& operator=(const RawEnd&) = delete;
   // In the other end's kernel buffer when this returns.
   void say(const std::string& text) {
-    if (channel_ != nullptr && send(socket_, text.data(), text.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(text.size()))
+    if (channel_ != nullptr &&
+        send(socket_, text.data(), text.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(text.size()))
       testsFailed += 1;
   }
   void close() {
@@ -130,10 +131,14 @@
  private:
   void put(HttpPiece piece) {
     if (over()) testsFailed += 1;
-    if (auto* first = std::get_if<HttpHead>(&piece)) head = std::move(*first);
-    else if (auto* data = std::get_if<HttpData>(&piece)) body += data->bytes;
-    else if (auto* fault = std::get_if<HttpBroken>(&piece)) broken = *fault;
-    else ended = true;
+    if (auto* first = std::get_if<HttpHead>(&piece))
+      head = std::move(*first);
+    else if (auto* data = std::get_if<HttpData>(&piece))
+      body += data->bytes;
+    else if (auto* fault = std::get_if<HttpBroken>(&piece))
+      broken = *fault;
+    else
+      ended = true;
   }
 };
 
--- a/tests/repair_test.cc
+++ b/tests/repair_test.cc
@@ -50,7 +50,8 @@
     for (const KeptItem& item : lot.items) spent += item.spent;
   fleet.expect(spent == 0, "and broke off no item that a worker had begun");
   const Answer answer = fleet.ask("POST", "/v1/answers/review", R"({"prompt":"p"})", 1);
-  fleet.expect(answer.status == 503 && answer.has("draining") && answer.headers.contains("retry-after"), "new ones are sent away");
+  fleet.expect(answer.status == 503 && answer.has("draining") && answer.headers.contains("retry-after"),
+               "new ones are sent away");
 }
 
 // A caller that goes away frees its slot and closes its worker channel.
@@ -83,12 +84,14 @@
   std::string prompt(60000, 'p');
   int accepted = 0, refused = 0;
   for (int i = 0; i < 120 && refused < 3; ++i) {
-    const Bytes body = absl::StrCat(R"({"key":"k)", i, R"(","route":"review","items":[{"id":"a","prompt":")", prompt, R"("}]})");
+    const Bytes body =
+        absl::StrCat(R"({"key":"k)", i, R"(","route":"review","items":[{"id":"a","prompt":")", prompt, R"("}]})");
     const Answer answer = fleet.ask("POST", "/v1/events/night/lots", body, static_cast<std::size_t>(i) % 6);
     accepted += answer.status == 201 ? 1 : 0;
     refused += answer.has("ring_full") ? 1 : 0;
   }
-  fleet.expect(accepted > 5 && refused == 3, absl::StrCat("a full ring refuses: accepted ", accepted, ", refused ", refused));
+  fleet.expect(accepted > 5 && refused == 3,
+               absl::StrCat("a full ring refuses: accepted ", accepted, ", refused ", refused));
   for (int i = 1; i <= accepted; ++i)
     fleet.expect(fleet.ask("GET", absl::StrCat("/v1/lots/lot-", i)).status == 200, "what was accepted stays");
 }
@@ -96,7 +99,8 @@
 // What no record could hold is refused, and harms nobody.
 void tooLongToKeep() {
   Asking fleet(6);
-  const Bytes body = absl::StrCat(R"({"key":"k","route":"review","items":[{"id":"a","prompt":")", std::string(600000, 'p'), R"("}]})");
+  const Bytes body =
+      absl::StrCat(R"({"key":"k","route":"review","items":[{"id":"a","prompt":")", std::string(600000, 'p'), R"("}]})");
   const Answer answer = fleet.ask("POST", "/v1/events/night/lots", body);
   fleet.expect(answer.status == 413 && answer.has("too_long_to_keep"), "a lot too long for the ring: " + answer.body);
   fleet.fleet.run(2 * kSecondUs);
@@ -119,7 +123,8 @@
     fleet.fleet.start(store);
     for (int i = 0; i < 200 && !store.store->replica().active(); ++i) fleet.fleet.run(100 * kMilliUs);
     fleet.expect(store.store->replica().active(), absl::StrCat("a rotten disk is mended, seed ", seed));
-    fleet.expect(fleet.ask("GET", "/v1/lots/lot-1").has("\"state\":\"complete\""), absl::StrCat("nothing is lost, seed ", seed));
+    fleet.expect(fleet.ask("GET", "/v1/lots/lot-1").has("\"state\":\"complete\""),
+                 absl::StrCat("nothing is lost, seed ", seed));
   }
 }
 
@@ -139,8 +144,9 @@
   fleet.fleet.run(3 * kSecondUs);
   const std::uint64_t quiet = tail.core->sentBytes() - before;
   before = tail.core->sentBytes();
-  const Answer patched = fleet.ask("PATCH", "/op/config",
-                                   R"({"base":2,"routes":[{"name":"route-7","kind":"whole","pool":"models","limitUs":5000000}]})");
+  const Answer patched =
+      fleet.ask("PATCH", "/op/config",
+                R"({"base":2,"routes":[{"name":"route-7","kind":"whole","pool":"models","limitUs":5000000}]})");
   fleet.fleet.run(3 * kSecondUs);
   after = tail.core->sentBytes() - before;
   std::printf("bytes from the core's tail in 3 s: at rest %llu, with one route of 5,003 changed %llu\n",
@@ -148,7 +154,8 @@
   fleet.expect(patched.status == 200, "one of them changes");
   fleet.expect(after < quiet + 20000, "a change of one route does not send 5,000");
   for (Part* node : fleet.fleet.of(PartKind::kNode))
-    fleet.expect(node->node->configCache().state().routes().at("route-7").limitUs == 5 * kSecondUs, "and reached every node");
+    fleet.expect(node->node->configCache().state().routes().at("route-7").limitUs == 5 * kSecondUs,
+                 "and reached every node");
 }
 }  // namespace
 
--- a/tests/rules_test.cc
+++ b/tests/rules_test.cc
@@ -7,17 +7,20 @@
 
 namespace {
 Bytes patch(int base, const std::string& fields) {
-  return absl::StrCat(R"({"base":)", base, R"(,"routes":[{"name":"ruled","kind":"whole","pool":"models",)", fields, "}]}");
+  return absl::StrCat(R"({"base":)", base, R"(,"routes":[{"name":"ruled","kind":"whole","pool":"models",)", fields,
+                      "}]}");
 }
 
 void refused(Asking& fleet, const std::string& fields, const std::string& field) {
   const Answer answer = fleet.ask("PATCH", "/op/config", patch(1, fields));
-  fleet.expect(answer.status == 400 && answer.has(field), absl::StrCat("refused, naming ", field, ": ", fields, " got ", answer.body));
+  fleet.expect(answer.status == 400 && answer.has(field),
+               absl::StrCat("refused, naming ", field, ": ", fields, " got ", answer.body));
 }
 
 std::uint64_t startsAt(Asking& fleet, const std::string& pool) {
   std::uint64_t starts = 0;
-  for (Part* worker : fleet.fleet.of(PartKind::kWorker)) starts += worker->workerPlan.pool == pool ? worker->workerLedger.started : 0;
+  for (Part* worker : fleet.fleet.of(PartKind::kWorker))
+    starts += worker->workerPlan.pool == pool ? worker->workerLedger.started : 0;
   return starts;
 }
 
@@ -50,7 +53,8 @@
   fleet.fleet.run(2 * kSecondUs);
   const std::uint64_t models = startsAt(fleet, "models"), apps = startsAt(fleet, "apps");
   fleet.expect(fleet.ask("POST", "/v1/answers/ruled", prompt(50)).status == 200, "a short one in brno is served");
-  fleet.expect(startsAt(fleet, "models") == models + 1 && startsAt(fleet, "apps") == apps, "by the route whose rule holds");
+  fleet.expect(startsAt(fleet, "models") == models + 1 && startsAt(fleet, "apps") == apps,
+               "by the route whose rule holds");
   fleet.expect(fleet.ask("POST", "/v1/answers/ruled", prompt(500)).status == 200, "a longer one is served");
   fleet.expect(startsAt(fleet, "apps") == apps + 1, "by the other");
   fleet.expect(fleet.ask("POST", "/v1/answers/ruled", prompt(50), 1).status == 200, "a short one elsewhere is served");
@@ -58,7 +62,8 @@
   const Answer none = fleet.ask("POST", "/v1/answers/ruled", prompt(5000));
   fleet.expect(none.status == 404 && none.has("no_route_matches"), "no rule holds: " + none.body);
   fleet.expect(fleet.ask("POST", "/v1/answers/a", prompt(5)).has("no_route_matches"), "a ring of rules ends");
-  fleet.expect(fleet.ask("POST", "/v1/answers/lame", prompt(5)).has("no_route_matches"), "a rule that fails does not hold");
+  fleet.expect(fleet.ask("POST", "/v1/answers/lame", prompt(5)).has("no_route_matches"),
+               "a rule that fails does not hold");
   std::printf("%d passed, %d failed\n", Asking::passed, Asking::failed);
   return Asking::failed == 0 ? 0 : 1;
 }
--- a/tests/runs_test.cc
+++ b/tests/runs_test.cc
@@ -39,13 +39,29 @@
         for (const GrantedRun& one : verdict.granted) RC_ASSERT(granted.insert({item, one.run}).second);
         break;
       }
-      case 1: apply(machine, DropRuns{{{{lot, item, run}, false}}, chance.oneIn(2)}); break;
-      case 2: apply(machine, SealRuns{{{{lot, item, run}, false, "answer of run " + std::to_string(run)}}, chance.oneIn(2)}); break;
-      case 3: apply(machine, RenewRuns{{1, 2}, 3 * kSecondUs, {{lot, item, run}}}); break;
-      case 4: apply(machine, Sweep{chance.oneIn(2), 0}); break;
+      case 1:
+        apply(machine, DropRuns{{{{lot, item, run}, false}}, chance.oneIn(2)});
+        break;
+      case 2:
+        apply(machine, SealRuns{{{{lot, item, run}, false, "answer of run " + std::to_string(run)}}, chance.oneIn(2)});
+        break;
+      case 3:
+        apply(machine, RenewRuns{{1, 2}, 3 * kSecondUs, {{lot, item, run}}});
+        break;
+      case 4:
+        apply(machine, Sweep{chance.oneIn(2), 0});
+        break;
       default: {
         const Us elapsedUs = chance.oneIn(12) ? 5 * kSecondUs : 500 * kMilliUs;
-        apply(machine, CutProposal{machine.state().cut.epoch, 7, ++round, elapsedUs, 0, elapsedUs, 0, {10 * kSecondUs, 10 * kSecondUs}, 2});
+        apply(machine, CutProposal{machine.state().cut.epoch,
+                                   7,
+                                   ++round,
+                                   elapsedUs,
+                                   0,
+                                   elapsedUs,
+                                   0,
+                                   {10 * kSecondUs, 10 * kSecondUs},
+                                   2});
       }
     }
     const KeptLot& kept = machine.state().lots.at(lot);
--- a/tests/seats_test.cc
+++ b/tests/seats_test.cc
@@ -2,8 +2,8 @@
 // end, it comes to rest with as many live seats as the deployment asks for (design.md 6.10).
 #include <rapidcheck.h>
 
-#include "membership/replica_placement.h"
 #include "control/commands.h"
+#include "membership/replica_placement.h"
 
 using namespace stonemount;
 
--- a/tests/sim_http_test.cc
+++ b/tests/sim_http_test.cc
@@ -19,8 +19,10 @@
     reply->gone.connect(sigc::mem_fun(*this, &Server::left));
     reply->begin(200, {{"attempt-id", ask.path == "/wrong" ? "late" : "1"}});
     reply->chunk("ab");
-    if (ask.path == "/cut") reply->abort();
-    else if (ask.path != "/wrong") reply->end();
+    if (ask.path == "/cut")
+      reply->abort();
+    else if (ask.path != "/wrong")
+      reply->end();
   }
   void left() { ++gone; }
   std::vector<ReplyPtr> held_;
@@ -42,9 +44,12 @@
  private:
   void put(HttpPiece piece) {
     RC_ASSERT(!ended && !broken);
-    if (std::holds_alternative<HttpHead>(piece)) headed = true;
-    else if (auto* data = std::get_if<HttpData>(&piece)) body += data->bytes;
-    else (std::holds_alternative<HttpEnd>(piece) ? ended : broken) = true;
+    if (std::holds_alternative<HttpHead>(piece))
+      headed = true;
+    else if (auto* data = std::get_if<HttpData>(&piece))
+      body += data->bytes;
+    else
+      (std::holds_alternative<HttpEnd>(piece) ? ended : broken) = true;
   }
   std::unique_ptr<HttpFlow> flow_;
 };
--- a/tests/views_test.cc
+++ b/tests/views_test.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <cstdio>
 
-#include "simulator/world.h"
 #include "gossip/gossip.h"
+#include "simulator/world.h"
 
 using namespace stonemount;
 
@@ -37,8 +37,8 @@
 struct Crowd {
   explicit Crowd(std::uint64_t seed) : world(seed) {
     for (std::uint32_t i = 0; i < kProcesses; ++i) {
-      SimHost& host = world.addHost("p" + std::to_string(i), "zone-" + std::to_string(i % 3), {1, static_cast<std::uint16_t>(1 + i)},
-                                    {2, static_cast<std::uint16_t>(1 + i)});
+      SimHost& host = world.addHost("p" + std::to_string(i), "zone-" + std::to_string(i % 3),
+                                    {1, static_cast<std::uint16_t>(1 + i)}, {2, static_cast<std::uint16_t>(1 + i)});
       host.rise();
     }
     GossipPlan plan;
@@ -106,11 +106,13 @@
   for (auto& process : crowd.processes) bytes -= process->rpc.sentBytes, frames -= process->rpc.sentFrames;
   crowd.run(10 * kSecondUs);
   for (auto& process : crowd.processes) bytes += process->rpc.sentBytes, frames += process->rpc.sentFrames;
-  std::printf("seed=%d processes=%d start_us=%lld spread_us=%lld heal_us=%lld wrong_share=%.4f frames_s_each=%.1f bytes_s_each=%.0f\n",
-              static_cast<int>(seed), static_cast<int>(kProcesses), static_cast<long long>(startUs),
-              static_cast<long long>(spreadUs), static_cast<long long>(healUs),
-              static_cast<double>(wrong) / static_cast<double>(looks), static_cast<double>(frames) / 10.0 / kProcesses,
-              static_cast<double>(bytes) / 10.0 / kProcesses);
+  std::printf(
+      "seed=%d processes=%d start_us=%lld spread_us=%lld heal_us=%lld wrong_share=%.4f frames_s_each=%.1f "
+      "bytes_s_each=%.0f\n",
+      static_cast<int>(seed), static_cast<int>(kProcesses), static_cast<long long>(startUs),
+      static_cast<long long>(spreadUs), static_cast<long long>(healUs),
+      static_cast<double>(wrong) / static_cast<double>(looks), static_cast<double>(frames) / 10.0 / kProcesses,
+      static_cast<double>(bytes) / 10.0 / kProcesses);
   expect(startUs < 10 * kSecondUs, "everyone knows twenty peers within 10 s of a common start");
   expect(spreadUs < 4 * kSecondUs, "a record's news reaches all within 4 s");
   expect(healUs < 20 * kSecondUs, "halves that forgot each other are one again within 20 s");
