--- a/src/adapters/disk_file.cc
+++ b/src/adapters/disk_file.cc
@@ -1,6 +1,7 @@
 #include "adapters/disk_file.h"
 
 #include <absl/strings/str_cat.h>
+#include <errno.h>
 #include <fcntl.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -69,7 +70,8 @@
   waiting_ = &done;
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    handed_ = std::exchange(gathered_, {});
+    for (Piece& piece : gathered_) handed_.push_back(std::move(piece));
+    gathered_.clear();
     asked_ = true;
   }
   news_.notify_all();
@@ -79,16 +81,22 @@
   if (waiting_ == &done) waiting_ = nullptr;
 }
 
+bool DiskFile::writeWhole(const Piece& piece) {
+  std::size_t at = 0;
+  while (at < piece.bytes.size()) {
+    const ssize_t put = pwrite(handles_[piece.file], piece.bytes.data() + at, piece.bytes.size() - at,
+                               static_cast<off_t>(piece.offset + at));
+    if (put < 0 && errno == EINTR) continue;
+    if (put <= 0) return false;
+    at += static_cast<std::size_t>(put);
+  }
+  return true;
+}
+
 bool DiskFile::carryOut(const std::vector<Piece>& pieces) {
   for (std::size_t i = 0; i < pieces.size(); ++i) {
     const Piece& piece = pieces[i];
-    std::size_t at = 0;
-    while (at < piece.bytes.size()) {
-      const ssize_t put = pwrite(handles_[piece.file], piece.bytes.data() + at, piece.bytes.size() - at,
-                                 static_cast<off_t>(piece.offset + at));
-      if (put <= 0) return false;
-      at += static_cast<std::size_t>(put);
-    }
+    if (!writeWhole(piece)) return false;
     // A file lasts before the next is written: after a loss of power no later record stands behind a gap,
     // which would look like the loss of what was synced (design.md 5.5).
     const bool ends = i + 1 == pieces.size() || pieces[i + 1].file != piece.file;
@@ -103,12 +111,14 @@
     while (!asked_ && !stopping_) news_.wait(lock);
     if (stopping_) return;
     asked_ = false;
-    const std::vector<Piece> pieces = std::exchange(handed_, {});
+    std::vector<Piece> pieces = std::exchange(handed_, {});
     lock.unlock();
     const bool well = carryOut(pieces);
     lock.lock();
     finished_ = true;
-    failed_ = failed_ || !well;
+    failed_ = !well;
+    // The kernel may forget what it could not write once it has said so: all of it is written again.
+    if (!well) handed_ = std::move(pieces);
     event_active(done_, EV_READ, 0);
   }
 }
--- a/src/adapters/disk_file.h
+++ b/src/adapters/disk_file.h
@@ -30,6 +30,7 @@
   };
   void work();
   bool carryOut(const std::vector<Piece>& pieces);
+  bool writeWhole(const Piece& piece);
   static void onDone(evutil_socket_t, short, void* self);
   Loop& loop_;
   std::string folder_;
@@ -41,10 +42,10 @@
   event* done_ = nullptr;
   std::mutex mutex_;
   std::condition_variable news_;
-  std::vector<Piece> handed_;
+  std::vector<Piece> handed_;  // not known to last yet
   bool asked_ = false;
   bool finished_ = false;
-  bool failed_ = false;
+  bool failed_ = false;  // the newest sync
   bool stopping_ = false;
   std::thread thread_;
 };
--- a/src/control/core.cc
+++ b/src/control/core.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "replication/loss_margin.h"
 #include "replication/replica_status.h"
 
 namespace stonemount {
@@ -47,6 +48,7 @@
   membershipManager_.begin();
   room_.start(list());
   room_.start(watchZone());
+  room_.start(watchDisk());
 }
 
 void Core::onMet(const PeerRecord& record) {
@@ -57,6 +59,15 @@
   if (record.role == Role::kStore) store_.learnMember(record.wire);
 }
 
+// Who cannot vote for want of a disk leaves its duties to the others: it would not count itself as lost.
+Task Core::watchDisk() {
+  while (true) {
+    election_.setAble(replica_.wal().stalledUs() < kDiskLostUs);
+    Pause pause(ports_.timers, kDiskLostUs / 4);
+    co_await pause;
+  }
+}
+
 void Core::onView() { election_.setElectors(replica_.view().voters, replica_.incarnation()); }
 
 // In an evacuated zone a core leaves its duties to others where there are any.
--- a/src/control/core.h
+++ b/src/control/core.h
@@ -41,6 +41,7 @@
  private:
   Task list();
   Task watchZone();
+  Task watchDisk();
   void onMet(const PeerRecord& record);
   void onView();
   void onAsked(const HttpAsk& ask, ReplyPtr reply);
--- a/src/election/election.cc
+++ b/src/election/election.cc
@@ -54,7 +54,9 @@
 
 Task Election::keep(std::string name) {
   while (true) {
-    if (duties_[name].mine) {
+    if (!able_) {
+      if (duties_[name].mine) letGo(name, duties_[name]);
+    } else if (duties_[name].mine) {
       Job<Done> beating = heartbeat(name);
       co_await beating;
     } else if (vacant(duties_[name]) && holdsSeat(electors_, rpc_.self(), incarnation_)) {
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -40,6 +40,8 @@
   Election(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ElectionPlan plan);
   void begin(const std::vector<std::string>& duties);
   void setElectors(std::vector<Seat> electors, std::uint64_t incarnation);
+  // One that cannot vote itself, since its disk does not answer, holds no duty.
+  void setAble(bool able) { able_ = able; }
   void setReluctant(bool reluctant) { reluctant_ = reluctant; }  // in an evacuated zone
   bool holds(const std::string& duty) const;
   Address holder(const std::string& duty) const;
@@ -68,6 +70,7 @@
   ElectionPlan plan_;
   std::vector<Seat> electors_;
   std::uint64_t incarnation_ = 0;
+  bool able_ = true;
   bool reluctant_ = false;
   absl::btree_map<std::string, Duty> duties_;
 };
--- a/src/membership/failure_detector.cc
+++ b/src/membership/failure_detector.cc
@@ -4,16 +4,6 @@
 
 namespace stonemount {
 
-ProbePoll::ProbePoll(RpcEndpoint& rpc, const absl::btree_set<Address>& members, Us limitUs)
-    : Poll(rpc, Probe::kKind, pack(Probe{}), limitUs), members_(members.begin(), members.end()) {
-  for (const Address& member : members_) add(member);
-}
-
-void ProbePoll::heard(std::size_t peer, const Bytes& body) {
-  auto read = unpack<Pong>(body);
-  if (auto* pong = std::get_if<Pong>(&read)) pongs_[members_[peer]] = std::move(*pong);
-}
-
 void FailureDetector::look(const View& view, Us nowUs) {
   const bool blind = lookedUs_ < 0 || nowUs - lookedUs_ > plan_.blindUs;
   lookedUs_ = nowUs;
@@ -51,18 +41,19 @@
   auto found = sights_.find(member);
   if (found == sights_.end()) return false;
   return nowUs - found->second.heardUs >= plan_.doubtUs ||
-         (found->second.asked && found->second.pong.state == ReplicaState::kBroken);
+         (found->second.asked && !diskAnswers(found->second.pong, plan_.doubtUs));
 }
 
-// Silent to the watcher, and to every other voter that it hears: a way cut between two is no death.
+// Silent to the watcher, and to every other voter that it hears: a way cut between two is no death. One whose disk
+// has not answered for as long says so itself.
 bool FailureDetector::dead(const View& view, const Address& member, Us nowUs) const {
   auto found = sights_.find(member);
   if (found == sights_.end()) return false;
-  const bool broken = found->second.asked && found->second.pong.state == ReplicaState::kBroken;
-  if (nowUs - found->second.heardUs < plan_.deadUs && !broken) return false;
+  const bool diskless = found->second.asked && !diskAnswers(found->second.pong, plan_.deadUs);
+  if (nowUs - found->second.heardUs < plan_.deadUs && !diskless) return false;
   for (const Seat& seat : view.voters) {
     const Pong* other = pong(seat.address, nowUs);
-    if (seat.address == member || other == nullptr || other->revision != view.revision || broken) continue;
+    if (seat.address == member || other == nullptr || other->revision != view.revision || diskless) continue;
     if (std::find(other->suspects.begin(), other->suspects.end(), member) == other->suspects.end()) return false;
   }
   return true;
--- a/src/membership/failure_detector.h
+++ b/src/membership/failure_detector.h
@@ -1,26 +1,10 @@
 // What is known of the members of one chain, and of who may become one, by asking them (design.md 6.10).
 #pragma once
 
-#include "replication/messages.h"
-#include "runtime/rpc_endpoint.h"
+#include "replication/probe_poll.h"
 
 namespace stonemount {
 
-// Asks each for its pong, whether it is a member or not.
-class ProbePoll : public Poll {
- public:
-  ProbePoll(RpcEndpoint& rpc, const absl::btree_set<Address>& members, Us limitUs);
-  const absl::btree_map<Address, Pong>& pongs() const { return pongs_; }
-
- protected:
-  void heard(std::size_t peer, const Bytes& body) override;
-  bool enough() const override { return false; }
-
- private:
-  std::vector<Address> members_;
-  absl::btree_map<Address, Pong> pongs_;
-};
-
 struct FailureDetectorPlan {
   Us deadUs = 2500 * kMilliUs;   // silent to all for so long: another may take its seat
   Us doubtUs = 1500 * kMilliUs;  // silent for so long: another had better be caughtUp, which costs the chain
--- a/src/membership/retire.cc
+++ b/src/membership/retire.cc
@@ -1,7 +1,7 @@
 #include "membership/retire.h"
 
-#include "membership/failure_detector.h"
-#include "membership/replica_placement.h"
+#include "replication/loss_margin.h"
+#include "replication/probe_poll.h"
 
 namespace stonemount {
 
@@ -100,17 +100,13 @@
   for (const Seat& seat : view.chain) asked.insert(seat.address);
   ProbePoll poll(rpc_, asked, kPeekUs);
   co_await poll;
-  std::size_t active = 0;
-  std::vector<Seat> sound;
+  std::vector<MemberSight> members;
   for (const Seat& seat : view.chain) {
     auto found = poll.pongs().find(seat.address);
-    if (found == poll.pongs().end()) continue;
-    const Pong& pong = found->second;
-    if (pong.incarnation != seat.incarnation || pong.revision != view.revision) continue;
-    active += pong.state == ReplicaState::kActive ? 1 : 0;
-    if (findSeat(view.voters, seat.address) != nullptr) sound.push_back(seat);
+    members.push_back({seat, found != poll.pongs().end() ? std::optional<Pong>(found->second) : std::nullopt});
   }
-  co_return active == view.chain.size() && sound.size() >= view.majority() + needed_ / 2;
+  const LossMargin margin = lossMarginOf(view, members);
+  co_return margin.machines >= needed_ / 2;
 }
 
 Job<RetireState> RetireByOrder::stateOf(std::string machine) {
--- a/src/node/doctor.cc
+++ b/src/node/doctor.cc
@@ -37,18 +37,25 @@
   if (sight.view.voters.size() < 3)
     findings.push_back(
         {"D" + number + "04", name + ": fewer than three voters; no loss can be mended", "add a " + name + " machine"});
+  const LossMargin margin = lossMarginOf(sight.view, sight.members);
+  if (margin.machines == 0)
+    findings.push_back({"D" + number + "11",
+                        absl::StrCat(name, ": no further loss is borne; ", margin.soundVoters, " voters answer, ",
+                                     margin.majority, " are a majority, ", margin.soundCopies, " whole copies"),
+                        "take nothing away now; bring back or replace what is silent, slow or behind"});
   if (!outlivesZones(sight.view.voters))
     findings.push_back({"D" + number + "10", name + ": the loss of one zone would leave no majority of voters",
                         "spread the " + name + " machines over three zones, none with half of them"});
-  for (const MemberLine& line : sight.members) {
+  for (const MemberSight& line : sight.members) {
     const std::string who = name + " " + addressText(line.seat.address);
     if (!line.pong) {
       findings.push_back({"D" + number + "05", who + " is silent", "see whether its process and machine run"});
       continue;
     }
-    if (line.pong->state == ReplicaState::kBroken)
-      findings.push_back({"D" + number + "06", who + ": its disk failed or holds what it cannot read",
-                          "replace the disk; it will be caughtUp as a new incarnation"});
+    if (!diskAnswers(*line.pong, kDiskLostUs))
+      findings.push_back(
+          {"D" + number + "06", who + ": its disk takes no bytes, or holds what it cannot read",
+           "it counts as lost; it comes back by itself once the disk takes bytes, else replace the disk"});
     if (line.pong->stalledUs > kSlowUs || line.pong->worstSyncUs > kSlowUs)
       findings.push_back({"D" + number + "07", who + ": slow disk", "look at the disk; the chain mends it out"});
     if (line.pong->revision != sight.view.revision)
--- a/src/node/inspect.cc
+++ b/src/node/inspect.cc
@@ -8,16 +8,20 @@
 namespace stonemount {
 
 namespace {
+// The margin is written too: what may be lost now, and is borne.
 void writeChain(JsonOut& out, const ChainSight& sight) {
   out.object().field("revision", sight.view.revision).key("chain").array();
   for (const Seat& seat : sight.view.chain) out.text(addressText(seat.address));
   out.closeArray().key("members").array();
-  for (const MemberLine& line : sight.members) {
+  for (const MemberSight& line : sight.members) {
     out.object().field("address", addressText(line.seat.address)).field("zone", line.seat.zone);
-    out.field("standing", line.pong ? replicaStateText(line.pong->state) : "silent").field("inChain", line.inChain);
+    out.field("standing", line.pong ? replicaStateText(line.pong->state) : "silent")
+        .field("inChain", holdsSeat(sight.view.chain, line.seat.address, line.seat.incarnation));
     out.closeObject();
   }
-  out.closeArray().closeObject();
+  const LossMargin margin = lossMarginOf(sight.view, sight.members);
+  out.closeArray().field("bearsMachines", margin.machines).field("bearsZone", margin.anyZone);
+  out.field("soundVoters", margin.soundVoters).field("soundCopies", margin.soundCopies).closeObject();
 }
 
 void writeClock(JsonOut& out, const ClockVerdict& clock) {
--- a/src/node/peek.cc
+++ b/src/node/peek.cc
@@ -1,26 +1,11 @@
 #include "node/peek.h"
 
+#include "replication/probe_poll.h"
+
 namespace stonemount {
 
 namespace {
 constexpr Us kPeekUs = 500 * kMilliUs;
-
-class ProbePoll : public Poll {
- public:
-  ProbePoll(RpcEndpoint& rpc, ChainSight& sight) : Poll(rpc, Probe::kKind, pack(Probe{}), kPeekUs), sight_(sight) {
-    for (const MemberLine& line : sight.members) add(line.seat.address);
-  }
-
- protected:
-  void heard(std::size_t peer, const Bytes& body) override {
-    auto read = unpack<Pong>(body);
-    if (auto* pong = std::get_if<Pong>(&read)) sight_.members[peer].pong = std::move(*pong);
-  }
-  bool enough() const override { return false; }
-
- private:
-  ChainSight& sight_;
-};
 }  // namespace
 
 Job<ChainSight> peekChain(RpcEndpoint& rpc, ChainClient& client) {
@@ -28,16 +13,19 @@
   co_await refreshing;
   ChainSight sight;
   sight.view = client.view();
-  std::vector<Seat> seats = sight.view.voters;
-  seats.insert(seats.end(), sight.view.nonVoters.begin(), sight.view.nonVoters.end());
-  for (const Seat& seat : seats) {
-    MemberLine line;
-    line.seat = seat;
-    line.inChain = holdsSeat(sight.view.chain, seat.address, seat.incarnation);
-    sight.members.push_back(line);
+  absl::btree_set<Address> asked;
+  for (const std::vector<Seat>* seats : {&sight.view.voters, &sight.view.nonVoters}) {
+    for (const Seat& seat : *seats) {
+      sight.members.push_back({seat, std::nullopt});
+      asked.insert(seat.address);
+    }
   }
-  ProbePoll poll(rpc, sight);
+  ProbePoll poll(rpc, asked, kPeekUs);
   co_await poll;
+  for (MemberSight& member : sight.members) {
+    auto found = poll.pongs().find(member.seat.address);
+    if (found != poll.pongs().end()) member.pong = found->second;
+  }
   co_return sight;
 }
 
--- a/src/node/peek.h
+++ b/src/node/peek.h
@@ -2,18 +2,15 @@
 #pragma once
 
 #include "replication/client.h"
+#include "replication/loss_margin.h"
 
 namespace stonemount {
 
-struct MemberLine {
-  Seat seat;
-  bool inChain = false;
-  std::optional<Pong> pong;  // none: silent
-};
 struct ChainSight {
   View view;
-  std::vector<MemberLine> members;
+  std::vector<MemberSight> members;  // voters, then those without a vote
 };
+// Asks every member for its state; those that say nothing within half a second are silent.
 Job<ChainSight> peekChain(RpcEndpoint& rpc, ChainClient& client);
 
 }  // namespace stonemount
--- a/src/replication/catch_up.cc
+++ b/src/replication/catch_up.cc
@@ -88,15 +88,11 @@
   wal_.beginCheckpoint(image());
   while (wal_.checkpointing()) {
     if (!wal_.pumpCheckpoint(16)) {
-      diskBroke();
+      logOverflowed();
       co_return false;
     }
     GroupCommit::Wait wait(groupCommit_);
-    const bool durable = co_await wait;
-    if (!durable) {
-      diskBroke();
-      co_return false;
-    }
+    co_await wait;
   }
   imageLoose_ = false;
   logEvent("caughtUp",
@@ -123,18 +119,14 @@
       STONEMOUNT_INVARIANT(entry.index == std::max(appended_, end_) + 1);
       AppendResult kept = wal_.append(RecordKind::kEntry, pack(entry));
       if (!std::holds_alternative<std::uint64_t>(kept)) {
-        diskBroke();
+        logOverflowed();
         co_return false;
       }
       appended_ = entry.index;
     }
     if (!part->entries.empty()) {
       GroupCommit::Wait wait(groupCommit_);
-      const bool durable = co_await wait;
-      if (!durable) {
-        diskBroke();
-        co_return false;
-      }
+      co_await wait;
       for (const Entry& entry : part->entries) applyEntry(entry, false);
       maybeCheckpoint();  // never between handing entries to the disk and applying them: it would miss them
     }
--- a/src/replication/messages.h
+++ b/src/replication/messages.h
@@ -31,6 +31,11 @@
   STONEMOUNT_PACK(incarnation, revision, state, zone, end, caughtUp, ballotOpen, stalledUs, worstSyncUs, wallUs,
                   suspects)
 };
+// A replica that answers while its disk does not can neither vote nor keep anything: it is lost to every count of
+// sound members, as if it were silent (design.md 5.4).
+inline bool diskAnswers(const Pong& pong, Us limitUs) {
+  return pong.state != ReplicaState::kBroken && pong.stalledUs < limitUs;
+}
 struct ViewAsk {
   static constexpr std::uint16_t kKind = 2;
   std::uint8_t unused = 0;
--- a/src/replication/propose.cc
+++ b/src/replication/propose.cc
@@ -117,15 +117,18 @@
   co_return true;
 }
 
-// The slowest sync of any voter that lives, as far as it is known: a ballot has to wait out two.
+// How long the quickest majority of the voters takes to sync, as far as it is known: a ballot has to wait out two
+// of these. One whose disk does not answer at all must not hold up the others.
 Us Replica::voterSyncUs() const {
-  Us slowestUs = 0;
+  std::vector<Us> syncsUs;
   for (const Seat& voter : memory_.view.voters) {
     if (!aliveSeat(voter)) continue;
     const Pong& pong = peers_.at(voter.address).pong;
-    slowestUs = std::max({slowestUs, pong.worstSyncUs, pong.stalledUs});
+    syncsUs.push_back(std::max(pong.worstSyncUs, pong.stalledUs));
   }
-  return std::min(slowestUs, kSlowestUs);
+  if (syncsUs.empty()) return 0;
+  std::sort(syncsUs.begin(), syncsUs.end());
+  return std::min(syncsUs[std::min(memory_.view.majority(), syncsUs.size()) - 1], kSlowestUs);
 }
 
 Job<bool> Replica::ballot(View target) {
--- a/src/replication/reconfigurer.cc
+++ b/src/replication/reconfigurer.cc
@@ -78,6 +78,19 @@
   return pong.incarnation == seat.incarnation && pong.state != ReplicaState::kBroken;
 }
 
+LossMargin Replica::lossMargin() const {
+  std::vector<MemberSight> members;
+  for (const std::vector<Seat>* seats : {&memory_.view.voters, &memory_.view.nonVoters}) {
+    for (const Seat& seat : *seats) {
+      const bool mine = seat.address == self_;
+      if (mine) members.push_back({seat, pong()});
+      if (!mine) members.push_back({seat, std::nullopt});
+      if (!mine && heardLately(seat.address)) members.back().pong = peers_.at(seat.address).pong;
+    }
+  }
+  return lossMarginOf(memory_.view, members);
+}
+
 bool Replica::hearsAll() const {
   for (const std::vector<Seat>* seats : {&memory_.view.voters, &memory_.view.nonVoters})
     for (const Seat& seat : *seats)
@@ -93,10 +106,12 @@
          std::find(others.begin(), others.end(), one.address) != others.end();
 }
 
+bool Replica::ableSeat(const Seat& seat) const {
+  return aliveSeat(seat) && diskAnswers(peers_.at(seat.address).pong, plan_.slowDiskUs);
+}
+
 bool Replica::healthySeat(const Seat& seat) const {
-  if (!aliveSeat(seat)) return false;
-  const Pong& pong = peers_.at(seat.address).pong;
-  return pong.stalledUs < plan_.slowDiskUs && pong.worstSyncUs < plan_.slowDiskUs;
+  return ableSeat(seat) && peers_.at(seat.address).pong.worstSyncUs < plan_.slowDiskUs;
 }
 
 // Refilled, healthy and waiting outside in the current view.
@@ -173,7 +188,7 @@
   } else if (removing) {
     needed = true;
     for (const Seat& nonVoter : std::exchange(wanted.nonVoters, {})) {  // one may have a vote now
-      if (aliveSeat(nonVoter))
+      if (ableSeat(nonVoter))
         giveSeat(wanted, nonVoter);
       else
         wanted.nonVoters.push_back(nonVoter);
@@ -211,7 +226,7 @@
   std::size_t before = 0;
   for (const Seat& voter : memory_.view.voters) {
     if (voter.address == self_) return before;
-    before += aliveSeat(voter) ? 1 : 0;
+    before += ableSeat(voter) ? 1 : 0;
   }
   return before;
 }
--- a/src/replication/relay.cc
+++ b/src/replication/relay.cc
@@ -126,15 +126,11 @@
       for (const Entry& entry : batch) {
         AppendResult appended = wal_.append(RecordKind::kEntry, pack(entry));
         if (std::holds_alternative<std::uint64_t>(appended)) continue;
-        diskBroke();
+        logOverflowed();
         co_return;
       }
       GroupCommit::Wait wait(groupCommit_);
-      const bool durable = co_await wait;
-      if (!durable) {
-        diskBroke();
-        co_return;
-      }
+      co_await wait;
       // Acknowledged only in the view in which it was received (design.md 6.4).
       const bool release = tail() && memory_.view.revision == revision;
       for (const Entry& entry : batch) applyEntry(entry, release);
--- a/src/replication/replica.cc
+++ b/src/replication/replica.cc
@@ -6,6 +6,7 @@
 namespace stonemount {
 
 namespace {
+constexpr Us kOpenAgainUs = 500 * kMilliUs;
 constexpr std::uint8_t kImageFormat = 2;
 struct Image {
   std::uint8_t format = kImageFormat;
@@ -102,9 +103,11 @@
 
 Task Replica::open() {
   OpenResult opened = wal_.open();
-  if (std::holds_alternative<DiskFailure>(opened)) {
-    changeState(ReplicaState::kBroken);
-    co_return;
+  while (std::holds_alternative<DiskFailure>(opened)) {
+    logDoubt("disk_unreadable", {});
+    Pause pause(ports_.timers, kOpenAgainUs);
+    co_await pause;
+    opened = wal_.open();
   }
   if (std::holds_alternative<LogDamaged>(opened)) {
     // What it had sworn to is gone: as good as wiped (design.md 5.5).
@@ -173,13 +176,12 @@
 Job<bool> Replica::keepMemory() {
   AppendResult appended = wal_.append(RecordKind::kMeta, pack(MetaRecord{kImageFormat, memory_}));
   if (!std::holds_alternative<std::uint64_t>(appended)) {
-    diskBroke();
+    logOverflowed();
     co_return false;
   }
   GroupCommit::Wait wait(groupCommit_);
-  const bool durable = co_await wait;
-  if (!durable) diskBroke();
-  co_return durable;
+  co_await wait;
+  co_return true;
 }
 
 // The one way into a later view. Nothing is done in it before it is durable here.
@@ -256,11 +258,12 @@
     imageBytes_ = whole.size();
     wal_.beginCheckpoint(std::move(whole));
   }
-  if (wal_.checkpointing() && !wal_.pumpCheckpoint(8)) diskBroke();
+  if (wal_.checkpointing() && !wal_.pumpCheckpoint(8)) logOverflowed();
 }
 
-void Replica::diskBroke() {
-  logDoubt("disk_broke", {});
+// The ring cannot take a record that must be kept: too small for the state (design.md 5.2).
+void Replica::logOverflowed() {
+  logDoubt("log_overflowed", {{"ring_bytes", absl::StrCat(wal_.ringBytes())}});
   changeState(ReplicaState::kBroken);
 }
 
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -1,6 +1,7 @@
 // One member of a chain: the same module keeps control state and store (design.md 6).
 #pragma once
 
+#include "replication/loss_margin.h"
 #include "replication/machine.h"
 #include "replication/messages.h"
 #include "runtime/rpc_endpoint.h"
@@ -47,6 +48,8 @@
   bool head() const { return active() && memory_.view.chain.front().address == self_; }
   bool tail() const { return active() && memory_.view.chain.back().address == self_; }
   HeadSight sight() const;
+  // What the chain can lose now, as far as this replica hears its members.
+  LossMargin lossMargin() const;
   const ReplicaCounts& counts() const { return counts_; }
   const absl::btree_map<Address, PeerSight>& peers() const { return peers_; }
   const WriteAheadLog& wal() const { return wal_; }
@@ -70,7 +73,7 @@
   Bytes image() const;
   bool loadImage(const Bytes& image, bool own);
   void maybeCheckpoint();
-  void diskBroke();
+  void logOverflowed();
   void onViewAsk(const Asked& asked);
   void onBootstrap(const Asked& asked);
   void onDecided(const Asked& asked);
@@ -112,7 +115,8 @@
   bool aliveSeat(const Seat& seat) const;
   bool hearsAll() const;
   void onRefused(const Address& peer);
-  bool healthySeat(const Seat& seat) const;
+  bool ableSeat(const Seat& seat) const;     // alive, and its disk answers
+  bool healthySeat(const Seat& seat) const;  // and is not slow
   std::optional<View> wantedView() const;
   std::optional<View> viewFromHolder() const;
   bool addReadyPeer(View& wanted) const;
--- a/src/replication/replica_status.cc
+++ b/src/replication/replica_status.cc
@@ -22,6 +22,9 @@
   out.field("end", member.end()).field("applied", counts.applied).field("reads", counts.reads);
   out.field("confirms", counts.confirms).field("ballots", counts.ballots).field("viewChanges", counts.viewChanges);
   out.field("refusedOld", counts.refusedOld).field("syncs", member.wal().syncs);
+  out.field("failedSyncs", member.wal().failedSyncs).field("stalledUs", member.wal().stalledUs());
+  const LossMargin margin = member.lossMargin();
+  out.field("bearsMachines", margin.machines).field("bearsZone", margin.anyZone);
   out.field("frames", rpc.sentFrames).field("frameBytes", rpc.sentBytes).closeObject();
   reply.whole(200, {}, out.take() + "\n");
 }
--- a/src/replication/view.h
+++ b/src/replication/view.h
@@ -112,7 +112,7 @@
   kOutside,        // a view is known; this incarnation is not in its chain
   kSealed,         // in the chain, but must not pass on or acknowledge until a later view
   kActive,         // serves in the current view
-  kBroken,         // its disk failed; takes part in nothing
+  kBroken,         // its log is too small, or holds what it cannot read; takes part in nothing
 };
 const char* replicaStateText(ReplicaState state);
 
--- a/src/replication/voter.cc
+++ b/src/replication/voter.cc
@@ -28,8 +28,8 @@
   if (!inbox_.empty() || fetching_ || !wal_.wantsMark()) co_return true;
   wal_.append(RecordKind::kMark, Bytes());
   GroupCommit::Wait wait(groupCommit_);
-  const bool durable = co_await wait;
-  co_return durable;
+  co_await wait;
+  co_return true;
 }
 
 // Its clocks, and the wall clocks of its voters as far as it hears them (design.md 8.4).
--- a/src/stonemount.h
+++ b/src/stonemount.h
@@ -109,7 +109,9 @@
     return whole;
   }
   virtual void write(std::size_t file, std::size_t offset, Bytes bytes) = 0;
-  virtual void sync(SyncDone& done) = 0;  // one at a time
+  // One at a time. A sync that failed has made nothing last, and the disk keeps all that was handed to it: the
+  // next sync writes it again (design.md 5.3).
+  virtual void sync(SyncDone& done) = 0;
   virtual void forget(SyncDone& done) = 0;
 };
 
--- a/src/write_ahead_log/group_commit.h
+++ b/src/write_ahead_log/group_commit.h
@@ -19,13 +19,12 @@
       groupCommit_.waits_[key_] = this;
       groupCommit_.event_.notify();
     }
-    bool await_resume() const { return durable_; }
+    void await_resume() const {}
 
    private:
     friend class GroupCommit;
     GroupCommit& groupCommit_;
     std::uint64_t key_ = 0;
-    bool durable_ = false;
   };
 
  private:
@@ -35,13 +34,11 @@
       co_await hear;
       while (!waits_.empty()) {
         const std::uint64_t upTo = lastKey_;
-        Job<SyncResult> job = wal_.sync();
-        SyncResult verdict = co_await job;
-        const bool durable = std::holds_alternative<Synced>(verdict);
+        Job<Done> syncing = wal_.sync();
+        co_await syncing;
         while (!waits_.empty() && waits_.begin()->first <= upTo) {
           Wait* wait = waits_.begin()->second;
           waits_.erase(waits_.begin());
-          wait->durable_ = durable;
           wait->wake();
         }
       }
--- a/src/write_ahead_log/recovery_scan.cc
+++ b/src/write_ahead_log/recovery_scan.cc
@@ -115,6 +115,7 @@
 }
 
 OpenResult WriteAheadLog::open() {
+  spans_.assign(disk_.fileCount(), FileSpan());
   std::uint64_t synced = 0;  // the newest sequence that any record says was synced
   auto read = readHeads(synced);
   if (std::holds_alternative<DiskFailure>(read)) return DiskFailure{};
--- a/src/write_ahead_log/write_ahead_log.cc
+++ b/src/write_ahead_log/write_ahead_log.cc
@@ -7,6 +7,7 @@
 namespace {
 constexpr std::size_t kHeaderBytes = kRecordHeaderBytes;
 constexpr std::size_t kPartBytes = 64 * 1024;
+constexpr Us kRetryUs = 100 * kMilliUs;  // after a sync that failed
 }  // namespace
 
 WriteAheadLog::WriteAheadLog(Disk& disk, Timers& timers, Clock& clock)
@@ -111,29 +112,39 @@
 };
 }  // namespace
 
-Job<SyncResult> WriteAheadLog::sync() {
-  if (failed_) co_return DiskFailure{};
+Job<Done> WriteAheadLog::syncUntilDurable() {
+  bool failedBefore = false;
+  while (true) {
+    SyncWait wait(disk_);
+    const bool durable = co_await wait;
+    if (durable) break;
+    ++failedSyncs;
+    if (!std::exchange(failedBefore, true)) logDoubt("disk_fails", {});
+    Pause pause(timers_, kRetryUs);
+    co_await pause;
+  }
+  if (failedBefore) logEvent("disk_works_again", {});
+  co_return Done{};
+}
+
+Job<Done> WriteAheadLog::sync() {
   STONEMOUNT_INVARIANT(!syncing_);
   const std::uint64_t upTo = nextSequence_ - 1;
   syncing_ = true;
   syncBeganUs_ = clock_.monoUs();
   ++syncs;
-  SyncWait wait(disk_);
-  const bool durable = co_await wait;
+  Job<Done> syncing = syncUntilDurable();
+  co_await syncing;
   syncing_ = false;
   const Us tookUs = clock_.monoUs() - syncBeganUs_;
   slowUs_ = std::max(tookUs, slowUs_ - slowUs_ / 8);  // a slow sync is remembered a while
-  if (!durable) {
-    failed_ = true;
-    co_return DiskFailure{};
-  }
   synced_ = upTo;
   if (checkpointOpen_ && checkpointEnded_ && checkpointLast_ <= upTo) {
     checkpointOpen_ = false;
     keepFrom_ = checkpointFrom_;
     checkpointRest_.clear();
   }
-  co_return Synced{};
+  co_return Done{};
 }
 
 }  // namespace stonemount
--- a/src/write_ahead_log/write_ahead_log.h
+++ b/src/write_ahead_log/write_ahead_log.h
@@ -22,17 +22,15 @@
 };
 using OpenResult = std::variant<LogContent, LogEmpty, LogDamaged, DiskFailure>;
 
-struct Synced {};
-using SyncResult = std::variant<Synced, DiskFailure>;
-
 class WriteAheadLog {
  public:
   WriteAheadLog(Disk& disk, Timers& timers, Clock& clock);
   OpenResult open();
   void wipe();  // starts anew after damage; what was there is gone
   AppendResult append(RecordKind kind, const Bytes& body);
-  // All that was appended before the call is durable when it returns.
-  Job<SyncResult> sync();
+  // All that was appended before the call is durable when it returns. A disk that fails, or takes no more bytes,
+  // is asked again until it obeys: nothing is lost meanwhile, and `stalledUs` tells others of it (design.md 5.4).
+  Job<Done> sync();
   // Writes state in parts; what lies before it may be written over once it is synced.
   void beginCheckpoint(Bytes state);
   bool pumpCheckpoint(std::size_t parts);  // false: the ring is too small for the state
@@ -47,6 +45,7 @@
   Us stalledUs() const;
   Us worstSyncUs() const { return slowUs_; }
   std::uint64_t syncs = 0;
+  std::uint64_t failedSyncs = 0;
 
  private:
   struct FileSpan {
@@ -65,6 +64,7 @@
   };
   Scan scanFile(const Bytes& bytes, std::uint64_t& synced) const;
   std::variant<Done, RingFull> turnFile();
+  Job<Done> syncUntilDurable();
   Disk& disk_;
   Timers& timers_;
   Clock& clock_;
@@ -85,7 +85,6 @@
   std::uint32_t checkpointSum_ = 0;  // of the parts so far
   std::size_t sinceCheckpoint_ = 0;
   bool syncing_ = false;
-  bool failed_ = false;
   Us syncBeganUs_ = 0;
   Us slowUs_ = 0;
   Event syncedEvent_;
