Who returns from a cut refuses no retire order and finds others without seeds

Causes, by reading the code against 'cut off for some 20 s': - a core that returns counted the stores by records that were all silent: 409 or 404 to a proper retire order. Gossip::settled tells whether what is missing may be taken for gone; until then the answer promises nothing. - alone, a process asked the seeds only: with these lost it stayed alone. It asks those that it once knew, too. - restarted while cut off with its clock put back, it was not seen until its old record was dropped (30 s). Whoever holds the newer life says so. - the first read at each core after the tail's loss spent its whole time on the dead tail; retire orders took 2.5 s where nothing could be sent, a node's own orders 4 s. Reads ask for the newest view first; orders wait for the head to be heard.

Ruled out: younger kYoungUs (a return is no start); a shorter forgetUs (a cut of 20 s is within it).

--- a/src/control/operator_service.cc
+++ b/src/control/operator_service.cc
@@ -18,19 +18,34 @@
 };
 }  // namespace
 
-// Nothing is sent before the head has been heard: until then it is sure that nothing was taken.
-Job<OperatorService::CommandAnswer> OperatorService::command(ControlCommand command) {
-  const Us askedUs = ports_.clock.monoUs();
+Job<ChainAnswer> submitWhenHeard(Ports& ports, ChainClient& chain, Bytes command, Us limitUs, Us sureUs) {
+  const Us askedUs = ports.clock.monoUs();
   while (true) {
-    Job<bool> finding = core_.findHead();
+    Job<bool> finding = chain.findHead();
     const bool found = co_await finding;
     if (found) break;
-    if (ports_.clock.monoUs() - askedUs + kAgainUs + kPollUs > kSureUs) co_return ChainFailure{};
-    Pause pause(ports_.timers, kAgainUs);
+    if (ports.clock.monoUs() - askedUs + kAgainUs + kPollUs > sureUs) co_return ChainFailure{};
+    Pause pause(ports.timers, kAgainUs);
     co_await pause;
   }
-  const Us passedUs = ports_.clock.monoUs() - askedUs;
-  Job<ChainAnswer> sending = core_.submit(pack(command), kLimitUs - passedUs, kSureUs - passedUs);
+  const Us passedUs = ports.clock.monoUs() - askedUs;
+  Job<ChainAnswer> sending = chain.submit(std::move(command), limitUs - passedUs, sureUs - passedUs);
+  ChainAnswer answer = co_await sending;
+  co_return answer;
+}
+
+// A tail that is silent would take the whole time of a read by itself: who its successor is, is asked first. An
+// operator waits for a second, and goes on to another core.
+Job<ChainAnswer> readNewest(ChainClient& chain, Bytes query) {
+  Job<Done> refreshing = chain.refresh();
+  co_await refreshing;
+  Job<ChainAnswer> reading = chain.read(std::move(query), 0, kSureUs - kPollUs);
+  ChainAnswer answer = co_await reading;
+  co_return answer;
+}
+
+Job<OperatorService::CommandAnswer> OperatorService::command(ControlCommand command) {
+  Job<ChainAnswer> sending = submitWhenHeard(ports_, core_, pack(command), kLimitUs, kSureUs);
   ChainAnswer answer = co_await sending;
   if (auto* failure = std::get_if<ChainFailure>(&answer)) co_return *failure;
   auto read = unpack<ControlVerdict>(std::get<Bytes>(answer));
@@ -67,7 +82,7 @@
 
 Job<ConfigAnswer> OperatorService::current() {
   ControlQuery query = NewsAsk{0};
-  Job<ChainAnswer> reading = core_.read(pack(query), 0, kSureUs);
+  Job<ChainAnswer> reading = readNewest(core_, pack(query));
   ChainAnswer answer = co_await reading;
   if (auto* failure = std::get_if<ChainFailure>(&answer)) co_return CallUntaken{failure->trouble};
   auto read = unpack<ControlNews>(std::get<Bytes>(answer));
--- a/src/control/operator_service.h
+++ b/src/control/operator_service.h
@@ -41,6 +41,13 @@
 struct ZoneTaken {};
 using ZoneVerdict = std::variant<ZoneTaken, CallUntaken, CallUnsure>;
 
+// Submits once the head and most voters of the newest view are heard: until then nothing is sent, so that after
+// `sureUs` the caller can be told that nothing was taken, and nothing will be. Ends within `limitUs`.
+Job<ChainAnswer> submitWhenHeard(Ports& ports, ChainClient& chain, Bytes command, Us limitUs, Us sureUs);
+
+// Reads at the tail of the newest view that the members tell of. Ends within a second.
+Job<ChainAnswer> readNewest(ChainClient& chain, Bytes query);
+
 class OperatorService {
  public:
   OperatorService(Ports& ports, ChainClient& core) : ports_(ports), core_(core) {}
--- a/src/gossip/gossip.cc
+++ b/src/gossip/gossip.cc
@@ -4,6 +4,11 @@
 
 namespace stonemount {
 
+namespace {
+constexpr std::uint64_t kSilentOdds = 8;         // one shuffle in so many also asks a peer that is silent
+constexpr std::size_t kMostLastAddresses = 256;  // addresses kept of peers that were dropped
+}  // namespace
+
 const char* roleText(Role role) {
   switch (role) {
     case Role::kCore:
@@ -28,6 +33,7 @@
   self_.life = static_cast<std::uint64_t>(std::max<Us>(ports_.clock.wallUs(), 1));
   rpc_.serve(Shuffle::kKind, sigc::mem_fun(*this, &Gossip::onShuffle));
   youngUntilUs_ = ports_.clock.monoUs() + plan_.youngForUs;
+  apartUs_ = ports_.clock.monoUs();
   room_.start(shuffle());
 }
 
@@ -66,6 +72,7 @@
                        (record.life == found->second.record.life && record.beat > found->second.record.beat);
     if (!newer) continue;
     sights_[record.wire] = {record, nowUs};
+    lastAddresses_.erase(record.wire);
     met.emit(record);
   }
   trim();
@@ -74,10 +81,17 @@
 void Gossip::trim() {
   const Us nowUs = ports_.clock.monoUs();
   for (auto sight = sights_.begin(); sight != sights_.end();) {
-    if (nowUs - sight->second.heardUs > plan_.forgetUs)
+    if (nowUs - sight->second.heardUs > plan_.forgetUs) {
+      lastAddresses_.insert(sight->first);
       sight = sights_.erase(sight);
-    else
+    } else {
       ++sight;
+    }
+  }
+  while (lastAddresses_.size() > kMostLastAddresses) {
+    auto victim = lastAddresses_.begin();
+    std::advance(victim, static_cast<std::ptrdiff_t>(ports_.chance.below(lastAddresses_.size())));
+    lastAddresses_.erase(victim);
   }
   while (sights_.size() > plan_.most) {
     auto victim = sights_.begin();
@@ -89,8 +103,15 @@
 void Gossip::onShuffle(const Asked& asked) {
   auto message = unpack<Shuffle>(asked.body);
   if (!std::holds_alternative<Shuffle>(message)) return;
-  rpc_.reply(asked, Shuffle{hand()});
-  absorb(std::get<Shuffle>(message).records);
+  const std::vector<PeerRecord>& told = std::get<Shuffle>(message).records;
+  std::vector<PeerRecord> records = hand();
+  // One that started anew with a clock that was put back is told of its former life, however long ago that was, so
+  // that it steps past it: until then its records look older than those that are held.
+  auto former = sights_.find(asked.peer);
+  if (former != sights_.end() && !told.empty() && former->second.record.life > told.front().life)
+    records.push_back(former->second.record);
+  rpc_.reply(asked, Shuffle{std::move(records)});
+  absorb(told);
 }
 
 Address Gossip::selectPeer() {
@@ -121,13 +142,44 @@
   return true;
 }
 
+// Most of those that are known are silent: it is cut off, or they are lost.
+bool Gossip::apart() const {
+  std::size_t living = 0;
+  for (const auto& [address, sight] : sights_) living += isAlive(sight) ? 1 : 0;
+  return 2 * living < sights_.size();
+}
+
+bool Gossip::settled() const {
+  return !sights_.empty() && !apart() && ports_.clock.monoUs() - apartUs_ >= plan_.settledUs;
+}
+
+// One that is silent or was dropped: it may be cut off from the seeds, as this process may be, or be back.
+Address Gossip::chooseSilent() {
+  std::vector<Address> silent(lastAddresses_.begin(), lastAddresses_.end());
+  for (const auto& [address, sight] : sights_)
+    if (!isAlive(sight)) silent.push_back(address);
+  return silent.empty() ? Address() : silent[ports_.chance.below(silent.size())];
+}
+
+// Alone, it asks the seeds and some of those that it once knew, all at once: the seeds may be lost for good.
+void Gossip::askSilent() {
+  absl::btree_set<Address> asked(plan_.seeds.begin(), plan_.seeds.end());
+  for (std::size_t i = 0; i < kSilentOdds / 2; ++i) asked.insert(chooseSilent());
+  for (const Address& peer : asked)
+    if (peer.set() && peer != rpc_.self()) room_.start(shuffleWith(peer));
+}
+
 Task Gossip::shuffle() {
   while (true) {
     ++self_.beat;
-    if (alone()) {  // seeds may be gone: who knows nobody asks them all at once
-      for (const Address& seed : plan_.seeds)
-        if (seed != rpc_.self()) room_.start(shuffleWith(seed));
+    if (apart()) apartUs_ = ports_.clock.monoUs();
+    if (alone()) {
+      askSilent();
     } else {
+      if (ports_.chance.oneIn(kSilentOdds)) {
+        const Address silent = chooseSilent();
+        if (silent.set()) room_.start(shuffleWith(silent));
+      }
       const Address peer = selectPeer();
       if (peer.set() && peer != rpc_.self()) room_.start(shuffleWith(peer));
     }
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -33,7 +33,8 @@
   Us youngUs = 120 * kMilliUs;  // instead, for so long after the start
   Us youngForUs = 3 * kSecondUs;
   Us silentUs = 2500 * kMilliUs;  // no newer beat: not counted as alive
-  Us forgetUs = 30 * kSecondUs;
+  Us forgetUs = 30 * kSecondUs;   // a record that has not moved for so long is dropped; its address is kept
+  Us settledUs = 3 * kSecondUs;   // after a start, or a time apart from the others: not everyone has been met again
   std::size_t most = 64;
   std::size_t told = 16;
 };
@@ -50,12 +51,18 @@
   std::vector<PeerRecord> alive(Role role) const;
   const absl::btree_map<Address, Sight>& sights() const { return sights_; }
   bool isAlive(const Sight& sight) const;
+  // May what this view lacks be taken for gone? Not just after the start, nor while most of the known peers are
+  // silent (this process itself may be cut off), nor within `settledUs` of either.
+  bool settled() const;
   sigc::signal<void(const PeerRecord&)> met;  // a newer record
 
  private:
   Task shuffle();
   Task shuffleWith(Address peer);
   bool alone() const;
+  bool apart() const;
+  void askSilent();
+  Address chooseSilent();
   std::vector<PeerRecord> hand();
   void absorb(const std::vector<PeerRecord>& records);
   void onShuffle(const Asked& asked);
@@ -67,6 +74,8 @@
   GossipPlan plan_;
   PeerRecord self_;
   Us youngUntilUs_ = 0;
+  Us apartUs_ = 0;                          // when it was last found apart, or started
+  absl::btree_set<Address> lastAddresses_;  // of records that were dropped because they were silent too long
   absl::btree_map<Address, Sight> sights_;
 };
 
--- a/src/membership/retire.cc
+++ b/src/membership/retire.cc
@@ -1,5 +1,6 @@
 #include "membership/retire.h"
 
+#include "control/operator_service.h"
 #include "membership/failure_detector.h"
 #include "membership/replica_placement.h"
 
@@ -8,7 +9,7 @@
 namespace {
 constexpr Us kOrderLimitUs = 2500 * kMilliUs;
 constexpr Us kPeekUs = 400 * kMilliUs;
-constexpr Us kYoungUs = 3 * kSecondUs;  // who runs for less has not met everyone
+constexpr Us kSureUs = 800 * kMilliUs;  // what is surely not taken by then is given up, for another node to try
 
 const RetireOrder* orderOf(const MemberOrders& orders, const std::string& machine) {
   const RetireOrder* newest = nullptr;
@@ -25,10 +26,7 @@
       gossip_(gossip),
       core_(core),
       store_(store),
-      needed_(2 * static_cast<std::size_t>(lostMachines) + 1),
-      begunUs_(ports.clock.monoUs()) {}
-
-bool RetireByOrder::young() const { return ports_.clock.monoUs() - begunUs_ < kYoungUs; }
+      needed_(2 * static_cast<std::size_t>(lostMachines) + 1) {}
 
 // A name may be that of a machine's successor too: the live one, and of those the newest, is meant.
 const PeerRecord* RetireByOrder::recordOf(const std::string& machine) const {
@@ -44,7 +42,7 @@
 
 Job<std::optional<MemberOrders>> RetireByOrder::readOrders() {
   ControlQuery query = OrdersAsk{};
-  Job<ChainAnswer> asking = core_.read(pack(query), 0, kOrderLimitUs);
+  Job<ChainAnswer> asking = readNewest(core_, pack(query));
   ChainAnswer answer = co_await asking;
   if (!std::holds_alternative<Bytes>(answer)) co_return std::nullopt;
   auto read = unpack<MemberOrders>(std::get<Bytes>(answer));
@@ -62,8 +60,12 @@
     const std::optional<MemberOrders> orders = co_await reading;
     if (!orders) co_return RetireOutcome::kUnsure;
     if (orderOf(*orders, machine) != nullptr) co_return RetireOutcome::kUnderWay;
-    co_return young() ? RetireOutcome::kUnsure : RetireOutcome::kUnknown;
+    co_return gossip_.settled() ? RetireOutcome::kUnknown : RetireOutcome::kUnsure;
   }
+  // Taken as the rest is counted: the answer comes later. A record that is silent in a view that has not settled
+  // may be that of a machine which was removed since.
+  const bool settled = gossip_.settled();
+  if (!settled && !gossip_.isAlive(gossip_.sights().at(record->wire))) co_return RetireOutcome::kUnsure;
   RetireStore command;
   command.machine = machine;
   command.address = record->wire;
@@ -76,13 +78,13 @@
   }
   if (!spansZones(rest)) command.rest.clear();  // the chain still answers, should it have been ordered before
   ControlCommand wrapped = command;
-  Job<ChainAnswer> sending = core_.submit(pack(wrapped), kOrderLimitUs);
+  Job<ChainAnswer> sending = submitWhenHeard(ports_, core_, pack(wrapped), kOrderLimitUs, kSureUs);
   ChainAnswer answer = co_await sending;
   if (!std::holds_alternative<Bytes>(answer)) co_return RetireOutcome::kUnsure;
   auto read = unpack<OrderVerdict>(std::get<Bytes>(answer));
   auto* verdict = std::get_if<OrderVerdict>(&read);
   if (verdict == nullptr) co_return RetireOutcome::kUnsure;
-  if (verdict->outcome == OrderOutcome::kTooFew && young()) co_return RetireOutcome::kUnsure;
+  if (verdict->outcome == OrderOutcome::kTooFew && !settled) co_return RetireOutcome::kUnsure;
   if (verdict->outcome == OrderOutcome::kTooFew) co_return RetireOutcome::kTooFew;
   co_return verdict->outcome == OrderOutcome::kAgain ? RetireOutcome::kUnderWay : RetireOutcome::kTaken;
 }
@@ -119,7 +121,7 @@
   if (!orders) co_return RetireState::kUnsure;
   const RetireOrder* order = orderOf(*orders, machine);
   const PeerRecord* record = recordOf(machine);
-  if (order == nullptr && record == nullptr) co_return young() ? RetireState::kUnsure : RetireState::kUnknown;
+  if (order == nullptr && record == nullptr) co_return gossip_.settled() ? RetireState::kUnknown : RetireState::kUnsure;
   if (order == nullptr || (record != nullptr && record->wire != order->address)) co_return RetireState::kServing;
   Job<bool> holding = restHolds(order->address);
   const bool holds = co_await holding;
--- a/src/membership/retire.h
+++ b/src/membership/retire.h
@@ -19,7 +19,6 @@
 
  private:
   const PeerRecord* recordOf(const std::string& machine) const;
-  bool young() const;
   Job<std::optional<MemberOrders>> readOrders();
   Job<bool> restHolds(Address retired);  // without it, with a loss right after
   Ports& ports_;
@@ -28,7 +27,6 @@
   ChainClient& core_;
   ChainClient& store_;
   std::size_t needed_;
-  Us begunUs_;
 };
 
 }  // namespace stonemount
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -3,11 +3,15 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include "control/operator_service.h"
+
 namespace stonemount {
 
 namespace {
 constexpr std::size_t kHeaderBytes = 16 << 10;
 constexpr std::size_t kBodyBytes = 4 << 20;
+constexpr Us kOrderUs = 4 * kSecondUs;  // an order's answer comes by then, its fate known or not
+constexpr Us kSureUs = 2 * kSecondUs;   // ... or by then, if it was surely not taken
 constexpr Us kSilentUs = 2 * kSecondUs;
 constexpr Us kMarksKeptUs = 5 * kSecondUs;  // once control is heard again, until the lister has surely listed
 }  // namespace
@@ -170,13 +174,13 @@
 void Node::chainFailed(HttpReply& reply, const ChainFailure& failure, bool command) {
   // A command whose fate is not known may be sent again: it is applied once (design.md 6.8).
   if (failure.trouble == ChainError::kTooLong) return sendVerdict(reply, 413, "too_long_to_keep", {{"taken", "no"}});
-  const bool unsure = command && failure.trouble == ChainError::kUnreachable;
+  const bool unsure = command && failure.unsure;
   sendVerdict(reply, 503, "control_unreachable",
               {{"why", troubleText(failure.trouble)}, {"taken", unsure ? "unknown" : "no"}}, 1);
 }
 
 Job<std::optional<ControlVerdict>> Node::commandCore(ControlCommand command, ReplyPtr reply) {
-  Job<ChainAnswer> sending = core_.submit(pack(command), 4 * kSecondUs);
+  Job<ChainAnswer> sending = submitWhenHeard(ports_, core_, pack(command), kOrderUs, kSureUs);
   ChainAnswer answer = co_await sending;
   if (auto* failure = std::get_if<ChainFailure>(&answer)) {
     chainFailed(*reply, *failure, true);
@@ -191,7 +195,7 @@
 }
 
 Job<std::optional<StoreVerdict>> Node::commandStore(StoreCommand command, ReplyPtr reply) {
-  Job<ChainAnswer> sending = store_.submit(pack(command), 4 * kSecondUs);
+  Job<ChainAnswer> sending = submitWhenHeard(ports_, store_, pack(command), kOrderUs, kSureUs);
   ChainAnswer answer = co_await sending;
   if (auto* failure = std::get_if<ChainFailure>(&answer)) {
     chainFailed(*reply, *failure, true);
