Disk thread: a forgotten sync loses no bytes and ends no other; parent folder is synced

Found by review: DiskFile::sync replaced what the thread had not yet taken, and onDone told whoever waited that any sync had ended. After a sync whose waiter had gone, the next one lost the bytes of the one between and was told before its own were on the disk. Nobody forgets a sync today within a process's life; a log that is reopened would. The data folder's own name was not synced where the process made it.

--- a/src/adapters/disk_file.cc
+++ b/src/adapters/disk_file.cc
@@ -23,6 +23,25 @@
   for (const int handle : handles_) close(handle);
 }
 
+namespace {
+bool syncFolder(const std::string& path) {
+  const int handle = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (handle < 0) return false;
+  const bool synced = fsync(handle) == 0;
+  close(handle);
+  return synced;
+}
+std::string parentOf(std::string path) {
+  while (path.size() > 1 && path.back() == '/') path.pop_back();
+  const std::size_t slash = path.rfind('/');
+  if (slash == std::string::npos) return ".";
+  return slash == 0 ? "/" : path.substr(0, slash);
+}
+}  // namespace
+
+// A name lasts once its folder was synced after it was made, and by itself: so the folder is synced after the last
+// file was made and before anything is written, also where an earlier life made the files and was killed before it
+// came to that. Until then nothing that counts is in any of them.
 bool DiskFile::open() {
   mkdir(folder_.c_str(), 0755);
   for (std::size_t i = 0; i < files_; ++i) {
@@ -37,9 +56,8 @@
       if (fsync(handle) != 0) return false;
     }
   }
-  const int folder = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (folder < 0 || fsync(folder) != 0) return false;
-  close(folder);
+  if (!syncFolder(folder_)) return false;
+  syncFolder(parentOf(folder_));  // where the folder itself was made here; it may not be ours to open
   done_ = event_new(loop_.base(), -1, EV_PERSIST, &DiskFile::onDone, this);
   event_add(done_, nullptr);
   thread_ = std::thread(&DiskFile::work, this);
@@ -69,8 +87,9 @@
   waiting_ = &done;
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    handed_ = std::exchange(gathered_, {});
-    asked_ = true;
+    for (Piece& piece : gathered_) handed_.push_back(std::move(piece));  // behind those of one that was forgotten
+    gathered_.clear();
+    ++asked_;
   }
   news_.notify_all();
 }
@@ -100,14 +119,14 @@
 void DiskFile::work() {
   std::unique_lock<std::mutex> lock(mutex_);
   while (true) {
-    while (!asked_ && !stopping_) news_.wait(lock);
+    while (asked_ == finished_ && !stopping_) news_.wait(lock);
     if (stopping_) return;
-    asked_ = false;
+    const std::uint64_t upTo = asked_;
     const std::vector<Piece> pieces = std::exchange(handed_, {});
     lock.unlock();
     const bool well = carryOut(pieces);
     lock.lock();
-    finished_ = true;
+    finished_ = upTo;
     failed_ = failed_ || !well;
     event_active(done_, EV_READ, 0);
   }
@@ -117,7 +136,7 @@
   DiskFile& self = *static_cast<DiskFile*>(given);
   {
     std::lock_guard<std::mutex> lock(self.mutex_);
-    if (!std::exchange(self.finished_, false)) return;
+    if (self.finished_ != self.asked_) return;  // of one that was forgotten: the next is still under way
   }
   SyncDone* done = std::exchange(self.waiting_, nullptr);
   if (done == nullptr) return;
--- a/src/adapters/disk_file.h
+++ b/src/adapters/disk_file.h
@@ -42,8 +42,8 @@
   std::mutex mutex_;
   std::condition_variable news_;
   std::vector<Piece> handed_;
-  bool asked_ = false;
-  bool finished_ = false;
+  std::uint64_t asked_ = 0;     // syncs asked for so far
+  std::uint64_t finished_ = 0;  // how many of them are done
   bool failed_ = false;
   bool stopping_ = false;
   std::thread thread_;
