Log: starts count on towards a checkpoint, long records in pieces, checkpoints when tight

Found by review, each makes a core refuse or break for good after many changes: - WriteAheadLog::open began to count anew what came since the checkpoint. A member that starts more often than an eighth of its ring is written never checkpoints; its ring fills and it breaks. - A state above an eighth of the ring: the head refuses at a quarter before an eighth of entries asks for the next checkpoint, which alone could make room. Now the distance counts (wantsCheckpoint), and a refusal asks for one, at most each 2 s. - On a disk of 64 MB a record could hold 1.3 MB: a push of 10,000 routes (3.6 MB) was refused with 413, a 4xx for a proper order. Long records are written in pieces (kinds 6 and 7), whole or nothing.

--- a/src/replication/relay.cc
+++ b/src/replication/relay.cc
@@ -41,7 +41,11 @@
   const std::size_t quarter = wal_.ringBytes() / 4;  // near it, it is worth reading the command
   const bool tight = bytes > quarter || (bytes > quarter / 2 && bytes + machine_.owedBytes() > quarter);
   const bool full = bytes > wal_.ringBytes() / 3 || (tight && machine_.enlarges(submit.command));
-  if (full) return refuse(asked, ChainOutcome::kRingFull);
+  if (full) {
+    roomWanted_ = true;
+    inboxEvent_.notify();
+    return refuse(asked, ChainOutcome::kRingFull);
+  }
   StampVerdict stamped = machine_.stamp(submit.command, sight());
   if (auto* refused = std::get_if<StampRefused>(&stamped)) {
     rpc_.reply(asked, ChainReply{ChainOutcome::kDone, memory_.view.revision, refused->verdict});
--- a/src/replication/replica.cc
+++ b/src/replication/replica.cc
@@ -7,6 +7,7 @@
 
 namespace {
 constexpr std::uint8_t kImageFormat = 2;
+constexpr Us kRoomWantedUs = 2 * kSecondUs;  // between checkpoints that only a refusal asks for
 struct Image {
   std::uint8_t format = kImageFormat;
   VoterMemory memory;
@@ -250,8 +251,13 @@
 }
 
 void Replica::maybeCheckpoint() {
-  if (!wal_.checkpointing() && wal_.bytesSinceCheckpoint() > wal_.ringBytes() / 8) {
+  // A command was refused for want of room: what was removed since the last one shows only in a new one.
+  const Us nowUs = ports_.clock.monoUs();
+  const bool roomWanted =
+      std::exchange(roomWanted_, false) && wal_.bytesSinceCheckpoint() > 0 && nowUs - checkpointedUs_ > kRoomWantedUs;
+  if (!wal_.checkpointing() && (roomWanted || wal_.wantsCheckpoint(imageBytes_))) {
     STONEMOUNT_INVARIANT(appended_ <= end_);  // what lies before it on the disk must be in it
+    checkpointedUs_ = nowUs;
     Bytes whole = image();
     imageBytes_ = whole.size();
     wal_.beginCheckpoint(std::move(whole));
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -156,6 +156,8 @@
   std::deque<Entry> recent_;     // entries that a successor may still need
   std::size_t recentBytes_ = 0;
   std::size_t imageBytes_ = 0;  // of the newest checkpoint
+  Us checkpointedUs_ = 0;       // when it was begun
+  bool roomWanted_ = false;     // a command was refused since
   std::deque<Entry> inbox_;     // received in this view, not yet durable
   std::size_t inboxBytes_ = 0;
   std::vector<Asked> appendsWaiting_;
--- a/src/write_ahead_log/record.h
+++ b/src/write_ahead_log/record.h
@@ -5,7 +5,17 @@
 
 namespace stonemount {
 
-enum class RecordKind : std::uint8_t { kEntry = 1, kMeta = 2, kCheckpointPart = 3, kCheckpointEnd = 4, kMark = 5 };
+// A body too long for one record is written as pieces and a last record that joins them (joinedBody): read without
+// that last one, they are nothing.
+enum class RecordKind : std::uint8_t {
+  kEntry = 1,
+  kMeta = 2,
+  kCheckpointPart = 3,
+  kCheckpointEnd = 4,
+  kMark = 5,
+  kPiece = 6,
+  kJoined = 7
+};
 
 struct Record {
   RecordKind kind = RecordKind::kEntry;
--- a/src/write_ahead_log/recovery_scan.cc
+++ b/src/write_ahead_log/recovery_scan.cc
@@ -29,7 +29,7 @@
         sum_ = getNumber<std::uint32_t>(record->body, 8);
       } else if (record->kind == RecordKind::kCheckpointPart) {
         if (ended_ && getNumber<std::uint64_t>(record->body, 0) == from_) parts_.push_back(std::move(record->body));
-      } else if (record->kind == RecordKind::kEntry || record->kind == RecordKind::kMeta) {
+      } else if (record->kind != RecordKind::kMark) {
         kept_.push_back(std::move(*record));
       }
     }
@@ -48,12 +48,29 @@
     LogContent content;
     content.hasCheckpoint = whole_;
     content.checkpoint = std::move(checkpoint_);
-    for (auto record = kept_.rbegin(); record != kept_.rend(); ++record)
-      if (record->sequence >= from()) content.records.push_back(std::move(*record));
+    std::vector<Record> pieces;  // since the last whole record
+    for (auto record = kept_.rbegin(); record != kept_.rend(); ++record) {
+      if (record->sequence < from()) continue;
+      if (record->kind == RecordKind::kPiece) {
+        pieces.push_back(std::move(*record));
+        continue;
+      }
+      content.records.push_back(record->kind == RecordKind::kJoined ? join(*record, pieces) : std::move(*record));
+      pieces.clear();
+    }
     return content;
   }
 
  private:
+  // Pieces of an earlier life, whose last record was lost, may stand before it: they are not of it.
+  static Record join(const Record& last, const std::vector<Record>& pieces) {
+    const auto first = getNumber<std::uint64_t>(last.body, 0);
+    Record whole{static_cast<RecordKind>(getNumber<std::uint8_t>(last.body, 8)), last.sequence, Bytes()};
+    for (const Record& piece : pieces)
+      if (piece.sequence >= first) whole.body += piece.body;
+    whole.body += last.body.substr(9);
+    return whole;
+  }
   std::vector<Record> kept_;  // newest first
   std::vector<Bytes> parts_;
   Bytes checkpoint_;
@@ -146,7 +163,11 @@
   if (!gathering.whole() && next != 1) return LogDamaged{next};
   nextSequence_ = last + 1;
   keepFrom_ = gathering.whole() ? gathering.from() : 1;
-  return gathering.take();
+  LogContent content = gathering.take();
+  // What came since the checkpoint counts on: else a member that starts often never writes one, and its ring fills.
+  sinceCheckpoint_ = 0;
+  for (const Record& record : content.records) sinceCheckpoint_ += kRecordHeaderBytes + record.body.size();
+  return content;
 }
 
 }  // namespace stonemount
--- a/src/write_ahead_log/write_ahead_log.cc
+++ b/src/write_ahead_log/write_ahead_log.cc
@@ -35,6 +35,22 @@
 }
 
 AppendResult WriteAheadLog::append(RecordKind kind, const Bytes& body) {
+  if (body.size() <= disk_.fileBytes() / 2) return appendOne(kind, body);
+  if (body.size() > ringBytes() / 4) return RecordTooLong{};
+  const std::uint64_t first = nextSequence_;
+  const std::size_t pieceBytes = std::min(kPartBytes, disk_.fileBytes() / 4);
+  std::size_t at = 0;
+  for (; body.size() - at > pieceBytes; at += pieceBytes) {
+    AppendResult put = appendOne(RecordKind::kPiece, body.substr(at, pieceBytes));
+    if (!std::holds_alternative<std::uint64_t>(put)) return put;
+  }
+  Bytes last;
+  putNumber(last, first);
+  putNumber(last, static_cast<std::uint8_t>(kind));
+  return appendOne(RecordKind::kJoined, last + body.substr(at));
+}
+
+AppendResult WriteAheadLog::appendOne(RecordKind kind, const Bytes& body) {
   const std::size_t length = kHeaderBytes + body.size();
   if (length > disk_.fileBytes()) return RecordTooLong{};
   if (offset_ + length > disk_.fileBytes()) {
@@ -56,6 +72,12 @@
   return sequence;
 }
 
+bool WriteAheadLog::wantsCheckpoint(std::size_t stateBytes) const {
+  const std::size_t ring = ringBytes();
+  const std::size_t room = ring / 4 > stateBytes ? (ring / 4 - stateBytes) / 2 : 0;
+  return sinceCheckpoint_ > std::clamp(room, ring / 64, ring / 8);
+}
+
 void WriteAheadLog::beginCheckpoint(Bytes state) {
   STONEMOUNT_INVARIANT(!checkpointOpen_);
   checkpointOpen_ = true;
--- a/src/write_ahead_log/write_ahead_log.h
+++ b/src/write_ahead_log/write_ahead_log.h
@@ -30,6 +30,7 @@
   WriteAheadLog(Disk& disk, Timers& timers, Clock& clock);
   OpenResult open();
   void wipe();  // starts anew after damage; what was there is gone
+  // One that no single record should hold is written in pieces, at once and in a row; it is read back as one.
   AppendResult append(RecordKind kind, const Bytes& body);
   // All that was appended before the call is durable when it returns.
   Job<SyncResult> sync();
@@ -41,7 +42,11 @@
   void dropCheckpoint() { checkpointOpen_ = false; }
   bool checkpointing() const { return checkpointOpen_; }
   std::size_t bytesSinceCheckpoint() const { return sinceCheckpoint_; }
-  std::size_t longestRecord() const { return disk_.fileBytes() / 2; }
+  // Is it time for one, for a state that took so many bytes when it was last written? At an eighth of the ring in
+  // entries; sooner where state and entries would reach the quarter at which the head refuses (design.md 5.2).
+  bool wantsCheckpoint(std::size_t stateBytes) const;
+  // The longest body that may be appended: half a file or an eighth of the ring, whichever is more.
+  std::size_t longestRecord() const { return std::max(disk_.fileBytes() / 2, ringBytes() / 8); }
   std::size_t ringBytes() const { return disk_.fileCount() * disk_.fileBytes(); }
   // How long the sync now under way has taken: a stalled disk shows here (design.md 5.4).
   Us stalledUs() const;
@@ -65,6 +70,7 @@
   };
   Scan scanFile(const Bytes& bytes, std::uint64_t& synced) const;
   std::variant<Done, RingFull> turnFile();
+  AppendResult appendOne(RecordKind kind, const Bytes& body);
   Disk& disk_;
   Timers& timers_;
   Clock& clock_;
