Control state stays within the ring of a 64 MB disk, and a full one still takes orders

Cause: the newest step of the history was kept at any size, with what was before and after each route: a push of 10,000 changed routes made a state of 4 MB one of 12, above the quarter of the ring where every command is refused, evacuations and worker lists too, and it could never shrink. Now the newest step is kept up to 2 MiB; beyond it that push cannot be returned to (`config history` shows what can). Only configurations with more in them count as enlarging. A whole told to many is packed once, not once for each revision that they ask from.

--- a/src/control/control_machine.cc
+++ b/src/control/control_machine.cc
@@ -7,7 +7,10 @@
 namespace {
 constexpr std::uint8_t kStateFormat = 3;
 constexpr std::size_t kStepsKept = 64;
-constexpr std::size_t kStepBytesKept = 1 << 20;  // of all but the newest: a checkpoint holds them too
+// A checkpoint holds the steps too. The newest one counts as well: each names what was before and after, so that a
+// push of 10,000 changed routes, kept, made the state three times as large as what stands, and the ring too small.
+constexpr std::size_t kStepBytesKept = 1 << 20;
+constexpr std::size_t kNewestStepBytes = 2 << 20;
 constexpr std::size_t kTakenKept = 256;
 struct Saved {
   std::uint8_t format = kStateFormat;
@@ -26,6 +29,17 @@
 
 StampVerdict ControlMachine::stamp(const Bytes& command, const HeadSight&) { return Stamped{command}; }
 
+bool ControlMachine::enlarges(const Bytes& bytes) const {
+  auto read = unpack<ControlCommand>(bytes);
+  auto* command = std::get_if<ControlCommand>(&read);
+  if (command == nullptr) return false;
+  if (std::holds_alternative<Rebuild>(*command)) return true;
+  auto* config = std::get_if<PutConfig>(command);
+  if (config == nullptr) return false;
+  const ConfigRequest& wish = config->wish;
+  return wish.whole ? wish.routes.size() > state_.routes().size() : !wish.routes.empty() || !wish.pools.empty();
+}
+
 Bytes ControlMachine::apply(const Bytes& bytes) {
   auto read = unpack<ControlCommand>(bytes);
   auto* command = std::get_if<ControlCommand>(&read);
@@ -94,7 +108,7 @@
   std::size_t bytes = 0, kept = 0;
   for (auto step = history_.rbegin(); step != history_.rend() && kept < kStepsKept; ++step, ++kept) {
     bytes += pack(*step).size();
-    if (kept > 0 && bytes > kStepBytesKept) break;
+    if (bytes > (kept == 0 ? kNewestStepBytes : kStepBytesKept)) break;
   }
   while (history_.size() > kept) history_.pop_front();
 }
@@ -159,8 +173,9 @@
   if (query == nullptr) return Bytes();
   if (auto* news = std::get_if<NewsAsk>(query)) {
     if (news->since == state_.revision() && state_.revision() != 0 && !mustAnswer) return Hold{};
-    auto found = packedNews_.find(news->since);
-    if (found == packedNews_.end()) found = packedNews_.emplace(news->since, pack(state_.newsSince(news->since))).first;
+    const Revision since = state_.tellsWhole(news->since) ? 0 : news->since;  // the whole is packed once for all
+    auto found = packedNews_.find(since);
+    if (found == packedNews_.end()) found = packedNews_.emplace(since, pack(state_.newsSince(since))).first;
     return found->second;
   }
   if (std::holds_alternative<OrdersAsk>(*query)) return pack(orders_);
--- a/src/control/control_machine.h
+++ b/src/control/control_machine.h
@@ -17,7 +17,9 @@
   Bytes apply(const Bytes& command) override;
   StampVerdict stamp(const Bytes& command, const HeadSight& sight) override;
   QueryVerdict answer(const Bytes& query, bool mustAnswer) override;
-  bool enlarges(const Bytes&) const override { return true; }
+  // Only a configuration with more in it. Evacuations, worker lists, orders and removals go on where the ring is
+  // tight: they are small, and the last of them is the way out.
+  bool enlarges(const Bytes& command) const override;
   Bytes save() const override;
   bool load(const Bytes& state) override;
   const ControlState& state() const { return state_; }
