--- a/src/adapters/disk_file.h
+++ b/src/adapters/disk_file.h
@@ -42,10 +42,10 @@
   event* done_ = nullptr;
   std::mutex mutex_;
   std::condition_variable news_;
-  std::vector<Piece> handed_;  // not known to last yet
-  bool asked_ = false;
-  bool finished_ = false;
-  bool failed_ = false;  // the newest sync
+  std::vector<Piece> handed_;   // not known to last yet
+  std::uint64_t asked_ = 0;     // syncs asked for so far
+  std::uint64_t finished_ = 0;  // how many of them are done
+  bool failed_ = false;         // the newest one that is
   bool stopping_ = false;
   std::thread thread_;
 };
