Refuse an answer whose head begins with the cut end of another one

Cause: a worker in trouble leaves the beginning of a surplus answer on a kept connection; where the next answer follows it in the same line, evhttp reads the first one's status with the second one's headers ("HTTP/1.1 200" + "HTTP/1.1 500 Word" is a 200 with the seal of a 500), or takes the second status line for a header's value. The echo of Attempt-Id does not help: it is the second one's. Ruled out: asking the kernel before the ride (the bytes come after it). Conclusion: the version mark stands in no reason phrase, header name or value of one answer; where it does, the head is no answer and the channel is closed.

--- a/src/adapters/http_out.cc
+++ b/src/adapters/http_out.cc
@@ -120,7 +120,7 @@
   // False: this is no answer to our request.
   bool headOf(evhttp_request* request, HttpHead& head) {
     head.status = evhttp_request_get_response_code(request);
-    if (head.status < 200 || head.status > 599) return false;
+    if (head.status < 200 || head.status > 599 || httpHeadsJoined(request)) return false;
     joinPairs(evhttp_request_get_input_headers(request), head.headers);
     if (!via_.echoName.empty()) {
       const auto echo = head.headers.find(via_.echoName);
--- a/src/adapters/http_text.cc
+++ b/src/adapters/http_text.cc
@@ -1,6 +1,7 @@
 #include "adapters/http_text.h"
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <event2/keyvalq_struct.h>
 
@@ -10,6 +11,8 @@
 namespace stonemount {
 
 namespace {
+constexpr absl::string_view kVersionMark = "HTTP/1.";  // with which the status line of every answer begins
+
 struct Method {
   evhttp_cmd_type type;
   const char* name;
@@ -137,6 +140,17 @@
   }
 }
 
+bool httpHeadsJoined(const evhttp_request* request) {
+  const char* reason = evhttp_request_get_response_code_line(request);
+  const absl::string_view phrase = reason != nullptr ? reason : "";
+  if (absl::StrContains(phrase, kVersionMark)) return true;
+  if (!phrase.empty() && absl::ascii_isdigit(static_cast<unsigned char>(phrase.front()))) return true;  // a second code
+  const evkeyvalq* headers = evhttp_request_get_input_headers(const_cast<evhttp_request*>(request));
+  for (const evkeyval* pair = headers->tqh_first; pair != nullptr; pair = pair->next.tqe_next)
+    if (absl::StrContains(pair->key, kVersionMark) || absl::StrContains(pair->value, kVersionMark)) return true;
+  return false;
+}
+
 std::string httpTarget(const HttpAsk& ask) {
   if (!ask.target.empty()) return ask.target;
   std::string target = ask.path;
--- a/src/adapters/http_text.h
+++ b/src/adapters/http_text.h
@@ -16,6 +16,9 @@
 bool httpFraming(const std::string& name);
 void copyPairs(const evkeyvalq* pairs, HeaderMap& out);  // the last of one name stands
 void joinPairs(const evkeyvalq* pairs, HeaderMap& out);  // values of one name joined by ", "
+// A head that begins with the cut end of another answer: left over on the channel, it ran on into the status line
+// or a header of the answer that came behind it. Its status or headers may be the other's.
+bool httpHeadsJoined(const evhttp_request* request);
 // What is sent as the request's target: path and query, the latter encoded.
 std::string httpTarget(const HttpAsk& ask);
 
