Send a series of events without its first worker's length

Cause: a stream whose worker told Content-Length kept that length when another worker went on with it. Where the bytes of both met it before the last event, the answer looked complete though events were missing (ORDER, MIXED). A body that is no series keeps its length: it is never gone on with.

--- a/src/proxy/gateway_caller.h
+++ b/src/proxy/gateway_caller.h
@@ -27,8 +27,8 @@
     gathered.clear();
   }
   void event(PassEvent&& event) override {
-    begin();
     series = true;
+    begin();
     lastEvent = event.id;
     reply->chunk(event.raw);
     if (left()) knock.notify();
@@ -39,11 +39,13 @@
     gone = true;
     knock.notify();
   }
+  // A series of events is sent without a length, whatever its worker told: where another worker goes on with it,
+  // the bytes of both may reach the first one's length before the last event, and look complete.
   void begin() {
     if (std::exchange(begun, true)) return;
     HeaderMap headers = passedOn(head_.headers);
     auto length = head_.headers.find("content-length");
-    if (length != head_.headers.end()) headers["content-length"] = length->second;
+    if (length != head_.headers.end() && !series) headers["content-length"] = length->second;
     reply->begin(head_.status, headers);
   }
   static constexpr std::size_t kBacklogBound = 4 << 20;  // a caller that does not read is as good as gone
