--- a/src/adapters/http_channels.cc
+++ b/src/adapters/http_channels.cc
@@ -3,6 +3,7 @@
 #include <event2/bufferevent.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <cerrno>
 
 #include "adapters/socket_address.h"
@@ -36,9 +37,16 @@
   channels_.left(server_);
 }
 
-void HttpChannel::board(HttpRider& rider) {
+void HttpChannel::board(HttpRider& rider, const std::string& name) {
   rider_ = &rider;
   anySent_ = false;
+  if (name.empty()) return;
+  carried_.push_back(spread(name));
+  if (carried_.size() > kCarried) carried_.pop_front();
+}
+
+bool HttpChannel::carried(const std::string& name) const {
+  return !name.empty() && std::find(carried_.begin(), carried_.end(), spread(name)) != carried_.end();
 }
 
 bool HttpChannel::surplus() const {
@@ -78,11 +86,12 @@
   const std::vector<HttpChannelPtr> closing = std::move(buried_);
 }
 
-HttpChannelPtr HttpChannels::takeKept(Server& of) {
+HttpChannelPtr HttpChannels::takeKept(Server& of, const std::string& name) {
   const Us nowUs = loop_.monoUs();
-  while (!of.kept.empty()) {
-    HttpChannelPtr channel = std::move(of.kept.back());
-    of.kept.pop_back();
+  for (std::size_t i = of.kept.size(); i > 0; --i) {
+    if (of.kept[i - 1]->carried(name)) continue;  // it stays, for others
+    HttpChannelPtr channel = std::move(of.kept[i - 1]);
+    of.kept.erase(of.kept.begin() + static_cast<std::ptrdiff_t>(i - 1));
     if (channel->idleUntilUs_ > nowUs && channel->silent()) return channel;
   }
   return nullptr;
@@ -92,7 +101,7 @@
   Server& of = servers_[server];
   ++of.open;  // the one to come; the entry stays, whatever is closed here
   if (via.keep && !via.fresh) {
-    HttpChannelPtr channel = takeKept(of);
+    HttpChannelPtr channel = takeKept(of, via.echoValue);
     if (channel != nullptr) {
       --of.open;
       ++reused;
--- a/src/adapters/http_channels.h
+++ b/src/adapters/http_channels.h
@@ -30,7 +30,10 @@
   bool served() const { return served_; }    // a whole answer came on it before
   bool anySent() const { return anySent_; }  // of the present request; exact
   bool surplus() const;                      // bytes beyond the answer are here already
-  void board(HttpRider& rider);
+  // `name`: which the answer must repeat; empty: none.
+  void board(HttpRider& rider, const std::string& name);
+  // A request of that name rode on it lately: an answer to that one, come late or twice, would pass for this one's.
+  bool carried(const std::string& name) const;
 
  private:
   friend class HttpChannels;
@@ -43,6 +46,8 @@
   evbuffer* output_ = nullptr;
   evbuffer_cb_entry* watch_ = nullptr;
   HttpRider* rider_ = nullptr;  // none: it is kept
+  static constexpr std::size_t kCarried = 64;
+  std::deque<std::uint64_t> carried_;  // the newest names, hashed
   std::uint64_t tenancy_ = 0;
   Us idleUntilUs_ = 0;
   bool connected_ = false;
@@ -72,7 +77,7 @@
     std::size_t open = 0;
     std::uint64_t tenancy = 0;  // rises when the address may have got another tenant
   };
-  HttpChannelPtr takeKept(Server& of);
+  HttpChannelPtr takeKept(Server& of, const std::string& name);
   void lost(HttpChannel& channel);
   void left(const Address& server);
   void proceed() override;  // the sweep
--- a/src/adapters/http_in.cc
+++ b/src/adapters/http_in.cc
@@ -1,4 +1,5 @@
 #include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <event2/buffer.h>
@@ -28,7 +29,15 @@
   return {static_cast<time_t>(limits.idleUs / kSecondUs), static_cast<suseconds_t>(limits.idleUs % kSecondUs)};
 }
 
-enum class ReplicaState {
+// Where a body ends must not be open to two readings: what one takes for the body is the next request to the other.
+bool framedOnce(const HeaderMap& headers) {
+  const auto length = headers.find("content-length");
+  const auto coding = headers.find("transfer-encoding");
+  if (coding != headers.end()) return length == headers.end() && absl::EqualsIgnoreCase(coding->second, "chunked");
+  return length == headers.end() || std::all_of(length->second.begin(), length->second.end(), absl::ascii_isdigit);
+}
+
+enum class ReplyState {
   kOpen,   // nothing of the answer was begun
   kBegun,  // head sent, more to come
   kSent,   // all of it handed to evhttp, not yet to the kernel
@@ -55,21 +64,22 @@
     bufferevent_enable(channel, EV_READ);
   }
   ~ReplyEv() override {
-    if (standing_ == ReplicaState::kBegun) abort();
-    if (standing_ == ReplicaState::kOpen) {
-      putHeaders({{"retry-after", "1"}}, false);
+    if (standing_ == ReplyState::kBegun) abort();
+    if (standing_ == ReplyState::kOpen) {
+      // Whoever dropped it may have sent it on: nothing is promised.
+      putHeaders({}, false);
       release();
-      sendBody(503, "{\"verdict\":\"stopping\"}\n");
+      sendBody(502, "{\"verdict\":\"not_answered\"}\n");
     }
   }
   void begin(int status, const HeaderMap& headers) override {
-    if (standing_ != ReplicaState::kOpen) return;
-    standing_ = ReplicaState::kBegun;
+    if (standing_ != ReplyState::kOpen) return;
+    standing_ = ReplyState::kBegun;
     putHeaders(headers, true);
     evhttp_send_reply_start(request_, status, httpReason(status));
   }
   void chunk(const Bytes& bytes) override {
-    if (standing_ != ReplicaState::kBegun || bytes.empty()) return;
+    if (standing_ != ReplyState::kBegun || bytes.empty()) return;
     if (declared_ && bytes.size() > leftBytes_) return abort();  // would be taken for another answer's bytes
     leftBytes_ -= declared_ ? bytes.size() : 0;
     evbuffer* buffer = evbuffer_new();
@@ -78,26 +88,27 @@
     evbuffer_free(buffer);
   }
   void end() override {
-    if (standing_ != ReplicaState::kBegun) return;
+    if (standing_ != ReplyState::kBegun) return;
     if (declared_ && leftBytes_ != 0) return abort();
     sent();
     evhttp_send_reply_end(request_);
   }
   void whole(int status, const HeaderMap& headers, const Bytes& body) override {
-    if (standing_ != ReplicaState::kOpen) return;
+    if (standing_ != ReplyState::kOpen) return;
     putHeaders(headers, false);
     sent();
     sendBody(status, body);
   }
   void abort() override {
-    if (standing_ == ReplicaState::kOver || standing_ == ReplicaState::kSent) return;
+    if (standing_ == ReplyState::kOver || standing_ == ReplyState::kSent) return;
     evhttp_connection* channel = channel_;
     release();
     evhttp_connection_free(channel);  // and the request with it
   }
   void refuse(int status) {
     refused_ = true;
-    whole(status, {}, absl::StrCat("{\"verdict\":\"", status == 413 ? "body" : "headers", "_too_large\"}\n"));
+    const char* verdict = status == 413 ? "body_too_large" : status == 431 ? "headers_too_large" : "bad_framing";
+    whole(status, {}, absl::StrCat("{\"verdict\":\"", verdict, "\"}\n"));
   }
   std::size_t backlogBytes() const override {
     if (channel_ == nullptr) return 0;
@@ -106,11 +117,11 @@
 
  private:
   void sent() {
-    standing_ = ReplicaState::kSent;
+    standing_ = ReplyState::kSent;
     self_ = shared_from_this();  // until the kernel has it, so that a process that ends can wait for that
   }
   void over() {
-    standing_ = ReplicaState::kOver;
+    standing_ = ReplyState::kOver;
     --state_->open;
   }
   // evhttp knows us no more.
@@ -141,7 +152,7 @@
   static void onClose(evhttp_connection*, void* given) {
     ReplyEv& self = *static_cast<ReplyEv*>(given);
     const std::shared_ptr<ReplyEv> kept = std::move(self.self_);
-    const bool unsent = self.standing_ != ReplicaState::kSent;
+    const bool unsent = self.standing_ != ReplyState::kSent;
     self.over();
     self.channel_ = nullptr;
     // A request that evhttp has parted from its channel is ours to free; any other goes with the channel.
@@ -173,7 +184,7 @@
   evhttp_request* request_;
   evhttp_connection* channel_;
   std::size_t leftBytes_ = 0;
-  ReplicaState standing_ = ReplicaState::kOpen;
+  ReplyState standing_ = ReplyState::kOpen;
   bool declared_ = false;  // the answer's length was told
   bool refused_ = false;
 };
@@ -240,6 +251,7 @@
   if (ask.target.empty() || ask.target.front() != '/')  // a whole URI names the host besides
     ask.target = query != nullptr ? absl::StrCat(ask.path, "?", query) : ask.path;
   joinPairs(evhttp_request_get_input_headers(request), ask.headers);
+  if (!framedOnce(ask.headers)) return reply->refuse(400);
   ask.headers.erase("expect");  // answered here
   ask.body.resize(evbuffer_get_length(input));
   evbuffer_remove(input, ask.body.data(), ask.body.size());
--- a/src/adapters/http_out.cc
+++ b/src/adapters/http_out.cc
@@ -70,7 +70,7 @@
 
  private:
   void send(const Address& server, const HttpAsk& ask, Us connectUs) {
-    channel_->board(*this);
+    channel_->board(*this, via_.echoValue);
     evhttp_request* request = evhttp_request_new(&FlowEv::onDone, this);
     evhttp_request_set_header_cb(request, &FlowEv::onHead);
     evhttp_request_set_chunked_cb(request, &FlowEv::onChunk);
--- a/src/adapters/http_text.cc
+++ b/src/adapters/http_text.cc
@@ -45,7 +45,7 @@
     case 301:
       return "Moved Permanently";
     case 302:
-      return "Bootstrap";
+      return "Found";
     case 303:
       return "See Other";
     case 304:
@@ -61,7 +61,7 @@
     case 403:
       return "Forbidden";
     case 404:
-      return "Not Bootstrap";
+      return "Not Found";
     case 405:
       return "Method Not Allowed";
     case 406:
--- a/src/node/lot_desk.h
+++ b/src/node/lot_desk.h
@@ -1,4 +1,4 @@
-// ReplicaState lots for whoever faces their callers: taken, read, ended (design.md 9.8). Every outcome is a type,
+// Standing lots for whoever faces their callers: taken, read, ended (design.md 9.8). Every outcome is a type,
 // and what it promises is said.
 #pragma once
 
--- a/tests/http_out_test.cc
+++ b/tests/http_out_test.cc
@@ -133,6 +133,29 @@
   UNTIL(rig.loop, rig.end(0).gone);  // an unfinished exchange closes its channel
 }
 
+// What was left over of its own former answer would pass for the new one: the name tells nothing then.
+void nameRidesOnce() {
+  OutRig rig;
+  HttpVia via = rig.via();
+  via.echoName = "attempt-id";
+  const auto answered = [&](std::size_t number, const std::string& id) {
+    via.echoValue = id;
+    Gathered got(rig.out.open(rig.server.address, rig.ask(id), via));
+    UNTIL(rig.loop, rig.server.ends.size() > number && rig.end(number).has("body-" + id));
+    if (rig.server.ends.size() <= number) return;
+    rig.end(number).take();
+    rig.end(number).say("HTTP/1.1 500 No\r\nAttempt-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+    UNTIL(rig.loop, got.ended);
+  };
+  answered(0, "a");
+  answered(0, "b");
+  answered(1, "a");
+  EXPECT(rig.kept() == 2);
+  answered(2, "a");  // neither of the two
+  answered(2, "c");
+  EXPECT(rig.server.ends.size() == 3 && rig.kept() == 3);
+}
+
 void bounds() {
   OutRig rig;
   rig.out.mostPerServer = 2;
@@ -163,6 +186,7 @@
   serverCloses();
   surplusReachesNobody();
   largeAndSlow();
+  nameRidesOnce();
   bounds();
   return closingLine();
 }
