--- a/src/adapters/http_out.cc
+++ b/src/adapters/http_out.cc
@@ -70,7 +70,7 @@
 
  private:
   void send(const Address& server, const HttpAsk& ask, Us connectUs) {
-    channel_->board(*this);
+    channel_->board(*this, via_.echoValue);
     evhttp_request* request = evhttp_request_new(&FlowEv::onDone, this);
     evhttp_request_set_header_cb(request, &FlowEv::onHead);
     evhttp_request_set_chunked_cb(request, &FlowEv::onChunk);
@@ -120,7 +120,7 @@
   // False: this is no answer to our request.
   bool headOf(evhttp_request* request, HttpHead& head) {
     head.status = evhttp_request_get_response_code(request);
-    if (head.status < 200 || head.status > 599) return false;
+    if (head.status < 200 || head.status > 599 || httpHeadsJoined(request)) return false;
     joinPairs(evhttp_request_get_input_headers(request), head.headers);
     if (!via_.echoName.empty()) {
       const auto echo = head.headers.find(via_.echoName);
