--- a/tests/platform_settings_test.cc
+++ b/tests/platform_settings_test.cc
@@ -59,6 +59,11 @@
       platform::readBootFile(boot(R"(,"DataDir":"/d","Limits":{"DiskMb":64})"), SettingsFor::kStore);
   const Settings& fits = std::get<Settings>(small);
   expect(fits.ringFiles * fits.ringFileBytes <= (64 << 20) * 3 / 4, "the ring leaves room on the disk");
+  const SettingsVerdict grown =
+      platform::readBootFile(boot(R"(,"DataDir":"/d","Limits":{"DiskMb":140})"), SettingsFor::kStore);
+  const Settings& wide = std::get<Settings>(grown);
+  expect(wide.ringFiles * wide.ringFileBytes <= 124 << 20, "and 16 MiB of a larger one");
+  expect(wide.ringFiles * wide.ringFileBytes >= 118 << 20, "but no more");
 }
 
 void bounds() {
