A checkpoint comes before the bound that refuses everything: no ring is stuck

Cause: above 5/24 of the ring in state, a third (state and entries since the checkpoint) was reached before an eighth of the ring in entries: the head refused every command, leases, answers and the cut too, so nothing came in and no checkpoint was ever due. Ruled out: letting commands that do not enlarge pass the bound: the ring must hold two checkpoints.

--- a/src/replication/replica.cc
+++ b/src/replication/replica.cc
@@ -249,8 +249,16 @@
   return true;
 }
 
+// After an eighth of the ring in entries; sooner where the state leaves less below the bound above which a head takes
+// nothing (a third, see onSubmit): with the bound reached first no entry would come, and no checkpoint ever be due.
+bool Replica::checkpointDue() const {
+  const std::size_t ring = wal_.ringBytes();
+  const std::size_t room = ring / 3 > imageBytes_ ? ring / 3 - imageBytes_ : 0;
+  return wal_.bytesSinceCheckpoint() > std::clamp(room * 3 / 4, ring / 512, ring / 8);
+}
+
 void Replica::maybeCheckpoint() {
-  if (!wal_.checkpointing() && wal_.bytesSinceCheckpoint() > wal_.ringBytes() / 8) {
+  if (!wal_.checkpointing() && checkpointDue()) {
     STONEMOUNT_INVARIANT(appended_ <= end_);  // what lies before it on the disk must be in it
     Bytes whole = image();
     imageBytes_ = whole.size();
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -69,6 +69,7 @@
   void stateFromView();
   Bytes image() const;
   bool loadImage(const Bytes& image, bool own);
+  bool checkpointDue() const;
   void maybeCheckpoint();
   void diskBroke();
   void onViewAsk(const Asked& asked);
--- a/tests/chain_rig.h
+++ b/tests/chain_rig.h
@@ -14,15 +14,17 @@
 constexpr std::size_t kFiles = 8;
 constexpr Address kClientWire{1, 99};
 
+constexpr char kNoGrowth = '~';  // a command that begins with it leaves the state as large as it was
+
 class ListMachine : public Machine {
  public:
   Bytes apply(const Bytes& command) override {
-    list_.push_back(command);
+    if (enlarges(command)) list_.push_back(command);
     return pack(static_cast<std::uint64_t>(list_.size()));
   }
   StampVerdict stamp(const Bytes& command, const HeadSight&) override { return Stamped{command}; }
   QueryVerdict answer(const Bytes&, bool) override { return pack(list_); }
-  bool enlarges(const Bytes&) const override { return true; }
+  bool enlarges(const Bytes& command) const override { return !command.starts_with(kNoGrowth); }
   Bytes save() const override { return pack(list_); }
   bool load(const Bytes& state) override {
     auto read = unpack<std::vector<Bytes>>(state);
--- /dev/null
+++ b/tests/full_ring_test.cc
@@ -0,0 +1,64 @@
+// A chain whose state has grown until it refuses more: everything that does not enlarge the state (answers of
+// work already accepted, leases, expiry, the cut) is taken for as long as it comes (design.md 5.2).
+#include "chain_rig.h"
+
+using namespace stonemount;
+
+namespace {
+constexpr std::size_t kGrowthBytes = 20 << 10;
+constexpr std::size_t kSteadyBytes = 8 << 10;
+constexpr std::size_t kRingBytes = kFiles * (256 << 10);
+int passed = 0, failed = 0;
+
+void expect(bool well, const std::string& what) {
+  ++(well ? passed : failed);
+  if (!well) std::printf("FAILED %s\n", what.c_str());
+}
+
+struct Told {
+  bool done = false;
+  bool taken = false;
+  ChainError why = ChainError::kUnreachable;
+};
+
+Task send(Rig& rig, Bytes command, Told& told) {
+  Job<ChainAnswer> sending = rig.client->submit(std::move(command), kSecondUs, kSecondUs / 5);
+  const ChainAnswer answer = co_await sending;
+  told.taken = std::holds_alternative<Bytes>(answer);
+  if (auto* failure = std::get_if<ChainFailure>(&answer)) told.why = failure->trouble;
+  told.done = true;
+}
+
+Told ask(Rig& rig, Bytes command) {
+  Told told;
+  rig.room.start(send(rig, std::move(command), told));
+  while (!told.done) rig.world.runUntil(rig.world.nowUs() + 10 * kMilliUs);
+  return told;
+}
+
+// Grows until it is refused, then goes on with what does not enlarge: a ring's length of it, twice over.
+void fullRingGoesOn(std::uint64_t seed) {
+  Rig rig(seed, 3);
+  rig.world.runUntil(2 * kSecondUs);
+  std::size_t grown = 0;
+  Told told;
+  for (told = ask(rig, Bytes(kGrowthBytes, 'g')); told.taken; told = ask(rig, Bytes(kGrowthBytes, 'g'))) ++grown;
+  expect(told.why == ChainError::kRingFull, "it refuses because the ring is full");
+  expect(grown * kGrowthBytes > kRingBytes / 5, "and not before a fifth of the ring is state");
+  std::size_t refused = 0;
+  for (std::size_t bytes = 0; bytes < 2 * kRingBytes; bytes += kSteadyBytes) {
+    const Told steady = ask(rig, kNoGrowth + Bytes(kSteadyBytes, 's'));
+    refused += steady.taken ? 0 : 1;
+    if (refused >= 3) break;
+  }
+  expect(refused == 0, "what does not enlarge is taken for as long as it comes");
+  expect(ask(rig, Bytes(kGrowthBytes, 'g')).why == ChainError::kRingFull, "and growth is refused still");
+  expect(rig.wholeAndActive(), "no member is lost to a full ring");
+}
+}  // namespace
+
+int main() {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) fullRingGoesOn(seed);
+  std::printf("full_ring_test: %d passed, %d failed\n", passed, failed);
+  return failed == 0 ? 0 : 1;
+}
