Settings are read anew: other seeds are taken at SIGHUP and within 5 s without it

Done: SettingsWatch (cli) reads the file, Gossip::setSeeds asks the new seeds at once; Core and Store show their gossip for it. A broken or half-written file changes nothing.

--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -44,7 +44,7 @@
 
 Exit codes: 0 done, 1 refused, 2 wrong usage or settings, 3 unreachable or try again, 4 conflict, 5 findings.)";
 
-bool shownHelp(absl::string_view file) { return file.find("chisel/") != absl::string_view::npos; }
+bool shownHelp(absl::string_view file) { return file.find("src/cli/") != absl::string_view::npos; }
 }  // namespace
 
 std::optional<std::string> readWholeFile(const std::string& path) {
--- a/src/cli/process.cc
+++ b/src/cli/process.cc
@@ -14,6 +14,7 @@
 #include "adapters/log.h"
 #include "adapters/tcp_transport.h"
 #include "cli/flags.h"
+#include "cli/settings_watch.h"
 #include "control/core.h"
 #include "node/node.h"
 #include "platform/front.h"
@@ -105,8 +106,10 @@
   Us quietFromUs_ = 0;
 };
 
+// `watch`: none where no file tells the settings.
 template <class Running>
-void serve(Loop& loop, Running& running) {
+void serve(Loop& loop, Running& running, SettingsWatch* watch) {
+  if (watch != nullptr) watch->seedsChanged.connect(sigc::mem_fun(running.gossip(), &Gossip::setSeeds));
   running.begin();
   loop.run();
   logEvent("stopped", {});
@@ -115,23 +118,29 @@
 
 namespace {
 // Where a process learns its place: the platform's file, if its variable is set and no other file is named;
-// else the product's own settings.
-SettingsVerdict learnPlace(SettingsFor kind, bool& onPlatform) {
-  const std::string path = absl::GetFlag(FLAGS_settings);
-  const char* bootFile = std::getenv(platform::kBootFileVariable);
-  onPlatform = path.empty() && bootFile != nullptr;
-  std::string fileText;
-  if (!path.empty() || onPlatform) {
-    std::optional<std::string> text = readWholeFile(onPlatform ? bootFile : path);
+// else the product's own settings, whose flags stand over the file.
+struct Place {
+  explicit Place(SettingsFor given) : kind(given), path(absl::GetFlag(FLAGS_settings)) {
+    const char* bootFile = std::getenv(platform::kBootFileVariable);
+    onPlatform = path.empty() && bootFile != nullptr;
+    if (onPlatform) path = bootFile;
+  }
+  SettingsVerdict read(const std::string& text) const {
+    return onPlatform ? platform::readBootFile(text, kind) : readSettings(text, givenFlags(), kind);
+  }
+  SettingsVerdict read() const {
+    if (path.empty()) return read(std::string());
+    std::optional<std::string> text = readWholeFile(path);
     if (!text) return SettingsFault{"(file)", "cannot be read"};
-    fileText = *text;
+    return read(*text);
   }
-  if (onPlatform) return platform::readBootFile(fileText, kind);
-  return readSettings(fileText, givenFlags(), kind);
-}
+  SettingsFor kind;
+  std::string path;  // empty: flags alone
+  bool onPlatform = false;
+};
 
 // The node role: its own interface, and the platform's callers where it has some.
-int runNode(Loop& loop, Ports& ports, const Settings& settings, const GossipPlan& gossip) {
+int runNode(Loop& loop, Ports& ports, const Settings& settings, const GossipPlan& gossip, SettingsWatch* watch) {
   platform::Workers dialect;
   PlatformWorkerList list(ports, settings.platform);
   NodePlan plan;
@@ -152,12 +161,13 @@
     front = std::make_unique<platform::Front>(node, frontIn, settings.readiness.set() ? &readinessIn : nullptr);
   NodeFarewell farewell(loop, node, front.get(), settings.bounds.graceUs);
   if (front != nullptr) farewell.watch(frontIn);
-  serve(loop, node);
+  serve(loop, node, watch);
   return 0;
 }
 
 // The core role, with the platform's operator where that is served here.
-int runCore(Loop& loop, Ports& ports, const Settings& settings, const GossipPlan& gossip, bool onPlatform) {
+int runCore(Loop& loop, Ports& ports, const Settings& settings, const GossipPlan& gossip, bool onPlatform,
+            SettingsWatch* watch) {
   PlatformWorkerList list(ports, settings.platform);
   CorePlan plan;
   plan.gossip = gossip;
@@ -168,7 +178,7 @@
   Core core(ports, settings, plan);
   PlatformOperator operators(core.operators(), &core.retireService(), {settings.zones.begin(), settings.zones.end()});
   if (settings.control.set()) operators.begin(controlIn);
-  serve(loop, core);
+  serve(loop, core, watch);
   return 0;
 }
 }  // namespace
@@ -177,8 +187,8 @@
   const SettingsFor kind = role == "core"    ? SettingsFor::kCore
                            : role == "store" ? SettingsFor::kStore
                                              : SettingsFor::kNode;
-  bool onPlatform = false;
-  SettingsVerdict read = learnPlace(kind, onPlatform);
+  const Place place(kind);
+  SettingsVerdict read = place.read();
   if (auto* fault = std::get_if<SettingsFault>(&read))
     return say(Exit::kUsage, "settings: key " + fault->key + " " + fault->why);
   const Settings settings = std::get<Settings>(read);
@@ -202,18 +212,23 @@
   if (!httpIn.listen()) return say(Exit::kUsage, "settings: key http: cannot listen on " + addressText(settings.http));
   Ports ports{loop, loop, wire, httpIn, httpOut, disk.get(), chance};
   logEvent("starting", {{"role", role}, {"zone", settings.zone}, {"http", addressText(settings.http)}});
+  std::optional<SettingsWatch> watched;
+  if (!place.path.empty())
+    watched.emplace(
+        loop, place.path, [&place](const std::string& text) { return place.read(text); }, settings.seeds);
+  SettingsWatch* watch = watched ? &*watched : nullptr;
   int result = 0;
   GossipPlan gossip;
   gossip.seeds = settings.seeds;
   for (const Address& founder : settings.founders)
     if (founder != settings.wire) gossip.seeds.push_back(founder);
   if (kind == SettingsFor::kCore) {
-    result = runCore(loop, ports, settings, gossip, onPlatform);
+    result = runCore(loop, ports, settings, gossip, place.onPlatform, watch);
   } else if (kind == SettingsFor::kStore) {
     Store store(ports, settings, gossip, StorePlan());
-    serve(loop, store);
+    serve(loop, store, watch);
   } else {
-    result = runNode(loop, ports, settings, gossip);
+    result = runNode(loop, ports, settings, gossip, watch);
   }
   setLogSink(nullptr);
   return result;
--- a/src/control/core.h
+++ b/src/control/core.h
@@ -34,6 +34,7 @@
   const ControlMachine& machine() const { return machine_; }
   std::uint64_t sentBytes() const { return rpc_.sentBytes; }
   const Election& election() const { return election_; }
+  Gossip& gossip() { return gossip_; }
   OperatorService& operators() { return operators_; }
   RetireService& retireService() { return retireService_; }
   static constexpr const char* kWorkerDiscovery = "lister";
--- a/src/gossip/gossip.cc
+++ b/src/gossip/gossip.cc
@@ -31,6 +31,12 @@
   room_.start(shuffle());
 }
 
+void Gossip::setSeeds(std::vector<Address> seeds) {
+  plan_.seeds = std::move(seeds);
+  for (const Address& seed : plan_.seeds)
+    if (seed != rpc_.self()) room_.start(shuffleWith(seed));
+}
+
 bool Gossip::isAlive(const Sight& sight) const { return ports_.clock.monoUs() - sight.heardUs <= plan_.silentUs; }
 
 std::vector<PeerRecord> Gossip::alive(Role role) const {
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -42,6 +42,7 @@
  public:
   Gossip(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, GossipPlan plan);
   void begin(PeerRecord self);
+  void setSeeds(std::vector<Address> seeds);  // other ones from now on; they are asked at once
   PeerRecord& self() { return self_; }
   struct Sight {
     PeerRecord record;
--- a/src/node/doctor.cc
+++ b/src/node/doctor.cc
@@ -48,9 +48,9 @@
     }
     if (line.pong->state == ReplicaState::kBroken)
       findings.push_back({"D" + number + "06", who + ": its disk failed or holds what it cannot read",
-                          "replace the disk; it will be caughtUp as a new incarnation"});
+                          "replace the disk; it is caught up as a new incarnation"});
     if (line.pong->stalledUs > kSlowUs || line.pong->worstSyncUs > kSlowUs)
-      findings.push_back({"D" + number + "07", who + ": slow disk", "look at the disk; the chain mends it out"});
+      findings.push_back({"D" + number + "07", who + ": slow disk", "look at the disk; the chain goes on without it while it is slow"});
     if (line.pong->revision != sight.view.revision)
       findings.push_back({"D" + number + "08", who + " holds another view revision",
                           "normal for a second after a change; if it stays, see its log"});
@@ -127,7 +127,7 @@
     if (pools_ != nullptr || !board_.listed(address)) continue;
     const bool silent = sight.reportedUs < 0 || ports_.clock.monoUs() - sight.reportedUs > 3 * kSecondUs;
     if (silent)
-      findings.push_back({"D501", who + " reports no fitness", "see its process; the platform lists it"});
+      findings.push_back({"D501", who + " reports no health", "see its process; the platform lists it"});
     else if (sight.listed.leaving || sight.report.leaving)
       findings.push_back({"D502", who + " is leaving", "nothing new goes there"});
     else
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -18,6 +18,7 @@
   Replica& replica() { return replica_; }
   const StoreMachine& machine() const { return machine_; }
   StoreMachine& machine() { return machine_; }
+  Gossip& gossip() { return gossip_; }
 
  private:
   void onMet(const PeerRecord& record);
