--- a/src/node/doctor.cc
+++ b/src/node/doctor.cc
@@ -50,7 +50,8 @@
       findings.push_back({"D" + number + "06", who + ": its disk failed or holds what it cannot read",
                           "replace the disk; it is caught up as a new incarnation"});
     if (line.pong->stalledUs > kSlowUs || line.pong->worstSyncUs > kSlowUs)
-      findings.push_back({"D" + number + "07", who + ": slow disk", "look at the disk; the chain goes on without it while it is slow"});
+      findings.push_back({"D" + number + "07", who + ": slow disk",
+                          "look at the disk; the chain goes on without it while it is slow"});
     if (line.pong->revision != sight.view.revision)
       findings.push_back({"D" + number + "08", who + " holds another view revision",
                           "normal for a second after a change; if it stays, see its log"});
