A data folder that had to be made is synced into the one that holds it

The ring's files were synced into DataDir, DataDir itself into nothing where the process had made it.

--- a/src/cli/process.cc
+++ b/src/cli/process.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <filesystem>
 #include <random>
 
 #include "adapters/disk_file.h"
@@ -53,9 +54,20 @@
   return given;
 }
 
+// A folder that had to be made lasts only once the one that holds it is synced: else a loss of power may take it
+// with all that was synced in it.
+void makeFolder(const std::string& folder) {
+  if (mkdir(folder.c_str(), 0755) != 0) return;
+  const std::string holder = std::filesystem::absolute(folder).parent_path();
+  const int handle = open(holder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (handle < 0) return;
+  fsync(handle);
+  close(handle);
+}
+
 // Two processes on one data folder would be two members with one incarnation.
 bool lockFolder(const std::string& folder) {
-  mkdir(folder.c_str(), 0755);
+  makeFolder(folder);
   const int handle = open(absl::StrCat(folder, "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
   return handle >= 0 && flock(handle, LOCK_EX | LOCK_NB) == 0;
 }
