--- a/src/replication/replica.cc
+++ b/src/replication/replica.cc
@@ -7,22 +7,6 @@
 
 namespace {
 constexpr Us kOpenAgainUs = 500 * kMilliUs;
-constexpr std::uint8_t kImageFormat = 2;
-constexpr Us kRoomWantedUs = 2 * kSecondUs;  // between checkpoints that only a refusal asks for
-struct Image {
-  std::uint8_t format = kImageFormat;
-  VoterMemory memory;
-  std::uint64_t end = 0;
-  Revision endRevision = 0;
-  std::vector<std::pair<CommandId, Bytes>> verdicts;
-  Bytes state;
-  STONEMOUNT_PACK(format, memory, end, endRevision, verdicts, state)
-};
-struct MetaRecord {
-  std::uint8_t format = kImageFormat;
-  VoterMemory memory;
-  STONEMOUNT_PACK(format, memory)
-};
 }  // namespace
 
 const char* replicaStateText(ReplicaState state) {
@@ -116,21 +100,7 @@
     wal_.wipe();
   }
   if (auto* content = std::get_if<LogContent>(&opened)) {
-    bool sound = !content->hasCheckpoint || loadImage(content->checkpoint, true);
-    for (const Record& record : content->records) {
-      if (!sound) break;
-      if (record.kind == RecordKind::kMeta) {
-        auto meta = unpack<MetaRecord>(record.body);
-        sound = std::holds_alternative<MetaRecord>(meta) && std::get<MetaRecord>(meta).format == kImageFormat;
-        if (sound) memory_ = std::get<MetaRecord>(meta).memory;
-      } else if (record.kind == RecordKind::kEntry) {
-        auto entry = unpack<Entry>(record.body);
-        sound = std::holds_alternative<Entry>(entry);
-        sound = sound && std::get<Entry>(entry).index <= end_ + 1;  // a gap would go unseen for ever
-        if (sound && std::get<Entry>(entry).index == end_ + 1) applyEntry(std::get<Entry>(entry), false);
-      }
-    }
-    if (!sound) {
+    if (!replay(*content)) {
       logDoubt("records_unreadable", {});
       changeState(ReplicaState::kBroken);  // an unknown format is refused, not guessed at
       co_return;
@@ -174,17 +144,6 @@
 
 void Replica::onViewAsk(const Asked& asked) { rpc_.reply(asked, ViewReply{memory_.view}); }
 
-Job<bool> Replica::keepMemory() {
-  AppendResult appended = wal_.append(RecordKind::kMeta, pack(MetaRecord{kImageFormat, memory_}));
-  if (!std::holds_alternative<std::uint64_t>(appended)) {
-    logOverflowed();
-    co_return false;
-  }
-  GroupCommit::Wait wait(groupCommit_);
-  co_await wait;
-  co_return true;
-}
-
 // The one way into a later view. Nothing is done in it before it is durable here.
 Job<bool> Replica::takeView(View next) {
   if (next.revision <= memory_.view.revision || state_ == ReplicaState::kBroken) co_return true;
@@ -219,58 +178,4 @@
                     {"voters", absl::StrCat(memory_.view.voters.size())}});
 }
 
-Bytes Replica::image() const {
-  Image image;
-  image.memory = memory_;
-  image.end = end_;
-  image.endRevision = endRevision_;
-  for (const CommandId& id : verdictOrder_) image.verdicts.emplace_back(id, verdicts_.at(id));
-  image.state = machine_.save();
-  return pack(image);
-}
-
-bool Replica::loadImage(const Bytes& bytes, bool own) {
-  auto read = unpack<Image>(bytes);
-  Image* image = std::get_if<Image>(&read);
-  if (image == nullptr || image->format != kImageFormat || !machine_.load(image->state)) return false;
-  if (own) memory_ = image->memory;  // another's votes are not mine
-  end_ = image->end;
-  endRevision_ = image->endRevision;
-  appended_ = image->end;
-  imageBytes_ = bytes.size();
-  recent_.clear();
-  keptAfterRevision_ = image->endRevision;
-  recentBytes_ = 0;
-  verdicts_.clear();
-  verdictOrder_.clear();
-  verdictBytes_ = 0;
-  for (auto& [id, verdict] : image->verdicts) {
-    verdictOrder_.push_back(id);
-    verdicts_[id] = verdict;
-    verdictBytes_ += verdict.size();
-  }
-  return true;
-}
-
-void Replica::maybeCheckpoint() {
-  // A command was refused for want of room: what was removed since the last one shows only in a new one.
-  const Us nowUs = ports_.clock.monoUs();
-  const bool roomWanted =
-      std::exchange(roomWanted_, false) && wal_.bytesSinceCheckpoint() > 0 && nowUs - checkpointedUs_ > kRoomWantedUs;
-  if (!wal_.checkpointing() && (roomWanted || wal_.wantsCheckpoint(imageBytes_))) {
-    STONEMOUNT_INVARIANT(appended_ <= end_);  // what lies before it on the disk must be in it
-    checkpointedUs_ = nowUs;
-    Bytes whole = image();
-    imageBytes_ = whole.size();
-    wal_.beginCheckpoint(std::move(whole));
-  }
-  if (wal_.checkpointing() && !wal_.pumpCheckpoint(8)) logOverflowed();
-}
-
-// The ring cannot take a record that must be kept: too small for the state (design.md 5.2).
-void Replica::logOverflowed() {
-  logDoubt("log_overflowed", {{"ring_bytes", absl::StrCat(wal_.ringBytes())}});
-  changeState(ReplicaState::kBroken);
-}
-
 }  // namespace stonemount
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -68,6 +68,7 @@
   Task bootstrap();
   void changeState(ReplicaState next);
   Job<bool> keepMemory();
+  bool replay(const LogContent& content);
   Job<bool> takeView(View next);
   void stateFromView();
   Bytes image() const;
