A member without a vote gets one as soon as the zones allow it

Two voters were left. Both others came back, the count of members was three again, and nothing ever gave the third its vote: the loss of a zone 30 s later stopped the store chain for good (an accepted lot was not read at rest).

Ruled out: taking part of the manager's order back (the same race remains within the time that a silence takes to show). Now every wanted view promotes such members by the rule by which seats are given (giveSeat).

--- a/src/replication/reconfigurer.cc
+++ b/src/replication/reconfigurer.cc
@@ -180,6 +180,7 @@
     }
   }
   needed |= added;
+  needed |= promoteNonVoters(wanted);
   if (!needed) return std::nullopt;
   return wanted;
 }
@@ -206,6 +207,23 @@
   return wanted;
 }
 
+// A member of the chain without a vote gets one as soon as the zones allow it. Else a chain whose voters became few,
+// since one that was to vote was lost at that moment, would go on with few, and stop at the next loss.
+bool Replica::promoteNonVoters(View& wanted) const {
+  bool promoted = false;
+  for (const Seat& nonVoter : memory_.view.nonVoters) {
+    const Seat* placed = findSeat(wanted.nonVoters, nonVoter.address);
+    if (placed == nullptr || findSeat(wanted.chain, nonVoter.address) == nullptr) continue;
+    View with = wanted;
+    std::erase_if(with.nonVoters, SeatAt{nonVoter.address});
+    giveSeat(with, *placed);
+    if (with.voters.size() == wanted.voters.size()) continue;
+    wanted = std::move(with);
+    promoted = true;
+  }
+  return promoted;
+}
+
 // Voters propose in turn, so that two seldom do so at once. Safety does not hang on it.
 std::size_t Replica::turn() const {
   std::size_t before = 0;
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -116,6 +116,7 @@
   std::optional<View> wantedView() const;
   std::optional<View> viewFromHolder() const;
   bool addReadyPeer(View& wanted) const;
+  bool promoteNonVoters(View& wanted) const;
   bool ready(const Address& peer) const;
   bool close(const Address& peer) const;
   std::size_t turn() const;
