--- a/tests/full_ring_test.cc
+++ b/tests/full_ring_test.cc
@@ -55,10 +55,34 @@
   expect(ask(rig, Bytes(kGrowthBytes, 'g')).why == ChainError::kRingFull, "and growth is refused still");
   expect(rig.wholeAndActive(), "no member is lost to a full ring");
 }
+// With a full ring each member in turn loses power, or its disk, and comes back: it opens or copies the whole state,
+// and the chain takes what does not enlarge before, meanwhile and after.
+void fullRingOutlivesLosses(std::uint64_t seed) {
+  Rig rig(seed, 3);
+  rig.world.runUntil(2 * kSecondUs);
+  while (ask(rig, Bytes(kGrowthBytes, 'g')).taken) {
+  }
+  for (std::size_t victim = 0; victim < rig.hosts.size(); ++victim) {
+    const bool wiped = (seed + victim) % 2 == 0 && rig.mayWipe(victim);
+    wiped ? rig.wipe(victim) : rig.kill(victim);
+    rig.world.runUntil(rig.world.nowUs() + 1500 * kMilliUs);
+    for (int i = 0; i < 40; ++i)
+      expect(ask(rig, kNoGrowth + Bytes(kSteadyBytes, 's')).taken, "two members take what does not enlarge");
+    rig.start(victim);
+    const Us untilUs = rig.world.nowUs() + 5 * kSecondUs;
+    while (rig.world.nowUs() < untilUs && !rig.wholeAndActive()) rig.world.runUntil(rig.world.nowUs() + 50 * kMilliUs);
+    expect(rig.wholeAndActive(), wiped ? "a wiped member is back 5 s later" : "a member is back 5 s later");
+    for (int i = 0; i < 40; ++i)
+      expect(ask(rig, kNoGrowth + Bytes(kSteadyBytes, 's')).taken, "three members take what does not enlarge");
+  }
+}
 }  // namespace
 
 int main() {
-  for (std::uint64_t seed = 1; seed <= 6; ++seed) fullRingGoesOn(seed);
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    fullRingGoesOn(seed);
+    fullRingOutlivesLosses(seed);
+  }
   std::printf("full_ring_test: %d passed, %d failed\n", passed, failed);
   return failed == 0 ? 0 : 1;
 }
