--- a/src/replication/catch_up.cc
+++ b/src/replication/catch_up.cc
@@ -95,7 +95,7 @@
     co_await wait;
   }
   imageLoose_ = false;
-  logEvent("caughtUp",
+  logEvent("caught_up",
            {{"from", addressText(source)}, {"bytes", absl::StrCat(state.size())}, {"end", absl::StrCat(end_)}});
   co_return true;
 }
--- a/src/simulator/operators.cc
+++ b/src/simulator/operators.cc
@@ -11,7 +11,7 @@
   out.object().field("name", "digest").field("kind", "stream").field("pool", "models").closeObject();
   out.object().field("name", "review").field("kind", "whole").field("pool", "models").field("lots", true).closeObject();
   out.object()
-      .field("name", "record")
+      .field("name", "card")
       .field("kind", "lookup")
       .field("pool", "apps")
       .field("limitUs", 5000000)
--- a/src/stand_ins/caller.cc
+++ b/src/stand_ins/caller.cc
@@ -43,7 +43,7 @@
   HttpAsk ask;
   if (kind == Kind::kLookup) {
     ask.method = "GET";
-    ask.path = "/v1/lookups/record";
+    ask.path = "/v1/lookups/card";
     ask.query["key"] = prompt;
   } else {
     ask.method = "POST";
