--- a/tests/cut_off_fleet_test.cc
+++ b/tests/cut_off_fleet_test.cc
@@ -1,5 +1,6 @@
 // What hangs on more than the control chain while a machine is cut off: retire orders right after its return, views
 // of processes when every seed is lost, what a node answers, and drawn cuts on both shapes (docs/review/1-cut-off.md).
+#include "asking.h"
 #include "members_stage.h"
 #include "simulator/fault_schedule.h"
 
@@ -42,6 +43,44 @@
          "a proper retire order is taken, not refused");
 }
 
+void cutPair(Fleet& fleet, Part& one, Part& other, bool isCut) {
+  fleet.world().setCut(*one.host, *other.host, isCut);
+  fleet.world().setCut(*other.host, *one.host, isCut);
+}
+
+// A node that is in touch with one core only, which is cut off from the other cores, says soon that it took nothing
+// and shows nothing; the same order is taken elsewhere, and seen there once it is back.
+void nodeBesideLoneCore(std::uint64_t seed, const FleetShape& shape) {
+  Asking asking(seed, shape);
+  Fleet& fleet = asking.fleet;
+  Part& node = *fleet.of(PartKind::kNode)[0];
+  const std::vector<Part*> cores = fleet.of(PartKind::kCore);
+  Part& lone = *cores[seed % cores.size()];
+  for (const bool isCut : {true, false}) {
+    for (Part* core : cores) {
+      if (core == &lone) continue;
+      cutPair(fleet, *core, node, isCut);
+      cutPair(fleet, *core, lone, isCut);
+    }
+    const std::string order = absl::StrCat(R"({"base":)", isCut ? 1 : 2, R"(,"routes":[{"name":"kept-)", isCut ? 1 : 2,
+                                           R"(","kind":"whole","pool":"models"}]})");
+    if (isCut) {
+      fleet.run(3 * kSecondUs);
+      const Us askedUs = fleet.world().nowUs();
+      const Answer answer = asking.ask("PATCH", "/op/config", order);
+      expect(answer.status == 503 && answer.has(R"("taken":"no")"), seed, "a node beside a lone core takes nothing");
+      expect(fleet.world().nowUs() - askedUs <= 2400 * kMilliUs, seed, "and says so soon");
+      expect(asking.ask("GET", "/op/config").status == 503, seed, "and shows nothing");
+      expect(asking.ask("POST", "/op/zones/" + shape.zones[0] + "/evacuate").status == 503, seed, "nor evacuates");
+      expect(asking.ask("PATCH", "/op/config", order, 1).status == 200, seed, "the order is taken elsewhere");
+      fleet.run(15 * kSecondUs);
+    } else {
+      expect(asking.ask("GET", "/op/config").has(R"("base":2)"), seed, "it is shown on the return");
+      expect(asking.ask("PATCH", "/op/config", order).status == 200, seed, "and orders are taken there");
+    }
+  }
+}
+
 // A process of a crowd that knows the others by gossip alone.
 struct Peer {
   Peer(SimHost& given, GossipPlan plan)
@@ -144,6 +183,8 @@
 
 int main() {
   for (std::uint64_t seed = 1; seed <= 4; ++seed) retireOnReturn(seed, seed > 2);
+  for (std::uint64_t seed = 1; seed <= 4; ++seed)
+    nodeBesideLoneCore(seed, seed % 2 == 0 ? posilkaShape() : portaviaShape());
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
     seedsLost(seed, 1, 20 * kSecondUs);
     seedsLost(seed, 1, 40 * kSecondUs);  // longer than a record is kept
