--- a/src/simulator/checker.cc
+++ b/src/simulator/checker.cc
@@ -178,6 +178,7 @@
   judgeCold();
   for (const std::string& seen : terms.faults) fault(seen);
   for (const std::string& seen : entries.faults) fault(seen);
+  for (const std::string& seen : operators_.history.faults()) fault(seen);
 }
 
 double Checker::servedShare(Us fromUs, Us toUs, const std::string& zone) {
--- a/src/simulator/fault_schedule.cc
+++ b/src/simulator/fault_schedule.cc
@@ -7,6 +7,7 @@
 namespace stonemount {
 
 namespace {
+constexpr std::uint64_t kLostOneIn = 5;  // of the answers to operators
 constexpr Us kStepUs = 50 * kMilliUs;
 constexpr Address kOperatorWire{(127u << 24) | (1u << 16) | 240, 7000};
 constexpr Address kOperatorHttp{(127u << 24) | (1u << 16) | 240, 8000};
@@ -61,6 +62,7 @@
       checker_(fleet_, ledger_),
       chance_(seed ^ 0x5EED) {
   operatorHost_.rise();
+  ledger_.lostOneIn = kLostOneIn;
   fleet_.applied.connect(sigc::mem_fun(*this, &FaultSchedule::onApplied));
   for (int i = 0; i < 3; ++i) operators_.push_back(std::make_unique<SimOperator>(fleet_, operatorHost_, ledger_));
 }
--- a/src/simulator/fault_schedule_work.cc
+++ b/src/simulator/fault_schedule_work.cc
@@ -10,6 +10,7 @@
 constexpr Us kNoticeUs = kSecondUs;
 constexpr std::size_t kManyRoutes = 1500;
 constexpr std::uint32_t kCrowd = 60;
+constexpr int kRacers = 8;  // changes that are under way at once
 }  // namespace
 
 bool FaultSchedule::strikeWork(Fault fault, Us shortUs) {
@@ -80,8 +81,7 @@
       operators_[0]->pushRoutes(false, kManyRoutes);
       return true;
     case Fault::kRaceOfPushes:
-      operators_[0]->pushRoutes(false);
-      operators_[1]->pushRoutes(false);
+      for (int racer = 0; racer < kRacers; ++racer) operators_[racer % 2]->pushRoutes(false);
       return true;
     case Fault::kEvacuate:
     case Fault::kEvacuateHead: {
--- a/src/simulator/operators.cc
+++ b/src/simulator/operators.cc
@@ -6,6 +6,8 @@
 
 namespace {
 constexpr std::size_t kExtraRoutes = 40;
+constexpr std::size_t kTries = 4;
+constexpr char kConfiguration[] = "configuration";
 
 void usualRoutes(JsonOut& out) {
   out.object().field("name", "digest").field("kind", "stream").field("pool", "models").closeObject();
@@ -36,6 +38,21 @@
   co_return verdict;
 }
 
+Job<SimOperator::Told> SimOperator::order(std::string method, std::string path, Bytes body, std::size_t most) {
+  for (std::size_t tries = 0; tries < most; ++tries) {
+    const Us sentUs = fleet_.world().nowUs();
+    Job<HttpVerdict> asking = ask(method, path, body, 6 * kSecondUs);
+    const HttpVerdict verdict = co_await asking;
+    auto* whole = std::get_if<HttpWhole>(&verdict);
+    const bool lost = whole != nullptr && ledger_.lostOneIn > 0 && ports_.chance.oneIn(ledger_.lostOneIn);
+    ledger_.lost += lost ? 1 : 0;
+    if (whole != nullptr && !lost && whole->status < 500) co_return Told{whole->status, whole->body, sentUs};
+    Pause pause(ports_.timers, 300 * kMilliUs);
+    co_await pause;
+  }
+  co_return Told{};
+}
+
 void SimOperator::pushRoutes(bool first, std::size_t routes) { room_.start(push(first, routes)); }
 void SimOperator::createEvent(const std::string& name, Us openForUs) { room_.start(event(name, openForUs)); }
 void SimOperator::setZone(const std::string& name, bool evacuated) { room_.start(zone(name, evacuated)); }
@@ -47,12 +64,14 @@
 Task SimOperator::push(bool first, std::size_t routes) {
   Revision base = 0;
   if (!first) {
+    const Us sentUs = fleet_.world().nowUs();
     Job<HttpVerdict> showing = ask("GET", "/op/config", "", 5 * kSecondUs);
     const HttpVerdict shown = co_await showing;
     auto* whole = std::get_if<HttpWhole>(&shown);
     if (whole == nullptr || whole->status != 200) co_return;
     JsonVerdict read = parseJson(whole->body);
     if (auto* document = std::get_if<JsonDocument>(&read)) base = static_cast<Revision>(jsonNumber(*document, "base"));
+    ledger_.history.read(kConfiguration, base, 0, sentUs, fleet_.world().nowUs());
   }
   ++ledger_.pushes;
   JsonOut out;
@@ -65,19 +84,24 @@
     if (first) break;
   }
   out.closeArray().closeObject();
-  Job<HttpVerdict> pushing = ask(first ? "PUT" : "PATCH", "/op/config", out.take(), 6 * kSecondUs);
-  const HttpVerdict verdict = co_await pushing;
-  auto* whole = std::get_if<HttpWhole>(&verdict);
-  if (whole == nullptr || whole->status >= 500)
+  OrderNote note{OrderKind::kSwap, base, base + 1, 0, fleet_.world().nowUs()};
+  note.who = absl::StrCat("push ", ledger_.pushes);
+  const OrderHistory::Id id = ledger_.history.begin(kConfiguration, std::move(note));
+  Job<Told> pushing = order(first ? "PUT" : "PATCH", "/op/config", out.take(), kTries);
+  const Told told = co_await pushing;
+  const Us nowUs = fleet_.world().nowUs();
+  if (told.status == 0) {
     ++ledger_.unsure;
-  else if (whole->status == 409)
+  } else if (told.status == 409) {
     ++ledger_.conflicts;
-  else if (whole->status != 200)
+    ledger_.history.refused(kConfiguration, id, told.sentUs, nowUs);
+  } else if (told.status != 200) {
     ++ledger_.refused;
-  else {
-    JsonVerdict read = parseJson(whole->body);
+  } else {
+    ledger_.history.acknowledged(kConfiguration, id, nowUs);
+    JsonVerdict read = parseJson(told.body);
     if (auto* document = std::get_if<JsonDocument>(&read))
-      ledger_.configAcked.emplace(static_cast<Revision>(jsonNumber(*document, "config")), fleet_.world().nowUs());
+      ledger_.configAcked.emplace(static_cast<Revision>(jsonNumber(*document, "config")), nowUs);
   }
 }
 
@@ -103,12 +127,16 @@
     ledger_.zoneEvacuated.erase(name);
     ledger_.zoneRestoreAsked.insert(name);
   }
-  Job<HttpVerdict> asking =
-      ask("POST", "/op/zones/" + name + (evacuated ? "/evacuate" : "/restore"), "", 6 * kSecondUs);
-  const HttpVerdict verdict = co_await asking;
-  auto* whole = std::get_if<HttpWhole>(&verdict);
-  if (whole != nullptr && whole->status == 200 && evacuated && !ledger_.zoneRestoreAsked.contains(name))
-    ledger_.zoneEvacuated[name] = fleet_.world().nowUs();
+  const std::string path = "/op/zones/" + name + (evacuated ? "/evacuate" : "/restore");
+  OrderNote note{OrderKind::kWrite, 0, 0, evacuated ? 2u : 1u, fleet_.world().nowUs()};
+  note.who = path;
+  const OrderHistory::Id id = ledger_.history.begin(name, std::move(note));
+  // An evacuation is asked for once: it may be withdrawn before a second try comes to its end.
+  Job<Told> asking = order("POST", path, "", evacuated ? 1 : kTries);
+  const Told told = co_await asking;
+  if (told.status != 200) co_return;
+  ledger_.history.acknowledged(name, id, fleet_.world().nowUs());
+  if (evacuated && !ledger_.zoneRestoreAsked.contains(name)) ledger_.zoneEvacuated[name] = fleet_.world().nowUs();
 }
 
 Task SimOperator::end(std::string lot) {
--- a/src/simulator/operators.h
+++ b/src/simulator/operators.h
@@ -2,11 +2,15 @@
 #pragma once
 
 #include "simulator/fleet.h"
+#include "simulator/linearizability.h"
 
 namespace stonemount {
 
 struct OperatorLedger {
   std::map<Revision, Us> configAcked;  // when each was first acknowledged
+  OrderHistory history;                // of the configuration and of each zone; must be linearizable
+  std::uint64_t lostOneIn = 0;         // answers to orders that are lost on their way to the operator; 0: none
+  std::uint64_t lost = 0;
   std::uint64_t pushes = 0, conflicts = 0, unsure = 0, refused = 0;
   std::map<std::string, Us> zoneEvacuated;  // since when, where acknowledged
   std::set<std::string> zoneRestoreAsked;
@@ -32,6 +36,14 @@
   Task zone(std::string name, bool evacuated);
   Task end(std::string lot);
   Task voters(std::string path, Address add, Address remove);
+  // An order, sent as it was to one node after another until its answer is clear; 0: it never was. `sentUs`: when the
+  // try that was answered was sent.
+  struct Told {
+    int status = 0;
+    Bytes body;
+    Us sentUs = 0;
+  };
+  Job<Told> order(std::string method, std::string path, Bytes body, std::size_t most);
   Job<HttpVerdict> ask(std::string method, std::string path, Bytes body, Us limitUs);
   Fleet& fleet_;
   SimHost& host_;
--- a/tests/change_requests_test.cc
+++ b/tests/change_requests_test.cc
@@ -96,6 +96,8 @@
       machine = std::move(loaded);
     }
   }
+  const Revision days = kChanges - 16 * 410;  // sixteen of the target's days ago
+  expect(outcomeOf(machine, change(days, days + 1, days + 1)) == Outcome::kUnchanged, "of sixteen days");
   const Revision oldest = kChanges - TakenRequests::kTakenKept + 1;
   expect(outcomeOf(machine, change(oldest - 1, oldest, oldest)) == Outcome::kUnchanged, "the oldest that is kept");
   expect(outcomeOf(machine, change(oldest - 1, oldest, 7)) == Outcome::kConflict, "another under its number");
