--- a/src/simulator/checker.cc
+++ b/src/simulator/checker.cc
@@ -181,6 +181,7 @@
   for (const std::string& seen : duties.faults) fault(seen);
   for (const std::string& seen : entries.faults) fault(seen);
   for (const std::string& seen : operators_.faults) fault(seen);
+  for (const std::string& seen : operators_.history.faults()) fault(seen);
 }
 
 double Checker::servedShare(Us fromUs, Us toUs, const std::string& zone) {
