--- a/src/config/config_check.cc
+++ b/src/config/config_check.cc
@@ -113,7 +113,7 @@
     const std::string field = absl::StrCat("/", list, "/", place++);
     if (whole) return ConfigFault{field, "only a patch removes; a push is the whole"};
     if (named.contains(given.GetString())) return ConfigFault{field, absl::StrCat("is also given under ", beside)};
-    removed.push_back(given.GetString());
+    removed.emplace_back(given.GetString());
   }
   return std::nullopt;
 }
--- a/src/control/core.cc
+++ b/src/control/core.cc
@@ -17,7 +17,7 @@
       store_(ports, rpc_, {}),
       election_(ports, rpc_, room_, plan.election),
       sampler_(ports, rpc_, room_, election_, store_, replica_, plan.gauge),
-      rebuilder_(ports, rpc_, gossip_, core_, machine_),
+      rebuilder_(rpc_, gossip_, core_, machine_),
       ownList_(ports, settings_.platform),
       workerDiscovery_(core_, machine_, plan.list != nullptr ? plan.list : &ownList_),
       operators_(ports, core_),
--- a/src/node/operators.cc
+++ b/src/node/operators.cc
@@ -33,7 +33,7 @@
     sendVerdict(reply, 400, "bad_json", {{"at", absl::StrCat(bad->offset)}});
     return std::nullopt;
   }
-  JsonDocument& document = std::get<JsonDocument>(read);
+  auto& document = std::get<JsonDocument>(read);
   if (schema != nullptr) {
     if (std::optional<SchemaFault> fault = checkSchema(schema, document)) {
       sendVerdict(reply, 400, "bad_request", {{"field", fault->field}, {"why", fault->keyword}});
--- a/src/restore/rebuild.h
+++ b/src/restore/rebuild.h
@@ -10,13 +10,12 @@
 
 class Rebuilder {
  public:
-  Rebuilder(Ports& ports, RpcEndpoint& rpc, Gossip& gossip, ChainClient& core, const ControlMachine& machine)
-      : ports_(ports), rpc_(rpc), gossip_(gossip), core_(core), machine_(machine) {}
+  Rebuilder(RpcEndpoint& rpc, Gossip& gossip, ChainClient& core, const ControlMachine& machine)
+      : rpc_(rpc), gossip_(gossip), core_(core), machine_(machine) {}
   // One look; does nothing unless control is empty and some node knows more.
   Job<Done> look();
 
  private:
-  Ports& ports_;
   RpcEndpoint& rpc_;
   Gossip& gossip_;
   ChainClient& core_;
