--- a/src/membership/membership_manager.cc
+++ b/src/membership/membership_manager.cc
@@ -123,7 +123,8 @@
     if (pong == nullptr || findMember(view, record.wire) != nullptr || record.draining) continue;
     if (role == Role::kStore && machine_.orders().retires(record.wire, record.machine)) continue;
     const bool waits = pong->state == ReplicaState::kOutside || pong->state == ReplicaState::kBootstrapping;
-    if (waits && diskAnswers(*pong, plan_.watch.lateUs)) need.fit.push_back({record.wire, pong->incarnation, record.zone});
+    if (waits && diskAnswers(*pong, plan_.watch.lateUs))
+      need.fit.push_back({record.wire, pong->incarnation, record.zone});
   }
   return need;
 }
--- a/src/simulator/sim_disk.h
+++ b/src/simulator/sim_disk.h
@@ -25,8 +25,8 @@
   void corrupt(Chance& chance);  // one byte of what had lasted
   Us extraUs = 0;                // a slow disk
   Us stalledUntilUs = 0;         // a stalled one
-  bool failing = false;       // neither reads nor writes
-  bool full = false;          // takes no more bytes
+  bool failing = false;          // neither reads nor writes
+  bool full = false;             // takes no more bytes
 
  private:
   friend class SyncEvent;
