--- a/tests/orders_test.cc
+++ b/tests/orders_test.cc
@@ -119,6 +119,32 @@
   rig.expect(!rig.cores[other].core->machine().state().evacuated("z2"),
              absl::StrCat("it stays taken back, seed ", seed, ", the late one was answered ", first.status));
 }
+// What a core sends says which order for the zone was the newest when the call came in.
+struct ZoneOrders : sigc::trackable {
+  void note(const Entry& entry) {
+    auto read = unpack<ControlCommand>(entry.command);
+    auto* command = std::get_if<ControlCommand>(&read);
+    if (command != nullptr && std::holds_alternative<SetZoneSince>(*command))
+      seen.push_back(std::get<SetZoneSince>(*command).seen);
+  }
+  std::vector<Revision> seen;
+};
+
+void ordersCarryWhatWasSeen(std::uint64_t seed) {
+  OrdersRig orders(seed);
+  ZoneOrders sent;
+  for (PlatformRig::CoreProcess& one : orders.rig.cores)
+    one.core->replica().taken.connect(sigc::mem_fun(sent, &ZoneOrders::note));
+  const ControlMachine& machine = orders.rig.cores[0].core->machine();
+  std::vector<Revision> wanted;
+  for (int i = 0; i < 6; ++i) {
+    wanted.push_back(machine.zoneOrdered("z2"));
+    orders.evacuation("z2", i % 2 == 0);
+    orders.settle();
+    orders.step(100 * kMilliUs);
+  }
+  orders.rig.expect(sent.seen == wanted && wanted.back() > wanted.front(), "each order carries what its core knew");
+}
 }  // namespace
 
 int main() {
@@ -126,6 +152,7 @@
   for (std::uint64_t seed = 1; seed <= 2; ++seed) storm(seed);
   for (std::uint64_t seed = 1; seed <= 10; ++seed) underFaults(seed);
   for (std::uint64_t seed = 1; seed <= 12; ++seed) lateTwin(seed);
+  ordersCarryWhatWasSeen(1);
   std::printf("%d passed, %d failed\n", PlatformRig::passed, PlatformRig::failed);
   return PlatformRig::failed == 0 ? 0 : 1;
 }
