--- a/src/control/control_machine.h
+++ b/src/control/control_machine.h
@@ -15,6 +15,7 @@
   // Only a configuration with more in it. Evacuations, worker lists, orders and removals go on where the ring is
   // tight: they are small, and the last of them is the way out.
   bool enlarges(const Bytes& command) const override;
+  bool takesLong() const override { return true; }  // a push of 10,000 routes is one command
   Bytes save() const override;
   // Also reads the format before this one, which kept no more than 256 requests and none of what it forgot.
   bool load(const Bytes& state) override;
