--- a/tests/answer_once_test.cc
+++ b/tests/answer_once_test.cc
@@ -120,7 +120,8 @@
     count = std::stoull(parts.at(1));
   }
   std::size_t whole = 0, failures = 0, promises = 0, partial = 0, resumed = 0, items = 0, reused = 0;
-  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+  constexpr int kEnough = 50;  // a fault that is there in every day is told by a few of them
+  for (std::uint64_t seed = first; seed < first + count && failed < kEnough; ++seed) {
     AnswerRig rig(seed);
     const bool ended = rig.run();
     ++(ended ? passed : failed);
