--- a/src/adapters/http_in.cc
+++ b/src/adapters/http_in.cc
@@ -1,5 +1,3 @@
-#include <absl/strings/ascii.h>
-#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <event2/buffer.h>
@@ -29,14 +27,6 @@
   return {static_cast<time_t>(limits.idleUs / kSecondUs), static_cast<suseconds_t>(limits.idleUs % kSecondUs)};
 }
 
-// Where a body ends must not be open to two readings: what one takes for the body is the next request to the other.
-bool framedOnce(const HeaderMap& headers) {
-  const auto length = headers.find("content-length");
-  const auto coding = headers.find("transfer-encoding");
-  if (coding != headers.end()) return length == headers.end() && absl::EqualsIgnoreCase(coding->second, "chunked");
-  return length == headers.end() || std::all_of(length->second.begin(), length->second.end(), absl::ascii_isdigit);
-}
-
 enum class ReplyState {
   kOpen,   // nothing of the answer was begun
   kBegun,  // head sent, more to come
@@ -251,7 +241,7 @@
   if (ask.target.empty() || ask.target.front() != '/')  // a whole URI names the host besides
     ask.target = query != nullptr ? absl::StrCat(ask.path, "?", query) : ask.path;
   joinPairs(evhttp_request_get_input_headers(request), ask.headers);
-  if (!framedOnce(ask.headers)) return reply->refuse(400);
+  if (!httpFramedOnce(ask.headers)) return reply->refuse(400);
   ask.headers.erase("expect");  // answered here
   ask.body.resize(evbuffer_get_length(input));
   evbuffer_remove(input, ask.body.data(), ask.body.size());
--- a/src/adapters/http_text.cc
+++ b/src/adapters/http_text.cc
@@ -165,4 +165,11 @@
   return target;
 }
 
+bool httpFramedOnce(const HeaderMap& headers) {
+  const auto length = headers.find("content-length");
+  const auto coding = headers.find("transfer-encoding");
+  if (coding != headers.end()) return length == headers.end() && absl::EqualsIgnoreCase(coding->second, "chunked");
+  return length == headers.end() || std::all_of(length->second.begin(), length->second.end(), absl::ascii_isdigit);
+}
+
 }  // namespace stonemount
--- a/src/adapters/http_text.h
+++ b/src/adapters/http_text.h
@@ -19,6 +19,8 @@
 // A head that begins with the cut end of another answer: left over on the channel, it ran on into the status line
 // or a header of the answer that came behind it. Its status or headers may be the other's.
 bool httpHeadsJoined(const evhttp_request* request);
+// Where a body ends must not be open to two readings: what one takes for the body is the next request to the other.
+bool httpFramedOnce(const HeaderMap& headers);
 // What is sent as the request's target: path and query, the latter encoded.
 std::string httpTarget(const HttpAsk& ask);
 
