--- a/src/simulator/exploration.cc
+++ b/src/simulator/exploration.cc
@@ -12,19 +12,20 @@
 constexpr Us kLongDownUs = 1200 * kMilliUs;
 constexpr std::size_t kHeldSteps = 3;
 
-const std::vector<Fault>& frameFaults() {
-  static const std::vector<Fault> faults = {Fault::kDrop,      Fault::kDuplicate, Fault::kDuplicateLate, Fault::kDelay,
-                                            Fault::kDelayLong, Fault::kCutOneWay, Fault::kIsolate,       Fault::kFreeze,
-                                            Fault::kCrash,     Fault::kCrashLong, Fault::kPowerLoss,     Fault::kWipe};
+const std::vector<StepFault>& frameFaults() {
+  static const std::vector<StepFault> faults = {StepFault::kDrop,      StepFault::kDuplicate, StepFault::kDuplicateLate,
+                                                StepFault::kDelay,     StepFault::kDelayLong, StepFault::kCutOneWay,
+                                                StepFault::kIsolate,   StepFault::kFreeze,    StepFault::kCrash,
+                                                StepFault::kCrashLong, StepFault::kPowerLoss, StepFault::kWipe};
   return faults;
 }
-const std::vector<Fault>& clientFrameFaults() {
-  static const std::vector<Fault> faults = {Fault::kDrop, Fault::kDuplicateLate, Fault::kDelayLong};
+const std::vector<StepFault>& clientFrameFaults() {
+  static const std::vector<StepFault> faults = {StepFault::kDrop, StepFault::kDuplicateLate, StepFault::kDelayLong};
   return faults;
 }
-const std::vector<Fault>& syncFaults() {
-  static const std::vector<Fault> faults = {Fault::kSyncFails, Fault::kSyncStalls, Fault::kSyncLost, Fault::kSyncTorn,
-                                            Fault::kSyncThenPower};
+const std::vector<StepFault>& syncFaults() {
+  static const std::vector<StepFault> faults = {StepFault::kSyncFails, StepFault::kSyncStalls, StepFault::kSyncLost,
+                                                StepFault::kSyncTorn, StepFault::kSyncThenPower};
   return faults;
 }
 
@@ -42,7 +43,7 @@
 };
 }  // namespace
 
-const char* faultText(Fault fault) {
+const char* stepFaultText(StepFault fault) {
   static const char* const texts[] = {"drop",        "duplicate",      "duplicate_late", "delay",       "delay_long",
                                       "cut_one_way", "isolate",        "freeze",         "crash",       "crash_long",
                                       "power_loss",  "wipe",           "sync_fails",     "sync_stalls", "sync_lost",
@@ -53,7 +54,7 @@
 std::string choicesText(const Choices& choices) {
   std::string text;
   for (const Choice& choice : choices)
-    absl::StrAppend(&text, text.empty() ? "" : " ", choice.step, ":", faultText(choice.fault));
+    absl::StrAppend(&text, text.empty() ? "" : " ", choice.step, ":", stepFaultText(choice.fault));
   return text.empty() ? "none" : text;
 }
 
@@ -89,7 +90,7 @@
 }
 
 // Numbers the step; tells which fault, if any, was chosen for it.
-std::optional<Fault> Exploration::next(Step step) {
+std::optional<StepFault> Exploration::next(Step step) {
   const std::size_t number = steps_.size();
   steps_.push_back(std::move(step));
   if (chosen_ >= choices_.size() || choices_[chosen_].step != number) return std::nullopt;
@@ -109,7 +110,7 @@
   const std::uint16_t kind = envelope != nullptr ? envelope->kind : 0;
   if (blocked_ && blocked_->first == wire.host().place() && blocked_->second == kind) return;
   Step step{false, kind, wire.host().place(), wire.member(), wire.member() ? frameFaults() : clientFrameFaults()};
-  const std::optional<Fault> fault = next(std::move(step));
+  const std::optional<StepFault> fault = next(std::move(step));
   if (fault)
     happens(*fault, wire, peer, frame);
   else
@@ -129,40 +130,40 @@
   world_.schedule(world_.nowUs() + delayUs, &wire.host(), std::make_unique<LateFrame>(wire, peer, frame));
 }
 
-void Exploration::happens(Fault fault, ExplorationWire& wire, const Address& peer, const Bytes& frame) {
+void Exploration::happens(StepFault fault, ExplorationWire& wire, const Address& peer, const Bytes& frame) {
   const std::size_t place = wire.host().place();
   const Us untilUs = world_.nowUs() + kCutUs;
   switch (fault) {
-    case Fault::kDuplicate:
+    case StepFault::kDuplicate:
       wire.deliver(peer, frame);
       return later(wire, peer, frame, 0);
-    case Fault::kDuplicateLate:
+    case StepFault::kDuplicateLate:
       wire.deliver(peer, frame);
       return later(wire, peer, frame, kLateUs);
-    case Fault::kDelay:
+    case StepFault::kDelay:
       return held_.push_back({&wire, peer, frame, steps_.size() + kHeldSteps, wire.host().life()});
-    case Fault::kDelayLong:
+    case StepFault::kDelayLong:
       return later(wire, peer, frame, kLateUs);
-    case Fault::kCutOneWay:
+    case StepFault::kCutOneWay:
       cutUntilUs_[{peer, wire.self()}] = untilUs;
       return;
-    case Fault::kIsolate:
+    case StepFault::kIsolate:
       for (const auto& [address, other] : wires_) {
         if (!other->member() || other == &wire) continue;
         cutUntilUs_[{address, wire.self()}] = cutUntilUs_[{wire.self(), address}] = untilUs;
       }
       return;
-    case Fault::kFreeze:
+    case StepFault::kFreeze:
       wire.deliver(peer, frame);
       wire.host().frozenUntilUs = untilUs;
       return;
-    case Fault::kCrash:
+    case StepFault::kCrash:
       return owner_.stopProcess(place, DiskLoss::kNothing, kShortDownUs);
-    case Fault::kCrashLong:
+    case StepFault::kCrashLong:
       return owner_.stopProcess(place, DiskLoss::kNothing, kLongDownUs);
-    case Fault::kPowerLoss:
+    case StepFault::kPowerLoss:
       return owner_.stopProcess(place, DiskLoss::kUnsynced, kDownUs);
-    case Fault::kWipe:
+    case StepFault::kWipe:
       if (!owner_.mayWipe(place)) return wire.deliver(peer, frame);
       return owner_.stopProcess(place, DiskLoss::kAll, kDownUs);
     default:  // the frame is dropped
@@ -172,18 +173,18 @@
 
 SyncFate Exploration::syncing(std::size_t place) {
   if (!open_) return SyncFate::kLasts;
-  const std::optional<Fault> fault = next(Step{true, 0, place, true, syncFaults()});
+  const std::optional<StepFault> fault = next(Step{true, 0, place, true, syncFaults()});
   if (!fault) return SyncFate::kLasts;
   switch (*fault) {
-    case Fault::kSyncFails:
+    case StepFault::kSyncFails:
       return SyncFate::kFails;
-    case Fault::kSyncStalls:
+    case StepFault::kSyncStalls:
       return SyncFate::kStalls;
-    case Fault::kSyncLost:
+    case StepFault::kSyncLost:
       return SyncFate::kLostWithPower;
-    case Fault::kSyncTorn:
+    case StepFault::kSyncTorn:
       return SyncFate::kTornWithPower;
-    case Fault::kSyncThenPower:
+    case StepFault::kSyncThenPower:
       return SyncFate::kLastsThenPower;
     default:
       return SyncFate::kLasts;
--- a/src/simulator/exploration.h
+++ b/src/simulator/exploration.h
@@ -12,7 +12,7 @@
 
 // At the delivery of a frame: to the frame, to its connection, or to the machine that is about to receive it.
 // At a sync: to the sync, or to its machine.
-enum class Fault : std::uint8_t {
+enum class StepFault : std::uint8_t {
   kDrop,           // the frame never comes
   kDuplicate,      // it comes twice, one right after the other
   kDuplicateLate,  // it comes again after 900 ms
@@ -31,21 +31,21 @@
   kSyncTorn,
   kSyncThenPower,
 };
-const char* faultText(Fault fault);
+const char* stepFaultText(StepFault fault);
 
 struct Choice {
   std::size_t step = 0;
-  Fault fault = Fault::kDrop;
+  StepFault fault = StepFault::kDrop;
 };
 using Choices = std::vector<Choice>;
 std::string choicesText(const Choices& choices);
 
 struct Step {
   bool sync = false;
-  std::uint16_t kind = 0;     // of the frame
-  std::size_t place = 0;      // the receiver's, or the disk's
-  bool toMember = true;       // else to a client, whose machine has no faults of its own
-  std::vector<Fault> faults;  // what may happen here
+  std::uint16_t kind = 0;         // of the frame
+  std::size_t place = 0;          // the receiver's, or the disk's
+  bool toMember = true;           // else to a client, whose machine has no faults of its own
+  std::vector<StepFault> faults;  // what may happen here
 };
 
 // Ends processes and starts them again later.
@@ -105,9 +105,9 @@
     std::size_t untilStep;
     std::uint64_t life;  // of the process that it is for
   };
-  std::optional<Fault> next(Step step);
+  std::optional<StepFault> next(Step step);
   void onHeard(ExplorationWire& wire, const Address& peer, const Bytes& frame);
-  void happens(Fault fault, ExplorationWire& wire, const Address& peer, const Bytes& frame);
+  void happens(StepFault fault, ExplorationWire& wire, const Address& peer, const Bytes& frame);
   void later(ExplorationWire& wire, const Address& peer, const Bytes& frame, Us delayUs);
   bool isCut(const ExplorationWire& wire, const Address& peer);
   void releaseHeld();
--- a/tests/election_model_test.cc
+++ b/tests/election_model_test.cc
@@ -149,7 +149,7 @@
   const std::size_t from = before.empty() ? 0 : before.back().step + 1;
   for (std::size_t i = from; i < steps.size() && well; ++i) {
     if (i % stride != 0) continue;
-    for (const Fault fault : steps[i].faults) {
+    for (const StepFault fault : steps[i].faults) {
       Choices choices = before;
       choices.push_back({i, fault});
       if (well && deeper > 1) explore(early, choices, deeper - 1, stride);
--- a/tests/replication_model_test.cc
+++ b/tests/replication_model_test.cc
@@ -62,18 +62,18 @@
 }
 
 // The faults of which pairs are made: one of each kind of loss.
-bool paired(Fault fault) {
+bool paired(StepFault fault) {
   switch (fault) {
-    case Fault::kDuplicateLate:
-    case Fault::kDelayLong:
-    case Fault::kCutOneWay:
-    case Fault::kIsolate:
-    case Fault::kFreeze:
-    case Fault::kCrashLong:
-    case Fault::kPowerLoss:
-    case Fault::kWipe:
-    case Fault::kSyncFails:
-    case Fault::kSyncThenPower:
+    case StepFault::kDuplicateLate:
+    case StepFault::kDelayLong:
+    case StepFault::kCutOneWay:
+    case StepFault::kIsolate:
+    case StepFault::kFreeze:
+    case StepFault::kCrashLong:
+    case StepFault::kPowerLoss:
+    case StepFault::kWipe:
+    case StepFault::kSyncFails:
+    case StepFault::kSyncThenPower:
       return true;
     default:
       return false;
@@ -90,7 +90,7 @@
   for (std::size_t i = 0; i < steps.size() && explorer.well; ++i) {
     const bool changes = changesState(steps[i]);
     if ((changes ? busy++ : idle++) % (changes ? stride : stride * idleStride) != 0) continue;
-    for (const Fault fault : steps[i].faults)
+    for (const StepFault fault : steps[i].faults)
       if (explorer.well) explorer.run({{i, fault}});
   }
   return explorer.well;
@@ -102,7 +102,7 @@
   for (std::size_t i = 0; i < steps.size(); ++i) {
     if (!changesState(steps[i])) continue;
     if (number++ % stride != 0 || i < from) continue;
-    for (const Fault fault : steps[i].faults)
+    for (const StepFault fault : steps[i].faults)
       if (paired(fault)) found.push_back({i, fault});
   }
   return found;
@@ -166,9 +166,9 @@
     const std::size_t end = std::min(text.find(' ', at), text.size());
     const std::string word = text.substr(at, end - at);
     const std::size_t colon = word.find(':');
-    for (int i = 0; i <= static_cast<int>(Fault::kSyncThenPower) && colon != std::string::npos; ++i)
-      if (word.substr(colon + 1) == faultText(static_cast<Fault>(i)))
-        choices.push_back({std::stoul(word.substr(0, colon)), static_cast<Fault>(i)});
+    for (int i = 0; i <= static_cast<int>(StepFault::kSyncThenPower) && colon != std::string::npos; ++i)
+      if (word.substr(colon + 1) == stepFaultText(static_cast<StepFault>(i)))
+        choices.push_back({std::stoul(word.substr(0, colon)), static_cast<StepFault>(i)});
     at = end + 1;
   }
   return choices;
