A request that is given up is taken back by a reset, so that none arrives after a cut

An ordinary close leaves what was written with the kernel, which sent it on after the cut, 5.7 s after the zone's evacuation was acknowledged. Ruled out: news of the evacuation (all seven nodes had it 1 ms after), opposed orders. A connection that is closed with its request not ended is now reset: bytes on their way are dropped. Test: http_out_test, which fails with the line taken out. The simulator's rest can be longer (for faulty_workers_test).

--- a/src/adapters/http_channels.cc
+++ b/src/adapters/http_channels.cc
@@ -2,6 +2,7 @@
 
 #include <event2/bufferevent.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -30,7 +31,16 @@
   evhttp_connection_set_closecb(connection_, &HttpChannel::onClose, this);
 }
 
+// Bytes that the server has not confirmed would be sent on after an ordinary close, for as long as its machine is cut
+// off: a request that was given up would reach it long after. A reset takes them back.
+void HttpChannel::takeBackUnconfirmed() {
+  const linger none{1, 0};
+  const int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection_));
+  if (socket >= 0) setsockopt(socket, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+}
+
 HttpChannel::~HttpChannel() {
+  if (rider_ != nullptr) takeBackUnconfirmed();
   evhttp_connection_set_closecb(connection_, nullptr, nullptr);
   evbuffer_remove_cb_entry(output_, watch_);
   evhttp_connection_free(connection_);
--- a/src/adapters/http_channels.h
+++ b/src/adapters/http_channels.h
@@ -45,6 +45,7 @@
   evhttp_connection* connection_ = nullptr;
   evbuffer* output_ = nullptr;
   evbuffer_cb_entry* watch_ = nullptr;
+  void takeBackUnconfirmed();
   HttpRider* rider_ = nullptr;  // none: it is kept
   static constexpr std::size_t kCarried = 64;
   std::deque<std::uint64_t> carried_;  // the newest names, hashed
--- a/src/simulator/checker.h
+++ b/src/simulator/checker.h
@@ -65,6 +65,7 @@
   double servedShare(Us fromUs, Us toUs, const std::string& zone = "");
   // All that can come back was back at this moment; the limits after it are judged from here.
   void backSince(Us atUs) { backUs_ = atUs; }
+  Us backUs() const { return backUs_; }
   void restUntil(Us atUs) { restUs_ = atUs; }
   TermChecker terms;
   EntryChecker entries;
--- a/src/simulator/fault_schedule.h
+++ b/src/simulator/fault_schedule.h
@@ -59,7 +59,8 @@
 struct FaultSchedulePlan {
   Us lengthUs = 40 * kSecondUs;
   Us everyUs = 1500 * kMilliUs;
-  std::vector<Fault> faults;  // empty: any
+  std::vector<Fault> faults;   // empty: any
+  Us restUs = 17 * kSecondUs;  // after all is back; what is served is judged from 12 s on until its end
   Us settleUs = 200 * kSecondUs;
   bool lateFault = true;   // one more, just before the end
   bool lastStays = false;  // and, with all else healed, a machine, a disk or a zone that never comes back
--- a/src/simulator/fault_schedule_run.cc
+++ b/src/simulator/fault_schedule_run.cc
@@ -66,7 +66,7 @@
   if (plan_.lastStays) lastFault();
   const Us backUs = fleet_.world().nowUs();
   checker_.backSince(backUs);
-  step(17 * kSecondUs);
+  step(plan_.restUs);
   checker_.restUntil(fleet_.world().nowUs());
   fleet_.stopCallers();
   while (fleet_.world().nowUs() < backUs + plan_.settleUs && !fleet_.callersDone()) step(500 * kMilliUs);
--- a/tests/http_out_test.cc
+++ b/tests/http_out_test.cc
@@ -177,6 +177,21 @@
   UNTIL(rig.loop, fourth.over() && rig.end(2).gone);
   EXPECT(fourth.ended && rig.kept() == 0);
 }
+// A request that is given up is taken back: what its server has not confirmed by then must not reach it later.
+void givenUpIsTakenBack() {
+  OutRig rig;
+  HttpAsk large = rig.ask();
+  large.body = Bytes(32 << 20, 'b');
+  auto given = std::make_unique<Gathered>(rig.out.open(rig.server.address, large, rig.via()));
+  UNTIL(rig.loop, rig.server.ends.size() == 1 && rig.end(0).has("bbb"));
+  rig.end(0).setReading(false);  // its buffers fill, the rest waits with the sender
+  const Us fromUs = rig.loop.monoUs();
+  UNTIL(rig.loop, rig.loop.monoUs() - fromUs > 50 * kMilliUs);
+  given.reset();
+  rig.end(0).setReading(true);
+  UNTIL(rig.loop, rig.end(0).gone);
+  EXPECT(rig.end(0).wasReset && rig.end(0).heard.size() < large.body.size());
+}
 }  // namespace
 
 int main() {
@@ -187,6 +202,7 @@
   surplusReachesNobody();
   largeAndSlow();
   nameRidesOnce();
+  givenUpIsTakenBack();
   bounds();
   return closingLine();
 }
--- a/tests/raw_peer.h
+++ b/tests/raw_peer.h
@@ -71,11 +71,13 @@
     setsockopt(socket_, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
     close();
   }
+  void setReading(bool reads) { (reads ? bufferevent_enable : bufferevent_disable)(channel_, EV_READ); }
   bool has(const std::string& text) const { return heard.find(text) != std::string::npos; }
   std::string take() { return std::exchange(heard, {}); }
   std::string heard;
   bool connected = true;
   bool gone = false;
+  bool wasReset = false;  // gone by a reset: what was still on its way is lost
 
  private:
   static void onRead(bufferevent* channel, void* given) {
@@ -87,6 +89,7 @@
   }
   static void onEvent(bufferevent*, short what, void* given) {
     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) static_cast<RawEnd*>(given)->gone = true;
+    if (what & BEV_EVENT_ERROR) static_cast<RawEnd*>(given)->wasReset = true;
   }
   int socket_;
   bufferevent* channel_;
