A stop says why it ended, how many requests were open and how many it had taken

The stop moves out of cli/process.cc into node/graceful_stop, on the clock and timer ports, so that a test can drive it. Ruled out: a change of behaviour; times and conditions are as they were.

--- a/src/cli/process.cc
+++ b/src/cli/process.cc
@@ -17,6 +17,7 @@
 #include "cli/flags.h"
 #include "cli/settings_watch.h"
 #include "control/core.h"
+#include "node/graceful_stop.h"
 #include "node/node.h"
 #include "platform/front.h"
 #include "platform/operator.h"
@@ -77,45 +78,28 @@
   return (static_cast<std::uint64_t>(device()) << 32) ^ device();
 }
 
-// A node that is told to end finishes what it has, for a while. Where callers are sent by a platform that
-// first has to see that it is not ready any more, those that still come until then are served too.
-class NodeFarewell : public Continuation {
+constexpr Us kNoticeUs = 2800 * kMilliUs;  // until those who send callers have seen that a node leaves
+
+// A node as that which drains. `front`, `frontIn`: none where no platform sends callers.
+class NodeServer : public DrainingServer {
  public:
-  NodeFarewell(Loop& loop, Node& node, platform::Front* front, Us graceUs)
-      : loop_(loop), node_(node), front_(front), graceUs_(graceUs) {
-    loop_.farewell = this;
-  }
-  void watch(HttpInEv& frontIn) { frontIn_ = &frontIn; }  // it is done once every answer has left
-  ~NodeFarewell() override {
-    loop_.farewell = nullptr;
-    loop_.disarm(*this);
-  }
-  void proceed() override {
-    const Us nowUs = loop_.monoUs();
-    if (untilUs_ == 0) {
-      logEvent("draining", {});
-      node_.drain();
-      if (front_ != nullptr) front_->drain();
-      untilUs_ = nowUs + graceUs_ - kLastUs;
-      quietFromUs_ = nowUs + (front_ != nullptr ? std::min(kUnseenUs, graceUs_ / 2) : 0);
-    }
-    const bool idle = node_.idle() && (frontIn_ == nullptr || frontIn_->openRequests() == 0);
-    if ((idle && nowUs >= quietFromUs_) || nowUs >= untilUs_)
-      loop_.stop();
-    else
-      loop_.arm(50 * kMilliUs, *this);
+  NodeServer(Loop& loop, Node& node, platform::Front* front, const HttpInEv* frontIn)
+      : loop_(loop), node_(node), front_(front), frontIn_(frontIn) {}
+  void drain() override {
+    node_.drain();
+    if (front_ != nullptr) front_->drain();
   }
+  // It is done once every answer has left.
+  bool idle() const override { return node_.idle() && openRequests() == 0; }
+  std::size_t openRequests() const override { return frontIn_ == nullptr ? 0 : frontIn_->openRequests(); }
+  std::uint64_t takenWhileDraining() const override { return front_ == nullptr ? 0 : front_->takenWhileDraining(); }
+  void stop() override { loop_.stop(); }
 
  private:
-  static constexpr Us kLastUs = 700 * kMilliUs;     // of the grace, kept for the end itself
-  static constexpr Us kUnseenUs = 2800 * kMilliUs;  // until those who send callers have seen it
   Loop& loop_;
   Node& node_;
   platform::Front* front_;
-  HttpInEv* frontIn_ = nullptr;
-  Us graceUs_;
-  Us untilUs_ = 0;
-  Us quietFromUs_ = 0;
+  const HttpInEv* frontIn_;
 };
 
 // `watch`: none where no file tells the settings.
@@ -171,9 +155,11 @@
   std::unique_ptr<platform::Front> front;
   if (settings.front.set())
     front = std::make_unique<platform::Front>(node, frontIn, settings.readiness.set() ? &readinessIn : nullptr);
-  NodeFarewell farewell(loop, node, front.get(), settings.bounds.graceUs);
-  if (front != nullptr) farewell.watch(frontIn);
+  NodeServer server(loop, node, front.get(), front != nullptr ? &frontIn : nullptr);
+  GracefulStop stopping(loop, loop, server, {settings.bounds.graceUs, front != nullptr ? kNoticeUs : 0});
+  loop.farewell = &stopping;
   serve(loop, node, watch);
+  loop.farewell = nullptr;
   return 0;
 }
 
--- /dev/null
+++ b/src/node/graceful_stop.cc
@@ -0,0 +1,42 @@
+#include "node/graceful_stop.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace stonemount {
+
+namespace {
+constexpr Us kLookUs = 50 * kMilliUs;
+constexpr Us kLastUs = 700 * kMilliUs;  // of the grace, kept for the end itself
+
+const char* reasonText(StopReason reason) { return reason == StopReason::kIdle ? "idle" : "grace_spent"; }
+}  // namespace
+
+GracefulStop::GracefulStop(Clock& clock, Timers& timers, DrainingServer& server, GracefulStopPlan plan)
+    : clock_(clock), timers_(timers), server_(server), plan_(plan) {}
+
+GracefulStop::~GracefulStop() { timers_.disarm(*this); }
+
+void GracefulStop::proceed() {
+  const Us nowUs = clock_.monoUs();
+  if (!begunUs_) begin(nowUs);
+  const Us sinceUs = nowUs - *begunUs_;
+  if (sinceUs >= plan_.graceUs - kLastUs) return stop(StopReason::kGraceSpent, nowUs);
+  if (server_.idle() && sinceUs >= std::min(plan_.noticeUs, plan_.graceUs / 2)) return stop(StopReason::kIdle, nowUs);
+  timers_.arm(kLookUs, *this);
+}
+
+void GracefulStop::begin(Us nowUs) {
+  begunUs_ = nowUs;
+  logEvent("draining", {});
+  server_.drain();
+}
+
+void GracefulStop::stop(StopReason reason, Us nowUs) {
+  logEvent("drained", {{"why", reasonText(reason)},
+                       {"afterMs", absl::StrCat((nowUs - *begunUs_) / kMilliUs)},
+                       {"open", absl::StrCat(server_.openRequests())},
+                       {"takenWhileDraining", absl::StrCat(server_.takenWhileDraining())}});
+  server_.stop();
+}
+
+}  // namespace stonemount
