graceful_stop_test: a stopping node that takes requests to the end cuts them (known red)

The seam that the mend needs is here (DrainingServer::refuseNew, Gateway, Front) but nothing calls it yet.

--- a/src/cli/process.cc
+++ b/src/cli/process.cc
@@ -89,6 +89,7 @@
     node_.drain();
     if (front_ != nullptr) front_->drain();
   }
+  void refuseNew() override { node_.refuseNew(); }
   // It is done once every answer has left.
   bool idle() const override { return node_.idle() && openRequests() == 0; }
   std::size_t openRequests() const override { return frontIn_ == nullptr ? 0 : frontIn_->openRequests(); }
--- a/src/node/graceful_stop.h
+++ b/src/node/graceful_stop.h
@@ -12,6 +12,8 @@
   virtual ~DrainingServer() = default;
   // Says to all who choose among servers that this one is leaving; callers that come are still served.
   virtual void drain() = 0;
+  // From now on no request is taken: callers that come are refused at once, and told when to come back.
+  virtual void refuseNew() = 0;
   // No request that was taken is under way, in any part of the process.
   virtual bool idle() const = 0;
   // Requests of callers that were read and whose answers are not with the kernel yet.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -74,6 +74,10 @@
   if (gateway_ != nullptr) gateway_->drain();
 }
 
+void Node::refuseNew() {
+  if (gateway_ != nullptr) gateway_->refuseNew();
+}
+
 bool Node::idle() const {
   const bool passing = gateway_ != nullptr && (gateway_->holding() > 0 || gateway_->relaying() > 0);
   const bool taking = lotService_ != nullptr && !lotService_->idle();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -29,6 +29,9 @@
   ~Node();
   void begin();
   void drain();
+  // Draining, it takes no more requests of callers either; those it has go on to their end.
+  void refuseNew();
+  bool admits() const { return gateway_ == nullptr || gateway_->admits(); }
   bool idle() const;
   // Takes requests: it knows a configuration, is not leaving, and does not go by news from before a freeze.
   bool ready() const { return configCache_.ready() && !draining_ && board_.awake(); }
--- a/src/proxy/gateway.cc
+++ b/src/proxy/gateway.cc
@@ -43,6 +43,10 @@
 }
 
 void Gateway::enter(LiveRequest request, ReplyPtr reply) {
+  if (!admits_) {
+    ++counts_.refused;
+    return sendRefusal(*reply, 503, "stopping", againUs());
+  }
   if (relaying_ >= plan_.relayBound || held_ >= plan_.holdBound) {
     ++counts_.refused;
     return sendRefusal(*reply, 503, "full", againUs());
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -34,6 +34,9 @@
   Job<PassEnding> passItem(PassOrder order, PassSink& sink) override;
   bool roomForLots(const std::string& pool) const override { return held_ == 0 && board_.roomForLots(pool); }
   void drain() { draining_ = true; }
+  // Requests that come from now on are refused at once; those that it has go on to their end.
+  void refuseNew() { admits_ = false; }
+  bool admits() const { return admits_; }
   const GatewayCounts& counts() const { return counts_; }
   std::size_t holding() const { return held_; }
   std::size_t relaying() const { return relaying_; }
@@ -66,6 +69,7 @@
   Us paceUs_ = 20 * kMilliUs;  // smoothed time between two whole answers
   Us lastWholeUs_ = 0;
   bool draining_ = false;
+  bool admits_ = true;
 };
 
 // A refusal that promises: not run, and never will be. `againUs`: when to come back; 0: not told.
