A stopping node refuses new requests after its notice and ends when those it took have

Cause: a draining node admitted requests until its end. A short grace was worse: 0.7 s of it were kept back whatever its length, so that requests were cut before its last sixth. Ruled out: one old request that keeps it (open=3, all late); a count that leaves requests out (it knew of them); a second signal or a crash. Not taken: admitting what is sure to end by its limit (limits are seconds, runs tenths).

--- a/src/node/graceful_stop.cc
+++ b/src/node/graceful_stop.cc
@@ -6,7 +6,9 @@
 
 namespace {
 constexpr Us kLookUs = 50 * kMilliUs;
-constexpr Us kLastUs = 700 * kMilliUs;  // of the grace, kept for the end itself
+// Of the grace, kept for the end itself; of a short one no more than a tenth.
+constexpr Us kLastUs = 700 * kMilliUs;
+Us lastUs(Us graceUs) { return std::min(kLastUs, graceUs / 10); }
 
 const char* reasonText(StopReason reason) { return reason == StopReason::kIdle ? "idle" : "grace_spent"; }
 }  // namespace
@@ -20,8 +22,12 @@
   const Us nowUs = clock_.monoUs();
   if (!begunUs_) begin(nowUs);
   const Us sinceUs = nowUs - *begunUs_;
-  if (sinceUs >= plan_.graceUs - kLastUs) return stop(StopReason::kGraceSpent, nowUs);
-  if (server_.idle() && sinceUs >= std::min(plan_.noticeUs, plan_.graceUs / 2)) return stop(StopReason::kIdle, nowUs);
+  if (!refusing_ && sinceUs >= std::min(plan_.noticeUs, plan_.graceUs / 2)) {
+    refusing_ = true;
+    server_.refuseNew();
+  }
+  if (refusing_ && server_.idle()) return stop(StopReason::kIdle, nowUs);
+  if (sinceUs >= plan_.graceUs - lastUs(plan_.graceUs)) return stop(StopReason::kGraceSpent, nowUs);
   timers_.arm(kLookUs, *this);
 }
 
--- a/src/node/graceful_stop.h
+++ b/src/node/graceful_stop.h
@@ -1,5 +1,5 @@
-// How a process that serves callers ends when it is told to: it drains, finishes what is open, and stops within the
-// time that its deployment gives it (design.md 9.9).
+// How a process that serves callers ends when it is told to: it drains, refuses new requests once its callers have had
+// time to see it leave, finishes what it took, and stops within the time that its deployment gives it (design.md 9.9).
 #pragma once
 
 #include "stonemount.h"
@@ -34,7 +34,8 @@
   kGraceSpent,  // out of time: what was open is cut off
 };
 
-// Begun by the first signal (proceed), then looks again each 50 ms until the server may stop.
+// Begun by the first signal (proceed), then looks again each 50 ms until the server may stop. What is taken after the
+// notice would only keep the process alive until its grace is spent, and be cut off then: it is refused instead.
 class GracefulStop : public Continuation {
  public:
   GracefulStop(Clock& clock, Timers& timers, DrainingServer& server, GracefulStopPlan plan);
@@ -50,6 +51,7 @@
   DrainingServer& server_;
   GracefulStopPlan plan_;
   std::optional<Us> begunUs_;
+  bool refusing_ = false;
 };
 
 }  // namespace stonemount
