--- a/src/replication/relay.cc
+++ b/src/replication/relay.cc
@@ -15,7 +15,8 @@
 constexpr std::size_t kVerdictBytesKept = 256 << 10;  // the same at every member, or they would differ
 constexpr Us kPassLimitUs = 500 * kMilliUs;
 constexpr Us kSlowTryUs = 200 * kMilliUs;
-constexpr Us kIdleUs = kSecondUs;  // bells ring for all that is urgent
+constexpr Us kTellAgainUs = 2 * kSecondUs;  // of refusals for want of room
+constexpr Us kIdleUs = kSecondUs;           // bells ring for all that is urgent
 constexpr Us kPassAgainUs = 30 * kMilliUs;
 }  // namespace
 
@@ -43,6 +44,7 @@
   const bool tight = bytes > quarter || (bytes > quarter / 2 && bytes + machine_.owedBytes() > quarter);
   const bool full = bytes > wal_.ringBytes() / 3 || (tight && machine_.enlarges(submit.command));
   if (full) {
+    logRingFull(bytes);
     roomWanted_ = true;
     inboxEvent_.notify();
     return refuse(asked, ChainOutcome::kRingFull);
@@ -65,6 +67,19 @@
   inboxEvent_.notify();
 }
 
+// Once for so many refusals in a row; the first one of a spell tells that it began.
+void Replica::logRingFull(std::size_t bytes) {
+  const Us nowUs = ports_.clock.monoUs();
+  ++counts_.ringFull;
+  if (ringFullToldUs_ >= 0 && nowUs - ringFullToldUs_ < kTellAgainUs) return;
+  ringFullToldUs_ = nowUs;
+  logDoubt("ring_full", {{"refused", absl::StrCat(counts_.ringFull)},
+                         {"state_bytes", absl::StrCat(imageBytes_)},
+                         {"entry_bytes", absl::StrCat(bytes - imageBytes_)},
+                         {"owed_bytes", absl::StrCat(machine_.owedBytes())},
+                         {"ring_bytes", absl::StrCat(wal_.ringBytes())}});
+}
+
 void Replica::answerAppend(const Asked& asked, bool granted) {
   rpc_.reply(asked, PassedOn{granted, active(), end_, endRevision_, tail() ? end_ : committed_});
 }
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -31,6 +31,7 @@
 struct ReplicaCounts {
   std::uint64_t applied = 0, viewChanges = 0, ballots = 0, refusedOld = 0, reads = 0, confirms = 0;
   std::uint64_t leftBehind = 0, snapshots = 0, restartedNarrow = 0;
+  std::uint64_t ringFull = 0;  // commands refused for want of room in the ring
 };
 
 class Replica {
@@ -91,6 +92,7 @@
   LogNames logNames() const;
   bool begins(const PassedOn& successor) const;
   void answerAppend(const Asked& asked, bool granted);
+  void logRingFull(std::size_t bytes);
   // reader.cc: reads at the tail
   void onRead(const Asked& asked);
   Task readBatches();
@@ -164,6 +166,7 @@
   std::size_t imageBytes_ = 0;  // of the newest checkpoint
   Us checkpointedUs_ = 0;       // when it was begun
   bool roomWanted_ = false;     // a command was refused since
+  Us ringFullToldUs_ = -1;      // when refusals for want of room were last logged
   std::deque<Entry> inbox_;     // received in this view, not yet durable
   std::size_t inboxBytes_ = 0;
   std::vector<Asked> appendsWaiting_;
