A member keeps what its successor lacks and takes no more than that may grow to

Ruled out: a fault of the successor (its log was the beginning of the head's); a new view too many (one was enough). What is not known to be at the tail is now kept whatever its size, and the backlog to the successor is bounded: at 4 MiB a member takes nothing more, at 2 MiB nothing that brings new work. The kept part of the log is a module of its own (RecentLog).

--- a/src/replication/catch_up.cc
+++ b/src/replication/catch_up.cc
@@ -146,7 +146,7 @@
       holdsSeat(memory_.view.chain, self_, memory_.incarnation) && memory_.view.chain.back().address == self_;
   const Us nowUs = ports_.clock.monoUs();
   // A snapshot is good as long as the log that follows it is kept.
-  const bool follows = snapshotEnd_ == end_ || (!recent_.empty() && recent_.front().index <= snapshotEnd_ + 1);
+  const bool follows = snapshotEnd_ == end_ || recent_.reachesBackTo(snapshotEnd_);
   // And it must hold all that was acknowledged before this view.
   if (mine && request.token == 0 && (snapshotToken_ == 0 || !follows || snapshotRevision_ != memory_.view.revision)) {
     snapshot_ = image();
@@ -179,9 +179,9 @@
     part.end = 0;  // ask again later; nothing is said about the log
   } else if (request.after == end_) {
     part.granted = request.afterRevision == endRevision_;
-  } else if (request.after < end_ && !recent_.empty() && recent_.front().index <= request.after + 1) {
-    const std::size_t next = request.after + 1 - recent_.front().index;
-    part.granted = (next == 0 ? keptAfterRevision_ : recent_[next - 1].revision) == request.afterRevision;
+  } else if (request.after < end_ && recent_.reachesBackTo(request.after)) {
+    const std::size_t next = request.after + 1 - recent_.firstIndex();
+    part.granted = (next == 0 ? recent_.revisionBefore() : recent_[next - 1].revision) == request.afterRevision;
     std::size_t bytes = 0;
     for (std::size_t i = next;
          part.granted && i < recent_.size() && bytes < std::min<std::size_t>(request.most, kPartBytes); ++i) {
--- a/src/replication/propose.cc
+++ b/src/replication/propose.cc
@@ -26,10 +26,10 @@
 LogNames Replica::logNames() const {
   LogNames names;
   names.end = end_;
-  names.keptAfter = recent_.empty() ? end_ : recent_.front().index - 1;
-  names.runs.emplace_back(names.keptAfter, recent_.empty() ? endRevision_ : keptAfterRevision_);
-  for (const Entry& entry : recent_)
-    if (entry.revision != names.runs.back().second) names.runs.emplace_back(entry.index, entry.revision);
+  names.keptAfter = recent_.empty() ? end_ : recent_.firstIndex() - 1;
+  names.runs.emplace_back(names.keptAfter, recent_.empty() ? endRevision_ : recent_.revisionBefore());
+  for (std::size_t i = 0; i < recent_.size(); ++i)
+    if (recent_[i].revision != names.runs.back().second) names.runs.emplace_back(recent_[i].index, recent_[i].revision);
   return names;
 }
 
--- a/src/replication/relay.cc
+++ b/src/replication/relay.cc
@@ -7,10 +7,11 @@
 
 namespace {
 constexpr std::size_t kInboxBound = 4096;
-constexpr std::size_t kInboxBytesBound = 8 << 20;
+// Of what a member took and its successor does not have yet. Half of it is left to what finishes old work.
+constexpr std::size_t kBacklogBytesBound = 4 << 20;
 constexpr std::size_t kBatchEntries = 512;
 constexpr std::size_t kBatchBytes = 256 << 10;
-constexpr std::size_t kPictureKeeps = 4;  // times as much is kept while someone copies a snapshot
+constexpr std::size_t kSnapshotKeeps = 4;  // times as much is kept while someone copies a snapshot
 constexpr std::size_t kVerdictsKept = 16384;
 constexpr std::size_t kVerdictBytesKept = 256 << 10;  // the same at every member, or they would differ
 constexpr Us kPassLimitUs = 500 * kMilliUs;
@@ -35,7 +36,10 @@
   Submit& submit = std::get<Submit>(message);
   if (!head() || submit.revision != memory_.view.revision) return refuse(asked, ChainOutcome::kNotMine);
   if (!spansZones(memory_.view.chain)) return refuse(asked, ChainOutcome::kTooFewCopies);
-  if (inbox_.size() >= kInboxBound || inboxBytes_ >= kInboxBytesBound) return refuse(asked, ChainOutcome::kBusy);
+  const std::size_t backlog = backlogBytes();
+  if (inbox_.size() >= kInboxBound || backlog >= kBacklogBytesBound ||
+      (backlog >= kBacklogBytesBound / 2 && machine_.enlarges(submit.command)))
+    return refuse(asked, ChainOutcome::kBusy);
   const std::size_t longest = machine_.takesLong() ? wal_.longestInPieces() : wal_.longestRecord();
   if (submit.command.size() > longest) return refuse(asked, ChainOutcome::kTooLong);
   // The ring must hold the old checkpoint, the new one and the entries between (design.md 5.2).
@@ -106,7 +110,8 @@
     readEvent_.notify();
     passEvent_.notify();
   }
-  if (append.after > received()) return answerAppend(asked, false);
+  const bool full = !append.entries.empty() && backlogBytes() >= kBacklogBytesBound;
+  if (append.after > received() || full) return answerAppend(asked, false);
   for (Entry& entry : append.entries) {
     if (entry.index <= received()) continue;
     STONEMOUNT_INVARIANT(entry.index == received() + 1);
@@ -178,15 +183,7 @@
   end_ = entry.index;
   endRevision_ = entry.revision;
   ++counts_.applied;
-  if (recent_.empty()) keptAfterRevision_ = lastRevision;
-  recentBytes_ += entry.command.size();
-  recent_.push_back(entry);
-  const std::size_t times = snapshotToken_ != 0 && recent_.front().index > snapshotEnd_ ? kPictureKeeps : 1;
-  while (recent_.size() > plan_.keptEntries * times || recentBytes_ > plan_.keptBytes * times) {
-    recentBytes_ -= recent_.front().command.size();
-    keptAfterRevision_ = recent_.front().revision;
-    recent_.pop_front();
-  }
+  keepRecent(entry, lastRevision);
   if (release) {
     committed_ = end_;
     rpc_.replyTo(entry.client, Submit::kKind, entry.exchange,
@@ -196,6 +193,20 @@
   applied.emit(entry, release);
 }
 
+// What is not known to be at the tail yet is kept whatever its size: whoever lacks it needs it from here.
+void Replica::keepRecent(const Entry& entry, Revision before) {
+  recent_.push(entry, before);
+  const std::size_t times = snapshotToken_ != 0 && recent_.firstIndex() > snapshotEnd_ ? kSnapshotKeeps : 1;
+  const bool neededByOthers = state_ == ReplicaState::kSealed || (active() && !tail());
+  recent_.trim(plan_.keptEntries * times, plan_.keptBytes * times, neededByOthers ? committed_ : end_);
+}
+
+// What came in this view and is not known to be at the successor.
+std::size_t Replica::backlogBytes() const {
+  if (!active() || tail()) return inboxBytes_;
+  return inboxBytes_ + recent_.bytesAfter(std::max(successorPeak_, verifiedEnd_));
+}
+
 // Its log parted from ours, or it lacks more than we keep: a new view will have it caughtUp.
 void Replica::leaveBehind(const Address& successor, std::uint64_t itsEnd) {
   logDoubt("successor_left_behind",
@@ -220,12 +231,12 @@
       append.after = successorEnd_.value_or(0);
       append.verified = verified_ && successorEnd_ && *successorEnd_ >= verifiedEnd_;
       if (successorEnd_ && *successorEnd_ < end_) {
-        if (recent_.empty() || recent_.front().index > *successorEnd_ + 1) {
+        if (!recent_.reachesBackTo(*successorEnd_)) {
           leaveBehind(successor, *successorEnd_);
           break;
         }
         std::size_t bytes = 0;
-        for (std::size_t i = *successorEnd_ + 1 - recent_.front().index; i < recent_.size(); ++i) {
+        for (std::size_t i = *successorEnd_ + 1 - recent_.firstIndex(); i < recent_.size(); ++i) {
           if (append.entries.size() >= kBatchEntries || bytes > kBatchBytes) break;
           bytes += recent_[i].command.size();
           append.entries.push_back(recent_[i]);
@@ -249,9 +260,12 @@
         leaveBehind(successor, passed->end);
         break;
       }
-      successorTold_ |= append.verified;
+      successorTold_ |= append.verified && passed->granted;
       successorEnd_ = passed->end;
       committed_ = std::max(committed_, passed->committed);
+      if (passed->granted) continue;
+      Pause pause(ports_.timers, kPassAgainUs);  // it has no room, or parted from us meanwhile
+      co_await pause;
     }
   }
 }
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -3,7 +3,7 @@
 
 #include "replication/loss_margin.h"
 #include "replication/machine.h"
-#include "replication/messages.h"
+#include "replication/recent_log.h"
 #include "runtime/rpc_endpoint.h"
 #include "write_ahead_log/group_commit.h"
 
@@ -89,6 +89,8 @@
   Task passOn();
   void leaveBehind(const Address& successor, std::uint64_t itsEnd);
   void applyEntry(const Entry& entry, bool release);
+  void keepRecent(const Entry& entry, Revision before);
+  std::size_t backlogBytes() const;
   LogNames logNames() const;
   bool begins(const PassedOn& successor) const;
   void answerAppend(const Asked& asked, bool granted);
@@ -161,13 +163,12 @@
   // the log
   std::uint64_t end_ = 0;        // last entry that is durable here and applied
   std::uint64_t committed_ = 0;  // last entry known to be durable at the tail
-  std::deque<Entry> recent_;     // entries that a successor may still need
-  std::size_t recentBytes_ = 0;
-  std::size_t imageBytes_ = 0;  // of the newest checkpoint
-  Us checkpointedUs_ = 0;       // when it was begun
-  bool roomWanted_ = false;     // a command was refused since
-  Us ringFullToldUs_ = -1;      // when refusals for want of room were last logged
-  std::deque<Entry> inbox_;     // received in this view, not yet durable
+  RecentLog recent_;             // entries that others may still need
+  std::size_t imageBytes_ = 0;   // of the newest checkpoint
+  Us checkpointedUs_ = 0;        // when it was begun
+  bool roomWanted_ = false;      // a command was refused since
+  Us ringFullToldUs_ = -1;       // when refusals for want of room were last logged
+  std::deque<Entry> inbox_;      // received in this view, not yet durable
   std::size_t inboxBytes_ = 0;
   std::vector<Asked> appendsWaiting_;
   std::uint64_t appended_ = 0;  // last entry handed to the disk, durable or not
@@ -181,7 +182,6 @@
   // head held as the view began.
   bool verified_ = false;
   std::uint64_t verifiedEnd_ = 0;        // where it ended then
-  Revision keptAfterRevision_ = 0;       // of the entry before the first in recent_
   std::map<CommandId, Bytes> verdicts_;  // of commands applied lately; a retry finds its own
   std::deque<CommandId> verdictOrder_;
   std::size_t verdictBytes_ = 0;
--- a/src/replication/replica_persistence.cc
+++ b/src/replication/replica_persistence.cc
@@ -73,9 +73,7 @@
   endRevision_ = image->endRevision;
   appended_ = image->end;
   imageBytes_ = bytes.size();
-  recent_.clear();
-  keptAfterRevision_ = image->endRevision;
-  recentBytes_ = 0;
+  recent_.clear(image->endRevision);
   verdicts_.clear();
   verdictOrder_.clear();
   verdictBytes_ = 0;
