--- a/src/node/lot_delivery.cc
+++ b/src/node/lot_delivery.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "store/stored_text.h"
+
 namespace stonemount {
 
 namespace {
@@ -12,6 +14,7 @@
 }  // namespace
 
 void LotDelivery::seal(SealedRun run) {
+  run.answer = storedText(run.answer);
   toSeal_.push_back(std::move(run));
   event_.notify();
 }
--- a/src/node/lot_desk.cc
+++ b/src/node/lot_desk.cc
@@ -1,5 +1,7 @@
 #include "node/lot_desk.h"
 
+#include "store/stored_text.h"
+
 namespace stonemount {
 
 namespace {
@@ -98,8 +100,15 @@
   LotRead read = co_await asking;
   if (auto* page = std::get_if<LotPage>(&read)) {
     page->results.reserve(verdict.sights.size());
-    for (ItemSight& sight : verdict.sights)
-      page->results.push_back({std::move(sight.id), sight.state == ItemState::kSealed, std::move(sight.answer)});
+    std::size_t bytes = 0;
+    for (ItemSight& sight : verdict.sights) {
+      std::variant<Bytes, BadStoredText> text = readStoredText(std::move(sight.answer));
+      if (std::holds_alternative<BadStoredText>(text)) co_return LotUnreachable{};
+      page->results.push_back(
+          {std::move(sight.id), sight.state == ItemState::kSealed, std::get<Bytes>(std::move(text))});
+      bytes += page->results.back().text.size();
+      if (bytes > mostBytes) break;  // the store counts texts as they are stored
+    }
   }
   co_return read;
 }
--- a/src/node/lots.cc
+++ b/src/node/lots.cc
@@ -4,6 +4,7 @@
 
 #include "config/json.h"
 #include "node/node.h"
+#include "store/stored_text.h"
 
 namespace stonemount {
 
@@ -164,8 +165,14 @@
       if (wish.results && !final) continue;  // each sealed item once, in the order handed in
       out.object().field("id", sight.id);
       if (wish.results) {
+        std::variant<Bytes, BadStoredText> text = readStoredText(sight.answer);
+        if (std::holds_alternative<BadStoredText>(text)) {
+          sendVerdict(*reply, 503, "result_unreadable", {{"lot", lot}});
+          co_return;
+        }
+        const Bytes answerText = std::get<Bytes>(std::move(text));
         out.field("state", stateText(sight.state)).field("run", sight.run);
-        out.field("answer", sight.answer).field("digest", hexText(checksum(sight.answer)));
+        out.field("answer", answerText).field("digest", hexText(checksum(answerText)));
       } else {
         out.field("prompt", sight.body).field("state", stateText(sight.state));
       }
