The state is copied less, and bounded by the memory that a process may take

A store with 28 MB of state took 234 MB. Nothing bounded the state by the memory of the machine: on a disk of 660 MB a quarter of the ring is 64 MB. Ruled out: a larger share of the ring for the state (0.30 instead of 0.25: a process killed within a checkpoint would leave parts for which there is no room, checkpoint_cuts_test); skipping the checkpoint that a refusal asks for where little came since (a short command may free much, disk_size_test; both tried and taken back). A refusal for a successor that is far behind is logged (event=backlog_full).

--- a/src/cli/process.cc
+++ b/src/cli/process.cc
@@ -35,6 +35,7 @@
 ABSL_FLAG(std::string, platform, "", "core, rehearse worker: HTTP address of the platform");
 ABSL_FLAG(std::string, ringFiles, "", "core, store: files in the ring");
 ABSL_FLAG(std::string, ringFileBytes, "", "core, store: bytes of each file in the ring");
+ABSL_FLAG(std::string, memoryBytes, "", "core, store: what the process may take; bounds the state that it keeps");
 
 namespace stonemount {
 
@@ -49,7 +50,8 @@
                                                      {"data", absl::GetFlag(FLAGS_data)},
                                                      {"platform", absl::GetFlag(FLAGS_platform)},
                                                      {"ringFiles", absl::GetFlag(FLAGS_ringFiles)},
-                                                     {"ringFileBytes", absl::GetFlag(FLAGS_ringFileBytes)}};
+                                                     {"ringFileBytes", absl::GetFlag(FLAGS_ringFileBytes)},
+                                                     {"memoryBytes", absl::GetFlag(FLAGS_memoryBytes)}};
   for (const auto& [key, value] : all)
     if (!value.empty()) given[key] = value;
   return given;
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -18,7 +18,8 @@
     "data": {"type": "string"},
     "platform": {"type": "string"},
     "ringFiles": {"type": "integer", "minimum": 4, "maximum": 1024},
-    "ringFileBytes": {"type": "integer", "minimum": 65536, "maximum": 1073741824}
+    "ringFileBytes": {"type": "integer", "minimum": 65536, "maximum": 1073741824},
+    "memoryBytes": {"type": "integer", "minimum": 16777216}
   }
 })";
 
@@ -57,6 +58,9 @@
     std::int64_t number = 0;
     if (!absl::SimpleAtoi(value, &number) || number < 4) return SettingsFault{key, "is not a number of 4 or more"};
     (key == "ringFiles" ? settings.ringFiles : settings.ringFileBytes) = number;
+  } else if (key == "memoryBytes") {
+    if (!absl::SimpleAtoi(value, &settings.memoryBytes) || settings.memoryBytes < 0)
+      return SettingsFault{key, "is not a number of bytes"};
   } else {
     return SettingsFault{key, "is not a known key"};
   }
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -34,6 +34,7 @@
   Address platform;
   std::int64_t ringFiles = 16;
   std::int64_t ringFileBytes = 8 << 20;
+  std::int64_t memoryBytes = 0;  // that the process may take; bounds the state of a chain; 0: not bounded
 };
 struct SettingsFault {
   std::string key;
--- a/src/replication/catch_up.cc
+++ b/src/replication/catch_up.cc
@@ -15,7 +15,8 @@
 constexpr std::size_t kPartBytes = 256 << 10;
 constexpr std::size_t kLeastBytes = 8 << 10;
 constexpr int kSilentParts = 12;
-constexpr Us kSnapshotUs = 6 * kSecondUs;  // a snapshot that nobody asks for goes
+constexpr std::size_t kCheckpointParts = 16;  // with each sync
+constexpr Us kSnapshotUs = 6 * kSecondUs;     // a snapshot that nobody asks for goes
 constexpr std::uint64_t kNearEnough = 64;
 }  // namespace
 
@@ -36,7 +37,7 @@
     const Us nowUs = ports_.clock.monoUs();
     if (snapshotToken_ != 0 && nowUs - snapshotUsedUs_ > kSnapshotUs) {
       snapshotToken_ = 0;
-      snapshot_ = Bytes();
+      snapshot_ = StateImage();
     }
     if (fetchBytes_ == 0) fetchBytes_ = kPartBytes;
     if (state_ != ReplicaState::kOutside || fetching_ || (findMember(memory_.view, self_) == nullptr && !invited()) ||
@@ -58,6 +59,19 @@
   }
 }
 
+// To the end of the one that is open, if any; false: the ring cannot take it.
+Job<bool> Replica::writeCheckpoint() {
+  while (wal_.checkpointing()) {
+    if (!wal_.pumpCheckpoint(kCheckpointParts)) {
+      logOverflowed();
+      co_return false;
+    }
+    GroupCommit::Wait wait(groupCommit_);
+    co_await wait;
+  }
+  co_return true;
+}
+
 // One snapshot at the source serves all who copy from it, and a part that does not come in time is asked
 // for again, smaller: neither another joiner nor a slow link starts the copy anew (design.md 6.7).
 Job<bool> Replica::fetchState(Address source) {
@@ -76,27 +90,29 @@
     // A holder does not give up what it holds for a snapshot that may hold less (design.md 6.5).
     if (holds() && part->revision != memory_.view.revision) co_return false;
     silent = 0;
+    state.reserve(part->total);
     state += part->bytes;
     request.token = part->token;
     request.offset = state.size();
     if (state.size() >= part->total) break;
     if (part->bytes.empty()) co_return false;
   }
+  const std::size_t copiedBytes = state.size();
+  // One that is being written is finished first: dropped, its parts would take room that the next one needs.
+  Job<bool> writing = writeCheckpoint();
+  const bool written = co_await writing;
+  if (!written || state_ != ReplicaState::kOutside) co_return false;
   imageLoose_ = true;
   if (!loadImage(state, false)) co_return false;
-  wal_.dropCheckpoint();
-  wal_.beginCheckpoint(image());
-  while (wal_.checkpointing()) {
-    if (!wal_.pumpCheckpoint(16)) {
-      logOverflowed();
-      co_return false;
-    }
-    GroupCommit::Wait wait(groupCommit_);
-    co_await wait;
-  }
+  Bytes().swap(state);  // not held beside the next one
+  beginCheckpoint();
+  Job<bool> keeping = writeCheckpoint();
+  const bool kept = co_await keeping;
+  if (!kept) co_return false;
   imageLoose_ = false;
+  checkpointImage_ = StateImage();
   logEvent("caught_up",
-           {{"from", addressText(source)}, {"bytes", absl::StrCat(state.size())}, {"end", absl::StrCat(end_)}});
+           {{"from", addressText(source)}, {"bytes", absl::StrCat(copiedBytes)}, {"end", absl::StrCat(end_)}});
   co_return true;
 }
 
@@ -137,6 +153,26 @@
   co_return false;
 }
 
+// A snapshot is good as long as the log that follows it is kept; and it must hold all that was acknowledged before
+// this view.
+bool Replica::snapshotServes() const {
+  const bool follows = snapshot_.end == end_ || recent_.reachesBackTo(snapshot_.end);
+  return snapshotToken_ != 0 && follows && snapshot_.revision == memory_.view.revision;
+}
+
+// While a checkpoint is being written, its image serves joiners too: a second copy of the whole state beside it is
+// never made. False: that one is of an earlier view, so the joiner has to come again once it is written.
+bool Replica::takeSnapshot() {
+  const bool shares = wal_.checkpointing() && checkpointImage_.bytes != nullptr;
+  if (shares && checkpointImage_.revision != memory_.view.revision) return false;
+  if (shares && checkpointImage_.end != end_ && !recent_.reachesBackTo(checkpointImage_.end)) return false;
+  snapshot_ =
+      shares ? checkpointImage_ : StateImage{std::make_shared<const Bytes>(image()), end_, memory_.view.revision};
+  snapshotToken_ = ports_.chance.next() | 1;
+  ++counts_.snapshots;
+  return true;
+}
+
 void Replica::onFetchState(const Asked& asked) {
   auto message = unpack<FetchState>(asked.body);
   if (!std::holds_alternative<FetchState>(message)) return;
@@ -145,23 +181,15 @@
   const bool mine =
       holdsSeat(memory_.view.chain, self_, memory_.incarnation) && memory_.view.chain.back().address == self_;
   const Us nowUs = ports_.clock.monoUs();
-  // A snapshot is good as long as the log that follows it is kept.
-  const bool follows = snapshotEnd_ == end_ || recent_.reachesBackTo(snapshotEnd_);
-  // And it must hold all that was acknowledged before this view.
-  if (mine && request.token == 0 && (snapshotToken_ == 0 || !follows || snapshotRevision_ != memory_.view.revision)) {
-    snapshot_ = image();
-    snapshotEnd_ = end_;
-    snapshotRevision_ = memory_.view.revision;
-    snapshotToken_ = ports_.chance.next() | 1;
-    ++counts_.snapshots;
-  }
-  if (mine && (request.token == 0 || request.token == snapshotToken_) && request.offset <= snapshot_.size()) {
+  const bool serves = mine && (request.token == 0 ? snapshotServes() || takeSnapshot()
+                                                  : snapshotToken_ != 0 && request.token == snapshotToken_);
+  if (serves && request.offset <= snapshot_.bytes->size()) {
     snapshotUsedUs_ = nowUs;
     part.token = snapshotToken_;
-    part.total = snapshot_.size();
-    part.end = snapshotEnd_;
-    part.revision = snapshotRevision_;
-    part.bytes = snapshot_.substr(request.offset, std::min<std::size_t>(request.most, kPartBytes));
+    part.total = snapshot_.bytes->size();
+    part.end = snapshot_.end;
+    part.revision = snapshot_.revision;
+    part.bytes = snapshot_.bytes->substr(request.offset, std::min<std::size_t>(request.most, kPartBytes));
   }
   rpc_.reply(asked, part);
 }
--- a/src/replication/relay.cc
+++ b/src/replication/relay.cc
@@ -38,15 +38,17 @@
   if (!spansZones(memory_.view.chain)) return refuse(asked, ChainOutcome::kTooFewCopies);
   const std::size_t backlog = backlogBytes();
   if (inbox_.size() >= kInboxBound || backlog >= kBacklogBytesBound ||
-      (backlog >= kBacklogBytesBound / 2 && machine_.enlarges(submit.command)))
+      (backlog >= kBacklogBytesBound / 2 && machine_.enlarges(submit.command))) {
+    logBacklogFull(backlog);
     return refuse(asked, ChainOutcome::kBusy);
+  }
   const std::size_t longest = machine_.takesLong() ? wal_.longestInPieces() : wal_.longestRecord();
   if (submit.command.size() > longest) return refuse(asked, ChainOutcome::kTooLong);
   // The ring must hold the old checkpoint, the new one and the entries between (design.md 5.2).
   const std::size_t bytes = imageBytes_ + wal_.bytesSinceCheckpoint() + inboxBytes_ + submit.command.size();
-  const std::size_t quarter = wal_.ringBytes() / 4;  // near it, it is worth reading the command
-  const bool tight = bytes > quarter || (bytes > quarter / 2 && bytes + machine_.owedBytes() > quarter);
-  const bool full = bytes > wal_.ringBytes() / 3 || (tight && machine_.enlarges(submit.command));
+  const std::size_t growth = bounds_.growth;  // near it, it is worth reading the command
+  const bool tight = bytes > growth || (bytes > growth / 2 && bytes + machine_.owedBytes() > growth);
+  const bool full = bytes > bounds_.command || (tight && machine_.enlarges(submit.command));
   if (full) {
     logRingFull(bytes);
     roomWanted_ = true;
@@ -81,7 +83,20 @@
                          {"state_bytes", absl::StrCat(imageBytes_)},
                          {"entry_bytes", absl::StrCat(bytes - imageBytes_)},
                          {"owed_bytes", absl::StrCat(machine_.owedBytes())},
-                         {"ring_bytes", absl::StrCat(wal_.ringBytes())}});
+                         {"growth_bytes", absl::StrCat(bounds_.growth)}});
+}
+
+void Replica::logBacklogFull(std::size_t bytes) {
+  const Us nowUs = ports_.clock.monoUs();
+  ++counts_.backlogFull;
+  if (backlogToldUs_ >= 0 && nowUs - backlogToldUs_ < kTellAgainUs) return;
+  backlogToldUs_ = nowUs;
+  logDoubt("backlog_full", {{"refused", absl::StrCat(counts_.backlogFull)},
+                            {"bytes", absl::StrCat(bytes)},
+                            {"inbox_bytes", absl::StrCat(inboxBytes_)},
+                            {"end", absl::StrCat(end_)},
+                            {"successor_end", absl::StrCat(successorPeak_)},
+                            {"committed", absl::StrCat(committed_)}});
 }
 
 void Replica::answerAppend(const Asked& asked, bool granted) {
@@ -196,7 +211,7 @@
 // What is not known to be at the tail yet is kept whatever its size: whoever lacks it needs it from here.
 void Replica::keepRecent(const Entry& entry, Revision before) {
   recent_.push(entry, before);
-  const std::size_t times = snapshotToken_ != 0 && recent_.firstIndex() > snapshotEnd_ ? kSnapshotKeeps : 1;
+  const std::size_t times = snapshotToken_ != 0 && recent_.firstIndex() > snapshot_.end ? kSnapshotKeeps : 1;
   const bool neededByOthers = state_ == ReplicaState::kSealed || (active() && !tail());
   recent_.trim(plan_.keptEntries * times, plan_.keptBytes * times, neededByOthers ? committed_ : end_);
 }
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -4,6 +4,7 @@
 #include "replication/loss_margin.h"
 #include "replication/machine.h"
 #include "replication/recent_log.h"
+#include "replication/state_bounds.h"
 #include "runtime/rpc_endpoint.h"
 #include "write_ahead_log/group_commit.h"
 
@@ -20,6 +21,7 @@
   Us slowDiskUs = 800 * kMilliUs;
   std::size_t keptEntries = 20000;  // of its log, for a successor or joiner that is behind
   std::size_t keptBytes = 8 << 20;
+  std::size_t memoryBytes = 0;  // that the process may take; 0: not bounded
 };
 
 // What is known of another member from its last pong.
@@ -31,7 +33,15 @@
 struct ReplicaCounts {
   std::uint64_t applied = 0, viewChanges = 0, ballots = 0, refusedOld = 0, reads = 0, confirms = 0;
   std::uint64_t leftBehind = 0, snapshots = 0, restartedNarrow = 0;
-  std::uint64_t ringFull = 0;  // commands refused for want of room in the ring
+  std::uint64_t ringFull = 0;     // commands refused for want of room in the ring
+  std::uint64_t backlogFull = 0;  // commands refused because the successor is far behind
+};
+
+// The whole state, packed, as it stood after an entry.
+struct StateImage {
+  std::shared_ptr<const Bytes> bytes;  // none: there is none
+  std::uint64_t end = 0;
+  Revision revision = 0;  // of the view in which it was made
 };
 
 class Replica {
@@ -74,7 +84,10 @@
   void stateFromView();
   Bytes image() const;
   bool loadImage(const Bytes& image, bool own);
+  void beginCheckpoint();
   void maybeCheckpoint();
+  bool takeSnapshot();
+  bool snapshotServes() const;
   void logOverflowed();
   void onViewAsk(const Asked& asked);
   void onBootstrap(const Asked& asked);
@@ -95,6 +108,7 @@
   bool begins(const PassedOn& successor) const;
   void answerAppend(const Asked& asked, bool granted);
   void logRingFull(std::size_t bytes);
+  void logBacklogFull(std::size_t bytes);
   // reader.cc: reads at the tail
   void onRead(const Asked& asked);
   Task readBatches();
@@ -140,6 +154,7 @@
   // refill.cc
   Task followTail();
   Job<bool> fetchState(Address source);
+  Job<bool> writeCheckpoint();
   Job<bool> fetchLog(Address source, std::uint64_t upTo);
   void onFetchState(const Asked& asked);
   void onFetchLog(const Asked& asked);
@@ -156,6 +171,7 @@
   ReplicaPlan plan_;
   Address self_;
   WriteAheadLog wal_;
+  StateBounds bounds_;
   GroupCommit groupCommit_;
   ReplicaState state_ = ReplicaState::kOpening;
   VoterMemory memory_;
@@ -168,6 +184,7 @@
   Us checkpointedUs_ = 0;        // when it was begun
   bool roomWanted_ = false;      // a command was refused since
   Us ringFullToldUs_ = -1;       // when refusals for want of room were last logged
+  Us backlogToldUs_ = -1;        // and those for a successor that is far behind
   std::deque<Entry> inbox_;      // received in this view, not yet durable
   std::size_t inboxBytes_ = 0;
   std::vector<Asked> appendsWaiting_;
@@ -212,9 +229,8 @@
   sigc::connection refused_;
   std::uint64_t snapshotToken_ = 0;
   Us snapshotUsedUs_ = 0;
-  Revision snapshotRevision_ = 0;
-  std::uint64_t snapshotEnd_ = 0;
-  Bytes snapshot_;
+  StateImage snapshot_;         // for joiners
+  StateImage checkpointImage_;  // while it is being written
 };
 
 }  // namespace stonemount
--- a/src/replication/replica_persistence.cc
+++ b/src/replication/replica_persistence.cc
@@ -7,7 +7,9 @@
 
 namespace {
 constexpr std::uint8_t kImageFormat = 2;
-constexpr Us kRoomWantedUs = 2 * kSecondUs;  // between checkpoints that only a refusal asks for
+constexpr Us kRoomWantedUs = 2 * kSecondUs;        // between checkpoints that only a refusal asks for
+constexpr std::size_t kPartsAtOnce = 8;            // of a checkpoint, with each batch of entries
+constexpr std::size_t kImageHeadBytes = 64 << 10;  // about what an image takes besides state and verdicts
 struct Image {
   std::uint8_t format = kImageFormat;
   VoterMemory memory;
@@ -61,7 +63,7 @@
   image.endRevision = endRevision_;
   for (const CommandId& id : verdictOrder_) image.verdicts.emplace_back(id, verdicts_.at(id));
   image.state = machine_.save();
-  return pack(image);
+  return pack(image, image.state.size() + verdictBytes_ + kImageHeadBytes);
 }
 
 bool Replica::loadImage(const Bytes& bytes, bool own) {
@@ -85,19 +87,24 @@
   return true;
 }
 
+void Replica::beginCheckpoint() {
+  checkpointImage_ = {std::make_shared<const Bytes>(image()), end_, memory_.view.revision};
+  imageBytes_ = checkpointImage_.bytes->size();
+  wal_.beginCheckpoint(checkpointImage_.bytes);
+}
+
 void Replica::maybeCheckpoint() {
   // A command was refused for want of room: what was removed since the last one shows only in a new one.
   const Us nowUs = ports_.clock.monoUs();
   const bool roomWanted =
       std::exchange(roomWanted_, false) && wal_.bytesSinceCheckpoint() > 0 && nowUs - checkpointedUs_ > kRoomWantedUs;
-  if (!wal_.checkpointing() && (roomWanted || wal_.wantsCheckpoint(imageBytes_))) {
+  if (!wal_.checkpointing() && (roomWanted || wal_.wantsCheckpoint(imageBytes_, bounds_.growth))) {
     STONEMOUNT_INVARIANT(appended_ <= end_);  // what lies before it on the disk must be in it
     checkpointedUs_ = nowUs;
-    Bytes whole = image();
-    imageBytes_ = whole.size();
-    wal_.beginCheckpoint(std::move(whole));
+    beginCheckpoint();
   }
-  if (wal_.checkpointing() && !wal_.pumpCheckpoint(8)) logOverflowed();
+  if (wal_.checkpointing() && !wal_.pumpCheckpoint(kPartsAtOnce)) logOverflowed();
+  if (!wal_.checkpointing()) checkpointImage_ = StateImage();
 }
 
 // The ring cannot take a record that must be kept: too small for the state (design.md 5.2).
--- a/src/replication/replica_status.cc
+++ b/src/replication/replica_status.cc
@@ -7,6 +7,7 @@
   plan.zone = settings.zone;
   plan.founders = settings.founders;
   plan.mayFound = settings.firstStart;
+  plan.memoryBytes = static_cast<std::size_t>(settings.memoryBytes);
   return plan;
 }
 
--- a/src/runtime/pack.h
+++ b/src/runtime/pack.h
@@ -90,9 +90,11 @@
 
 struct BadBytes {};
 
+// `expectedBytes`: about how long it will be, so that a large one is not copied as it grows.
 template <class Value>
-Bytes pack(const Value& value) {
+Bytes pack(const Value& value, std::size_t expectedBytes = 0) {
   PackOut archive;
+  archive.bytes.reserve(expectedBytes);
   archive(value);
   return std::move(archive.bytes);
 }
--- a/src/store/store_machine.cc
+++ b/src/store/store_machine.cc
@@ -126,7 +126,11 @@
   return index_.openItems() * std::max<std::size_t>(kLeastAnswer, sealed > 0 ? index_.answerBytes() / sealed : 0);
 }
 
-Bytes StoreMachine::save() const { return pack(SavedOut{state_}); }
+Bytes StoreMachine::save() const {
+  Bytes saved = pack(SavedOut{state_}, savedBytes_ + savedBytes_ / 16);
+  savedBytes_ = saved.size();
+  return saved;
+}
 
 bool StoreMachine::load(const Bytes& bytes) {
   auto read = unpack<SavedIn>(bytes);
--- a/src/store/store_machine.h
+++ b/src/store/store_machine.h
@@ -78,8 +78,9 @@
   StorePlan plan_;
   SessionKeeper sessions_;
   StoreState state_;
-  StoreIndex index_;  // follows from the state
-  Us fromUs_ = 0;     // while a command is applied: the cut and the time since its sample; promises last from here
+  StoreIndex index_;                    // follows from the state
+  mutable std::size_t savedBytes_ = 0;  // of the state when it was last saved: about what the next will take
+  Us fromUs_ = 0;  // while a command is applied: the cut and the time since its sample; promises last from here
 };
 
 }  // namespace stonemount
--- a/src/write_ahead_log/write_ahead_log.cc
+++ b/src/write_ahead_log/write_ahead_log.cc
@@ -73,18 +73,18 @@
   return sequence;
 }
 
-bool WriteAheadLog::wantsCheckpoint(std::size_t stateBytes) const {
+bool WriteAheadLog::wantsCheckpoint(std::size_t stateBytes, std::size_t boundBytes) const {
   const std::size_t ring = ringBytes();
-  const std::size_t room = ring / 4 > stateBytes ? (ring / 4 - stateBytes) / 2 : 0;
+  const std::size_t room = boundBytes > stateBytes ? (boundBytes - stateBytes) / 2 : 0;
   return sinceCheckpoint_ > std::clamp(room, ring / 64, ring / 8);
 }
 
-void WriteAheadLog::beginCheckpoint(Bytes state) {
+void WriteAheadLog::beginCheckpoint(std::shared_ptr<const Bytes> state) {
   STONEMOUNT_INVARIANT(!checkpointOpen_);
   checkpointOpen_ = true;
   checkpointEnded_ = false;
   checkpointFrom_ = nextSequence_;
-  checkpointRest_ = std::move(state);
+  checkpointState_ = std::move(state);
   checkpointAt_ = 0;
   checkpointSum_ = checksum("");
   sinceCheckpoint_ = 0;
@@ -95,8 +95,8 @@
   for (std::size_t i = 0; i < parts; ++i) {
     Bytes body;
     putNumber(body, checkpointFrom_);
-    if (checkpointAt_ < checkpointRest_.size()) {
-      body += checkpointRest_.substr(checkpointAt_, std::min(kPartBytes, disk_.fileBytes() / 4));
+    if (checkpointAt_ < checkpointState_->size()) {
+      body += checkpointState_->substr(checkpointAt_, std::min(kPartBytes, disk_.fileBytes() / 4));
       const std::size_t taken = body.size() - 8;
       if (!std::holds_alternative<std::uint64_t>(append(RecordKind::kCheckpointPart, body))) return false;
       checkpointAt_ += taken;
@@ -164,7 +164,7 @@
   if (checkpointOpen_ && checkpointEnded_ && checkpointLast_ <= upTo) {
     checkpointOpen_ = false;
     keepFrom_ = checkpointFrom_;
-    checkpointRest_.clear();
+    checkpointState_.reset();
   }
   co_return Done{};
 }
--- a/src/write_ahead_log/write_ahead_log.h
+++ b/src/write_ahead_log/write_ahead_log.h
@@ -33,7 +33,8 @@
   // is asked again until it obeys: nothing is lost meanwhile, and `stalledUs` tells others of it (design.md 5.4).
   Job<Done> sync();
   // Writes state in parts; what lies before it may be written over once it is synced.
-  void beginCheckpoint(Bytes state);
+  void beginCheckpoint(Bytes state) { beginCheckpoint(std::make_shared<const Bytes>(std::move(state))); }
+  void beginCheckpoint(std::shared_ptr<const Bytes> state);
   bool pumpCheckpoint(std::size_t parts);  // false: the ring is too small for the state
   // Nothing that was synced last is told of by a later record yet: a mark would do it.
   bool wantsMark() const { return lastKind_ != RecordKind::kMark && synced_ + 1 == nextSequence_; }
@@ -41,8 +42,8 @@
   bool checkpointing() const { return checkpointOpen_; }
   std::size_t bytesSinceCheckpoint() const { return sinceCheckpoint_; }
   // Is it time for one, for a state that took so many bytes when it was last written? At an eighth of the ring in
-  // entries; sooner where state and entries would reach the quarter at which the head refuses (design.md 5.2).
-  bool wantsCheckpoint(std::size_t stateBytes) const;
+  // entries; sooner where state and entries would reach `boundBytes`, at which the head refuses (design.md 5.2).
+  bool wantsCheckpoint(std::size_t stateBytes, std::size_t boundBytes) const;
   // The longest body that is written as one record, and the longest that should be written at all.
   std::size_t longestRecord() const { return disk_.fileBytes() / 2; }
   std::size_t longestInPieces() const { return std::max(longestRecord(), ringBytes() / 8); }
@@ -87,7 +88,7 @@
   bool checkpointEnded_ = false;
   std::uint64_t checkpointFrom_ = 0;
   std::uint64_t checkpointLast_ = 0;
-  Bytes checkpointRest_;
+  std::shared_ptr<const Bytes> checkpointState_;
   std::size_t checkpointAt_ = 0;
   std::uint32_t checkpointSum_ = 0;  // of the parts so far
   std::size_t sinceCheckpoint_ = 0;
--- a/tests/chain_rig.h
+++ b/tests/chain_rig.h
@@ -64,7 +64,7 @@
 
 struct Rig {
   Rig(std::uint64_t seed, std::size_t members, std::size_t keptEntries = 20000, std::size_t fileBytes = 256 << 10,
-      std::size_t zones = 0)
+      std::size_t zones = 0, std::size_t files = kFiles)
       : world(seed), chance(seed ^ 7), kept(keptEntries) {
     for (std::size_t i = 0; i < members; ++i) addresses.push_back({1, static_cast<std::uint16_t>(1 + i)});
     for (std::size_t i = 0; i < members; ++i) {
@@ -73,7 +73,7 @@
                                                                    : members == 4 ? 4
                                                                                   : 3)),
                                      addresses[i], {2, static_cast<std::uint16_t>(1 + i)}));
-      hosts.back()->disk = std::make_unique<SimDisk>(*hosts.back(), kFiles, fileBytes);
+      hosts.back()->disk = std::make_unique<SimDisk>(*hosts.back(), files, fileBytes);
       processes.emplace_back();
       start(i);
     }
--- a/tests/checkpoint_cuts_test.cc
+++ b/tests/checkpoint_cuts_test.cc
@@ -101,7 +101,8 @@
   std::size_t checkpoints = 0;
   for (int round = 0; round < 200 && checkpoints < 8; ++round) {
     expect(scene.append(entryBytes) && scene.append(entryBytes / 3), "the ring takes what comes");
-    if (!scene.wal->checkpointing() && scene.wal->wantsCheckpoint(stateBytes)) scene.begin(stateBytes), ++checkpoints;
+    if (!scene.wal->checkpointing() && scene.wal->wantsCheckpoint(stateBytes, scene.wal->ringBytes() / 4))
+      scene.begin(stateBytes), ++checkpoints;
     if (scene.wal->checkpointing()) expect(scene.wal->pumpCheckpoint(partsAtATime), "and its checkpoints");
     scene.sync();
   }
@@ -120,7 +121,7 @@
     scene.begin(stateBytes);
     expect(scene.wal->pumpCheckpoint(100), "the first checkpoint fits");
     scene.disk->finishWhole(*scene.wal);
-    while (!scene.wal->wantsCheckpoint(stateBytes)) scene.append(900);
+    while (!scene.wal->wantsCheckpoint(stateBytes, scene.wal->ringBytes() / 4)) scene.append(900);
     bool well = true;
     for (std::size_t i = 0; i <= deaths && well; ++i) {
       scene.wal->beginCheckpoint(Bytes(stateBytes, 's'));
@@ -149,7 +150,7 @@
   std::size_t checkpoints = 0;
   for (int life = 0; life < 100; ++life) {
     for (int i = 0; i < 20; ++i) well = well && scene.append(900);
-    if (scene.wal->wantsCheckpoint(1000)) {
+    if (scene.wal->wantsCheckpoint(1000, scene.wal->ringBytes() / 4)) {
       scene.begin(1000);
       well = well && scene.wal->pumpCheckpoint(100);
       ++checkpoints;
--- a/tests/full_ring_test.cc
+++ b/tests/full_ring_test.cc
@@ -9,6 +9,8 @@
 constexpr std::size_t kGrowthBytes = 20 << 10;
 constexpr std::size_t kSteadyBytes = 8 << 10;
 constexpr std::size_t kRingBytes = kFiles * (256 << 10);
+// Rings of few and of many files, of one size.
+constexpr std::size_t kFileCounts[] = {kFiles, 3 * kFiles};
 
 struct Told {
   bool done = false;
@@ -32,8 +34,8 @@
 }
 
 // Grows until it is refused, then goes on with what does not enlarge: a ring's length of it, twice over.
-void fullRingGoesOn(std::uint64_t seed) {
-  Rig rig(seed, 3);
+void fullRingGoesOn(std::uint64_t seed, std::size_t files) {
+  Rig rig(seed, 3, 20000, kRingBytes / files, 0, files);
   rig.world.runUntil(2 * kSecondUs);
   std::size_t grown = 0;
   Told told;
@@ -52,8 +54,8 @@
 }
 // With a full ring each member in turn loses power, or its disk, and comes back: it opens or copies the whole state,
 // and the chain takes what does not enlarge before, meanwhile and after.
-void fullRingOutlivesLosses(std::uint64_t seed) {
-  Rig rig(seed, 3);
+void fullRingOutlivesLosses(std::uint64_t seed, std::size_t files) {
+  Rig rig(seed, 3, 20000, kRingBytes / files, 0, files);
   rig.world.runUntil(2 * kSecondUs);
   while (ask(rig, Bytes(kGrowthBytes, 'g')).taken) {
   }
@@ -74,10 +76,11 @@
 }  // namespace
 
 int main() {
-  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
-    fullRingGoesOn(seed);
-    fullRingOutlivesLosses(seed);
-  }
+  for (const std::size_t files : kFileCounts)
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+      fullRingGoesOn(seed, files);
+      fullRingOutlivesLosses(seed, files);
+    }
   std::printf("full_ring_test: %d passed, %d failed\n", passed, failed);
   return failed == 0 ? 0 : 1;
 }
