A lot that is refused for want of room is told so at once, and asked for once

Cause: a node asked the head again every 60 ms for up to 2.5 s with a lot that was refused as ring_full or busy, and polled all stores for the view each time. Ruled out: two samplers that contend (one core holds the duty); a fault of the chain (it takes and commits, late).

--- a/src/node/lot_desk.cc
+++ b/src/node/lot_desk.cc
@@ -47,7 +47,7 @@
   command.slotCap = scheduler_.mostPassed();
   const Us askedUs = ports_.clock.monoUs();
   bytesIn_ += bytes;
-  Job<ChainAnswer> sending = store_.submit(pack(StoreCommand(command)), plan_.submitUs);
+  Job<ChainAnswer> sending = store_.submit(pack(StoreCommand(command)), plan_.submitUs, 0, WhenFull::kTellAtOnce);
   ChainAnswer answer = co_await sending;
   bytesIn_ -= bytes;
   StoreVerdict verdict;
--- a/src/replication/client.cc
+++ b/src/replication/client.cc
@@ -103,7 +103,7 @@
   co_return poll.newest.revision == view_.revision&& poll.headHeard();
 }
 
-Job<ChainAnswer> ChainClient::submit(Bytes command, Us limitUs, Us sureUs) {
+Job<ChainAnswer> ChainClient::submit(Bytes command, Us limitUs, Us sureUs, WhenFull whenFull) {
   Submit submit;
   submit.id = {clientId_, ++lastNumber_};
   submit.command = std::move(command);
@@ -131,9 +131,13 @@
         if (answered->outcome == ChainOutcome::kRingFull) trouble = ChainError::kRingFull;
       }
     }
+    const bool full = trouble == ChainError::kBusy || trouble == ChainError::kRingFull;
+    if (full && !unsure && whenFull == WhenFull::kTellAtOnce) break;
     if (ports_.clock.monoUs() + kAgainUs >= (unsure ? untilUs : sureUntilUs)) break;
-    Job<Done> refreshing = refresh();
-    co_await refreshing;
+    if (!full) {  // a head that says so is the head: its view need not be asked for
+      Job<Done> refreshing = refresh();
+      co_await refreshing;
+    }
     Pause pause(ports_.timers, kAgainUs);
     co_await pause;
   }
--- a/src/replication/client.h
+++ b/src/replication/client.h
@@ -20,12 +20,18 @@
 };
 using ChainAnswer = std::variant<Bytes, ChainFailure>;
 
+// What to do with a command that the head refuses for want of room: surely not taken, and perhaps taken a moment later.
+enum class WhenFull : std::uint8_t {
+  kTryAgain,    // as long as the limits allow
+  kTellAtOnce,  // the caller has someone to tell: asking on, with much to carry, keeps the head from its work
+};
+
 class ChainClient {
  public:
   ChainClient(Ports& ports, RpcEndpoint& rpc, std::vector<Address> members);
   // The same command is sent again until it is known to be applied, and is applied once.
   // While it is sure not to have been taken it is given up after `sureUs` already, if that is given.
-  Job<ChainAnswer> submit(Bytes command, Us limitUs, Us sureUs = 0);
+  Job<ChainAnswer> submit(Bytes command, Us limitUs, Us sureUs = 0, WhenFull whenFull = WhenFull::kTryAgain);
   Job<ChainAnswer> read(Bytes query, Us holdUs, Us limitUs);
   Job<std::variant<ChangeReply, PeerSilent>> changeVoters(ChangeVoters request, Us limitUs);
   const View& view() const { return view_; }
--- a/src/runtime/pack.h
+++ b/src/runtime/pack.h
@@ -111,6 +111,14 @@
   }
 }
 
+// Which alternative of a packed variant the bytes hold, without reading it; none: too short.
+inline std::optional<std::size_t> packedAlternative(const Bytes& bytes) {
+  std::int32_t index = 0;
+  if (bytes.size() < sizeof(index)) return std::nullopt;
+  std::memcpy(&index, bytes.data(), sizeof(index));
+  return static_cast<std::size_t>(index);
+}
+
 #define STONEMOUNT_PACK(...)          \
   template <class Archive>            \
   void serialize(Archive& archive_) { \
--- a/src/store/store_machine.cc
+++ b/src/store/store_machine.cc
@@ -113,11 +113,12 @@
   return {};
 }
 
+// A lot is long, and many are refused where room is short: it is not read for this.
 bool StoreMachine::enlarges(const Bytes& bytes) const {
-  auto read = unpack<StoreCommand>(bytes);
-  auto* command = std::get_if<StoreCommand>(&read);
-  return command != nullptr &&
-         (std::holds_alternative<SubmitLot>(*command) || std::holds_alternative<CreateEvent>(*command));
+  static const std::size_t lot = StoreCommand(SubmitLot()).index();
+  static const std::size_t event = StoreCommand(CreateEvent()).index();
+  const std::optional<std::size_t> kind = packedAlternative(bytes);
+  return kind == lot || kind == event;
 }
 
 // Answers of items that are accepted and not over: as long as those kept are, on the whole.
--- a/tests/full_ring_test.cc
+++ b/tests/full_ring_test.cc
@@ -18,17 +18,17 @@
   ChainError why = ChainError::kUnreachable;
 };
 
-Task send(Rig& rig, Bytes command, Told& told) {
-  Job<ChainAnswer> sending = rig.client->submit(std::move(command), kSecondUs, kSecondUs / 5);
+Task send(Rig& rig, Bytes command, Told& told, WhenFull whenFull) {
+  Job<ChainAnswer> sending = rig.client->submit(std::move(command), kSecondUs, kSecondUs / 5, whenFull);
   const ChainAnswer answer = co_await sending;
   told.taken = std::holds_alternative<Bytes>(answer);
   if (auto* failure = std::get_if<ChainFailure>(&answer)) told.why = failure->trouble;
   told.done = true;
 }
 
-Told ask(Rig& rig, Bytes command) {
+Told ask(Rig& rig, Bytes command, WhenFull whenFull = WhenFull::kTryAgain) {
   Told told;
-  rig.room.start(send(rig, std::move(command), told));
+  rig.room.start(send(rig, std::move(command), told, whenFull));
   while (!told.done) rig.world.runUntil(rig.world.nowUs() + 10 * kMilliUs);
   return told;
 }
@@ -52,6 +52,27 @@
   expect(ask(rig, Bytes(kGrowthBytes, 'g')).why == ChainError::kRingFull, "and growth is refused still");
   expect(rig.wholeAndActive(), "no member is lost to a full ring");
 }
+// Callers who are refused for want of room are told at once, and have asked once: while many are refused the head has
+// its work to do (incident 23).
+void fullRingIsToldAtOnce(std::uint64_t seed) {
+  Rig rig(seed, 3);
+  rig.world.runUntil(2 * kSecondUs);
+  while (ask(rig, Bytes(kGrowthBytes, 'g')).taken) {
+  }
+  constexpr std::uint64_t kRefusals = 20;
+  const auto refusals = [&rig] {
+    std::uint64_t count = 0;
+    for (const auto& process : rig.processes) count += process->member.counts().ringFull;
+    return count;
+  };
+  const std::uint64_t before = refusals();
+  const Us beganUs = rig.world.nowUs();
+  for (std::uint64_t i = 0; i < kRefusals; ++i)
+    expect(ask(rig, Bytes(kGrowthBytes, 'g'), WhenFull::kTellAtOnce).why == ChainError::kRingFull,
+           "it is told that the ring is full");
+  expect(refusals() - before == kRefusals, "each was sent once: " + std::to_string(refusals() - before));
+  expect(rig.world.nowUs() - beganUs <= static_cast<Us>(kRefusals) * 20 * kMilliUs, "and told at once");
+}
 // With a full ring each member in turn loses power, or its disk, and comes back: it opens or copies the whole state,
 // and the chain takes what does not enlarge before, meanwhile and after.
 void fullRingOutlivesLosses(std::uint64_t seed, std::size_t files) {
@@ -80,6 +101,7 @@
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
       fullRingGoesOn(seed, files);
       fullRingOutlivesLosses(seed, files);
+      fullRingIsToldAtOnce(seed);
     }
   std::printf("full_ring_test: %d passed, %d failed\n", passed, failed);
   return failed == 0 ? 0 : 1;
--- a/tests/state_bounds_test.cc
+++ b/tests/state_bounds_test.cc
@@ -2,14 +2,29 @@
 #include "replication/state_bounds.h"
 
 #include "expect.h"
+#include "store/store_machine.h"
 
 using namespace stonemount;
 
 namespace {
 constexpr std::size_t kMega = 1 << 20;
+
+// What brings new work is told by the kind of a packed command alone.
+void growthIsToldByKind() {
+  Chance chance(1);
+  const StoreMachine store(chance, StorePlan());
+  expect(store.enlarges(pack(StoreCommand(SubmitLot()))), "a lot enlarges");
+  expect(store.enlarges(pack(StoreCommand(CreateEvent()))), "an event enlarges");
+  const StoreCommand others[] = {CloseEvent(), EndLot(), GrantRuns(), RenewRuns(),   SealRuns(),
+                                 DropRuns(),   Sweep(),  LockWish(),  CutProposal(), DoubtCut()};
+  for (const StoreCommand& other : others)
+    expect(!store.enlarges(pack(other)), "what finishes old work does not, kind " + std::to_string(other.index()));
+  expect(!store.enlarges("") && !store.enlarges("abc"), "nor what is no command");
+}
 }  // namespace
 
 int main() {
+  growthIsToldByKind();
   for (std::size_t ringBytes = kMega; ringBytes <= 1024 * kMega; ringBytes += 7 * kMega) {
     const std::string name = ", ring of " + std::to_string(ringBytes / kMega) + " MiB";
     const StateBounds free = stateBounds(ringBytes, 0);
