Another SIGTERM while a process drains changes nothing; an interrupt ends it at once

Conclusion: SIGTERM may be repeated by whoever manages processes; SIGINT stays the way to end one at once.

--- a/src/adapters/loop.cc
+++ b/src/adapters/loop.cc
@@ -107,8 +107,13 @@
 
 void Loop::onSignal(evutil_socket_t number, short, void* given) {
   Loop& self = *static_cast<Loop*>(given);
-  if (number != SIGHUP) return self.leave();
-  if (self.hangup != nullptr) self.hangup->proceed();
+  if (number == SIGHUP) {
+    if (self.hangup != nullptr) self.hangup->proceed();
+    return;
+  }
+  // Whoever manages processes may say it more than once; a person who interrupts twice is impatient.
+  if (number == SIGTERM && self.leaving_) return;
+  self.leave();
 }
 
 void Loop::leave() {
--- a/src/adapters/loop.h
+++ b/src/adapters/loop.h
@@ -24,7 +24,8 @@
   event_base* base() { return base_; }
   void run();  // until stop() or a polite signal
   void stop();
-  // Runs before the loop ends at a polite signal; a second signal ends it at once.
+  // Runs before the loop ends at SIGTERM or SIGINT. Another SIGTERM changes nothing; SIGINT after either ends it at
+  // once.
   Continuation* farewell = nullptr;
   // Runs at SIGHUP, which is otherwise ignored.
   Continuation* hangup = nullptr;
