--- a/src/replication/catch_up.cc
+++ b/src/replication/catch_up.cc
@@ -12,7 +12,6 @@
 constexpr Us kIdleUs = kSecondUs;
 constexpr Us kInvitedUs = 2 * kSecondUs;
 constexpr Us kFetchLimitUs = 600 * kMilliUs;
-constexpr std::size_t kPartBytes = 256 << 10;
 constexpr std::size_t kLeastBytes = 8 << 10;
 constexpr int kSilentParts = 12;
 constexpr std::size_t kCheckpointParts = 16;  // with each sync
@@ -39,7 +38,7 @@
       snapshotToken_ = 0;
       snapshot_ = StateImage();
     }
-    if (fetchBytes_ == 0) fetchBytes_ = kPartBytes;
+    if (fetchBytes_ == 0) fetchBytes_ = kCatchUpPartBytes;
     if (state_ != ReplicaState::kOutside || fetching_ || (findMember(memory_.view, self_) == nullptr && !invited()) ||
         appended_ > end_ || nowUs < heldUntilUs_)
       continue;
@@ -84,7 +83,8 @@
     std::variant<StatePart, PeerSilent> verdict = co_await job;
     if (state_ != ReplicaState::kOutside) co_return false;
     auto* part = std::get_if<StatePart>(&verdict);
-    fetchBytes_ = part != nullptr ? std::min(fetchBytes_ * 2, kPartBytes) : std::max(fetchBytes_ / 2, kLeastBytes);
+    fetchBytes_ =
+        part != nullptr ? std::min(fetchBytes_ * 2, kCatchUpPartBytes) : std::max(fetchBytes_ / 2, kLeastBytes);
     if (part == nullptr && ++silent < kSilentParts) continue;
     if (part == nullptr || part->token == 0) co_return false;
     // A holder does not give up what it holds for a snapshot that may hold less (design.md 6.5).
@@ -125,7 +125,8 @@
     std::variant<LogPart, PeerSilent> verdict = co_await job;
     auto* part = std::get_if<LogPart>(&verdict);
     if (state_ != ReplicaState::kOutside) co_return false;
-    fetchBytes_ = part != nullptr ? std::min(fetchBytes_ * 2, kPartBytes) : std::max(fetchBytes_ / 2, kLeastBytes);
+    fetchBytes_ =
+        part != nullptr ? std::min(fetchBytes_ * 2, kCatchUpPartBytes) : std::max(fetchBytes_ / 2, kLeastBytes);
     if (part == nullptr) co_return false;
     if (!part->granted) {
       fetchRefused_ = part->parted;
@@ -153,74 +154,6 @@
   co_return false;
 }
 
-// A snapshot is good as long as the log that follows it is kept; and it must hold all that was acknowledged before
-// this view.
-bool Replica::snapshotServes() const {
-  const bool follows = snapshot_.end == end_ || recent_.reachesBackTo(snapshot_.end);
-  return snapshotToken_ != 0 && follows && snapshot_.revision == memory_.view.revision;
-}
-
-// While a checkpoint is being written, its image serves joiners too: a second copy of the whole state beside it is
-// never made. False: that one is of an earlier view, so the joiner has to come again once it is written.
-bool Replica::takeSnapshot() {
-  const bool shares = wal_.checkpointing() && checkpointImage_.bytes != nullptr;
-  if (shares && checkpointImage_.revision != memory_.view.revision) return false;
-  if (shares && checkpointImage_.end != end_ && !recent_.reachesBackTo(checkpointImage_.end)) return false;
-  snapshot_ =
-      shares ? checkpointImage_ : StateImage{std::make_shared<const Bytes>(image()), end_, memory_.view.revision};
-  snapshotToken_ = ports_.chance.next() | 1;
-  ++counts_.snapshots;
-  return true;
-}
-
-void Replica::onFetchState(const Asked& asked) {
-  auto message = unpack<FetchState>(asked.body);
-  if (!std::holds_alternative<FetchState>(message)) return;
-  const FetchState& request = std::get<FetchState>(message);
-  StatePart part;
-  const bool mine =
-      holdsSeat(memory_.view.chain, self_, memory_.incarnation) && memory_.view.chain.back().address == self_;
-  const Us nowUs = ports_.clock.monoUs();
-  const bool serves = mine && (request.token == 0 ? snapshotServes() || takeSnapshot()
-                                                  : snapshotToken_ != 0 && request.token == snapshotToken_);
-  if (serves && request.offset <= snapshot_.bytes->size()) {
-    snapshotUsedUs_ = nowUs;
-    part.token = snapshotToken_;
-    part.total = snapshot_.bytes->size();
-    part.end = snapshot_.end;
-    part.revision = snapshot_.revision;
-    part.bytes = snapshot_.bytes->substr(request.offset, std::min<std::size_t>(request.most, kPartBytes));
-  }
-  rpc_.reply(asked, part);
-}
-
-void Replica::onFetchLog(const Asked& asked) {
-  auto message = unpack<FetchLog>(asked.body);
-  if (!std::holds_alternative<FetchLog>(message)) return;
-  const FetchLog& request = std::get<FetchLog>(message);
-  LogPart part;
-  part.end = end_;
-  const bool mine =
-      holdsSeat(memory_.view.chain, self_, memory_.incarnation) && request.revision == memory_.view.revision;
-  const bool holds = mine && (tail() || state_ == ReplicaState::kSealed);
-  if (!holds) {
-    part.end = 0;  // ask again later; nothing is said about the log
-  } else if (request.after == end_) {
-    part.granted = request.afterRevision == endRevision_;
-  } else if (request.after < end_ && recent_.reachesBackTo(request.after)) {
-    const std::size_t next = request.after + 1 - recent_.firstIndex();
-    part.granted = (next == 0 ? recent_.revisionBefore() : recent_[next - 1].revision) == request.afterRevision;
-    std::size_t bytes = 0;
-    for (std::size_t i = next;
-         part.granted && i < recent_.size() && bytes < std::min<std::size_t>(request.most, kPartBytes); ++i) {
-      bytes += recent_[i].command.size();
-      part.entries.push_back(recent_[i]);
-    }
-  }
-  part.parted = holds && !part.granted;
-  rpc_.reply(asked, part);
-}
-
 void Replica::onCatchUp(const Asked& asked) {
   auto message = unpack<CatchUp>(asked.body);
   if (std::holds_alternative<CatchUp>(message)) room_.start(catchUp(asked, std::get<CatchUp>(message)));
--- /dev/null
+++ b/src/replication/intake.cc
@@ -0,0 +1,92 @@
+// Commands as they come in at the head: what is taken, and what is refused for want of room (design.md 5.2, 6.3).
+#include <absl/strings/str_cat.h>
+
+#include "replication/replica.h"
+
+namespace stonemount {
+
+namespace {
+constexpr std::size_t kInboxBound = 4096;
+constexpr Us kTellAgainUs = 2 * kSecondUs;  // of refusals for want of room
+}  // namespace
+
+void Replica::refuse(const Asked& asked, ChainOutcome outcome) {
+  rpc_.reply(asked, ChainReply{outcome, memory_.view.revision, Bytes()});
+}
+
+void Replica::onSubmit(const Asked& asked) {
+  auto message = unpack<Submit>(asked.body);
+  if (!std::holds_alternative<Submit>(message)) return;
+  Submit& submit = std::get<Submit>(message);
+  if (!head() || submit.revision != memory_.view.revision) return refuse(asked, ChainOutcome::kNotMine);
+  if (!spansZones(memory_.view.chain)) return refuse(asked, ChainOutcome::kTooFewCopies);
+  const std::size_t backlog = backlogBytes();
+  if (inbox_.size() >= kInboxBound || backlog >= kBacklogBytesBound ||
+      (backlog >= kBacklogBytesBound / 2 && machine_.enlarges(submit.command))) {
+    logBacklogFull(backlog);
+    return refuse(asked, ChainOutcome::kBusy);
+  }
+  const std::size_t longest = machine_.takesLong() ? wal_.longestInPieces() : wal_.longestRecord();
+  if (submit.command.size() > longest) return refuse(asked, ChainOutcome::kTooLong);
+  // The ring must hold the old checkpoint, the new one and the entries between (design.md 5.2).
+  const std::size_t bytes = imageBytes_ + wal_.bytesSinceCheckpoint() + inboxBytes_ + submit.command.size();
+  const std::size_t growth = bounds_.growth;  // near it, it is worth reading the command
+  const bool tight = bytes > growth || (bytes > growth / 2 && bytes + machine_.owedBytes() > growth);
+  const bool full = bytes > bounds_.command || (tight && machine_.enlarges(submit.command));
+  if (full) {
+    logRingFull(bytes);
+    roomWanted_ = true;
+    inboxEvent_.notify();
+    return refuse(asked, ChainOutcome::kRingFull);
+  }
+  StampVerdict stamped = machine_.stamp(submit.command, sight());
+  if (auto* refused = std::get_if<StampRefused>(&stamped)) {
+    rpc_.reply(asked, ChainReply{ChainOutcome::kDone, memory_.view.revision, refused->verdict});
+    return;
+  }
+  Entry entry;
+  entry.index = received() + 1;
+  entry.revision = memory_.view.revision;
+  entry.id = submit.id;
+  entry.client = asked.peer;
+  entry.exchange = asked.exchange;
+  entry.command = std::move(std::get<Stamped>(stamped).command);
+  inboxBytes_ += entry.command.size();
+  taken.emit(entry);
+  inbox_.push_back(std::move(entry));
+  inboxEvent_.notify();
+}
+
+// Once for so many refusals in a row; the first one of a spell tells that it began.
+void Replica::logRingFull(std::size_t bytes) {
+  const Us nowUs = ports_.clock.monoUs();
+  ++counts_.ringFull;
+  if (ringFullToldUs_ >= 0 && nowUs - ringFullToldUs_ < kTellAgainUs) return;
+  ringFullToldUs_ = nowUs;
+  logDoubt("ring_full", {{"refused", absl::StrCat(counts_.ringFull)},
+                         {"state_bytes", absl::StrCat(imageBytes_)},
+                         {"entry_bytes", absl::StrCat(bytes - imageBytes_)},
+                         {"owed_bytes", absl::StrCat(machine_.owedBytes())},
+                         {"growth_bytes", absl::StrCat(bounds_.growth)}});
+}
+
+void Replica::logBacklogFull(std::size_t bytes) {
+  const Us nowUs = ports_.clock.monoUs();
+  ++counts_.backlogFull;
+  if (backlogToldUs_ >= 0 && nowUs - backlogToldUs_ < kTellAgainUs) return;
+  backlogToldUs_ = nowUs;
+  logDoubt("backlog_full", {{"refused", absl::StrCat(counts_.backlogFull)},
+                            {"bytes", absl::StrCat(bytes)},
+                            {"inbox_bytes", absl::StrCat(inboxBytes_)},
+                            {"end", absl::StrCat(end_)},
+                            {"successor_end", absl::StrCat(successorPeak_)},
+                            {"committed", absl::StrCat(committed_)}});
+}
+
+// What came in this view and is not known to be at the successor.
+std::size_t Replica::backlogBytes() const {
+  if (!active() || tail()) return inboxBytes_;
+  return inboxBytes_ + recent_.bytesAfter(std::max(successorPeak_, verifiedEnd_));
+}
+
+}  // namespace stonemount
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -24,6 +24,11 @@
   std::size_t memoryBytes = 0;  // that the process may take; 0: not bounded
 };
 
+// Of what a member took and its successor does not have yet. Half of it is left to what finishes old work.
+constexpr std::size_t kBacklogBytesBound = 4 << 20;
+
+constexpr std::size_t kCatchUpPartBytes = 256 << 10;  // of a state or log that is copied, at a time
+
 // What is known of another member from its last pong.
 struct PeerSight {
   Us heardUs = -1;
@@ -86,15 +91,17 @@
   bool loadImage(const Bytes& image, bool own);
   void beginCheckpoint();
   void maybeCheckpoint();
-  bool takeSnapshot();
-  bool snapshotServes() const;
   void logOverflowed();
   void onViewAsk(const Asked& asked);
   void onBootstrap(const Asked& asked);
   void onDecided(const Asked& asked);
   Task takeViewTask(View next);
-  // relay.cc: commands
+  // intake.cc: commands at the head
   void onSubmit(const Asked& asked);
+  void logRingFull(std::size_t bytes);
+  void logBacklogFull(std::size_t bytes);
+  std::size_t backlogBytes() const;
+  // relay.cc: commands along the chain
   void onAppend(const Asked& asked);
   void refuse(const Asked& asked, ChainOutcome outcome);
   Task write();
@@ -103,12 +110,9 @@
   void leaveBehind(const Address& successor, std::uint64_t itsEnd);
   void applyEntry(const Entry& entry, bool release);
   void keepRecent(const Entry& entry, Revision before);
-  std::size_t backlogBytes() const;
   LogNames logNames() const;
   bool begins(const PassedOn& successor) const;
   void answerAppend(const Asked& asked, bool granted);
-  void logRingFull(std::size_t bytes);
-  void logBacklogFull(std::size_t bytes);
   // reader.cc: reads at the tail
   void onRead(const Asked& asked);
   Task readBatches();
@@ -151,7 +155,10 @@
   Job<bool> fenceChain(View& target);
   Job<bool> fenceHolder(View& target);
   Job<bool> ballot(View target);
-  // refill.cc
+  // catch_up_source.cc: what joiners copy
+  bool takeSnapshot();
+  bool snapshotServes() const;
+  // catch_up.cc
   Task followTail();
   Job<bool> fetchState(Address source);
   Job<bool> writeCheckpoint();
