A refusal that is sure stays sure: no last try without time to be answered

Cause: since a refusal for want of room asks for no view any more, the last try of a command could begin a few milliseconds before its limit; unanswered, it turned a sure refusal into an unsure one (disk_size_test, 16 MB). Ruled out: a change of what is refused (the same bounds; 4,500 routes in both). Conclusion: such a try needs 0.1 s.

--- a/src/replication/client.cc
+++ b/src/replication/client.cc
@@ -7,6 +7,7 @@
 namespace {
 constexpr Us kTryUs = 700 * kMilliUs;
 constexpr Us kAgainUs = 60 * kMilliUs;
+constexpr Us kLeastTryUs = 100 * kMilliUs;
 constexpr Us kHeldUs = 300 * kMilliUs;  // over the time for which a read may be held: then its tail is gone
 constexpr Us kViewUs = 250 * kMilliUs;
 
@@ -133,7 +134,9 @@
     }
     const bool full = trouble == ChainError::kBusy || trouble == ChainError::kRingFull;
     if (full && !unsure && whenFull == WhenFull::kTellAtOnce) break;
-    if (ports_.clock.monoUs() + kAgainUs >= (unsure ? untilUs : sureUntilUs)) break;
+    // What is surely not taken stays so: no further try is begun that has no time to be answered.
+    const Us nextUs = ports_.clock.monoUs() + kAgainUs;
+    if (unsure ? nextUs >= untilUs : nextUs + (full ? kLeastTryUs : 0) >= sureUntilUs) break;
     if (!full) {  // a head that says so is the head: its view need not be asked for
       Job<Done> refreshing = refresh();
       co_await refreshing;
