--- a/src/replication/catch_up.cc
+++ b/src/replication/catch_up.cc
@@ -74,6 +74,11 @@
 // One snapshot at the source serves all who copy from it, and a part that does not come in time is asked
 // for again, smaller: neither another joiner nor a slow link starts the copy anew (design.md 6.7).
 Job<bool> Replica::fetchState(Address source) {
+  // One that is being written is finished first: dropped, its parts would take room that the next one needs. Not
+  // later: between the look at what it holds, below, and the loading it must not wait for anything.
+  Job<bool> writing = writeCheckpoint();
+  const bool written = co_await writing;
+  if (!written || state_ != ReplicaState::kOutside) co_return false;
   Bytes state;
   FetchState request;
   int silent = 0;
@@ -98,10 +103,6 @@
     if (part->bytes.empty()) co_return false;
   }
   const std::size_t copiedBytes = state.size();
-  // One that is being written is finished first: dropped, its parts would take room that the next one needs.
-  Job<bool> writing = writeCheckpoint();
-  const bool written = co_await writing;
-  if (!written || state_ != ReplicaState::kOutside) co_return false;
   imageLoose_ = true;
   if (!loadImage(state, false)) co_return false;
   Bytes().swap(state);  // not held beside the next one
