--- a/src/config/config_cache.cc
+++ b/src/config/config_cache.cc
@@ -29,22 +29,28 @@
   news.emit();
 }
 
+void ConfigCache::takeReply(const Bytes& reply, Us askedUs) {
+  auto readReply = unpack<FollowReply>(reply);
+  auto* follow = std::get_if<FollowReply>(&readReply);
+  if (follow == nullptr) return;
+  auto readNews = unpack<ControlNews>(follow->news);
+  auto* given = std::get_if<ControlNews>(&readNews);
+  if (given == nullptr) return;
+  freshUs_ = askedUs;
+  take(*given);
+  if (state_.revision() >= given->to) contact.emit({askedUs, follow->listNumber, follow->followers});
+}
+
 Task ConfigCache::follow() {
   while (true) {
     ++asks;
     const Us askedUs = ports_.clock.monoUs();
     // Asks are spread, so that the return of the core brings no herd.
     const Us holdUs = kHoldUs + static_cast<Us>(ports_.chance.below(200)) * kMilliUs;
-    Bytes query = pack(ControlQuery(NewsAsk{state_.revision()}));
+    Bytes query = pack(ControlQuery(FollowAsk{state_.revision()}));
     Job<ChainAnswer> asking = core_.read(std::move(query), holdUs, kLimitUs);
     ChainAnswer answer = co_await asking;
-    if (std::holds_alternative<Bytes>(answer)) {
-      auto read = unpack<ControlNews>(std::get<Bytes>(answer));
-      if (auto* given = std::get_if<ControlNews>(&read)) {
-        freshUs_ = askedUs;
-        take(*given);
-      }
-    }
+    if (auto* reply = std::get_if<Bytes>(&answer)) takeReply(*reply, askedUs);
     Pause pause(ports_.timers, static_cast<Us>(5 + ports_.chance.below(20)) * kMilliUs);
     co_await pause;
   }
--- a/src/config/config_cache.h
+++ b/src/config/config_cache.h
@@ -14,6 +14,13 @@
   STONEMOUNT_PACK(since)
 };
 
+// Control answered: what it told of itself.
+struct ControlContact {
+  Us askedUs = 0;                // when it was asked
+  std::uint64_t listNumber = 0;  // of its newest list of workers
+  std::size_t followers = 0;     // nodes that follow it; 0: not known
+};
+
 class ConfigCache {
  public:
   ConfigCache(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& core, Gossip& gossip);
@@ -23,11 +30,13 @@
   Us freshUs() const { return freshUs_; }  // when the question was asked that control answered last
   std::uint64_t asks = 0;
   sigc::signal<void()> news;
+  sigc::signal<void(const ControlContact&)> contact;  // after the news of the same answer was taken
 
  private:
   Task follow();
   Task catchUpFromPeer(Address peer);
   void take(const ControlNews& given);
+  void takeReply(const Bytes& reply, Us askedUs);
   void onConfigCacheRequest(const Asked& asked);
   void onMet(const PeerRecord& record);
   Ports& ports_;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -9,14 +9,13 @@
 
 // What the deployment promises and asks for, as far as this process has to know it.
 struct Bounds {
-  Us drainUs = 3 * kSecondUs;           // a leaving worker gets nothing new after this
-  Us graceUs = 20 * kSecondUs;          // from the polite signal to the end
-  Us syncUs = 5 * kSecondUs;            // within it a returned or new member holds everything
-  Us statusUs = 120 * kSecondUs;        // a lot's results stay readable for so long after it was handed in
-  Us cancelUs = 3 * kSecondUs;          // an ended lot starts nothing after this
-  std::uint32_t coldOverPercent = 100;  // of a cold worker's rate that it gets in a second at the most
-  std::uint32_t coldSlack = 0;          // and so many more
-  std::uint32_t lostMachines = 1;       // with disks, at once
+  Us drainUs = 3 * kSecondUs;      // a leaving worker gets nothing new after this
+  Us graceUs = 20 * kSecondUs;     // from the polite signal to the end
+  Us syncUs = 5 * kSecondUs;       // within it a returned or new member holds everything
+  Us statusUs = 120 * kSecondUs;   // a lot's results stay readable for so long after it was handed in
+  Us cancelUs = 3 * kSecondUs;     // an ended lot starts nothing after this
+  Us listLagUs = kSecondUs;        // by which the platform's list of workers lags behind
+  std::uint32_t lostMachines = 1;  // with disks, at once
 };
 
 struct Settings {
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -52,9 +52,16 @@
   Revision seen = 0;  // the revision of the zone's newest order when the call came in; 0: none
   STONEMOUNT_PACK(zone, evacuated, seen)
 };
+// The list was asked for again and is as it was told before. Like a list that was numbered by its lister, it carries
+// the number after the last one that the lister knew before it asked; of two such, only the first counts. Nodes see by
+// the number up to when the list tells the truth (docs/design-notes/cold-workers.md).
+struct ConfirmWorkers {
+  std::uint64_t number = 0;
+  STONEMOUNT_PACK(number)
+};
 // New kinds go to the end: a log names them by their place.
-using ControlCommand =
-    std::variant<PutConfig, SetZone, PutWorkers, ReturnConfig, Rebuild, FoundStore, RetireStore, SetZoneSince>;
+using ControlCommand = std::variant<PutConfig, SetZone, PutWorkers, ReturnConfig, Rebuild, FoundStore, RetireStore,
+                                    SetZoneSince, ConfirmWorkers>;
 
 enum class ControlOutcome : std::uint8_t {
   kDone,
@@ -81,6 +88,17 @@
   Revision since = 0;
   STONEMOUNT_PACK(since)
 };
+// As NewsAsk; and besides what a node must know of the fleet and cannot count itself.
+struct FollowAsk {
+  Revision since = 0;
+  STONEMOUNT_PACK(since)
+};
+struct FollowReply {
+  std::uint64_t listNumber = 0;  // of the newest list of workers that was taken or confirmed
+  std::uint32_t followers = 0;   // nodes that follow control, as its tail has counted them; 0: not known yet
+  Bytes news;                    // ControlNews, packed
+  STONEMOUNT_PACK(listNumber, followers, news)
+};
 struct HistoryAsk {
   std::uint8_t unused = 0;
   STONEMOUNT_PACK(unused)
@@ -89,7 +107,7 @@
   std::uint8_t unused = 0;
   STONEMOUNT_PACK(unused)
 };
-using ControlQuery = std::variant<NewsAsk, HistoryAsk, OrdersAsk>;
+using ControlQuery = std::variant<NewsAsk, HistoryAsk, OrdersAsk, FollowAsk>;
 
 template <class Item>
 struct ItemChange {
--- a/src/control/control_machine.cc
+++ b/src/control/control_machine.cc
@@ -52,6 +52,8 @@
     done = put(*since);
   else if (auto* workers = std::get_if<PutWorkers>(command))
     done = put(*workers);
+  else if (auto* confirm = std::get_if<ConfirmWorkers>(command))
+    return pack(put(*confirm));
   else if (auto* rebuild = std::get_if<Rebuild>(command))
     done = put(*rebuild);
   else
@@ -191,16 +193,34 @@
   return verdict(ControlOutcome::kDone);
 }
 
+// Nothing that nodes are told changes, but up to when it is true.
+ControlVerdict ControlMachine::put(const ConfirmWorkers& command) {
+  if (command.number <= platformVersion_) return verdict(ControlOutcome::kOlder);
+  platformVersion_ = command.number;
+  return verdict(ControlOutcome::kUnchanged);
+}
+
+std::optional<Bytes> ControlMachine::newsFor(Revision asked, bool mustAnswer) const {
+  if (asked == state_.revision() && state_.revision() != 0 && !mustAnswer) return std::nullopt;
+  const Revision since = state_.tellsWhole(asked) ? 0 : asked;  // the whole is packed once for all
+  auto found = packedNews_.find(since);
+  if (found == packedNews_.end()) found = packedNews_.emplace(since, pack(state_.newsSince(since))).first;
+  return found->second;
+}
+
 QueryVerdict ControlMachine::answer(const Bytes& bytes, bool mustAnswer) {
   auto read = unpack<ControlQuery>(bytes);
   auto* query = std::get_if<ControlQuery>(&read);
   if (query == nullptr) return Bytes();
-  if (auto* news = std::get_if<NewsAsk>(query)) {
-    if (news->since == state_.revision() && state_.revision() != 0 && !mustAnswer) return Hold{};
-    const Revision since = state_.tellsWhole(news->since) ? 0 : news->since;  // the whole is packed once for all
-    auto found = packedNews_.find(since);
-    if (found == packedNews_.end()) found = packedNews_.emplace(since, pack(state_.newsSince(since))).first;
-    return found->second;
+  if (auto* ask = std::get_if<NewsAsk>(query)) {
+    std::optional<Bytes> news = newsFor(ask->since, mustAnswer);
+    if (!news) return Hold{};
+    return std::move(*news);
+  }
+  if (auto* follow = std::get_if<FollowAsk>(query)) {
+    std::optional<Bytes> news = newsFor(follow->since, mustAnswer);
+    if (!news) return Hold{};
+    return pack(FollowReply{platformVersion_, followers_, std::move(*news)});
   }
   if (std::holds_alternative<OrdersAsk>(*query)) return pack(orders_);
   return pack(HistoryVerdict{{history_.begin(), history_.end()}});
--- a/src/control/control_machine.h
+++ b/src/control/control_machine.h
@@ -12,6 +12,7 @@
   Bytes apply(const Bytes& command) override;
   StampVerdict stamp(const Bytes& command, const HeadSight& sight) override;
   QueryVerdict answer(const Bytes& query, bool mustAnswer) override;
+  void setFollowers(std::size_t followers) override { followers_ = static_cast<std::uint32_t>(followers); }
   // Only a configuration with more in it. Evacuations, worker lists, orders and removals go on where the ring is
   // tight: they are small, and the last of them is the way out.
   bool enlarges(const Bytes& command) const override;
@@ -31,16 +32,20 @@
   ControlVerdict put(const SetZone& command);
   ControlVerdict put(const SetZoneSince& command);
   ControlVerdict put(const PutWorkers& command);
+  ControlVerdict put(const ConfirmWorkers& command);
   ControlVerdict put(const ReturnConfig& command);
   ControlVerdict put(const Rebuild& command);
   ControlVerdict take(ConfigStep step);
   ControlVerdict verdict(ControlOutcome outcome) const;
   void boundHistory();
+  // Changes since that revision, packed; none: there are none yet, and the question may wait.
+  std::optional<Bytes> newsFor(Revision since, bool mustAnswer) const;
   ControlState state_;
   std::uint64_t platformVersion_ = 0;
   std::deque<ConfigStep> history_;
   TakenRequests taken_;
   MemberOrders orders_;
+  std::uint32_t followers_ = 0;                   // not kept: what this replica was told of its readers
   mutable std::map<Revision, Bytes> packedNews_;  // many nodes ask from the same revision
 };
 
--- a/src/control/worker_discovery.cc
+++ b/src/control/worker_discovery.cc
@@ -58,24 +58,45 @@
   std::stable_sort(list->workers.begin(), list->workers.end(), ByAddress());
   noteColdness(list->workers);
   const bool older = list->version && *list->version < toldVersion_;
-  if (older || same(list->workers)) co_return Done{};
+  if (older) co_return Done{};
+  if (same(list->workers)) {
+    if (list->version) co_return Done{};  // its own version tells how new it is
+    Job<Done> confirming = confirm(known + 1);
+    co_await confirming;
+    co_return Done{};
+  }
   Job<Done> submitting = submit(std::move(*list), known);
   co_await submitting;
   co_return Done{};
 }
 
-Job<Done> WorkerDiscovery::submit(WorkerList list, std::uint64_t known) {
-  const std::uint64_t number = list.version ? *list.version : known + 1;
-  ControlCommand command = PutWorkers{number, !list.version, list.workers};
-  ++submitted;
+Job<std::optional<ControlVerdict>> WorkerDiscovery::send(ControlCommand command) {
   Job<ChainAnswer> sending = core_.submit(pack(command), kSubmitUs);
   ChainAnswer answer = co_await sending;
   auto* body = std::get_if<Bytes>(&answer);
-  if (body == nullptr) co_return Done{};
+  if (body == nullptr) co_return std::nullopt;
   auto read = unpack<ControlVerdict>(*body);
   auto* verdict = std::get_if<ControlVerdict>(&read);
-  if (verdict == nullptr) co_return Done{};
+  if (verdict == nullptr) co_return std::nullopt;
   standing_ = verdict->platformVersion;
+  co_return *verdict;
+}
+
+Job<Done> WorkerDiscovery::confirm(std::uint64_t number) {
+  ++confirmed;
+  Job<std::optional<ControlVerdict>> sending = send(ConfirmWorkers{number});
+  const std::optional<ControlVerdict> verdict = co_await sending;
+  // Another lister's list came first: what the chain holds may not be what was told here.
+  if (verdict && verdict->outcome == ControlOutcome::kOlder) told_.reset();
+  co_return Done{};
+}
+
+Job<Done> WorkerDiscovery::submit(WorkerList list, std::uint64_t known) {
+  const std::uint64_t number = list.version ? *list.version : known + 1;
+  ++submitted;
+  Job<std::optional<ControlVerdict>> sending = send(PutWorkers{number, !list.version, list.workers});
+  const std::optional<ControlVerdict> verdict = co_await sending;
+  if (!verdict) co_return Done{};
   if (verdict->outcome == ControlOutcome::kOlder) {
     logEvent("list_came_late", {{"number", absl::StrCat(number)}, {"standing", absl::StrCat(standing_)}});
     co_return Done{};
--- a/src/control/worker_discovery.h
+++ b/src/control/worker_discovery.h
@@ -15,6 +15,7 @@
   Job<Done> carry();  // once
   void forget();      // the duty is another's now
   std::uint64_t submitted = 0;
+  std::uint64_t confirmed = 0;  // lists that were as before, and told so
 
  private:
   // A list tells over and over how long a worker is still cold; the chain is told as it begins.
@@ -26,6 +27,8 @@
   void noteColdness(std::vector<ListedWorker>& workers);
   bool same(const std::vector<ListedWorker>& workers) const;
   Job<Done> submit(WorkerList list, std::uint64_t known);
+  Job<Done> confirm(std::uint64_t number);
+  Job<std::optional<ControlVerdict>> send(ControlCommand command);
   ChainClient& core_;
   const ControlMachine& machine_;
   WorkerListSource* source_;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -35,9 +35,10 @@
   if (plan.dialect == nullptr) return;
   PoolLoadTablePlan board;
   board.zone = settings_.zone;
-  board.coldOverPercent = settings_.bounds.coldOverPercent;
-  board.coldSlack = settings_.bounds.coldSlack;
+  board.self = settings_.wire;
   pools_ = std::make_unique<PoolLoadTable>(ports.clock, configCache_.state(), board);
+  sharing_ = std::make_unique<WorkerSharing>(ports.clock, *pools_, settings_.bounds.listLagUs);
+  configCache_.contact.connect(sigc::mem_fun(*sharing_, &WorkerSharing::onContact));
   pools_->gone.connect(sigc::mem_fun(*this, &Node::onWorkerGone));
   gateway_ = std::make_unique<Gateway>(ports, room_, *pools_, configCache_.state(), *plan.dialect, plan.gateway);
   scheduler_.passThrough(*gateway_);
@@ -97,11 +98,19 @@
     health_.relist();
 }
 
+// Also those that have gone silent and are not forgotten yet.
+std::vector<Address> Node::knownNodes() const {
+  std::vector<Address> known;
+  for (const auto& [address, sight] : gossip_.sights())
+    if (sight.record.role == Role::kNode) known.push_back(address);
+  return known;
+}
+
 Task Node::keepNodes() {
   while (true) {
     std::vector<Address> nodes;
     for (const PeerRecord& record : gossip_.alive(Role::kNode)) nodes.push_back(record.wire);
-    if (pools_ != nullptr) pools_->setNodes(nodes.size());
+    if (sharing_ != nullptr) sharing_->shareOut(knownNodes(), gossip_.settled());
     board_.setNodes(std::move(nodes));
     board_.tick();
     board_.controlHeard(configCache_.freshUs());
@@ -115,9 +124,17 @@
   return ports_.clock.monoUs() - std::max(begunUs, configCache_.freshUs()) > kSilentUs;
 }
 
-// The list itself comes through the core. A leaving mark must be heard even while the core cannot be: then
-// each node asks the platform itself, and takes nothing but the marks, until control has told it for a while
-// (design.md 7.7). Asking is priced, and bounded for all nodes together.
+void Node::takePlatformList(const WorkerList& list, Us askedUs) {
+  absl::btree_set<Address> marks;
+  for (const ListedWorker& worker : list.workers)
+    if (worker.leaving) marks.insert(worker.address);
+  board_.setLeavingMarks(std::move(marks), askedUs);
+  if (sharing_ != nullptr) sharing_->onPlatformList(list.workers, askedUs);
+}
+
+// The list itself comes through the core. A leaving mark, and that a worker has turned cold, must be heard even while
+// the core cannot be: then each node asks the platform itself, and takes nothing but these, until control has told it
+// for a while (design.md 7.7). Asking is priced, and bounded for all nodes together.
 Task Node::hearPlatform() {
   const Us begunUs = ports_.clock.monoUs();
   Us silentUs = begunUs;  // when control was last found silent
@@ -126,15 +143,12 @@
   while (true) {
     Us againUs = 100 * kMilliUs;
     const Us nowUs = ports_.clock.monoUs();
-    if (controlSilent(begunUs)) {
+    if (controlSilent(begunUs) || (sharing_ != nullptr && sharing_->listStale())) {
       silentUs = nowUs;
       Job<WorkerListVerdict> fetching = list_->fetch();
       WorkerListVerdict verdict = co_await fetching;
       if (auto* list = std::get_if<WorkerList>(&verdict)) {
-        absl::btree_set<Address> marks;
-        for (const ListedWorker& worker : list->workers)
-          if (worker.leaving) marks.insert(worker.address);
-        board_.setLeavingMarks(std::move(marks), nowUs);
+        takePlatformList(*list, nowUs);
         marked = true;
       }
       const bool turnedAway =
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -7,6 +7,7 @@
 #include "config/rule.h"
 #include "config/settings.h"
 #include "node/lot_desk.h"
+#include "node/worker_sharing.h"
 #include "proxy/gateway.h"
 #include "proxy/health_watch.h"
 #include "proxy/proxy.h"
@@ -83,7 +84,9 @@
   void onNews();
   void onWorkerGone(const Address& worker) { ports_.httpOut.closeKept(worker); }
   Task keepNodes();
+  std::vector<Address> knownNodes() const;
   Task hearPlatform();
+  void takePlatformList(const WorkerList& list, Us askedUs);
   bool controlSilent(Us begunUs) const;
   void methodRefused(HttpReply& reply, const char* allowed);
 
@@ -99,6 +102,7 @@
   HealthWatch health_;
   Proxy proxy_;
   std::unique_ptr<PoolLoadTable> pools_;  // only where requests are passed through
+  std::unique_ptr<WorkerSharing> sharing_;
   std::unique_ptr<Gateway> gateway_;
   std::unique_ptr<LotService> lotService_;
   Scheduler scheduler_;
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -18,8 +18,8 @@
   worker_ = worker;
   lastEvent_ = order.lastEvent;
   const Us untilUs = ports_.clock.monoUs() + order.limitUs;
-  const std::string life = board_.lifeOf(worker);
-  dialect_.direct(order.ask, life, order.limitUs, order.lastEvent);
+  life_ = board_.lifeOf(worker);
+  dialect_.direct(order.ask, life_, order.limitUs, order.lastEvent);
   std::unique_ptr<HttpFlow> flow = ports_.httpOut.open(worker, order.ask, dialect_.via(order.exchange));
   order.ask = HttpAsk();
   flow->piece.connect(sigc::mem_fun(*this, &Attempt::put));
@@ -38,7 +38,7 @@
     co_await hear;
   }
   flow.reset();
-  if (board_.lifeOf(worker) != life)
+  if (board_.lifeOf(worker) != life_)
     told_ = PoolLoadTable::Ending::kLeft;  // of its former life; says nothing of this one
   board_.giveBack(worker, order.lot, told_);
   co_return std::move(*ending_);
@@ -53,6 +53,7 @@
 
 void Attempt::put(HttpPiece piece) {
   if (ending_) return;
+  if (!std::holds_alternative<HttpBroken>(piece)) board_.contact(worker_, life_);
   if (auto* head = std::get_if<HttpHead>(&piece)) return takeHead(*head);
   if (auto* data = std::get_if<HttpData>(&piece)) return takeData(data->bytes);
   if (auto* broken = std::get_if<HttpBroken>(&piece)) {
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -78,6 +78,7 @@
   const WorkerDialect& dialect_;
   PassSink* sink_ = nullptr;
   Address worker_;
+  std::string life_;  // of that worker, as the request is meant for it
   std::optional<std::uint64_t> lastEvent_;
   EventReader events_;
   HttpHead head_;
--- /dev/null
+++ b/src/proxy/cold_allowance.cc
@@ -0,0 +1,109 @@
+#include "proxy/cold_allowance.h"
+
+#include <algorithm>
+
+namespace stonemount {
+
+namespace {
+constexpr std::uint64_t kPerKs = 1000;
+
+std::uint64_t pairHash(const Address& worker, const Address& node) {
+  const std::uint64_t workerName = static_cast<std::uint64_t>(worker.ip) << 16 | worker.port;
+  return spread(std::string_view(reinterpret_cast<const char*>(&node.ip), sizeof(node.ip)), workerName + node.port);
+}
+}  // namespace
+
+void ColdAllowance::setSharers(std::vector<Address> known, std::size_t count, bool settled) {
+  std::erase(known, self_);
+  count = std::max(count, known.size() + 1);
+  if (count != count_ || known != known_) ++sharersSeen_;
+  known_ = std::move(known);
+  count_ = count;
+  settled_ = settled;
+}
+
+void ColdAllowance::tick() {
+  const Us nowUs = clock_.monoUs();
+  if (frozen()) wokeUs_ = nowUs;
+  tickUs_ = nowUs;
+}
+
+bool ColdAllowance::frozen() const { return tickUs_ >= 0 && clock_.monoUs() - tickUs_ > kFrozenUs; }
+
+Warmth ColdAllowance::warmthOf(const WarmthRecord& record) const {
+  const Us nowUs = clock_.monoUs();
+  if (nowUs < record.coldUntilUs || frozen()) return Warmth::kCold;
+  const Us doubtedUs = std::max(record.doubtedUs, wokeUs_);
+  if (doubtedUs >= 0 && listAsOfUs_ <= doubtedUs) return Warmth::kCold;
+  if (listAsOfUs_ >= 0 && nowUs - listAsOfUs_ > kListStaleUs) return Warmth::kCold;
+  if (record.unansweredSinceUs >= 0 && nowUs - record.unansweredSinceUs > kSilentUs) return Warmth::kCold;
+  const bool metLately =
+      record.heardUs < 0 || nowUs - record.heardUs > kContactGapUs || nowUs - record.contactSinceUs < kUnprovenUs;
+  return metLately ? Warmth::kUnproven : Warmth::kWarm;
+}
+
+// How many of the nodes come before this one at that worker. Of those that are not known, as many as among the known.
+std::uint64_t ColdAllowance::rankAmongSharers(const Address& worker) const {
+  const std::uint64_t mine = pairHash(worker, self_);
+  std::uint64_t before = 0;
+  for (const Address& node : known_) before += pairHash(worker, node) < mine ? 1 : 0;
+  return before * count_ / (known_.size() + 1);
+}
+
+bool ColdAllowance::amongFirst(const WarmthRecord& record, const Address& worker, std::uint64_t places) const {
+  if (record.sharersSeen != sharersSeen_) {
+    record.sharersSeen = sharersSeen_;
+    record.amongFirst = rankAmongSharers(worker) < places;
+  }
+  return record.amongFirst;
+}
+
+// The rate is dealt out in whole requests; what does not come out even goes to the first nodes, in an order that
+// differs from worker to worker, so that no node goes without a place everywhere.
+bool ColdAllowance::allows(const WarmthRecord& record, const Address& worker, std::uint64_t ratePerKs,
+                           PoolWarmth pool) const {
+  if (ratePerKs == 0) return true;
+  const Warmth warmth = warmthOf(record);
+  if (warmth == Warmth::kWarm && pool == PoolWarmth::kAllWarm) return true;
+  if (warmth == Warmth::kCold && !settled_) return false;
+  const Us nowUs = clock_.monoUs();
+  std::uint64_t lately = 0;
+  for (const Us sentUs : record.sentUs) lately += nowUs - sentUs < kWindowUs ? 1 : 0;
+  if (warmth == Warmth::kUnproven && pool != PoolWarmth::kManyCold && lately == 0) return true;
+  const std::uint64_t rate = ratePerKs / kPerKs;
+  if (warmth == Warmth::kWarm) return lately < std::max(kLeastWarm, (kWarmShares * rate + count_ - 1) / count_);
+  const std::uint64_t even = rate / count_;
+  if (lately != even) return lately < even;
+  return rate % count_ > 0 && amongFirst(record, worker, rate % count_);
+}
+
+void ColdAllowance::listedCold(WarmthRecord& record, Us leftUs) const {
+  record.coldUntilUs = std::max(record.coldUntilUs, clock_.monoUs() + leftUs);
+}
+
+void ColdAllowance::sent(WarmthRecord& record) const {
+  const Us nowUs = clock_.monoUs();
+  record.sentUs.push_back(nowUs);
+  while (nowUs - record.sentUs.front() > kWindowUs) record.sentUs.pop_front();
+  if (record.unansweredSinceUs < 0) record.unansweredSinceUs = nowUs;
+}
+
+void ColdAllowance::heard(WarmthRecord& record) const {
+  const Us nowUs = clock_.monoUs();
+  const bool wasSilent = record.unansweredSinceUs >= 0 && nowUs - record.unansweredSinceUs > kSilentUs;
+  if (wasSilent) doubt(record);
+  if (record.heardUs < 0 || nowUs - record.heardUs > kContactGapUs) record.contactSinceUs = nowUs;
+  record.heardUs = nowUs;
+  if (record.unansweredSinceUs >= 0) record.unansweredSinceUs = nowUs;
+}
+
+void ColdAllowance::ended(WarmthRecord& record, bool open) const {
+  const Us nowUs = clock_.monoUs();
+  const bool wasSilent = record.unansweredSinceUs >= 0 && nowUs - record.unansweredSinceUs > kSilentUs;
+  if (wasSilent) doubt(record);
+  if (!open) record.unansweredSinceUs = -1;
+}
+
+void ColdAllowance::doubt(WarmthRecord& record) const { record.doubtedUs = clock_.monoUs(); }
+
+}  // namespace stonemount
--- a/src/proxy/pool_load_table.cc
+++ b/src/proxy/pool_load_table.cc
@@ -1,5 +1,7 @@
 #include "proxy/pool_load_table.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace stonemount {
@@ -12,7 +14,6 @@
 }  // namespace
 
 void PoolLoadTable::relist() {
-  const Us nowUs = clock_.monoUs();
   pools_.clear();
   std::vector<Address> lost;
   for (auto& [address, worker] : workers_)
@@ -32,20 +33,41 @@
       worker.live = live;  // of its former life; they end by themselves
       worker.lots = lots;
     }
-    if (listed.changed != worker.listed.changed && listed.coldLeftUs > 0)
-      worker.coldUntilUs = nowUs + listed.coldLeftUs;
+    if (listed.changed != worker.listed.changed && listed.coldLeftUs > 0) {
+      cold_.listedCold(worker.warmth, listed.coldLeftUs);
+      logEvent("worker_cold", {{"worker", addressText(address)},
+                               {"leftMs", absl::StrCat(listed.coldLeftUs / kMilliUs)},
+                               {"sentLately", absl::StrCat(worker.warmth.sentUs.size())},
+                               {"nodes", absl::StrCat(cold_.sharers())}});
+    }
     worker.listed = listed;
     pools_[listed.pool].push_back(address);
   }
+  noteEvacuations();
   roomMade.emit();
 }
 
-void PoolLoadTable::setNodes(std::size_t nodes) {
-  nodes_ = static_cast<std::uint32_t>(std::max<std::size_t>(1, nodes));
+// The workers of a zone whose evacuation has ended may have gone cold meanwhile, and nobody had anything from them.
+void PoolLoadTable::noteEvacuations() {
+  absl::btree_set<std::string> evacuated;
+  for (const auto& [zone, state] : control_.zones())
+    if (state.evacuated) evacuated.insert(zone);
+  for (auto& [address, worker] : workers_)
+    if (evacuated_.contains(worker.listed.zone) && !evacuated.contains(worker.listed.zone)) cold_.doubt(worker.warmth);
+  evacuated_ = std::move(evacuated);
+}
+
+void PoolLoadTable::heardFromPlatform(const std::vector<ListedWorker>& workers) {
+  for (const ListedWorker& listed : workers) {
+    auto found = workers_.find(listed.address);
+    if (found == workers_.end() || found->second.listed.life != listed.life) continue;
+    found->second.leaving |= listed.leaving;
+    if (listed.coldLeftUs > 0) cold_.listedCold(found->second.warmth, listed.coldLeftUs);
+  }
 }
 
 bool PoolLoadTable::usable(const PoolWorker& worker) const {
-  return !worker.listed.pool.empty() && !worker.listed.leaving && !worker.otherLife &&
+  return !worker.listed.pool.empty() && !worker.listed.leaving && !worker.leaving && !worker.otherLife &&
          !control_.evacuated(worker.listed.zone);
 }
 
@@ -63,19 +85,24 @@
   return others + worker.inFlight();
 }
 
-// Its connections and, while it is cold, its requests of any one second are shared out among the nodes.
-bool PoolLoadTable::bearsMore(const PoolWorker& worker) const {
+// Its connections and, while it is or may be cold, its requests of any one second are shared out among the nodes.
+bool PoolLoadTable::bearsMore(const PoolWorker& worker, PoolWarmth warmth) const {
   auto pool = control_.pools().find(worker.listed.pool);
   if (pool == control_.pools().end()) return true;
-  const std::uint32_t channels = pool->second.mostChannels;
-  if (channels > 0 && worker.inFlight() + 1 > std::max<std::uint32_t>(1, channels / nodes_)) return false;
-  const Us nowUs = clock_.monoUs();
-  if (pool->second.warmPerKs == 0 || nowUs >= worker.coldUntilUs) return true;
-  const std::uint64_t perSecond = pool->second.warmPerKs * plan_.coldOverPercent / 100'000 + plan_.coldSlack;
-  const std::uint64_t share = perSecond / nodes_;
-  std::uint64_t lately = 0;
-  for (const Us sentUs : worker.sentUs) lately += nowUs - sentUs < kSecondUs + 100 * kMilliUs ? 1 : 0;
-  return lately < share;
+  const std::size_t channels = pool->second.mostChannels;
+  if (channels > 0 && worker.inFlight() + 1 > std::max<std::size_t>(1, channels / cold_.sharers())) return false;
+  return cold_.allows(worker.warmth, worker.listed.address, pool->second.warmPerKs, warmth);
+}
+
+PoolWarmth PoolLoadTable::warmthOf(const std::vector<Address>& pool) const {
+  std::size_t cold = 0, all = 0;
+  for (const Address& address : pool) {
+    const PoolWorker& worker = workers_.at(address);
+    if (!usable(worker)) continue;
+    ++all;
+    cold += cold_.warmthOf(worker.warmth) == Warmth::kCold ? 1 : 0;
+  }
+  return poolWarmth(cold, all);
 }
 
 // Requests that share a prompt meet where it is kept, unless that worker has clearly more to do than the
@@ -86,9 +113,11 @@
   const std::uint64_t most = pick.empty() ? 0 : sum * 5 / (4 * pick.size()) + kSpareUse;
   const PoolWorker* chosen = nullptr;
   std::uint64_t chosenRank = 0;
+  // Where nothing else decides, each node has an order of its own: else all would choose the same worker.
+  const std::uint64_t order = spot != 0 ? spot : (static_cast<std::uint64_t>(plan_.self.ip) << 16) + plan_.self.port;
   for (const PoolWorker* worker : pick) {
     const std::uint64_t hash = spread(std::string_view(reinterpret_cast<const char*>(&worker->listed.address.ip), 4),
-                                      spot + worker->listed.address.port);
+                                      order + worker->listed.address.port);
     std::uint64_t rank = hash >> 8;
     if (spot == 0)
       rank = (static_cast<std::uint64_t>(use(*worker)) * 1000 / slots(*worker) << 32) + (hash >> 40);
@@ -108,10 +137,11 @@
   std::uint32_t roof = wish.lot && !wish.urgent ? plan_.lotPercent : plan_.calmPercent;
   if (wish.lot && lotsFull(pool->second)) roof = plan_.idlePercent;
   const Us nowUs = clock_.monoUs();
+  const PoolWarmth warmth = warmthOf(pool->second);
   Pick tiers[5];
   for (const Address& address : pool->second) {
     const PoolWorker& worker = workers_.at(address);
-    if (wish.passedOver.contains(address) || !usable(worker) || !bearsMore(worker)) continue;
+    if (wish.passedOver.contains(address) || !usable(worker) || !bearsMore(worker, warmth)) continue;
     const std::uint64_t percent = 100ULL * (use(worker) + 1) / slots(worker);
     const bool calm = percent <= roof || use(worker) == 0;
     if (wish.lot && !calm) continue;
@@ -140,7 +170,7 @@
     if (usable(worker)) slotsThere += slots(worker);
     lotsHere += worker.lots;
   }
-  return lotsHere >= std::max<std::uint64_t>(kLeastLots, slotsThere * plan_.lotPercent / 100 / nodes_);
+  return lotsHere >= std::max<std::uint64_t>(kLeastLots, slotsThere * plan_.lotPercent / 100 / cold_.sharers());
 }
 
 bool PoolLoadTable::serves(const std::string& pool) const {
@@ -161,9 +191,12 @@
 void PoolLoadTable::take(const Address& address, bool lot) {
   PoolWorker& worker = workers_.at(address);
   ++(lot ? worker.lots : worker.live);
-  const Us nowUs = clock_.monoUs();
-  if (nowUs < worker.coldUntilUs) worker.sentUs.push_back(nowUs);
-  while (!worker.sentUs.empty() && nowUs - worker.sentUs.front() > 2 * kSecondUs) worker.sentUs.pop_front();
+  cold_.sent(worker.warmth);
+}
+
+void PoolLoadTable::contact(const Address& address, const std::string& life) {
+  auto found = workers_.find(address);
+  if (found != workers_.end() && found->second.listed.life == life) cold_.heard(found->second.warmth);
 }
 
 void PoolLoadTable::heard(const Address& address, const WorkerLoad& load) {
@@ -182,6 +215,7 @@
   STONEMOUNT_INVARIANT(held > 0);
   --held;
   worker.inFlightAtTold = std::min(worker.inFlightAtTold, worker.inFlight());
+  cold_.ended(worker.warmth, worker.inFlight() > 0);
   const Us nowUs = clock_.monoUs();
   if (ending == Ending::kWhole) {
     worker.failures = 0;
@@ -191,6 +225,7 @@
   } else if (ending == Ending::kBroken || ending == Ending::kUnsent) {
     const std::uint32_t doublings = std::min<std::uint32_t>(worker.failures++, 6);
     worker.suspectUntilUs = nowUs + std::min(plan_.suspectUs << doublings, plan_.mostSuspectUs);
+    cold_.doubt(worker.warmth);
   } else if (ending == Ending::kRefused) {
     worker.suspectUntilUs = std::max(worker.suspectUntilUs, nowUs + plan_.suspectUs / 8);
   }
--- a/src/proxy/pool_load_table.h
+++ b/src/proxy/pool_load_table.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "config/control_state.h"
+#include "proxy/cold_allowance.h"
 #include "proxy/worker_dialect.h"
 
 namespace stonemount {
@@ -21,18 +22,17 @@
   WorkerLoad told;                   // by its newest answer to this node
   Us toldUs = -1;
   std::uint32_t inFlightAtTold = 0;
-  std::deque<Us> sentUs;  // of the last second, while it is cold
-  Us coldUntilUs = 0;
+  WarmthRecord warmth;
   Us suspectUntilUs = 0;       // it failed lately: only where no other will do
   std::uint32_t failures = 0;  // in a row
+  bool leaving = false;        // as the platform itself told; for the rest of its life
   bool otherLife = false;      // somebody else has its address; until it is listed anew
   std::uint32_t inFlight() const { return live + lots; }
 };
 
 struct PoolLoadTablePlan {
   std::string zone;
-  std::uint32_t coldOverPercent = 100;
-  std::uint32_t coldSlack = 0;
+  Address self;                     // tells nodes apart where all else is equal
   std::uint32_t calmPercent = 85;   // of a worker's slots: up to here it gets requests before another zone does
   std::uint32_t lotPercent = 80;    // up to here lots start; of all slots, all nodes' lots together take no more,
   std::uint32_t idlePercent = 55;   // but for workers that are known to have less to do than this
@@ -44,14 +44,19 @@
 class PoolLoadTable {
  public:
   PoolLoadTable(const Clock& clock, const ControlState& control, PoolLoadTablePlan plan)
-      : clock_(clock), control_(control), plan_(std::move(plan)) {}
-  void relist();                     // after news from control
-  void setNodes(std::size_t nodes);  // that share the workers, this one among them
+      : clock_(clock), control_(control), plan_(std::move(plan)), cold_(clock, plan_.self) {}
+  void relist();  // after news from control
+  // Who shares the workers, how fresh the list is, and what else bears on cold workers.
+  ColdAllowance& cold() { return cold_; }
+  const ColdAllowance& cold() const { return cold_; }
+  // The platform itself told this node which workers leave, and how long others are still cold.
+  void heardFromPlatform(const std::vector<ListedWorker>& workers);
   std::optional<Address> choose(const PoolRequest& wish) const;
   void take(const Address& worker, bool lot);
   enum class Ending : std::uint8_t { kWhole, kRefused, kOtherLife, kUnsent, kBroken, kLeft };
   void giveBack(const Address& worker, bool lot, Ending ending);
   void heard(const Address& worker, const WorkerLoad& load);
+  void contact(const Address& worker, const std::string& life);  // anything came from that life of it
   // Is there any worker that may get anything, now or when room is made?
   bool serves(const std::string& pool) const;
   bool roomForLots(const std::string& pool) const;
@@ -64,14 +69,17 @@
   using Pick = std::vector<const PoolWorker*>;
   bool lotsFull(const std::vector<Address>& pool) const;
   bool usable(const PoolWorker& worker) const;
-  bool bearsMore(const PoolWorker& worker) const;
+  bool bearsMore(const PoolWorker& worker, PoolWarmth pool) const;
+  PoolWarmth warmthOf(const std::vector<Address>& pool) const;
   std::uint32_t slots(const PoolWorker& worker) const;
   std::uint32_t use(const PoolWorker& worker) const;  // of its slots, by all, as far as is known
   const PoolWorker* pickFrom(const Pick& pick, std::uint64_t spot) const;
+  void noteEvacuations();
   const Clock& clock_;
   const ControlState& control_;
   PoolLoadTablePlan plan_;
-  std::uint32_t nodes_ = 1;
+  ColdAllowance cold_;
+  absl::btree_set<std::string> evacuated_;  // zones, as of the last relist
   absl::btree_map<Address, PoolWorker> workers_;
   absl::flat_hash_map<std::string, std::vector<Address>> pools_;
 };
--- a/src/replication/reader.cc
+++ b/src/replication/reader.cc
@@ -19,6 +19,7 @@
   if (!tail() || read.revision != memory_.view.revision) return refuse(asked, ChainOutcome::kNotMine);
   if (reads_.size() >= kReadBound) return refuse(asked, ChainOutcome::kBusy);
   ++counts_.reads;
+  if (read.holdUs > 0) followers_.note(asked.peer, ports_.clock.monoUs());
   reads_.push_back({asked, std::move(read.query), ports_.clock.monoUs() + read.holdUs});
   readEvent_.notify();
 }
@@ -38,6 +39,7 @@
         stillHeld.push_back(std::move(waiting));
     }
     held_ = std::move(stillHeld);
+    if (!tail()) followers_.reset();
     if (batch.empty()) continue;
     const View view = memory_.view;
     bool confirmed = false;
@@ -57,6 +59,7 @@
 
 void Replica::releaseReads(std::vector<Waiting> batch) {
   const Us nowUs = ports_.clock.monoUs();
+  machine_.setFollowers(followers_.count(nowUs));
   for (Waiting& waiting : batch) {
     QueryVerdict verdict = machine_.answer(waiting.query, waiting.untilUs <= nowUs);
     if (std::holds_alternative<Hold>(verdict)) {
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -1,6 +1,7 @@
 // One member of a chain: the same module keeps control state and store (design.md 6).
 #pragma once
 
+#include "replication/follower_count.h"
 #include "replication/loss_margin.h"
 #include "replication/machine.h"
 #include "replication/recent_log.h"
@@ -212,6 +213,7 @@
   // reads
   std::deque<Waiting> reads_;
   std::vector<Waiting> held_;
+  FollowerCount followers_;
   // peers
   absl::btree_map<Address, PeerSight> peers_;
   absl::btree_set<Address> pinged_;
--- /dev/null
+++ b/tests/cold_workers_rig.cc
@@ -0,0 +1,273 @@
+#include "cold_workers_rig.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace stonemount {
+
+namespace {
+constexpr Us kListEveryUs = 600 * kMilliUs;
+constexpr Us kTickUs = 200 * kMilliUs;
+constexpr Us kHopUs = 1500;
+constexpr Us kHoldUs = 150 * kMilliUs;
+constexpr Us kLookUs = 20 * kMilliUs;
+constexpr Us kPeerForgottenUs = 30 * kSecondUs;
+constexpr Us kPeerMetUs = kSecondUs;
+constexpr std::size_t kMostKnown = 63;   // partial views
+constexpr Us kEventUs = 100 * kMilliUs;  // between what a run puts out
+constexpr Us kLimitUs = 4 * kSecondUs;   // of a request
+constexpr char kPool[] = "p";
+const char* const kZones[] = {"a", "b", "c"};
+}  // namespace
+
+ColdFleet::ColdFleet(std::uint64_t seed, ColdFleetPlan plan) : chance_(seed), plan_(plan) {
+  for (std::size_t i = 0; i < plan_.workers; ++i) {
+    Worker& worker = workers_.emplace_back();
+    worker.address = {0x0a100000u + static_cast<std::uint32_t>(i), 8080};
+    worker.zone = kZones[i % std::size(kZones)];
+    worker.facts.push_back({0, absl::StrCat("i-", ++lives_), 0});
+  }
+  ControlNews told;  // a configuration with the one pool
+  told.whole = true;
+  told.to = told.configRevision = 1;
+  Pool pool;
+  pool.name = kPool;
+  pool.warmPerKs = plan_.ratePerS * 1000;
+  told.pools.push_back(pool);
+  control_.apply(pack(ControlCommand(Rebuild{told})));
+  pollList();
+  for (std::size_t i = 0; i < plan_.nodes; ++i) {
+    const Address address{0x0a000000u + static_cast<std::uint32_t>(i), 7001};
+    nodes_.push_back(std::make_unique<ColdNode>(clock_, address, kZones[i % std::size(kZones)]));
+    startNode(i);
+  }
+}
+
+void ColdFleet::at(Us delayUs, Deed deed) { queue_.push({clock_.nowUs + delayUs, ++lastNumber_, std::move(deed)}); }
+
+void ColdFleet::run() {
+  const Us calmUs = 6 * kSecondUs;  // all know all
+  const Us endUs = clock_.nowUs + calmUs + plan_.lengthUs;
+  at(calmUs, [this] { planTroubles(); });
+  while (!queue_.empty() && queue_.top().atUs < endUs) {
+    const Later next = queue_.top();
+    queue_.pop();
+    clock_.nowUs = next.atUs;
+    next.deed();
+  }
+}
+
+// --- control
+
+std::vector<ListedWorker> ColdFleet::listAsOf(Us asOfUs) const {
+  std::vector<ListedWorker> listed;
+  for (const Worker& worker : workers_) {
+    const Fact* fact = &worker.facts.front();
+    for (const Fact& later : worker.facts)
+      if (later.atUs <= asOfUs) fact = &later;
+    ListedWorker entry;
+    entry.address = worker.address;
+    entry.pool = kPool;
+    entry.zone = worker.zone;
+    entry.slots = plan_.slots;
+    entry.life = fact->life;
+    entry.coldLeftUs = std::max<Us>(0, fact->coldUntilUs - asOfUs);
+    listed.push_back(entry);
+  }
+  return listed;
+}
+
+// As worker discovery does: coldness is told as it begins, a list without news is confirmed.
+void ColdFleet::pollList() {
+  at(kListEveryUs + some(0, 100 * kMilliUs), [this] { pollList(); });
+  if (clock_.nowUs < controlDownUntilUs_) return;
+  std::vector<ListedWorker> list = listAsOf(clock_.nowUs - ColdNode::kListLagUs);
+  bool news = control_.state().workers().empty();
+  for (ListedWorker& worker : list) {
+    auto& [life, leftUs] = coldTold_[worker.address];
+    const bool begins = worker.coldLeftUs > 0 && (life != worker.life || worker.coldLeftUs > leftUs + 20 * kMilliUs);
+    news |= begins || life != worker.life;
+    life = worker.life;
+    leftUs = worker.coldLeftUs;
+    if (!begins) worker.coldLeftUs = 0;
+  }
+  const std::uint64_t number = control_.platformVersion() + 1;
+  if (news)
+    control_.apply(pack(ControlCommand(PutWorkers{number, true, list})));
+  else
+    control_.apply(pack(ControlCommand(ConfirmWorkers{number})));
+  if (news) tellAll();
+}
+
+std::size_t ColdFleet::followers() const {
+  std::size_t count = 0;
+  for (const auto& node : nodes_)
+    count += node->life != 0 && clock_.nowUs >= std::max(node->cutUntilUs, node->frozenUntilUs) ? 1 : 0;
+  return count;
+}
+
+// Held questions are answered as there is news; else after their time.
+void ColdFleet::follow(std::size_t place, std::uint64_t life) {
+  if (nodes_[place]->life != life) return;
+  at(some(500, 700) * kMilliUs, [this, place, life] { follow(place, life); });
+  tellNode(place);
+}
+
+void ColdFleet::tellAll() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) at(some(2, 20) * kMilliUs, [this, i] { tellNode(i); });
+}
+
+void ColdFleet::tellNode(std::size_t place) {
+  ColdNode& node = *nodes_[place];
+  if (node.life == 0 || clock_.nowUs < std::max({node.cutUntilUs, node.frozenUntilUs, controlDownUntilUs_})) return;
+  control_.setFollowers(followers());
+  const Bytes query = pack(ControlQuery(FollowAsk{node.control.revision()}));
+  auto reply = unpack<FollowReply>(std::get<Bytes>(control_.answer(query, true)));
+  const FollowReply& told = std::get<FollowReply>(reply);
+  auto news = unpack<ControlNews>(told.news);
+  if (node.control.absorb(std::get<ControlNews>(news))) node.table.relist();
+  node.sharing.onContact({std::max(node.startedUs, clock_.nowUs - 600 * kMilliUs), told.listNumber, told.followers});
+}
+
+std::vector<Address> ColdFleet::knownTo(const ColdNode& node) const {
+  std::vector<Address> known;
+  for (const auto& other : nodes_) {
+    if (other->address == node.address || other->startedUs == 0) continue;
+    const bool met = clock_.nowUs - other->startedUs > kPeerMetUs && clock_.nowUs - node.startedUs > kPeerMetUs;
+    const bool lost = other->life == 0 && clock_.nowUs - other->startedUs > kPeerForgottenUs;
+    if (met && !lost) known.push_back(other->address);
+  }
+  if (known.size() <= kMostKnown) return known;
+  for (std::size_t i = 0; i < kMostKnown; ++i)
+    std::swap(known[i], known[i + (node.address.ip * 31 + i * 17) % (known.size() - i)]);
+  known.resize(kMostKnown);
+  return known;
+}
+
+void ColdFleet::tick(std::size_t place, std::uint64_t life) {
+  ColdNode& node = *nodes_[place];
+  if (node.life != life) return;
+  if (clock_.nowUs < node.frozenUntilUs)
+    return at(node.frozenUntilUs - clock_.nowUs, [this, place, life] { tick(place, life); });
+  node.sharing.shareOut(knownTo(node), clock_.nowUs - node.startedUs > 3 * kSecondUs);
+  at(kTickUs, [this, place, life] { tick(place, life); });
+}
+
+// What a node does that has not heard of control for a while.
+void ColdFleet::askPlatform(std::size_t place, std::uint64_t life) {
+  ColdNode& node = *nodes_[place];
+  if (node.life != life) return;
+  at(some(600, 900) * kMilliUs, [this, place, life] { askPlatform(place, life); });
+  if (clock_.nowUs < node.frozenUntilUs || !node.sharing.listStale()) return;
+  if (chance_.oneIn(3)) return;  // turned away
+  node.sharing.onPlatformList(listAsOf(clock_.nowUs - ColdNode::kListLagUs), clock_.nowUs);
+}
+
+void ColdFleet::startNode(std::size_t place) {
+  ColdNode& old = *nodes_[place];
+  const std::string zone = kZones[place % std::size(kZones)];
+  const bool half = old.secondHalf;
+  nodes_[place] = std::make_unique<ColdNode>(clock_, old.address, zone);
+  ColdNode& node = *nodes_[place];
+  node.secondHalf = half;
+  node.life = ++lives_;
+  node.startedUs = clock_.nowUs;
+  const std::uint64_t life = node.life;
+  at(some(1, 300) * kMilliUs, [this, place, life] { follow(place, life); });
+  at(some(700, 1200) * kMilliUs, [this, place, life] { arrive(place, life); });
+  at(kSecondUs, [this, place, life] { askPlatform(place, life); });
+  tick(place, life);
+}
+
+// --- traffic
+
+void ColdFleet::arrive(std::size_t place, std::uint64_t life) {
+  ColdNode& node = *nodes_[place];
+  if (node.life != life) return;
+  const std::uint64_t times = clock_.nowUs < burstUntilUs_ ? burstTimes_ : 1;
+  const Us everyUs = kSecondUs * static_cast<Us>(nodes_.size()) / static_cast<Us>(plan_.requestsPerS * times);
+  at(some(0, 2 * everyUs), [this, place, life] { arrive(place, life); });
+  // A node that stands still finds some of them as it wakes.
+  if (clock_.nowUs < node.frozenUntilUs && !chance_.oneIn(4)) return;
+  Request request;
+  request.node = place;
+  request.wish.pool = kPool;
+  request.wish.spot = chance_.oneIn(3) ? 1 + chance_.below(40) : 0;
+  request.wish.lot = chance_.oneIn(4);
+  request.giveUpUs = std::max(clock_.nowUs, node.frozenUntilUs) + kHoldUs * (request.wish.lot ? 3 : 1);
+  attempt(std::move(request));
+}
+
+void ColdFleet::attempt(Request request) {
+  ColdNode& node = *nodes_[request.node];
+  if (node.life == 0) return;
+  if (clock_.nowUs < node.frozenUntilUs)
+    return at(node.frozenUntilUs - clock_.nowUs, [this, request] { attempt(request); });
+  const std::optional<Address> chosen = node.table.choose(request.wish);
+  if (!chosen) {
+    if (clock_.nowUs + kLookUs > request.giveUpUs || request.tries > 2) {
+      ++refused_;
+      return;
+    }
+    return at(request.wish.lot ? 3 * kLookUs : kLookUs, [this, request] { attempt(request); });
+  }
+  node.table.take(*chosen, request.wish.lot);
+  const std::uint64_t nodeLife = node.life;
+  at(kHopUs + some(0, 1000), [this, request, worker = *chosen, life = node.table.lifeOf(*chosen), nodeLife] {
+    reach(request, worker, life, nodeLife);
+  });
+}
+
+void ColdFleet::reach(Request request, Address address, std::string life, std::uint64_t nodeLife) {
+  Worker& worker = workers_[address.ip - workers_[0].address.ip];
+  auto run = std::make_shared<Run>(Run{request.node, nodeLife, address, life, request.wish.lot});
+  if (worker.state == WorkerState::kDark)
+    return at(kLimitUs, [this, run] { finish(*run, PoolLoadTable::Ending::kBroken); });
+  if (worker.state == WorkerState::kUp && worker.now().life == life) {
+    countArrival(worker);
+    worker.runs.push_back(run);
+    return work(std::move(run));
+  }
+  const bool refuses = worker.state == WorkerState::kRefusing;
+  finish(*run, refuses ? PoolLoadTable::Ending::kUnsent : PoolLoadTable::Ending::kOtherLife);
+  request.wish.passedOver.insert(address);
+  ++request.tries;
+  attempt(std::move(request));
+}
+
+void ColdFleet::work(std::shared_ptr<Run> run) {
+  const Us workUs = some(200 * kMilliUs, 1200 * kMilliUs);
+  for (Us partUs = kEventUs; partUs < workUs; partUs += kEventUs) at(partUs, [this, run] { emit(*run); });
+  at(workUs, [this, run] {
+    if (!run->over) ++served_;
+    emit(*run);
+    finish(*run, PoolLoadTable::Ending::kWhole);
+    std::erase(workers_[run->worker.ip - workers_[0].address.ip].runs, run);
+  });
+}
+
+void ColdFleet::emit(const Run& run) {
+  if (!run.over && nodes_[run.node]->life == run.nodeLife) nodes_[run.node]->table.contact(run.worker, run.life);
+}
+
+void ColdFleet::finish(Run& run, PoolLoadTable::Ending ending) {
+  ColdNode& node = *nodes_[run.node];
+  if (std::exchange(run.over, true) || node.life != run.nodeLife) return;
+  if (node.table.lifeOf(run.worker) != run.life) ending = PoolLoadTable::Ending::kLeft;
+  node.table.giveBack(run.worker, run.lot, ending);
+}
+
+void ColdFleet::countArrival(Worker& worker) {
+  if (clock_.nowUs >= worker.now().coldUntilUs) return;
+  ++coldServed_;
+  worker.arrivals.push_back(clock_.nowUs);
+  while (clock_.nowUs - worker.arrivals.front() >= kSecondUs) worker.arrivals.pop_front();
+  if (worker.arrivals.size() <= worst_) return;
+  worst_ = worker.arrivals.size();
+  const Us coldForUs = clock_.nowUs - worker.now().atUs;
+  worstStory_ = absl::StrCat(worst_, " requests at ", addressText(worker.address), " at ", clock_.nowUs / kMilliUs,
+                             ", ", coldForUs / kMilliUs, " ms after it turned cold");
+}
+
+}  // namespace stonemount
--- /dev/null
+++ b/tests/cold_workers_test.cc
@@ -0,0 +1,70 @@
+// A cold worker gets no more requests in one second, from all nodes together, than the platform's rule allows:
+// whatever the nodes know of it and of each other (docs/design-notes/cold-workers.md, incident 24). More seeds:
+// COLD_WORKERS_SEEDS=FIRST,COUNT.
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <cstdlib>
+
+#include "cold_workers_rig.h"
+#include "expect.h"
+
+using namespace stonemount;
+
+namespace {
+struct Seeds {
+  std::uint64_t first = 1;
+  std::uint64_t count = 1000;
+};
+
+Seeds givenSeeds() {
+  Seeds seeds;
+  const char* given = std::getenv("COLD_WORKERS_SEEDS");
+  if (given == nullptr) return seeds;
+  const std::vector<std::string> parts = absl::StrSplit(given, ',');
+  if (parts.size() == 2 && absl::SimpleAtoi(parts[0], &seeds.first) && absl::SimpleAtoi(parts[1], &seeds.count))
+    return seeds;
+  std::printf("COLD_WORKERS_SEEDS: FIRST,COUNT\n");
+  std::exit(2);
+}
+
+struct Total {
+  std::uint64_t broken = 0, worst = 0, served = 0, refused = 0, coldServed = 0;
+};
+
+void days(const char* name, const ColdFleetPlan& plan, Seeds seeds) {
+  Total total;
+  for (std::uint64_t seed = seeds.first; seed < seeds.first + seeds.count; ++seed) {
+    ColdFleet fleet(seed, plan);
+    fleet.run();
+    const bool held = fleet.worst() <= coldBound(plan.ratePerS);
+    expect(held, absl::StrCat(name, " seed ", seed, ": ", fleet.worstStory(), ", allowed ", coldBound(plan.ratePerS)));
+    total.broken += held ? 0 : 1;
+    total.worst = std::max(total.worst, fleet.worst());
+    total.served += fleet.served();
+    total.refused += fleet.refused();
+    total.coldServed += fleet.coldServed();
+  }
+  std::printf("%s: %lu of %lu days broken, worst second %lu of %lu; served %lu, refused %lu, served by cold ones %lu\n",
+              name, total.broken, seeds.count, total.worst, coldBound(plan.ratePerS), total.served, total.refused,
+              total.coldServed);
+  // The bound is not kept by sending nothing there.
+  expect(total.coldServed * 50 > total.served, absl::StrCat(name, ": cold workers serve"));
+  expect(total.refused * 2 < total.served, absl::StrCat(name, ": most requests are served"));
+}
+}  // namespace
+
+int main() {
+  const Seeds seeds = givenSeeds();
+  days("small", ColdFleetPlan(), seeds);
+  ColdFleetPlan grown;
+  grown.nodes = 78;
+  grown.workers = 90;
+  grown.ratePerS = 13;
+  grown.slots = 16;
+  grown.requestsPerS = 730;
+  grown.sameLife = false;  // most nodes have sent it nothing while it was down (see the design note)
+  days("grown", grown, {seeds.first, std::max<std::uint64_t>(1, seeds.count / 25)});
+  return expectationsVerdict();
+}
--- a/tests/pool_board_test.cc
+++ b/tests/pool_board_test.cc
@@ -19,6 +19,7 @@
     else
       rig.ask();
     rig.clock.nowUs += static_cast<Us>(rig.chance.below(rig.chance.oneIn(40) ? kSecondUs : 20 * kMilliUs));
+    rig.freshen();
   }
   while (!rig.flights.empty()) rig.giveBack();
   for (const auto& board : rig.boards)
