Short frames go by a connection of their own, and never wait behind bulk data

What the output shows: the head runs 3 MB ahead of its successor, which takes about 0.5 MB/s; the stores use at most 0.052 of their 0.3 cores.

A process of an earlier version refuses the second connection (design.md 3.2).

--- a/src/adapters/tcp_transport.cc
+++ b/src/adapters/tcp_transport.cc
@@ -13,7 +13,8 @@
 namespace stonemount {
 
 namespace {
-constexpr std::uint32_t kHello = 0x534D4C01;  // magic and format revision, then ip and port
+constexpr std::uint32_t kHello = 0x534D4C01;       // magic and format revision, then ip and port
+constexpr std::uint32_t kHelloShort = 0x534D4C02;  // the same, of the short lane
 constexpr std::size_t kHelloBytes = 10;
 constexpr std::size_t kFrameBound = 64 << 20;
 constexpr std::size_t kQueueBytes = 16 << 20;
@@ -64,10 +65,11 @@
     ownEvent_.notify();
     return;
   }
-  std::unique_ptr<Peer>& peer = peers_[address];
+  const PeerLane to(address, frame.size() <= kLongestShort ? Lane::kShort : Lane::kBulk);
+  std::unique_ptr<Peer>& peer = peers_[to];
   if (peer == nullptr) {
     peer = std::make_unique<Peer>();
-    room_.start(writeTo(address, *peer));
+    room_.start(writeTo(to, *peer));
   }
   if (peer->queuedBytes + frame.size() > kQueueBytes) return;  // the rpc's limits see to the rest
   peer->queuedBytes += frame.size();
@@ -98,7 +100,8 @@
   evbuffer_drain(input, evbuffer_get_length(input));
 }
 
-Task TcpTransport::writeTo(Address address, Peer& peer) {
+Task TcpTransport::writeTo(PeerLane to, Peer& peer) {
+  const Address address = to.first;
   while (true) {
     EventWait hear(loop_, peer.event, 3600 * kSecondUs);
     co_await hear;
@@ -134,7 +137,8 @@
       }
       tune(bufferevent_getfd(peer.channel));
       bufferevent_enable(peer.channel, EV_READ | EV_WRITE);
-      Bytes hello(reinterpret_cast<const char*>(&kHello), 4);
+      const std::uint32_t magic = to.second == Lane::kShort ? kHelloShort : kHello;
+      Bytes hello(reinterpret_cast<const char*>(&magic), 4);
       hello.append(reinterpret_cast<const char*>(&self_.ip), 4);
       hello.append(reinterpret_cast<const char*>(&self_.port), 2);
       bufferevent_write(peer.channel, hello.data(), hello.size());
@@ -164,6 +168,19 @@
   incoming.event.notify();
 }
 
+// Reads who opened a channel, and for which lane. False: another format.
+bool TcpTransport::greetedBy(evbuffer* input, PeerLane& from) const {
+  unsigned char hello[kHelloBytes];
+  evbuffer_remove(input, hello, kHelloBytes);
+  std::uint32_t magic = 0;
+  std::memcpy(&magic, hello, 4);
+  if (magic != kHello && magic != kHelloShort) return false;
+  std::memcpy(&from.first.ip, hello + 4, 4);
+  std::memcpy(&from.first.port, hello + 8, 2);
+  from.second = magic == kHelloShort ? Lane::kShort : Lane::kBulk;
+  return true;
+}
+
 Task TcpTransport::readFrom(int socket) {
   Incoming incoming;
   tune(socket);
@@ -171,20 +188,15 @@
   bufferevent_setcb(incoming.channel, &TcpTransport::onReadable, nullptr, &TcpTransport::onIncomingEvent, &incoming);
   bufferevent_enable(incoming.channel, EV_READ | EV_WRITE);
   evbuffer* input = bufferevent_get_input(incoming.channel);
-  Address peer;
+  PeerLane from;
+  Address& peer = from.first;
   while (true) {
     EventWait hear(loop_, incoming.event, 3600 * kSecondUs);
     co_await hear;
     if (!peer.set() && evbuffer_get_length(input) >= kHelloBytes) {
-      unsigned char hello[kHelloBytes];
-      evbuffer_remove(input, hello, kHelloBytes);
-      std::uint32_t magic = 0;
-      std::memcpy(&magic, hello, 4);
-      if (magic != kHello) co_return;  // another format: refused whole
-      std::memcpy(&peer.ip, hello + 4, 4);
-      std::memcpy(&peer.port, hello + 8, 2);
+      if (!greetedBy(input, from)) co_return;  // refused whole
       // Who opens a channel anew has given up the old one, whose end may never be heard of here.
-      Incoming*& current = incoming_[peer];
+      Incoming*& current = incoming_[from];
       if (current != nullptr) {
         current->superseded = true;
         current->event.notify();
--- a/src/adapters/tcp_transport.h
+++ b/src/adapters/tcp_transport.h
@@ -1,4 +1,4 @@
-// The wire port over TCP: one task for each peer written to, one for each channel read (design.md 3.2).
+// The wire port over TCP: one task for each peer and lane written to, one for each channel read (design.md 3.2).
 #pragma once
 
 #include <event2/bufferevent.h>
@@ -11,8 +11,13 @@
 
 namespace stonemount {
 
+// Frames to one peer go by two connections, so that signs of life, votes and short answers never wait behind lots,
+// batches of entries or snapshots.
+enum class Lane : std::uint8_t { kShort, kBulk };
+
 class TcpTransport : public Wire {
  public:
+  static constexpr std::size_t kLongestShort = 2048;  // bytes of a frame that goes by the short lane
   TcpTransport(Loop& loop, const Address& self);
   ~TcpTransport() override;
   bool listen();
@@ -37,7 +42,9 @@
     Incoming** place = nullptr;  // among those that are open
     ~Incoming();
   };
-  Task writeTo(Address address, Peer& peer);
+  using PeerLane = std::pair<Address, Lane>;
+  Task writeTo(PeerLane to, Peer& peer);
+  bool greetedBy(evbuffer* input, PeerLane& from) const;
   Task readFrom(int socket);
   Task loopBack();
   static void onAccept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self);
@@ -48,8 +55,8 @@
   Loop& loop_;
   Address self_;
   evconnlistener* listener_ = nullptr;
-  absl::btree_map<Address, std::unique_ptr<Peer>> peers_;
-  std::map<Address, Incoming*> incoming_;  // by peer, the newest; its places stay put
+  absl::btree_map<PeerLane, std::unique_ptr<Peer>> peers_;
+  std::map<PeerLane, Incoming*> incoming_;  // the newest of each; its places stay put
   std::deque<Bytes> ownFrames_;
   Event ownEvent_;
   TaskRoom room_;
--- a/src/proxy/cold_allowance.cc
+++ b/src/proxy/cold_allowance.cc
@@ -42,6 +42,12 @@
   return metLately ? Warmth::kUnproven : Warmth::kWarm;
 }
 
+PoolWarmth ColdAllowance::poolWarmth(std::size_t cold, std::size_t all) const {
+  const bool old = listAsOfUs_ >= 0 && clock_.monoUs() - listAsOfUs_ > kListOldUs;
+  if (cold == 0 && !old) return PoolWarmth::kAllWarm;
+  return cold * 3 < all ? PoolWarmth::kSomeCold : PoolWarmth::kManyCold;
+}
+
 // How many of the nodes come before this one at that worker. Of those that are not known, as many as among the known.
 std::uint64_t ColdAllowance::rankAmongSharers(const Address& worker) const {
   const std::uint64_t mine = pairHash(worker, self_);
@@ -71,7 +77,7 @@
   for (const Us sentUs : record.sentUs) lately += nowUs - sentUs < kWindowUs ? 1 : 0;
   if (warmth == Warmth::kUnproven && pool != PoolWarmth::kManyCold && lately == 0) return true;
   const std::uint64_t rate = ratePerKs / kPerKs;
-  if (warmth == Warmth::kWarm) return lately < std::max(kLeastWarm, (kWarmShares * rate + count_ - 1) / count_);
+  if (warmth == Warmth::kWarm) return lately < std::max(kLeastWarm, rate * kWarmPercent / 100 / count_);
   const std::uint64_t even = rate / count_;
   if (lately != even) return lately < even;
   return rate % count_ > 0 && amongFirst(record, worker, rate % count_);
--- a/src/proxy/cold_allowance.h
+++ b/src/proxy/cold_allowance.h
@@ -27,9 +27,6 @@
 // Of the workers of one pool, as this node sees them. What cold ones do not get comes to the rest, one of which may
 // have been down without this node's noticing: so the rest are bounded too.
 enum class PoolWarmth : std::uint8_t { kAllWarm, kSomeCold, kManyCold };
-inline PoolWarmth poolWarmth(std::size_t cold, std::size_t all) {
-  return cold == 0 ? PoolWarmth::kAllWarm : cold * 3 < all ? PoolWarmth::kSomeCold : PoolWarmth::kManyCold;
-}
 
 // Each node has a share of a cold worker's rate. The shares of all nodes add up to no more than that rate as long as
 // no node's count of the nodes is too small (FleetSize). Runs on the loop's thread.
@@ -49,6 +46,10 @@
   // May it be sent one request more now? `ratePerKs`: requests in 1,000 s that it bears while it is cold; 0: any.
   bool allows(const WarmthRecord& record, const Address& worker, std::uint64_t ratePerKs, PoolWarmth pool) const;
 
+  // Of a pool with `cold` workers of `all` that are cold to this node. While the list is older than it ever is where
+  // control works, none is taken for all warm.
+  PoolWarmth poolWarmth(std::size_t cold, std::size_t all) const;
+
   void listedCold(WarmthRecord& record, Us leftUs) const;
   void sent(WarmthRecord& record) const;
   void heard(WarmthRecord& record) const;
@@ -57,13 +58,14 @@
   void doubt(WarmthRecord& record) const;
 
   static constexpr Us kFrozenUs = 700 * kMilliUs;     // without a tick
+  static constexpr Us kListOldUs = 4 * kSecondUs;     // more than it takes to come where control works
   static constexpr Us kListStaleUs = 6 * kSecondUs;   // a list older than this tells nothing of what is cold now
   static constexpr Us kSilentUs = 700 * kMilliUs;     // with requests open: it may be down
   static constexpr Us kContactGapUs = 2 * kSecondUs;  // not heard of for so long: met anew
   static constexpr Us kUnprovenUs = 2500 * kMilliUs;  // about what the list of that moment takes to come
-  // Of its share of a cold worker's rate, what a warm one gets at the most while some are cold; and no less than
-  // this.
-  static constexpr std::uint64_t kWarmShares = 2;
+  // Of a cold worker's rate, what a warm one gets at the most from all nodes while others are cold: within the rule's
+  // bound, should it be cold after all. And no less than this from a node.
+  static constexpr std::uint64_t kWarmPercent = 150;
   static constexpr std::uint64_t kLeastWarm = 2;
   static constexpr Us kWindowUs = 1100 * kMilliUs;  // a second, and what requests differ by on their way
 
--- a/src/proxy/pool_load_table.cc
+++ b/src/proxy/pool_load_table.cc
@@ -102,7 +102,7 @@
     ++all;
     cold += cold_.warmthOf(worker.warmth) == Warmth::kCold ? 1 : 0;
   }
-  return poolWarmth(cold, all);
+  return cold_.poolWarmth(cold, all);
 }
 
 // Requests that share a prompt meet where it is kept, unless that worker has clearly more to do than the
