Cold workers: an evacuation that a node missed altogether, and nodes without control

A zone's newest order is now told from the one seen before by its revision, so an end is a sign of doubt also where the beginning was missed; and while control is not heard no pool is taken for all warm, whatever the platform's own list says.

--- a/src/node/worker_sharing.cc
+++ b/src/node/worker_sharing.cc
@@ -32,6 +32,7 @@
   fleetSize_.note(std::max(known.size() + 1, controlHeard ? followers_ : 0), controlHeard);
   const bool counted = firstCountedUs_ >= 0 && nowUs - firstCountedUs_ >= kCountKnownUs;
   table_.cold().setSharers(std::move(known), fleetSize_.count(), counted || settled);
+  table_.cold().setControlHeard(controlHeard);
   table_.cold().tick();
 }
 
--- a/src/proxy/cold_allowance.cc
+++ b/src/proxy/cold_allowance.cc
@@ -44,7 +44,7 @@
 
 PoolWarmth ColdAllowance::poolWarmth(std::size_t cold, std::size_t all) const {
   const bool old = listAsOfUs_ >= 0 && clock_.monoUs() - listAsOfUs_ > kListOldUs;
-  if (cold == 0 && !old) return PoolWarmth::kAllWarm;
+  if (cold == 0 && !old && controlHeard_) return PoolWarmth::kAllWarm;
   return cold * 3 < all ? PoolWarmth::kSomeCold : PoolWarmth::kManyCold;
 }
 
--- a/src/proxy/cold_allowance.h
+++ b/src/proxy/cold_allowance.h
@@ -40,14 +40,16 @@
   std::size_t sharers() const { return count_; }
   // Must come often: without it this process was frozen, and what it knows is old.
   void tick();
+  // Without control this node hears of no evacuation, whatever the platform's own list tells it.
+  void setControlHeard(bool heard) { controlHeard_ = heard; }
   void listIsAsOf(Us asOfUs) { listAsOfUs_ = std::max(listAsOfUs_, asOfUs); }
 
   Warmth warmthOf(const WarmthRecord& record) const;
   // May it be sent one request more now? `ratePerKs`: requests in 1,000 s that it bears while it is cold; 0: any.
   bool allows(const WarmthRecord& record, const Address& worker, std::uint64_t ratePerKs, PoolWarmth pool) const;
 
-  // Of a pool with `cold` workers of `all` that are cold to this node. While the list is older than it ever is where
-  // control works, none is taken for all warm.
+  // Of a pool with `cold` workers of `all` that are cold to this node. While control is not heard, or the list is older
+  // than it ever is where control works, none is taken for all warm.
   PoolWarmth poolWarmth(std::size_t cold, std::size_t all) const;
 
   void listedCold(WarmthRecord& record, Us leftUs) const;
@@ -79,6 +81,7 @@
   std::size_t count_ = 1;
   std::uint64_t sharersSeen_ = 1;  // grows as they change
   bool settled_ = true;
+  bool controlHeard_ = true;
   Us tickUs_ = -1;      // -1: nobody ticks here
   Us wokeUs_ = -1;      // the end of its last freeze
   Us listAsOfUs_ = -1;  // -1: nobody tells
--- a/src/proxy/pool_load_table.cc
+++ b/src/proxy/pool_load_table.cc
@@ -47,14 +47,17 @@
   roomMade.emit();
 }
 
-// The workers of a zone whose evacuation has ended may have gone cold meanwhile, and nobody had anything from them.
+// The workers of a zone whose evacuation has ended may have gone cold meanwhile. This node may have heard of neither
+// its beginning nor its end, and have gone on sending: the order's revision tells.
 void PoolLoadTable::noteEvacuations() {
-  absl::btree_set<std::string> evacuated;
-  for (const auto& [zone, state] : control_.zones())
-    if (state.evacuated) evacuated.insert(zone);
-  for (auto& [address, worker] : workers_)
-    if (evacuated_.contains(worker.listed.zone) && !evacuated.contains(worker.listed.zone)) cold_.doubt(worker.warmth);
-  evacuated_ = std::move(evacuated);
+  for (const auto& [zone, state] : control_.zones()) {
+    Revision& seen = zoneOrders_[zone];
+    const bool ended = !state.evacuated && state.changed != seen;
+    seen = state.changed;
+    if (!ended) continue;
+    for (auto& [address, worker] : workers_)
+      if (worker.listed.zone == zone) cold_.doubt(worker.warmth);
+  }
 }
 
 void PoolLoadTable::heardFromPlatform(const std::vector<ListedWorker>& workers) {
--- a/src/proxy/pool_load_table.h
+++ b/src/proxy/pool_load_table.h
@@ -79,7 +79,7 @@
   const ControlState& control_;
   PoolLoadTablePlan plan_;
   ColdAllowance cold_;
-  absl::btree_set<std::string> evacuated_;  // zones, as of the last relist
+  absl::btree_map<std::string, Revision> zoneOrders_;  // the newest order of each zone, as of the last relist
   absl::btree_map<Address, PoolWorker> workers_;
   absl::flat_hash_map<std::string, std::vector<Address>> pools_;
 };
