--- a/src/replication/client.cc
+++ b/src/replication/client.cc
@@ -6,7 +6,6 @@
 
 namespace {
 constexpr Us kTryUs = 700 * kMilliUs;
-constexpr std::size_t kLongCommand = 16 << 10;  // bytes, from which on a head is asked first
 constexpr Us kAgainUs = 60 * kMilliUs;
 constexpr Us kLeastTryUs = 100 * kMilliUs;
 constexpr Us kHeldUs = 300 * kMilliUs;  // over the time for which a read may be held: then its tail is gone
@@ -105,14 +104,6 @@
   co_return poll.newest.revision == view_.revision&& poll.headHeard();
 }
 
-Job<std::optional<ChainOutcome>> ChainClient::askForRoom(std::size_t bytes, Us limitUs) {
-  Job<std::variant<ChainReply, PeerSilent>> job =
-      ask<ChainReply>(rpc_, view_.chain.front().address, RoomRequest{view_.revision, bytes}, limitUs);
-  const std::variant<ChainReply, PeerSilent> reply = co_await job;
-  auto* answered = std::get_if<ChainReply>(&reply);
-  co_return answered == nullptr ? std::nullopt : std::optional<ChainOutcome>(answered->outcome);
-}
-
 Job<ChainAnswer> ChainClient::submit(Bytes command, Us limitUs, Us sureUs, WhenFull whenFull) {
   Submit submit;
   submit.id = {clientId_, ++lastNumber_};
@@ -121,21 +112,8 @@
   const Us sureUntilUs = sureUs > 0 ? ports_.clock.monoUs() + sureUs : untilUs;
   ChainError trouble = ChainError::kUnreachable;
   bool unsure = false;  // one try was not answered: whatever the others say, it may have been taken
-  const bool asksFirst = whenFull == WhenFull::kTellAtOnce && submit.command.size() > kLongCommand;
   while (true) {
-    bool mayGo = !view_.chain.empty();
-    if (mayGo && asksFirst) {
-      const Us leftUs = untilUs - ports_.clock.monoUs();
-      if (leftUs <= 0) break;
-      Job<std::optional<ChainOutcome>> asking = askForRoom(submit.command.size(), std::min(leftUs, kTryUs));
-      const std::optional<ChainOutcome> told = co_await asking;
-      mayGo = told == ChainOutcome::kDone;
-      trouble = !told                                  ? ChainError::kUnreachable
-                : *told == ChainOutcome::kBusy         ? ChainError::kBusy
-                : *told == ChainOutcome::kTooFewCopies ? ChainError::kTooFewCopies
-                                                       : ChainError::kUnreachable;
-    }
-    if (mayGo) {
+    if (!view_.chain.empty()) {
       submit.revision = view_.revision;
       const Us leftUs = untilUs - ports_.clock.monoUs();
       if (leftUs <= 0) break;
--- a/src/replication/client.h
+++ b/src/replication/client.h
@@ -42,8 +42,6 @@
   Job<bool> findHead();
 
  private:
-  // Asks the head whether it has room for a command that long; what it said, or silence.
-  Job<std::optional<ChainOutcome>> askForRoom(std::size_t bytes, Us limitUs);
   void takeView(const View& view);
   void keepSeats();
   Ports& ports_;
--- a/src/replication/intake.cc
+++ b/src/replication/intake.cc
@@ -10,7 +10,7 @@
 constexpr Us kTellAgainUs = 2 * kSecondUs;  // of refusals for want of room
 }  // namespace
 
-void Replica::tell(const Asked& asked, ChainOutcome outcome) {
+void Replica::refuse(const Asked& asked, ChainOutcome outcome) {
   rpc_.reply(asked, ChainReply{outcome, memory_.view.revision, Bytes()});
 }
 
@@ -18,17 +18,16 @@
   auto message = unpack<Submit>(asked.body);
   if (!std::holds_alternative<Submit>(message)) return;
   Submit& submit = std::get<Submit>(message);
-  incomingRoom_.came(asked.peer, submit.command.size());
-  if (!head() || submit.revision != memory_.view.revision) return tell(asked, ChainOutcome::kNotMine);
-  if (!spansZones(memory_.view.chain)) return tell(asked, ChainOutcome::kTooFewCopies);
+  if (!head() || submit.revision != memory_.view.revision) return refuse(asked, ChainOutcome::kNotMine);
+  if (!spansZones(memory_.view.chain)) return refuse(asked, ChainOutcome::kTooFewCopies);
   const std::size_t backlog = backlogBytes();
   if (inbox_.size() >= kInboxBound || backlog >= kBacklogBytesBound ||
       (backlog >= kBacklogBytesBound / 2 && machine_.enlarges(submit.command))) {
     logBacklogFull(backlog);
-    return tell(asked, ChainOutcome::kBusy);
+    return refuse(asked, ChainOutcome::kBusy);
   }
   const std::size_t longest = machine_.takesLong() ? wal_.longestInPieces() : wal_.longestRecord();
-  if (submit.command.size() > longest) return tell(asked, ChainOutcome::kTooLong);
+  if (submit.command.size() > longest) return refuse(asked, ChainOutcome::kTooLong);
   // The ring must hold the old checkpoint, the new one and the entries between (design.md 5.2).
   const std::size_t bytes = imageBytes_ + wal_.bytesSinceCheckpoint() + inboxBytes_ + submit.command.size();
   const std::size_t growth = bounds_.growth;  // near it, it is worth reading the command
@@ -38,7 +37,7 @@
     logRingFull(bytes);
     roomWanted_ = true;
     inboxEvent_.notify();
-    return tell(asked, ChainOutcome::kRingFull);
+    return refuse(asked, ChainOutcome::kRingFull);
   }
   StampVerdict stamped = machine_.stamp(submit.command, sight());
   if (auto* refused = std::get_if<StampRefused>(&stamped)) {
@@ -58,18 +57,6 @@
   inboxEvent_.notify();
 }
 
-void Replica::onRoomRequest(const Asked& asked) {
-  auto message = unpack<RoomRequest>(asked.body);
-  auto* request = std::get_if<RoomRequest>(&message);
-  if (request == nullptr) return;
-  if (!head() || request->revision != memory_.view.revision) return tell(asked, ChainOutcome::kNotMine);
-  if (!spansZones(memory_.view.chain)) return tell(asked, ChainOutcome::kTooFewCopies);
-  const std::size_t backlog = backlogBytes();
-  const bool room = incomingRoom_.promise(asked.peer, request->bytes, backlog, ports_.clock.monoUs());
-  if (!room) logBacklogFull(backlog + incomingRoom_.bytes());
-  tell(asked, room ? ChainOutcome::kDone : ChainOutcome::kBusy);
-}
-
 // Once for so many refusals in a row; the first one of a spell tells that it began.
 void Replica::logRingFull(std::size_t bytes) {
   const Us nowUs = ports_.clock.monoUs();
--- a/src/replication/messages.h
+++ b/src/replication/messages.h
@@ -176,14 +176,6 @@
   ChangeOutcome outcome = ChangeOutcome::kBusy;
   STONEMOUNT_PACK(outcome)
 };
-// Asked of the head before a long command that brings new work is sent: would it be taken now? So what a burst hands in
-// never fills the link of the head, where signs of life and answers go too (design.md 6.3).
-struct RoomRequest {
-  static constexpr std::uint16_t kKind = 19;
-  Revision revision = 0;
-  std::uint64_t bytes = 0;
-  STONEMOUNT_PACK(revision, bytes)
-};
 struct Submit {
   static constexpr std::uint16_t kKind = 14;
   Revision revision = 0;
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "replication/follower_count.h"
-#include "replication/incoming_room.h"
 #include "replication/loss_margin.h"
 #include "replication/machine.h"
 #include "replication/recent_log.h"
@@ -100,13 +99,12 @@
   Task takeViewTask(View next);
   // intake.cc: commands at the head
   void onSubmit(const Asked& asked);
-  void onRoomRequest(const Asked& asked);
   void logRingFull(std::size_t bytes);
   void logBacklogFull(std::size_t bytes);
   std::size_t backlogBytes() const;
   // relay.cc: commands along the chain
   void onAppend(const Asked& asked);
-  void tell(const Asked& asked, ChainOutcome outcome);  // an outcome without a body
+  void refuse(const Asked& asked, ChainOutcome outcome);
   Task write();
   Job<bool> markSynced();
   Task passOn();
@@ -216,7 +214,6 @@
   std::deque<Waiting> reads_;
   std::vector<Waiting> held_;
   FollowerCount followers_;
-  IncomingRoom incomingRoom_;
   // peers
   absl::btree_map<Address, PeerSight> peers_;
   absl::btree_set<Address> pinged_;
