Results are written once, beside the state of checkpoints that name them

Change: a state is packed with its long values beside it; values go into files of their own from the same ring, once each; checkpoints name them (design.md 5.6: ValueLog, SharedBytes, StateStream). Joiners do not hold or write what they have already. The bounds of growth count values once.

dropCheckpoint, which had no caller, is gone.

--- a/src/replication/catch_up.cc
+++ b/src/replication/catch_up.cc
@@ -37,6 +37,7 @@
     if (snapshotToken_ != 0 && nowUs - snapshotUsedUs_ > kSnapshotUs) {
       snapshotToken_ = 0;
       snapshot_ = StateImage();
+      snapshotStream_ = StateStream();
     }
     if (fetchBytes_ == 0) fetchBytes_ = kCatchUpPartBytes;
     if (state_ != ReplicaState::kOutside || fetching_ || (findMember(memory_.view, self_) == nullptr && !invited()) ||
@@ -79,7 +80,7 @@
   Job<bool> writing = writeCheckpoint();
   const bool written = co_await writing;
   if (!written || state_ != ReplicaState::kOutside) co_return false;
-  Bytes state;
+  std::optional<StateAssembly> assembly;
   FetchState request;
   int silent = 0;
   while (true) {
@@ -95,17 +96,19 @@
     // A holder does not give up what it holds for a snapshot that may hold less (design.md 6.5).
     if (holds() && part->revision != memory_.view.revision) co_return false;
     silent = 0;
-    state.reserve(part->total);
-    state += part->bytes;
+    if (!assembly) assembly.emplace(part->stateBytes, wal_.values());
+    assembly->add(part->bytes);
     request.token = part->token;
-    request.offset = state.size();
-    if (state.size() >= part->total) break;
+    request.offset = assembly->received();
+    if (assembly->received() >= part->total) break;
     if (part->bytes.empty()) co_return false;
   }
-  const std::size_t copiedBytes = state.size();
+  const std::size_t copiedBytes = assembly->received();
+  std::optional<SavedState> state = assembly->take();
+  assembly.reset();
   imageLoose_ = true;
-  if (!loadImage(state, false)) co_return false;
-  Bytes().swap(state);  // not held beside the next one
+  if (!state || !loadImage(*state, false)) co_return false;
+  state.reset();  // not held beside the next one
   beginCheckpoint();
   Job<bool> keeping = writeCheckpoint();
   const bool kept = co_await keeping;
--- a/src/replication/catch_up_source.cc
+++ b/src/replication/catch_up_source.cc
@@ -15,11 +15,12 @@
 // While a checkpoint is being written, its image serves joiners too: a second copy of the whole state beside it is
 // never made. False: that one is of an earlier view, so the joiner has to come again once it is written.
 bool Replica::takeSnapshot() {
-  const bool shares = wal_.checkpointing() && checkpointImage_.bytes != nullptr;
+  const bool shares = wal_.checkpointing() && checkpointImage_.state != nullptr;
   if (shares && checkpointImage_.revision != memory_.view.revision) return false;
   if (shares && checkpointImage_.end != end_ && !recent_.reachesBackTo(checkpointImage_.end)) return false;
   snapshot_ =
-      shares ? checkpointImage_ : StateImage{std::make_shared<const Bytes>(image()), end_, memory_.view.revision};
+      shares ? checkpointImage_ : StateImage{std::make_shared<const SavedState>(image()), end_, memory_.view.revision};
+  snapshotStream_ = StateStream(snapshot_.state);
   snapshotToken_ = ports_.chance.next() | 1;
   ++counts_.snapshots;
   return true;
@@ -35,13 +36,14 @@
   const Us nowUs = ports_.clock.monoUs();
   const bool serves = mine && (request.token == 0 ? snapshotServes() || takeSnapshot()
                                                   : snapshotToken_ != 0 && request.token == snapshotToken_);
-  if (serves && request.offset <= snapshot_.bytes->size()) {
+  if (serves && request.offset <= snapshotStream_.size()) {
     snapshotUsedUs_ = nowUs;
     part.token = snapshotToken_;
-    part.total = snapshot_.bytes->size();
+    part.total = snapshotStream_.size();
+    part.stateBytes = snapshotStream_.stateBytes();
     part.end = snapshot_.end;
     part.revision = snapshot_.revision;
-    part.bytes = snapshot_.bytes->substr(request.offset, std::min<std::size_t>(request.most, kCatchUpPartBytes));
+    part.bytes = snapshotStream_.part(request.offset, std::min<std::size_t>(request.most, kCatchUpPartBytes));
   }
   rpc_.reply(asked, part);
 }
--- a/src/replication/intake.cc
+++ b/src/replication/intake.cc
@@ -28,11 +28,15 @@
   }
   const std::size_t longest = machine_.takesLong() ? wal_.longestInPieces() : wal_.longestRecord();
   if (submit.command.size() > longest) return refuse(asked, ChainOutcome::kTooLong);
-  // The ring must hold the old checkpoint, the new one and the entries between (design.md 5.2).
-  const std::size_t bytes = imageBytes_ + wal_.bytesSinceCheckpoint() + inboxBytes_ + submit.command.size();
-  const std::size_t growth = bounds_.growth;  // near it, it is worth reading the command
-  const bool tight = bytes > growth || (bytes > growth / 2 && bytes + machine_.owedBytes() > growth);
-  const bool full = bytes > bounds_.command || (tight && machine_.enlarges(submit.command));
+  // The ring must hold the values, the old checkpoint, the new one and the entries between (design.md 5.2, 5.6).
+  const std::size_t entryBytes = wal_.bytesSinceCheckpoint() + inboxBytes_ + submit.command.size();
+  const std::size_t bytes = imageBytes_ + entryBytes;
+  const std::size_t owedValues = machine_.owedValueBytes();
+  const std::size_t owed = machine_.owedBytes() - owedValues;
+  // Any of the entries since the checkpoint may turn out to be values.
+  const std::size_t comingValues = machine_.keepsValues() ? owedValues + entryBytes : 0;
+  const bool tight = bytes + owed > bounds(comingValues).growth;
+  const bool full = bytes > bounds(0).command || (tight && machine_.enlarges(submit.command));
   if (full) {
     logRingFull(bytes);
     roomWanted_ = true;
@@ -66,8 +70,10 @@
   logDoubt("ring_full", {{"refused", absl::StrCat(counts_.ringFull)},
                          {"state_bytes", absl::StrCat(imageBytes_)},
                          {"entry_bytes", absl::StrCat(bytes - imageBytes_)},
+                         {"value_bytes", absl::StrCat(valueBytes_)},
+                         {"value_files", absl::StrCat(wal_.valueFiles())},
                          {"owed_bytes", absl::StrCat(machine_.owedBytes())},
-                         {"growth_bytes", absl::StrCat(bounds_.growth)}});
+                         {"growth_bytes", absl::StrCat(bounds(machine_.owedValueBytes()).growth)}});
 }
 
 void Replica::logBacklogFull(std::size_t bytes) {
--- a/src/replication/machine.h
+++ b/src/replication/machine.h
@@ -1,6 +1,7 @@
 // The port between a chain and the state it keeps (design.md 6.2).
 #pragma once
 
+#include "runtime/shared_bytes.h"
 #include "stonemount.h"
 
 namespace stonemount {
@@ -37,8 +38,13 @@
   virtual std::size_t owedBytes() const { return 0; }     // by which what was taken in will yet enlarge the state
   // May one command fill an eighth of the ring? Else half a file of it at most.
   virtual bool takesLong() const { return false; }
+  virtual std::size_t owedValueBytes() const { return 0; }  // of them, those of values that stand beside the state
+  virtual bool keepsValues() const { return false; }        // does it save any beside its state?
   virtual Bytes save() const = 0;
   virtual bool load(const Bytes& state) = 0;
+  // The same state, its long values beside it.
+  virtual SavedState saveBeside() const { return {save(), {}}; }
+  virtual bool loadBeside(const SavedState& state) { return load(state.bytes); }
 };
 
 }  // namespace stonemount
--- a/src/replication/messages.h
+++ b/src/replication/messages.h
@@ -128,10 +128,11 @@
 struct StatePart {
   std::uint64_t token = 0;
   std::uint64_t total = 0;
+  std::uint64_t stateBytes = 0;  // of them, the first: the packed state; its values follow (state_stream.h)
   std::uint64_t end = 0;
   Revision revision = 0;  // of the view in which the snapshot was taken
   Bytes bytes;
-  STONEMOUNT_PACK(token, total, end, revision, bytes)
+  STONEMOUNT_PACK(token, total, stateBytes, end, revision, bytes)
 };
 struct FetchLog {
   static constexpr std::uint16_t kKind = 11;
--- a/src/replication/replica.cc
+++ b/src/replication/replica.cc
@@ -35,7 +35,6 @@
       plan_(std::move(plan)),
       self_(rpc.self()),
       wal_(*ports.disk, ports.timers, ports.clock),
-      bounds_(stateBounds(wal_.ringBytes(), plan_.memoryBytes)),
       groupCommit_(wal_, ports.timers, room) {}
 
 Replica::~Replica() { refused_.disconnect(); }
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -6,6 +6,7 @@
 #include "replication/machine.h"
 #include "replication/recent_log.h"
 #include "replication/state_bounds.h"
+#include "replication/state_stream.h"
 #include "runtime/rpc_endpoint.h"
 #include "write_ahead_log/group_commit.h"
 
@@ -45,7 +46,7 @@
 
 // The whole state, packed, as it stood after an entry.
 struct StateImage {
-  std::shared_ptr<const Bytes> bytes;  // none: there is none
+  std::shared_ptr<const SavedState> state;  // none: there is none
   std::uint64_t end = 0;
   Revision revision = 0;  // of the view in which it was made
 };
@@ -88,8 +89,10 @@
   bool replay(const LogContent& content);
   Job<bool> takeView(View next);
   void stateFromView();
-  Bytes image() const;
-  bool loadImage(const Bytes& image, bool own);
+  SavedState image() const;
+  bool loadImage(const SavedState& saved, bool own);
+  void noteImage(const SavedState& saved);
+  StateBounds bounds(std::size_t owedValueBytes) const;
   void beginCheckpoint();
   void maybeCheckpoint();
   void logOverflowed();
@@ -179,7 +182,6 @@
   ReplicaPlan plan_;
   Address self_;
   WriteAheadLog wal_;
-  StateBounds bounds_;
   GroupCommit groupCommit_;
   ReplicaState state_ = ReplicaState::kOpening;
   VoterMemory memory_;
@@ -188,7 +190,8 @@
   std::uint64_t end_ = 0;        // last entry that is durable here and applied
   std::uint64_t committed_ = 0;  // last entry known to be durable at the tail
   RecentLog recent_;             // entries that others may still need
-  std::size_t imageBytes_ = 0;   // of the newest checkpoint
+  std::size_t imageBytes_ = 0;   // of the newest checkpoint, without its values
+  std::size_t valueBytes_ = 0;   // of its values
   Us checkpointedUs_ = 0;        // when it was begun
   bool roomWanted_ = false;      // a command was refused since
   Us ringFullToldUs_ = -1;       // when refusals for want of room were last logged
@@ -239,6 +242,7 @@
   std::uint64_t snapshotToken_ = 0;
   Us snapshotUsedUs_ = 0;
   StateImage snapshot_;         // for joiners
+  StateStream snapshotStream_;  // of it
   StateImage checkpointImage_;  // while it is being written
 };
 
--- a/src/replication/replica_persistence.cc
+++ b/src/replication/replica_persistence.cc
@@ -10,6 +10,8 @@
 constexpr Us kRoomWantedUs = 2 * kSecondUs;        // between checkpoints that only a refusal asks for
 constexpr std::size_t kPartsAtOnce = 8;            // of a checkpoint, with each batch of entries
 constexpr std::size_t kImageHeadBytes = 64 << 10;  // about what an image takes besides state and verdicts
+// Of values: the file that is being filled, and what is dead in others and not yet worth moving (value_log.cc).
+constexpr std::size_t kSpareValueFiles = 2;
 struct Image {
   std::uint8_t format = kImageFormat;
   VoterMemory memory;
@@ -28,7 +30,7 @@
 
 // What the log holds, applied in order; false: an unknown format, or a gap that would go unseen for ever.
 bool Replica::replay(const LogContent& content) {
-  bool sound = !content.hasCheckpoint || loadImage(content.checkpoint, true);
+  bool sound = !content.hasCheckpoint || loadImage({content.checkpoint, content.values}, true);
   for (const Record& record : content.records) {
     if (!sound) break;
     if (record.kind == RecordKind::kMeta) {
@@ -56,25 +58,27 @@
   co_return true;
 }
 
-Bytes Replica::image() const {
+SavedState Replica::image() const {
   Image image;
   image.memory = memory_;
   image.end = end_;
   image.endRevision = endRevision_;
   for (const CommandId& id : verdictOrder_) image.verdicts.emplace_back(id, verdicts_.at(id));
-  image.state = machine_.save();
-  return pack(image, image.state.size() + verdictBytes_ + kImageHeadBytes);
+  SavedState state = machine_.saveBeside();
+  image.state = std::move(state.bytes);
+  return {pack(image, image.state.size() + verdictBytes_ + kImageHeadBytes), std::move(state.values)};
 }
 
-bool Replica::loadImage(const Bytes& bytes, bool own) {
-  auto read = unpack<Image>(bytes);
+bool Replica::loadImage(const SavedState& saved, bool own) {
+  auto read = unpack<Image>(saved.bytes);
   Image* image = std::get_if<Image>(&read);
-  if (image == nullptr || image->format != kImageFormat || !machine_.load(image->state)) return false;
+  if (image == nullptr || image->format != kImageFormat) return false;
+  if (!machine_.loadBeside({std::move(image->state), saved.values})) return false;
   if (own) memory_ = image->memory;  // another's votes are not mine
   end_ = image->end;
   endRevision_ = image->endRevision;
   appended_ = image->end;
-  imageBytes_ = bytes.size();
+  noteImage(saved);
   recent_.clear(image->endRevision);
   verdicts_.clear();
   verdictOrder_.clear();
@@ -87,10 +91,24 @@
   return true;
 }
 
+void Replica::noteImage(const SavedState& saved) {
+  imageBytes_ = saved.bytes.size();
+  valueBytes_ = 0;
+  for (const SharedBytes& value : saved.values) valueBytes_ += value.size();
+}
+
+StateBounds Replica::bounds(std::size_t owedValueBytes) const {
+  ValueRoom values;
+  values.growthBytes = wal_.valueRoomBytes(owedValueBytes, kSpareValueFiles);
+  values.commandBytes = wal_.valueRoomBytes(0, 1);
+  values.memoryBytes = valueBytes_ + owedValueBytes;
+  return stateBounds(wal_.ringBytes(), plan_.memoryBytes, values);
+}
+
 void Replica::beginCheckpoint() {
-  checkpointImage_ = {std::make_shared<const Bytes>(image()), end_, memory_.view.revision};
-  imageBytes_ = checkpointImage_.bytes->size();
-  wal_.beginCheckpoint(checkpointImage_.bytes);
+  checkpointImage_ = {std::make_shared<const SavedState>(image()), end_, memory_.view.revision};
+  noteImage(*checkpointImage_.state);
+  wal_.beginCheckpoint(checkpointImage_.state);
 }
 
 void Replica::maybeCheckpoint() {
@@ -98,7 +116,8 @@
   const Us nowUs = ports_.clock.monoUs();
   const bool roomWanted =
       std::exchange(roomWanted_, false) && wal_.bytesSinceCheckpoint() > 0 && nowUs - checkpointedUs_ > kRoomWantedUs;
-  if (!wal_.checkpointing() && (roomWanted || wal_.wantsCheckpoint(imageBytes_, bounds_.growth))) {
+  if (!wal_.checkpointing() &&
+      (roomWanted || wal_.wantsCheckpoint(imageBytes_, bounds(machine_.owedValueBytes()).growth))) {
     STONEMOUNT_INVARIANT(appended_ <= end_);  // what lies before it on the disk must be in it
     checkpointedUs_ = nowUs;
     beginCheckpoint();
--- a/src/runtime/pack.h
+++ b/src/runtime/pack.h
@@ -14,7 +14,7 @@
 #include <map>
 #include <set>
 
-#include "stonemount.h"
+#include "runtime/shared_bytes.h"
 
 namespace stonemount {
 
@@ -25,11 +25,12 @@
   PackOut() : cereal::OutputArchive<PackOut, cereal::AllowEmptyClassElision>(this) {}
   void put(const void* data, std::size_t size) { bytes.append(static_cast<const char*>(data), size); }
   Bytes bytes;
+  std::vector<SharedBytes>* values = nullptr;  // takes the long shared bytes; none: they are packed with the rest
 };
 class PackIn : public cereal::InputArchive<PackIn, cereal::AllowEmptyClassElision> {
  public:
-  explicit PackIn(const Bytes& bytes)
-      : cereal::InputArchive<PackIn, cereal::AllowEmptyClassElision>(this), bytes_(bytes) {}
+  explicit PackIn(const Bytes& bytes, const std::vector<SharedBytes>* values = nullptr)
+      : cereal::InputArchive<PackIn, cereal::AllowEmptyClassElision>(this), bytes_(bytes), values_(values) {}
   std::size_t left() const { return bytes_.size() - at_; }
   void get(void* data, std::size_t size) {
     if (size > left()) throw cereal::Exception("too short");
@@ -37,10 +38,19 @@
     std::memcpy(data, bytes_.data() + at_, size);
     at_ += size;
   }
+  // The next of the values that stand beside the packed bytes.
+  SharedBytes nextValue(std::size_t size) {
+    if (values_ == nullptr || valueAt_ >= values_->size()) throw cereal::Exception("a value is missing");
+    const SharedBytes& value = (*values_)[valueAt_++];
+    if (value.size() != size) throw cereal::Exception("a value of another length");
+    return value;
+  }
 
  private:
   const Bytes& bytes_;
+  const std::vector<SharedBytes>* values_ = nullptr;
   std::size_t at_ = 0;
+  std::size_t valueAt_ = 0;
 };
 
 template <class Number>
@@ -79,6 +89,31 @@
   archive.get(data.data, static_cast<std::size_t>(data.size));
 }
 
+// Shared bytes are packed as a string is; where they stand beside the packed bytes, their length alone is, marked.
+constexpr std::uint64_t kStandsBeside = 1ULL << 63;
+
+inline void CEREAL_SAVE_FUNCTION_NAME(PackOut& archive, const SharedBytes& shared) {
+  const bool beside = archive.values != nullptr && shared.size() >= kLeastValueBytes;
+  const std::uint64_t length = shared.size() | (beside ? kStandsBeside : 0);
+  archive.put(&length, sizeof(length));
+  if (beside)
+    archive.values->push_back(shared);
+  else
+    archive.put(shared.get().data(), shared.size());
+}
+inline void CEREAL_LOAD_FUNCTION_NAME(PackIn& archive, SharedBytes& shared) {
+  std::uint64_t length = 0;
+  archive.get(&length, sizeof(length));
+  if ((length & kStandsBeside) != 0) {
+    shared = archive.nextValue(length & ~kStandsBeside);
+    return;
+  }
+  if (length > archive.left()) throw cereal::Exception("a length beyond the bytes");
+  Bytes bytes(length, '\0');
+  archive.get(bytes.data(), bytes.size());
+  shared = SharedBytes(std::move(bytes));
+}
+
 template <class Value>
 void CEREAL_SERIALIZE_FUNCTION_NAME(PackOut& archive, cereal::NameValuePair<Value>& pair) {
   archive(pair.value);
@@ -99,10 +134,22 @@
   return std::move(archive.bytes);
 }
 
+// With long shared bytes beside the packed ones.
+template <class Value>
+SavedState packBeside(const Value& value, std::size_t expectedBytes = 0) {
+  SavedState saved;
+  PackOut archive;
+  archive.values = &saved.values;
+  archive.bytes.reserve(expectedBytes);
+  archive(value);
+  saved.bytes = std::move(archive.bytes);
+  return saved;
+}
+
 template <class Value>
-std::variant<Value, BadBytes> unpack(const Bytes& bytes) {
+std::variant<Value, BadBytes> unpack(const Bytes& bytes, const std::vector<SharedBytes>* values = nullptr) {
   try {
-    PackIn archive(bytes);
+    PackIn archive(bytes, values);
     Value value;
     archive(value);
     return value;
--- a/src/store/answers.cc
+++ b/src/store/answers.cc
@@ -58,7 +58,7 @@
     const KeptItem& item = lot.items[lot.listed[at]];
     bytes += item.answer.size() + item.given.id.size();
     if (!verdict.sights.empty() && bytes > (ask.mostBytes > 0 ? ask.mostBytes : kPageBytes)) break;
-    verdict.sights.push_back({lot.listed[at], item.given.id, item.state, item.run, item.answer, {}});
+    verdict.sights.push_back({lot.listed[at], item.given.id, item.state, item.run, item.answer.get(), {}});
     ++verdict.next;
   }
 }
@@ -99,7 +99,7 @@
     sight.id = item.given.id;
     sight.state = item.state;
     sight.run = item.run;
-    if (ask.results) sight.answer = item.answer;
+    if (ask.results) sight.answer = item.answer.get();
     if (ask.bodies) sight.body = item.given.body;
     bytes += sight.answer.size() + sight.body.size();
     verdict.sights.push_back(std::move(sight));
--- a/src/store/runs.cc
+++ b/src/store/runs.cc
@@ -94,7 +94,7 @@
   }
   item.state = state;
   item.finalUs = state_.cut.cutUs;
-  item.answer = std::move(answer);
+  item.answer = SharedBytes(std::move(answer));
   lot.answerBytes += item.answer.size();
   lot.listed.push_back(place);
   state == ItemState::kSealed ? ++lot.sealed : ++lot.refused;
--- a/src/store/store_machine.cc
+++ b/src/store/store_machine.cc
@@ -136,14 +136,24 @@
   return index_.openItems() * std::max<std::size_t>(kLeastAnswer, sealed > 0 ? index_.answerBytes() / sealed : 0);
 }
 
-Bytes StoreMachine::save() const {
-  Bytes saved = pack(SavedOut{state_}, savedBytes_ + savedBytes_ / 16);
-  savedBytes_ = saved.size();
+std::size_t StoreMachine::owedValueBytes() const {
+  const std::size_t sealed = index_.sealedItems();
+  const bool stoodBeside = sealed > 0 && index_.answerBytes() / sealed >= kLeastValueBytes;
+  return stoodBeside ? owedBytes() : 0;
+}
+
+Bytes StoreMachine::save() const { return pack(SavedOut{state_}); }
+
+SavedState StoreMachine::saveBeside() const {
+  SavedState saved = packBeside(SavedOut{state_}, savedBytes_ + savedBytes_ / 16);
+  savedBytes_ = saved.bytes.size();
   return saved;
 }
 
-bool StoreMachine::load(const Bytes& bytes) {
-  auto read = unpack<SavedIn>(bytes);
+bool StoreMachine::load(const Bytes& bytes) { return loadBeside({bytes, {}}); }
+
+bool StoreMachine::loadBeside(const SavedState& state) {
+  auto read = unpack<SavedIn>(state.bytes, &state.values);
   auto* saved = std::get_if<SavedIn>(&read);
   if (saved == nullptr || saved->format != kStateFormat) return false;
   state_ = std::move(saved->state);
--- a/src/store/store_machine.h
+++ b/src/store/store_machine.h
@@ -31,8 +31,12 @@
   QueryVerdict answer(const Bytes& query, bool mustAnswer) override;
   bool enlarges(const Bytes& command) const override;
   std::size_t owedBytes() const override;
+  std::size_t owedValueBytes() const override;
+  bool keepsValues() const override { return true; }
   Bytes save() const override;
   bool load(const Bytes& state) override;
+  SavedState saveBeside() const override;
+  bool loadBeside(const SavedState& state) override;
   SessionKeeper& sessions() { return sessions_; }
   const StoreState& state() const { return state_; }
   // Tokens of items that wait on that route: accepted, not final, of lots that were not ended.
--- a/src/store/store_state.h
+++ b/src/store/store_state.h
@@ -15,7 +15,7 @@
   Address worker;
   Us limitUs = 0;  // of the licence, in cut time
   Us finalUs = 0;  // the cut when it was sealed or given up
-  Bytes answer;
+  SharedBytes answer;
   bool final() const { return state == ItemState::kSealed || state == ItemState::kRefused; }
   STONEMOUNT_PACK(given, state, run, spent, failed, node, worker, limitUs, finalUs, answer)
 };
--- a/src/write_ahead_log/record.cc
+++ b/src/write_ahead_log/record.cc
@@ -1,6 +1,8 @@
 // The bytes of one record (design.md 5.1).
 #include "write_ahead_log/record.h"
 
+#include <algorithm>
+
 namespace stonemount {
 
 namespace {
@@ -50,4 +52,25 @@
   found.length = header + length;
   return found;
 }
+
+// Behind a damaged record others may stand: they are not read, but they tell what had been synced (design.md 5.5). Nor
+// is one read that does not name the one before it: a loss of power may have kept what was written behind a write that
+// was lost, and when that place is written anew, what an earlier life left behind it must not come back to life.
+FileScan scanRecords(std::string_view bytes, std::uint64_t& synced) {
+  FileScan scan;
+  while (std::optional<FoundRecord> found = recordAt(bytes, scan.end)) {
+    if (!scan.records.empty() && found->record.sequence != scan.records.back().sequence + 1) break;
+    if (found->before && *found->before != scan.sum) break;
+    synced = std::max(synced, found->synced);
+    scan.end += found->length;
+    scan.sum = found->sum;
+    scan.records.push_back(std::move(found->record));
+  }
+  const char low = static_cast<char>(kRecordMagic >> 8 & 255);
+  for (std::size_t from = bytes.find(low, scan.end + 1); from != std::string_view::npos;
+       from = bytes.find(low, from + 1))
+    if (std::optional<FoundRecord> found = recordAt(bytes, from - 1)) synced = std::max(synced, found->synced);
+  return scan;
+}
+
 }  // namespace stonemount
--- a/src/write_ahead_log/record.h
+++ b/src/write_ahead_log/record.h
@@ -14,7 +14,8 @@
   kCheckpointEnd = 4,
   kMark = 5,
   kPiece = 6,
-  kJoined = 7
+  kJoined = 7,
+  kValue = 8  // of the value log, whose sequences are its own
 };
 
 struct Record {
@@ -50,4 +51,13 @@
 // One whole record at this place, if there is one.
 std::optional<FoundRecord> recordAt(std::string_view view, std::size_t at);
 
+// What a file holds from its beginning on.
+struct FileScan {
+  std::vector<Record> records;
+  std::size_t end = 0;    // behind the last of them
+  std::uint32_t sum = 0;  // its checksum
+};
+// `synced`: raised to the newest sequence that any record of the file says was synced.
+FileScan scanRecords(std::string_view bytes, std::uint64_t& synced);
+
 }  // namespace stonemount
--- a/src/write_ahead_log/recovery_scan.cc
+++ b/src/write_ahead_log/recovery_scan.cc
@@ -20,13 +20,17 @@
 // What is gathered on the way back. Parts count only for the checkpoint whose end was found.
 class Gathering {
  public:
-  // True once a whole checkpoint, and all after it, is there.
+  Gathering(ValueLog& valueLog, std::vector<ValueLog::FoundFile> valueFiles)
+      : valueLog_(valueLog), valueFiles_(std::move(valueFiles)) {}
+  // True once a whole checkpoint, with all values that it names, and all after it, is there.
   bool add(std::vector<Record> records) {
     for (auto record = records.rbegin(); record != records.rend(); ++record) {
       if (record->kind == RecordKind::kCheckpointEnd && !ended_) {
         ended_ = true;
         from_ = getNumber<std::uint64_t>(record->body, 0);
         sum_ = getNumber<std::uint32_t>(record->body, 8);
+        const bool names = record->body.size() >= kEndBytes + sizeof(std::uint32_t);
+        values_ = names ? getNumber<std::uint32_t>(record->body, kEndBytes) : 0;
       } else if (record->kind == RecordKind::kCheckpointPart) {
         if (ended_ && getNumber<std::uint64_t>(record->body, 0) == from_) parts_.push_back(std::move(record->body));
       } else if (record->kind != RecordKind::kMark) {
@@ -36,18 +40,21 @@
     if (!ended_ || records.front().sequence > from_) return false;
     for (auto part = parts_.rbegin(); part != parts_.rend(); ++part) checkpoint_ += part->substr(8);
     parts_.clear();
-    whole_ = sum_ == checksum(checkpoint_);
-    if (whole_) return true;
+    whole_ = sum_ == checksum(checkpoint_) && takeValues();
+    if (whole_ || diskFailed_) return true;
     ended_ = false;  // an older one may be whole
     checkpoint_.clear();
     return false;
   }
   bool whole() const { return whole_; }
+  bool diskFailed() const { return diskFailed_; }
+  std::uint64_t valuesSynced() const { return valuesSynced_; }
   std::uint64_t from() const { return whole_ ? from_ : 0; }
   LogContent take() {
     LogContent content;
     content.hasCheckpoint = whole_;
     content.checkpoint = std::move(checkpoint_);
+    content.values = std::move(sharedValues_);
     std::vector<Record> pieces;  // since the last whole record
     for (auto record = kept_.rbegin(); record != kept_.rend(); ++record) {
       if (record->sequence < from()) continue;
@@ -71,6 +78,25 @@
     whole.body += last.body.substr(9);
     return whole;
   }
+  // The table of values stands behind the state.
+  bool takeValues() {
+    const std::size_t tableBytes = values_ * ValueLog::kTableEntryBytes;
+    if (tableBytes > checkpoint_.size()) return false;
+    const std::size_t stateBytes = checkpoint_.size() - tableBytes;
+    const std::string_view table = std::string_view(checkpoint_).substr(stateBytes);
+    const ValueLog::Recovery recovery = valueLog_.recover(valueFiles_, table, sharedValues_, valuesSynced_);
+    diskFailed_ = recovery == ValueLog::Recovery::kDiskFailure;
+    if (recovery != ValueLog::Recovery::kWhole) return false;
+    checkpoint_.resize(stateBytes);
+    return true;
+  }
+  static constexpr std::size_t kEndBytes = sizeof(std::uint64_t) + sizeof(std::uint32_t);
+  ValueLog& valueLog_;
+  std::vector<ValueLog::FoundFile> valueFiles_;
+  std::vector<SharedBytes> sharedValues_;
+  std::size_t values_ = 0;  // that the checkpoint names
+  std::uint64_t valuesSynced_ = 0;
+  bool diskFailed_ = false;
   std::vector<Record> kept_;  // newest first
   std::vector<Bytes> parts_;
   Bytes checkpoint_;
@@ -81,27 +107,6 @@
 };
 }  // namespace
 
-// The records of one file, from its first on. Behind a damaged one others may stand: they are not read,
-// but they tell what had been synced (design.md 5.5). Nor is one read that does not name the one before it:
-// a loss of power may have kept what was written behind a write that was lost, and when that place is
-// written anew, what an earlier life left behind it must not come back to life.
-WriteAheadLog::Scan WriteAheadLog::scanFile(const Bytes& bytes, std::uint64_t& synced) const {
-  Scan scan;
-  const std::string_view view(bytes);
-  while (std::optional<FoundRecord> found = recordAt(view, scan.end)) {
-    if (!scan.records.empty() && found->record.sequence != scan.records.back().sequence + 1) break;
-    if (found->before && *found->before != scan.sum) break;
-    synced = std::max(synced, found->synced);
-    scan.end += found->length;
-    scan.sum = found->sum;
-    scan.records.push_back(std::move(found->record));
-  }
-  const char low = static_cast<char>(kRecordMagic >> 8 & 255);
-  for (std::size_t from = bytes.find(low, scan.end + 1); from != Bytes::npos; from = bytes.find(low, from + 1))
-    if (std::optional<FoundRecord> found = recordAt(view, from - 1)) synced = std::max(synced, found->synced);
-  return scan;
-}
-
 // Which files hold records, by the sequence of their first. Why a head tells:
 // - A file is filled from its beginning, and a sync covers all that was written before it. If any record
 //   of a file was ever synced, its first one was, and that is no zero. So a head that is all zero belongs
@@ -111,24 +116,31 @@
 //   that begins before another holds nothing newer than that one's first.
 // - Any other head may be a torn write, an old file that was just turned, or damage: that file is read
 //   whole, for records that did not fit into the head and for what they say was synced.
-std::variant<std::vector<WriteAheadLog::Head>, DiskFailure> WriteAheadLog::readHeads(std::uint64_t& synced) {
-  std::vector<Head> heads;
+// Files of values are told apart by the kind of their first record.
+std::variant<WriteAheadLog::FoundFiles, DiskFailure> WriteAheadLog::readHeads(std::uint64_t& synced) {
+  FoundFiles files;
+  const auto note = [&files](std::size_t file, const Record& first) {
+    if (first.kind == RecordKind::kValue)
+      files.values.push_back({file, first.sequence});
+    else
+      files.log.push_back({file, first.sequence});
+  };
   for (std::size_t i = 0; i < disk_.fileCount(); ++i) {
     auto read = disk_.readHead(i, std::min(kHeadBytes, disk_.fileBytes()));
     if (std::holds_alternative<DiskFailure>(read)) return DiskFailure{};
     const Bytes& bytes = std::get<Bytes>(read);
     if (bytes.find_first_not_of('\0') == Bytes::npos) continue;
     if (std::optional<FoundRecord> found = recordAt(bytes, 0); found && found->before.value_or(0) == 0) {
-      heads.push_back({i, found->record.sequence});
+      note(i, found->record);
       continue;
     }
     auto whole = disk_.read(i);
     if (std::holds_alternative<DiskFailure>(whole)) return DiskFailure{};
-    const Scan scan = scanFile(std::get<Bytes>(whole), synced);
-    if (!scan.records.empty()) heads.push_back({i, scan.records.front().sequence});
+    const FileScan scan = scanRecords(std::get<Bytes>(whole), synced);
+    if (!scan.records.empty()) note(i, scan.records.front());
   }
-  std::sort(heads.begin(), heads.end(), ByFirst());
-  return heads;
+  std::sort(files.log.begin(), files.log.end(), ByFirst());
+  return files;
 }
 
 OpenResult WriteAheadLog::open() {
@@ -136,16 +148,19 @@
   std::uint64_t synced = 0;  // the newest sequence that any record says was synced
   auto read = readHeads(synced);
   if (std::holds_alternative<DiskFailure>(read)) return DiskFailure{};
-  const std::vector<Head>& heads = std::get<std::vector<Head>>(read);
-  if (heads.empty() && synced > 0) return LogDamaged{synced};
+  FoundFiles& files = std::get<FoundFiles>(read);
+  const std::vector<Head>& heads = files.log;
+  // Values are written after the first records of the log.
+  if (heads.empty() && (synced > 0 || !files.values.empty())) return LogDamaged{synced};
   if (heads.empty()) return LogEmpty{};
   for (std::size_t i = 0; i + 1 < heads.size(); ++i) spans_[heads[i].file] = {heads[i].first, heads[i + 1].first - 1};
-  Gathering gathering;
+  values_.wipe();
+  Gathering gathering(values_, std::move(files.values));
   std::uint64_t last = 0, next = 0;  // the newest record, and the first of the file read before
   for (auto head = heads.rbegin(); head != heads.rend(); ++head) {
     auto bytes = disk_.read(head->file);
     if (std::holds_alternative<DiskFailure>(bytes)) return DiskFailure{};
-    Scan scan = scanFile(std::get<Bytes>(bytes), synced);
+    FileScan scan = scanRecords(std::get<Bytes>(bytes), synced);
     if (scan.records.empty()) return DiskFailure{};  // it read otherwise a moment ago
     if (last == 0) {
       file_ = head->file;
@@ -159,6 +174,8 @@
     next = head->first;
     if (gathering.add(std::move(scan.records))) break;
   }
+  if (gathering.diskFailed()) return DiskFailure{};
+  synced = std::max(synced, gathering.valuesSynced());
   // A torn end is what was never synced. Anything else that is missing was sworn to.
   if (last < synced) return LogDamaged{last};
   if (!gathering.whole() && next != 1) return LogDamaged{next};
--- a/src/write_ahead_log/write_ahead_log.cc
+++ b/src/write_ahead_log/write_ahead_log.cc
@@ -11,7 +11,7 @@
 }  // namespace
 
 WriteAheadLog::WriteAheadLog(Disk& disk, Timers& timers, Clock& clock)
-    : disk_(disk), timers_(timers), clock_(clock), spans_(disk.fileCount()) {}
+    : disk_(disk), timers_(timers), clock_(clock), values_(disk), spans_(disk.fileCount()) {}
 
 void WriteAheadLog::wipe() {
   for (std::size_t i = 0; i < disk_.fileCount(); ++i) disk_.write(i, 0, Bytes(disk_.fileBytes(), '\0'));
@@ -20,13 +20,37 @@
   keepFrom_ = nextSequence_ = 1;
   synced_ = lastSum_ = 0;
   checkpointOpen_ = false;
+  values_.wipe();
+}
+
+bool WriteAheadLog::freeFile(std::size_t file) const {
+  const bool needed = spans_[file].last >= keepFrom_ && spans_[file].last != 0;
+  return !needed && !values_.uses(file);
+}
+
+std::optional<std::size_t> WriteAheadLog::nextFreeFile() const {
+  for (std::size_t step = 1; step < spans_.size(); ++step)
+    if (const std::size_t file = (file_ + step) % spans_.size(); freeFile(file)) return file;
+  return std::nullopt;
+}
+
+std::size_t WriteAheadLog::freeFiles() const {
+  std::size_t count = 0;
+  for (std::size_t file = 0; file < spans_.size(); ++file) count += file != file_ && freeFile(file) ? 1 : 0;
+  return count;
+}
+
+std::size_t WriteAheadLog::valueRoomBytes(std::size_t owedBytes, std::size_t spareFiles) const {
+  const std::size_t files = values_.filesUsed();
+  if (files == 0 && owedBytes == 0) return 0;
+  const std::size_t newBytes = owedBytes - std::min(owedBytes, values_.roomInFile());
+  return (files + spareFiles) * disk_.fileBytes() + newBytes;
 }
 
 std::variant<Done, RingFull> WriteAheadLog::turnFile() {
-  const std::size_t next = (file_ + 1) % spans_.size();
-  const bool needed = spans_[next].last >= keepFrom_ && spans_[next].last != 0;
-  if (needed) return RingFull{};
-  file_ = next;
+  const std::optional<std::size_t> next = nextFreeFile();
+  if (!next) return RingFull{};
+  file_ = *next;
   offset_ = 0;
   lastSum_ = 0;
   spans_[file_] = FileSpan();
@@ -79,38 +103,75 @@
   return sinceCheckpoint_ > std::clamp(room, ring / 64, ring / 8);
 }
 
-void WriteAheadLog::beginCheckpoint(std::shared_ptr<const Bytes> state) {
+void WriteAheadLog::beginCheckpoint(std::shared_ptr<const SavedState> state) {
   STONEMOUNT_INVARIANT(!checkpointOpen_);
   checkpointOpen_ = true;
   checkpointEnded_ = false;
   checkpointFrom_ = nextSequence_;
   checkpointState_ = std::move(state);
+  checkpointTable_.clear();
   checkpointAt_ = 0;
   checkpointSum_ = checksum("");
   sinceCheckpoint_ = 0;
+  values_.begin(checkpointState_->values, freeFiles());
+}
+
+bool WriteAheadLog::writeValue() {
+  ValueLog::Step step = values_.writeNext(synced_);
+  if (step == ValueLog::Step::kNeedsFile) {
+    const std::optional<std::size_t> file = nextFreeFile();
+    if (!file) return false;
+    spans_[*file] = FileSpan();
+    values_.takeFile(*file);
+    step = values_.writeNext(synced_);
+  }
+  return step == ValueLog::Step::kWritten;
+}
+
+// The state, and behind it the table of its values.
+bool WriteAheadLog::writeStatePart() {
+  const Bytes& state = checkpointState_->bytes;
+  const bool inState = checkpointAt_ < state.size();
+  const Bytes& source = inState ? state : checkpointTable_;
+  const std::size_t at = inState ? checkpointAt_ : checkpointAt_ - state.size();
+  Bytes body;
+  putNumber(body, checkpointFrom_);
+  const std::string_view part = std::string_view(source).substr(at, std::min(kPartBytes, disk_.fileBytes() / 4));
+  body += part;
+  if (!std::holds_alternative<std::uint64_t>(append(RecordKind::kCheckpointPart, body))) return false;
+  checkpointAt_ += part.size();
+  checkpointSum_ = checksum(part, checkpointSum_);
+  return true;
+}
+
+// A state without values is ended as it was before there were any.
+bool WriteAheadLog::writeCheckpointEnd() {
+  Bytes body;
+  putNumber(body, checkpointFrom_);
+  putNumber(body, checkpointSum_);
+  const std::size_t values = checkpointState_->values.size();
+  if (values > 0) putNumber(body, static_cast<std::uint32_t>(values));
+  const AppendResult ended = append(RecordKind::kCheckpointEnd, body);
+  if (!std::holds_alternative<std::uint64_t>(ended)) return false;
+  checkpointLast_ = std::get<std::uint64_t>(ended);
+  checkpointEnded_ = true;
+  return true;
 }
 
 bool WriteAheadLog::pumpCheckpoint(std::size_t parts) {
   if (!checkpointOpen_ || checkpointEnded_) return true;
-  for (std::size_t i = 0; i < parts; ++i) {
-    Bytes body;
-    putNumber(body, checkpointFrom_);
-    if (checkpointAt_ < checkpointState_->size()) {
-      body += checkpointState_->substr(checkpointAt_, std::min(kPartBytes, disk_.fileBytes() / 4));
-      const std::size_t taken = body.size() - 8;
-      if (!std::holds_alternative<std::uint64_t>(append(RecordKind::kCheckpointPart, body))) return false;
-      checkpointAt_ += taken;
-      checkpointSum_ = checksum(std::string_view(body).substr(8), checkpointSum_);
-      continue;
-    }
-    putNumber(body, checkpointSum_);
-    AppendResult ended = append(RecordKind::kCheckpointEnd, body);
-    if (!std::holds_alternative<std::uint64_t>(ended)) return false;
-    checkpointLast_ = std::get<std::uint64_t>(ended);
-    checkpointEnded_ = true;
-    return true;
+  std::size_t valueBytes = 0;
+  while (!values_.allWritten() && valueBytes < parts * kPartBytes) {
+    valueBytes += values_.nextBytes();
+    if (!writeValue()) return false;
   }
-  return true;
+  if (!values_.allWritten()) return true;
+  if (checkpointTable_.empty()) checkpointTable_ = values_.table();
+  const std::size_t total = checkpointState_->bytes.size() + checkpointTable_.size();
+  for (std::size_t i = valueBytes / kPartBytes; i < parts && checkpointAt_ < total; ++i)
+    if (!writeStatePart()) return false;
+  if (checkpointAt_ < total) return true;
+  return writeCheckpointEnd();
 }
 
 Us WriteAheadLog::stalledUs() const { return syncing_ ? clock_.monoUs() - syncBeganUs_ : 0; }
@@ -165,6 +226,8 @@
     checkpointOpen_ = false;
     keepFrom_ = checkpointFrom_;
     checkpointState_.reset();
+    checkpointTable_.clear();
+    values_.keepBegun();
   }
   co_return Done{};
 }
--- a/src/write_ahead_log/write_ahead_log.h
+++ b/src/write_ahead_log/write_ahead_log.h
@@ -4,6 +4,7 @@
 #include "runtime/await.h"
 #include "runtime/pack.h"
 #include "write_ahead_log/record.h"
+#include "write_ahead_log/value_log.h"
 
 namespace stonemount {
 
@@ -16,7 +17,8 @@
   std::uint64_t atSequence = 0;
 };  // synced records are missing or altered
 struct LogContent {
-  Bytes checkpoint;  // empty: none yet
+  Bytes checkpoint;                 // empty: none yet
+  std::vector<SharedBytes> values;  // that it names
   bool hasCheckpoint = false;
   std::vector<Record> records;  // entries and metas after the checkpoint began
 };
@@ -32,13 +34,13 @@
   // All that was appended before the call is durable when it returns. A disk that fails, or takes no more bytes,
   // is asked again until it obeys: nothing is lost meanwhile, and `stalledUs` tells others of it (design.md 5.4).
   Job<Done> sync();
-  // Writes state in parts; what lies before it may be written over once it is synced.
-  void beginCheckpoint(Bytes state) { beginCheckpoint(std::make_shared<const Bytes>(std::move(state))); }
-  void beginCheckpoint(std::shared_ptr<const Bytes> state);
+  // Writes state in parts, its values first; what lies before it may be written over once it is synced. A value that
+  // an earlier checkpoint wrote is not written again.
+  void beginCheckpoint(Bytes state) { beginCheckpoint(std::make_shared<const SavedState>(SavedState{state, {}})); }
+  void beginCheckpoint(std::shared_ptr<const SavedState> state);
   bool pumpCheckpoint(std::size_t parts);  // false: the ring is too small for the state
   // Nothing that was synced last is told of by a later record yet: a mark would do it.
   bool wantsMark() const { return lastKind_ != RecordKind::kMark && synced_ + 1 == nextSequence_; }
-  void dropCheckpoint() { checkpointOpen_ = false; }
   bool checkpointing() const { return checkpointOpen_; }
   std::size_t bytesSinceCheckpoint() const { return sinceCheckpoint_; }
   // Is it time for one, for a state that took so many bytes when it was last written? At an eighth of the ring in
@@ -48,6 +50,12 @@
   std::size_t longestRecord() const { return disk_.fileBytes() / 2; }
   std::size_t longestInPieces() const { return std::max(longestRecord(), ringBytes() / 8); }
   std::size_t ringBytes() const { return disk_.fileCount() * disk_.fileBytes(); }
+  // Of the ring, what values take and keep from the log, where so many bytes of them are yet to be written and so many
+  // files are to spare; 0 where there are none.
+  std::size_t valueRoomBytes(std::size_t owedBytes, std::size_t spareFiles) const;
+  // The values that the newest durable checkpoint names.
+  std::vector<SharedBytes> values() const { return values_.values(); }
+  std::size_t valueFiles() const { return values_.filesUsed(); }
   // How long the sync now under way has taken: a stalled disk shows here (design.md 5.4).
   Us stalledUs() const;
   Us worstSyncUs() const { return slowUs_; }
@@ -63,20 +71,25 @@
     std::size_t file = 0;
     std::uint64_t first = 0;  // sequence of its first record
   };
-  std::variant<std::vector<Head>, DiskFailure> readHeads(std::uint64_t& synced);
-  struct Scan {
-    std::vector<Record> records;
-    std::size_t end = 0;    // behind the last of them
-    std::uint32_t sum = 0;  // its checksum
+  struct FoundFiles {
+    std::vector<Head> log;  // by first sequence
+    std::vector<ValueLog::FoundFile> values;
   };
-  Scan scanFile(const Bytes& bytes, std::uint64_t& synced) const;
+  std::variant<FoundFiles, DiskFailure> readHeads(std::uint64_t& synced);
+  bool freeFile(std::size_t file) const;
+  std::optional<std::size_t> nextFreeFile() const;
+  std::size_t freeFiles() const;
   std::variant<Done, RingFull> turnFile();
+  bool writeValue();
+  bool writeStatePart();
+  bool writeCheckpointEnd();
   Job<Done> syncUntilDurable();
   AppendResult appendOne(RecordKind kind, const Bytes& body);
   Disk& disk_;
   Timers& timers_;
   Clock& clock_;
-  std::vector<FileSpan> spans_;
+  ValueLog values_;
+  std::vector<FileSpan> spans_;  // of the log
   std::size_t file_ = 0;
   std::size_t offset_ = 0;
   std::uint32_t lastSum_ = 0;  // checksum of the record before, in this file
@@ -88,7 +101,8 @@
   bool checkpointEnded_ = false;
   std::uint64_t checkpointFrom_ = 0;
   std::uint64_t checkpointLast_ = 0;
-  std::shared_ptr<const Bytes> checkpointState_;
+  std::shared_ptr<const SavedState> checkpointState_;
+  Bytes checkpointTable_;  // of its values, once all of them are written; stands behind the state
   std::size_t checkpointAt_ = 0;
   std::uint32_t checkpointSum_ = 0;  // of the parts so far
   std::size_t sinceCheckpoint_ = 0;
--- a/tests/chain_rig.h
+++ b/tests/chain_rig.h
@@ -16,34 +16,41 @@
 
 constexpr char kNoGrowth = '~';  // a command that begins with it leaves the state as large as it was
 
+// `beside`: it saves long commands beside its state.
 class ListMachine : public Machine {
  public:
+  explicit ListMachine(bool beside = false) : beside_(beside) {}
   Bytes apply(const Bytes& command) override {
-    if (enlarges(command)) list_.push_back(command);
+    if (enlarges(command)) list_.push_back(SharedBytes(command));
     return pack(static_cast<std::uint64_t>(list_.size()));
   }
   StampVerdict stamp(const Bytes& command, const HeadSight&) override { return Stamped{command}; }
   QueryVerdict answer(const Bytes&, bool) override { return pack(list_); }
   bool enlarges(const Bytes& command) const override { return !command.starts_with(kNoGrowth); }
   Bytes save() const override { return pack(list_); }
-  bool load(const Bytes& state) override {
-    auto read = unpack<std::vector<Bytes>>(state);
-    if (!std::holds_alternative<std::vector<Bytes>>(read)) return false;
-    list_ = std::get<std::vector<Bytes>>(read);
+  bool load(const Bytes& state) override { return loadBeside({state, {}}); }
+  bool keepsValues() const override { return beside_; }
+  SavedState saveBeside() const override { return beside_ ? packBeside(list_) : SavedState{save(), {}}; }
+  bool loadBeside(const SavedState& state) override {
+    auto read = unpack<std::vector<SharedBytes>>(state.bytes, &state.values);
+    if (!std::holds_alternative<std::vector<SharedBytes>>(read)) return false;
+    list_ = std::get<std::vector<SharedBytes>>(read);
     return true;
   }
 
  private:
-  std::vector<Bytes> list_;
+  std::vector<SharedBytes> list_;
+  bool beside_ = false;
 };
 
 using Views = std::map<Revision, View>;
 
 struct Process {
-  Process(SimHost& host, ReplicaPlan plan, Views& given)
+  Process(SimHost& host, ReplicaPlan plan, Views& given, bool beside = false)
       : views(given),
         ports(host.ports()),
         rpc(host, host, host.chance),
+        machine(beside),
         member(ports, rpc, room, machine, std::move(plan)) {
     member.viewMoved.connect(sigc::mem_fun(*this, &Process::onView));
     member.begin();
@@ -64,8 +71,8 @@
 
 struct Rig {
   Rig(std::uint64_t seed, std::size_t members, std::size_t keptEntries = 20000, std::size_t fileBytes = 256 << 10,
-      std::size_t zones = 0, std::size_t files = kFiles)
-      : world(seed), chance(seed ^ 7), kept(keptEntries) {
+      std::size_t zones = 0, std::size_t files = kFiles, bool beside = false)
+      : world(seed), chance(seed ^ 7), kept(keptEntries), valuesBeside(beside) {
     for (std::size_t i = 0; i < members; ++i) addresses.push_back({1, static_cast<std::uint16_t>(1 + i)});
     for (std::size_t i = 0; i < members; ++i) {
       hosts.push_back(&world.addHost("m" + std::to_string(i),
@@ -94,7 +101,7 @@
     plan.zone = hosts[i]->zone();
     plan.founders = addresses;
     plan.keptEntries = kept;
-    processes[i] = std::make_unique<Process>(*hosts[i], plan, views);
+    processes[i] = std::make_unique<Process>(*hosts[i], plan, views, valuesBeside);
   }
   void kill(std::size_t i) {
     if (!processes[i]) return;
@@ -135,6 +142,7 @@
   World world;
   Chance chance;
   std::size_t kept;
+  bool valuesBeside;
   std::map<Address, std::uint64_t> lives;  // the incarnation on each disk
   std::uint64_t leftBehind = 0, restartedNarrow = 0;
   Views views;
--- a/tests/full_ring_test.cc
+++ b/tests/full_ring_test.cc
@@ -34,14 +34,15 @@
 }
 
 // Grows until it is refused, then goes on with what does not enlarge: a ring's length of it, twice over.
-void fullRingGoesOn(std::uint64_t seed, std::size_t files) {
-  Rig rig(seed, 3, 20000, kRingBytes / files, 0, files);
+void fullRingGoesOn(std::uint64_t seed, std::size_t files, bool beside) {
+  Rig rig(seed, 3, 20000, kRingBytes / files, 0, files, beside);
   rig.world.runUntil(2 * kSecondUs);
   std::size_t grown = 0;
   Told told;
   for (told = ask(rig, Bytes(kGrowthBytes, 'g')); told.taken; told = ask(rig, Bytes(kGrowthBytes, 'g'))) ++grown;
   expect(told.why == ChainError::kRingFull, "it refuses because the ring is full");
   expect(grown * kGrowthBytes > kRingBytes / 5, "and not before a fifth of the ring is state");
+  expect(!beside || grown * kGrowthBytes > kRingBytes * 2 / 5, "two fifths where values are written once");
   std::size_t refused = 0;
   for (std::size_t bytes = 0; bytes < 2 * kRingBytes; bytes += kSteadyBytes) {
     const Told steady = ask(rig, kNoGrowth + Bytes(kSteadyBytes, 's'));
@@ -75,8 +76,8 @@
 }
 // With a full ring each member in turn loses power, or its disk, and comes back: it opens or copies the whole state,
 // and the chain takes what does not enlarge before, meanwhile and after.
-void fullRingOutlivesLosses(std::uint64_t seed, std::size_t files) {
-  Rig rig(seed, 3, 20000, kRingBytes / files, 0, files);
+void fullRingOutlivesLosses(std::uint64_t seed, std::size_t files, bool beside) {
+  Rig rig(seed, 3, 20000, kRingBytes / files, 0, files, beside);
   rig.world.runUntil(2 * kSecondUs);
   while (ask(rig, Bytes(kGrowthBytes, 'g')).taken) {
   }
@@ -99,8 +100,10 @@
 int main() {
   for (const std::size_t files : kFileCounts)
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
-      fullRingGoesOn(seed, files);
-      fullRingOutlivesLosses(seed, files);
+      for (const bool beside : {false, true}) {
+        fullRingGoesOn(seed, files, beside);
+        fullRingOutlivesLosses(seed, files, beside);
+      }
       fullRingIsToldAtOnce(seed);
     }
   std::printf("full_ring_test: %d passed, %d failed\n", passed, failed);
--- a/tests/runs_test.cc
+++ b/tests/runs_test.cc
@@ -74,7 +74,7 @@
         continue;
       }
       RC_ASSERT(granted.contains({i, one.run}));  // only a granted run may seal
-      RC_ASSERT(sealed.emplace(i, one.answer).first->second == one.answer);
+      RC_ASSERT(sealed.emplace(i, one.answer.get()).first->second == one.answer.get());
     }
     RC_ASSERT(kept.sealed == sealed.size());
     RC_ASSERT(kept.running == running);
