A pending command is not written again, and the head bounds the whole chain's backlog

A command unanswered for 0.7 s is sent again, and the head wrote it into the log again; only the backlog towards the head's successor was bounded, so each further member held up to 4 MiB.

Change: PendingCommands at the head joins a repeat to the first try and answers it once that is committed; the tail tells the head what is committed; the head refuses new work above 1 MiB uncommitted in the whole chain, everything above 4 MiB; a client whose try may have been taken asks a full head again after 0.3 s.

--- a/src/replication/client.cc
+++ b/src/replication/client.cc
@@ -7,6 +7,7 @@
 namespace {
 constexpr Us kTryUs = 700 * kMilliUs;
 constexpr Us kAgainUs = 60 * kMilliUs;
+constexpr Us kFullAgainUs = 300 * kMilliUs;  // of one that is unsure, where the head has no room
 constexpr Us kLeastTryUs = 100 * kMilliUs;
 constexpr Us kHeldUs = 300 * kMilliUs;  // over the time for which a read may be held: then its tail is gone
 constexpr Us kViewUs = 250 * kMilliUs;
@@ -141,7 +142,8 @@
       Job<Done> refreshing = refresh();
       co_await refreshing;
     }
-    Pause pause(ports_.timers, kAgainUs);
+    // Only one that may have been taken is asked for again: it was most likely not, and has much to carry.
+    Pause pause(ports_.timers, full && unsure ? kFullAgainUs : kAgainUs);
     co_await pause;
   }
   co_return ChainFailure{unsure ? ChainError::kUnreachable : trouble, unsure};
--- a/src/replication/intake.cc
+++ b/src/replication/intake.cc
@@ -20,9 +20,13 @@
   Submit& submit = std::get<Submit>(message);
   if (!head() || submit.revision != memory_.view.revision) return refuse(asked, ChainOutcome::kNotMine);
   if (!spansZones(memory_.view.chain)) return refuse(asked, ChainOutcome::kTooFewCopies);
-  const std::size_t backlog = backlogBytes();
-  if (inbox_.size() >= kInboxBound || backlog >= kBacklogBytesBound ||
-      (backlog >= kBacklogBytesBound / 2 && machine_.enlarges(submit.command))) {
+  if (pending_.joins(submit.id, asked)) {
+    ++counts_.repeats;
+    return;
+  }
+  const std::size_t backlog = uncommittedBytes();
+  if (inbox_.size() >= kInboxBound || backlog >= kUncommittedBytes ||
+      (backlog >= kUncommittedGrowthBytes && machine_.enlarges(submit.command))) {
     logBacklogFull(backlog);
     return refuse(asked, ChainOutcome::kBusy);
   }
@@ -56,6 +60,7 @@
   entry.exchange = asked.exchange;
   entry.command = std::move(std::get<Stamped>(stamped).command);
   inboxBytes_ += entry.command.size();
+  pending_.took(entry.id, entry.index);
   taken.emit(entry);
   inbox_.push_back(std::move(entry));
   inboxEvent_.notify();
@@ -89,10 +94,25 @@
                             {"committed", absl::StrCat(committed_)}});
 }
 
-// What came in this view and is not known to be at the successor.
-std::size_t Replica::backlogBytes() const {
-  if (!active() || tail()) return inboxBytes_;
-  return inboxBytes_ + recent_.bytesAfter(std::max(successorPeak_, verifiedEnd_));
+// What the head took in this view and does not know to be committed.
+std::size_t Replica::uncommittedBytes() const {
+  return inboxBytes_ + recent_.bytesAfter(std::max(committed_, verifiedEnd_));
+}
+
+void Replica::onCommitted(const Asked& asked) {
+  auto message = unpack<Committed>(asked.body);
+  auto* told = std::get_if<Committed>(&message);
+  if (told != nullptr && active() && told->revision == memory_.view.revision) noteCommitted(told->end);
+}
+
+// Committed in this view, so it may be acknowledged to whoever asked for it again (design.md 6.4).
+void Replica::noteCommitted(std::uint64_t index) {
+  committed_ = std::max(committed_, index);
+  for (const PendingCommands::Repeat& repeat : pending_.commit(committed_)) {
+    auto known = verdicts_.find(repeat.id);
+    if (known != verdicts_.end())
+      rpc_.reply(repeat.request, ChainReply{ChainOutcome::kDone, memory_.view.revision, known->second});
+  }
 }
 
 }  // namespace stonemount
--- a/src/replication/messages.h
+++ b/src/replication/messages.h
@@ -177,6 +177,14 @@
   ChangeOutcome outcome = ChangeOutcome::kBusy;
   STONEMOUNT_PACK(outcome)
 };
+// From the tail to the head: what is durable at all members, so that the head bounds what is not, and answers commands
+// that came again meanwhile. One that is lost is followed by the next, within a second.
+struct Committed {
+  static constexpr std::uint16_t kKind = 19;
+  Revision revision = 0;
+  std::uint64_t end = 0;
+  STONEMOUNT_PACK(revision, end)
+};
 struct Submit {
   static constexpr std::uint16_t kKind = 14;
   Revision revision = 0;
--- a/src/replication/relay.cc
+++ b/src/replication/relay.cc
@@ -34,6 +34,18 @@
   return logNames().revisionAt(successor.end) == std::optional<Revision>(successor.endRevision);
 }
 
+// What came in this view and is not known to be at the successor.
+std::size_t Replica::unpassedBytes() const {
+  if (!active() || tail()) return inboxBytes_;
+  return inboxBytes_ + recent_.bytesAfter(std::max(successorPeak_, verifiedEnd_));
+}
+
+// A tail that is not verified may hold what the chain does not.
+void Replica::tellCommitted() {
+  if (!tail() || !verified_ || head()) return;
+  rpc_.tell(memory_.view.chain.front().address, Committed{memory_.view.revision, end_});
+}
+
 void Replica::onAppend(const Asked& asked) {
   auto message = unpack<Append>(asked.body);
   if (!std::holds_alternative<Append>(message)) return;
@@ -48,7 +60,7 @@
     readEvent_.notify();
     passEvent_.notify();
   }
-  const bool full = !append.entries.empty() && backlogBytes() >= kBacklogBytesBound;
+  const bool full = !append.entries.empty() && unpassedBytes() >= kUncommittedBytes;
   if (append.after > received() || full) return answerAppend(asked, false);
   for (Entry& entry : append.entries) {
     if (entry.index <= received()) continue;
@@ -73,6 +85,7 @@
     }
     Job<bool> marking = markSynced();
     co_await marking;
+    tellCommitted();
     do {
       std::vector<Entry> batch;
       while (!inbox_.empty() && batch.size() < kBatchEntries) {
@@ -99,7 +112,10 @@
       for (const Entry& entry : batch) applyEntry(entry, release);
       const bool same = active() && memory_.view.revision == revision;
       for (const Asked& asked : appends) answerAppend(asked, same);
-      if (!batch.empty()) passEvent_.notify();
+      if (!batch.empty()) {
+        passEvent_.notify();
+        tellCommitted();
+      }
     } while (!inbox_.empty() || wal_.checkpointing());
   }
 }
@@ -194,7 +210,7 @@
       }
       successorTold_ |= append.verified && passed->granted;
       successorEnd_ = passed->end;
-      committed_ = std::max(committed_, passed->committed);
+      noteCommitted(passed->committed);
       if (passed->granted) continue;
       Pause pause(ports_.timers, kPassAgainUs);  // it has no room, or parted from us meanwhile
       co_await pause;
--- a/src/replication/replica.cc
+++ b/src/replication/replica.cc
@@ -50,6 +50,7 @@
   rpc_.serve(Accept::kKind, sigc::mem_fun(*this, &Replica::onAccept));
   rpc_.serve(Confirm::kKind, sigc::mem_fun(*this, &Replica::onConfirm));
   rpc_.serve(Decided::kKind, sigc::mem_fun(*this, &Replica::onDecided));
+  rpc_.serve(Committed::kKind, sigc::mem_fun(*this, &Replica::onCommitted));
   rpc_.serve(Append::kKind, sigc::mem_fun(*this, &Replica::onAppend));
   rpc_.serve(FetchState::kKind, sigc::mem_fun(*this, &Replica::onFetchState));
   rpc_.serve(FetchLog::kKind, sigc::mem_fun(*this, &Replica::onFetchLog));
@@ -70,6 +71,7 @@
                              {"view", absl::StrCat(memory_.view.revision)},
                              {"end", absl::StrCat(end_)}});
   state_ = next;
+  pending_.clear();
   inbox_.clear();
   inboxBytes_ = 0;
   for (const Asked& asked : appendsWaiting_) answerAppend(asked, false);
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -4,7 +4,9 @@
 #include "replication/follower_count.h"
 #include "replication/loss_margin.h"
 #include "replication/machine.h"
+#include "replication/pending_commands.h"
 #include "replication/recent_log.h"
+#include "replication/replica_plan.h"
 #include "replication/state_bounds.h"
 #include "replication/state_stream.h"
 #include "runtime/rpc_endpoint.h"
@@ -12,23 +14,6 @@
 
 namespace stonemount {
 
-struct ReplicaPlan {
-  std::string zone;
-  std::vector<Address> founders;  // all must be empty and present for the first view
-  bool mayFound = true;           // the whole fleet's first start: else nobody founds, ever
-  Us pingUs = 200 * kMilliUs;
-  Us farPingUs = 500 * kMilliUs;  // of and to those without a seat
-  Us pingLimitUs = 250 * kMilliUs;
-  Us suspectUs = 700 * kMilliUs;
-  Us slowDiskUs = 800 * kMilliUs;
-  std::size_t keptEntries = 20000;  // of its log, for a successor or joiner that is behind
-  std::size_t keptBytes = 8 << 20;
-  std::size_t memoryBytes = 0;  // that the process may take; 0: not bounded
-};
-
-// Of what a member took and its successor does not have yet. Half of it is left to what finishes old work.
-constexpr std::size_t kBacklogBytesBound = 4 << 20;
-
 constexpr std::size_t kCatchUpPartBytes = 256 << 10;  // of a state or log that is copied, at a time
 
 // What is known of another member from its last pong.
@@ -37,13 +22,6 @@
   Pong pong;
 };
 
-struct ReplicaCounts {
-  std::uint64_t applied = 0, viewChanges = 0, ballots = 0, refusedOld = 0, reads = 0, confirms = 0;
-  std::uint64_t leftBehind = 0, snapshots = 0, restartedNarrow = 0;
-  std::uint64_t ringFull = 0;     // commands refused for want of room in the ring
-  std::uint64_t backlogFull = 0;  // commands refused because the successor is far behind
-};
-
 // The whole state, packed, as it stood after an entry.
 struct StateImage {
   std::shared_ptr<const SavedState> state;  // none: there is none
@@ -104,8 +82,12 @@
   void onSubmit(const Asked& asked);
   void logRingFull(std::size_t bytes);
   void logBacklogFull(std::size_t bytes);
-  std::size_t backlogBytes() const;
+  std::size_t uncommittedBytes() const;
+  void onCommitted(const Asked& asked);
+  void noteCommitted(std::uint64_t index);
   // relay.cc: commands along the chain
+  std::size_t unpassedBytes() const;
+  void tellCommitted();
   void onAppend(const Asked& asked);
   void refuse(const Asked& asked, ChainOutcome outcome);
   Task write();
@@ -196,6 +178,7 @@
   bool roomWanted_ = false;      // a command was refused since
   Us ringFullToldUs_ = -1;       // when refusals for want of room were last logged
   Us backlogToldUs_ = -1;        // and those for a successor that is far behind
+  PendingCommands pending_;      // at the head
   std::deque<Entry> inbox_;      // received in this view, not yet durable
   std::size_t inboxBytes_ = 0;
   std::vector<Asked> appendsWaiting_;
--- /dev/null
+++ b/src/replication/replica_plan.h
@@ -0,0 +1,36 @@
+// How a replica is set up, and what it counts (design.md 6).
+#pragma once
+
+#include "stonemount.h"
+
+namespace stonemount {
+
+struct ReplicaPlan {
+  std::string zone;
+  std::vector<Address> founders;  // all must be empty and present for the first view
+  bool mayFound = true;           // the whole fleet's first start: else nobody founds, ever
+  Us pingUs = 200 * kMilliUs;
+  Us farPingUs = 500 * kMilliUs;  // of and to those without a seat
+  Us pingLimitUs = 250 * kMilliUs;
+  Us suspectUs = 700 * kMilliUs;
+  Us slowDiskUs = 800 * kMilliUs;
+  std::size_t keptEntries = 20000;  // of its log, for a successor or joiner that is behind
+  std::size_t keptBytes = 8 << 20;
+  std::size_t memoryBytes = 0;  // that the process may take; 0: not bounded
+};
+
+// Bytes that the chain has taken and not committed. Above the first bound nothing is taken that brings new work, so
+// that what is taken is committed well before its client asks again, also over a link of a few MB/s; the rest up to the
+// second is left to what finishes old work.
+constexpr std::size_t kUncommittedGrowthBytes = 1 << 20;
+constexpr std::size_t kUncommittedBytes = 4 << 20;
+
+struct ReplicaCounts {
+  std::uint64_t applied = 0, viewChanges = 0, ballots = 0, refusedOld = 0, reads = 0, confirms = 0;
+  std::uint64_t leftBehind = 0, snapshots = 0, restartedNarrow = 0;
+  std::uint64_t ringFull = 0;     // commands refused for want of room in the ring
+  std::uint64_t backlogFull = 0;  // commands refused because the chain has much to commit
+  std::uint64_t repeats = 0;      // commands that came again while they were pending
+};
+
+}  // namespace stonemount
