--- a/src/replication/client.cc
+++ b/src/replication/client.cc
@@ -6,6 +6,7 @@
 
 namespace {
 constexpr Us kTryUs = 700 * kMilliUs;
+constexpr std::size_t kLongCommand = 16 << 10;  // bytes, from which on a head is asked first
 constexpr Us kAgainUs = 60 * kMilliUs;
 constexpr Us kFullAgainUs = 300 * kMilliUs;  // of one that is unsure, where the head has no room
 constexpr Us kLeastTryUs = 100 * kMilliUs;
@@ -105,6 +106,35 @@
   co_return poll.newest.revision == view_.revision&& poll.headHeard();
 }
 
+Job<std::optional<ChainReply>> ChainClient::askForRoom(const Submit& submit, bool enlarges, Us limitUs) {
+  const RoomRequest request{view_.revision, submit.id, submit.command.size(), enlarges};
+  Job<std::variant<ChainReply, PeerSilent>> job = ask<ChainReply>(rpc_, view_.chain.front().address, request, limitUs);
+  std::variant<ChainReply, PeerSilent> reply = co_await job;
+  auto* answered = std::get_if<ChainReply>(&reply);
+  if (answered == nullptr) co_return std::nullopt;
+  co_return std::move(*answered);
+}
+
+namespace {
+ChainError errorOf(ChainOutcome outcome) {
+  switch (outcome) {
+    case ChainOutcome::kTooFewCopies:
+      return ChainError::kTooFewCopies;
+    case ChainOutcome::kBusy:
+      return ChainError::kBusy;
+    case ChainOutcome::kRingFull:
+      return ChainError::kRingFull;
+    case ChainOutcome::kTooLong:
+      return ChainError::kTooLong;
+    case ChainOutcome::kDone:
+    case ChainOutcome::kNotMine:
+    case ChainOutcome::kRoom:
+      break;
+  }
+  return ChainError::kUnreachable;
+}
+}  // namespace
+
 Job<ChainAnswer> ChainClient::submit(Bytes command, Us limitUs, Us sureUs, WhenFull whenFull) {
   Submit submit;
   submit.id = {clientId_, ++lastNumber_};
@@ -113,26 +143,35 @@
   const Us sureUntilUs = sureUs > 0 ? ports_.clock.monoUs() + sureUs : untilUs;
   ChainError trouble = ChainError::kUnreachable;
   bool unsure = false;  // one try was not answered: whatever the others say, it may have been taken
+  const bool isLong = submit.command.size() > kLongCommand;
   while (true) {
-    if (!view_.chain.empty()) {
-      submit.revision = view_.revision;
+    bool mayGo = !view_.chain.empty();
+    submit.revision = view_.revision;
+    // A long one is not sent to a head that has no room for it, nor sent again to one that has it.
+    const bool asksFirst = isLong && (unsure || whenFull == WhenFull::kTellAtOnce);
+    if (mayGo && asksFirst) {
       const Us leftUs = untilUs - ports_.clock.monoUs();
       if (leftUs <= 0) break;
+      Job<std::optional<ChainReply>> asking =
+          askForRoom(submit, whenFull == WhenFull::kTellAtOnce, std::min(leftUs, kTryUs));
+      std::optional<ChainReply> told = co_await asking;
+      if (told && told->outcome == ChainOutcome::kDone) co_return std::move(told->body);
+      mayGo = told && told->outcome == ChainOutcome::kRoom;
+      trouble = told ? errorOf(told->outcome) : ChainError::kUnreachable;
+    }
+    if (mayGo) {
+      const Us leftUs = untilUs - ports_.clock.monoUs();
+      if (leftUs <= 0 || (asksFirst && !unsure && leftUs < kTryUs)) break;
+      submit.revision = view_.revision;
       Job<std::variant<ChainReply, PeerSilent>> job =
           ask<ChainReply>(rpc_, view_.chain.front().address, submit, std::min(leftUs, kTryUs));
       std::variant<ChainReply, PeerSilent> verdict = co_await job;
       auto* answered = std::get_if<ChainReply>(&verdict);
-      trouble = ChainError::kUnreachable;
-      if (answered == nullptr) {
-        unsure = true;
-      } else {
-        if (answered->outcome == ChainOutcome::kDone) co_return std::move(answered->body);
-        if (answered->outcome == ChainOutcome::kTooLong && !unsure) co_return ChainFailure{ChainError::kTooLong};
-        if (answered->outcome == ChainOutcome::kTooFewCopies) trouble = ChainError::kTooFewCopies;
-        if (answered->outcome == ChainOutcome::kBusy) trouble = ChainError::kBusy;
-        if (answered->outcome == ChainOutcome::kRingFull) trouble = ChainError::kRingFull;
-      }
+      if (answered != nullptr && answered->outcome == ChainOutcome::kDone) co_return std::move(answered->body);
+      unsure |= answered == nullptr;
+      trouble = answered != nullptr ? errorOf(answered->outcome) : ChainError::kUnreachable;
     }
+    if (trouble == ChainError::kTooLong && !unsure) break;
     const bool full = trouble == ChainError::kBusy || trouble == ChainError::kRingFull;
     if (full && !unsure && whenFull == WhenFull::kTellAtOnce) break;
     // What is surely not taken stays so: no further try is begun that has no time to be answered.
--- a/src/replication/client.h
+++ b/src/replication/client.h
@@ -42,6 +42,8 @@
   Job<bool> findHead();
 
  private:
+  // Asks the head whether it has room for the command, or has it already; none: it was silent.
+  Job<std::optional<ChainReply>> askForRoom(const Submit& submit, bool enlarges, Us limitUs);
   void takeView(const View& view);
   void keepSeats();
   Ports& ports_;
--- a/src/replication/intake.cc
+++ b/src/replication/intake.cc
@@ -10,43 +10,82 @@
 constexpr Us kTellAgainUs = 2 * kSecondUs;  // of refusals for want of room
 }  // namespace
 
-void Replica::refuse(const Asked& asked, ChainOutcome outcome) {
+void Replica::tell(const Asked& asked, ChainOutcome outcome) {
   rpc_.reply(asked, ChainReply{outcome, memory_.view.revision, Bytes()});
 }
 
-void Replica::onSubmit(const Asked& asked) {
-  auto message = unpack<Submit>(asked.body);
-  if (!std::holds_alternative<Submit>(message)) return;
-  Submit& submit = std::get<Submit>(message);
-  if (!head() || submit.revision != memory_.view.revision) return refuse(asked, ChainOutcome::kNotMine);
-  if (!spansZones(memory_.view.chain)) return refuse(asked, ChainOutcome::kTooFewCopies);
-  if (pending_.joins(submit.id, asked)) {
-    ++counts_.repeats;
-    return;
-  }
+// Would a command that long be taken now? The ring must hold the values, the old checkpoint, the new one and the
+// entries between (design.md 5.2, 5.6), and what the chain has not committed is bounded (6.3).
+ChainOutcome Replica::admission(std::size_t commandBytes, bool enlarges) {
   const std::size_t backlog = uncommittedBytes();
   if (inbox_.size() >= kInboxBound || backlog >= kUncommittedBytes ||
-      (backlog >= kUncommittedGrowthBytes && machine_.enlarges(submit.command))) {
+      (backlog >= kUncommittedGrowthBytes && enlarges)) {
     logBacklogFull(backlog);
-    return refuse(asked, ChainOutcome::kBusy);
+    return ChainOutcome::kBusy;
   }
   const std::size_t longest = machine_.takesLong() ? wal_.longestInPieces() : wal_.longestRecord();
-  if (submit.command.size() > longest) return refuse(asked, ChainOutcome::kTooLong);
-  // The ring must hold the values, the old checkpoint, the new one and the entries between (design.md 5.2, 5.6).
-  const std::size_t entryBytes = wal_.bytesSinceCheckpoint() + inboxBytes_ + submit.command.size();
+  if (commandBytes > longest) return ChainOutcome::kTooLong;
+  const std::size_t entryBytes = wal_.bytesSinceCheckpoint() + inboxBytes_ + commandBytes;
   const std::size_t bytes = imageBytes_ + entryBytes;
   const std::size_t owedValues = machine_.owedValueBytes();
   const std::size_t owed = machine_.owedBytes() - owedValues;
   // Any of the entries since the checkpoint may turn out to be values.
   const std::size_t comingValues = machine_.keepsValues() ? owedValues + entryBytes : 0;
-  const bool tight = bytes + owed > bounds(comingValues).growth;
-  const bool full = bytes > bounds(0).command || (tight && machine_.enlarges(submit.command));
-  if (full) {
-    logRingFull(bytes);
-    roomWanted_ = true;
-    inboxEvent_.notify();
-    return refuse(asked, ChainOutcome::kRingFull);
+  const bool full = bytes > bounds(0).command || (enlarges && bytes + owed > bounds(comingValues).growth);
+  if (!full) return ChainOutcome::kDone;
+  logRingFull(bytes);
+  roomWanted_ = true;
+  inboxEvent_.notify();
+  return ChainOutcome::kRingFull;
+}
+
+// Who may take commands: the head of a chain in two zones, in the view that the client names.
+std::optional<ChainOutcome> Replica::notHead(Revision revision) const {
+  if (!head() || revision != memory_.view.revision) return ChainOutcome::kNotMine;
+  if (!spansZones(memory_.view.chain)) return ChainOutcome::kTooFewCopies;
+  return std::nullopt;
+}
+
+// A command that is pending is answered with its first try, one that is committed at once: the first answer may have
+// come too late for its client.
+bool Replica::knows(const CommandId& id, const Asked& asked) {
+  if (pending_.joins(id, asked)) {
+    ++counts_.repeats;
+    return true;
+  }
+  auto known = pending_.committed(id) ? verdicts_.find(id) : verdicts_.end();
+  if (known == verdicts_.end()) return false;
+  ++counts_.repeats;
+  rpc_.reply(asked, ChainReply{ChainOutcome::kDone, memory_.view.revision, known->second});
+  return true;
+}
+
+void Replica::onRoomRequest(const Asked& asked) {
+  auto message = unpack<RoomRequest>(asked.body);
+  auto* request = std::get_if<RoomRequest>(&message);
+  if (request == nullptr) return;
+  if (std::optional<ChainOutcome> refusal = notHead(request->revision)) return tell(asked, *refusal);
+  if (knows(request->id, asked)) return;
+  ChainOutcome outcome = admission(request->bytes, request->enlarges);
+  if (outcome == ChainOutcome::kDone) {
+    const std::size_t bound = request->enlarges ? kUncommittedGrowthBytes : kUncommittedBytes;
+    const bool room =
+        incomingRoom_.promise(asked.peer, request->bytes, uncommittedBytes(), bound, ports_.clock.monoUs());
+    outcome = room ? ChainOutcome::kRoom : ChainOutcome::kBusy;
+    if (!room) logBacklogFull(uncommittedBytes() + incomingRoom_.bytes());
   }
+  tell(asked, outcome);
+}
+
+void Replica::onSubmit(const Asked& asked) {
+  auto message = unpack<Submit>(asked.body);
+  if (!std::holds_alternative<Submit>(message)) return;
+  Submit& submit = std::get<Submit>(message);
+  incomingRoom_.came(asked.peer, submit.command.size());
+  if (std::optional<ChainOutcome> refusal = notHead(submit.revision)) return tell(asked, *refusal);
+  if (knows(submit.id, asked)) return;
+  const ChainOutcome outcome = admission(submit.command.size(), machine_.enlarges(submit.command));
+  if (outcome != ChainOutcome::kDone) return tell(asked, outcome);
   StampVerdict stamped = machine_.stamp(submit.command, sight());
   if (auto* refused = std::get_if<StampRefused>(&stamped)) {
     rpc_.reply(asked, ChainReply{ChainOutcome::kDone, memory_.view.revision, refused->verdict});
--- a/src/replication/messages.h
+++ b/src/replication/messages.h
@@ -185,6 +185,17 @@
   std::uint64_t end = 0;
   STONEMOUNT_PACK(revision, end)
 };
+// Asked of the head before a long command that brings new work is sent: would it be taken now? So what a burst hands in
+// never fills the link of the head, where signs of life and answers go too (design.md 6.3).
+// Where the command is pending already, it is answered with that one's result.
+struct RoomRequest {
+  static constexpr std::uint16_t kKind = 20;
+  Revision revision = 0;
+  CommandId id;
+  std::uint64_t bytes = 0;
+  bool enlarges = false;  // the command brings new work
+  STONEMOUNT_PACK(revision, id, bytes, enlarges)
+};
 struct Submit {
   static constexpr std::uint16_t kKind = 14;
   Revision revision = 0;
@@ -199,7 +210,7 @@
   Us holdUs = 0;
   STONEMOUNT_PACK(revision, query, holdUs)
 };
-enum class ChainOutcome : std::uint8_t { kDone, kNotMine, kTooFewCopies, kBusy, kRingFull, kTooLong };
+enum class ChainOutcome : std::uint8_t { kDone, kNotMine, kTooFewCopies, kBusy, kRingFull, kTooLong, kRoom };
 struct ChainReply {
   ChainOutcome outcome = ChainOutcome::kNotMine;
   Revision revision = 0;
--- a/src/replication/pending_commands.cc
+++ b/src/replication/pending_commands.cc
@@ -5,6 +5,7 @@
 namespace {
 // A client gives a try up after a while, so only its newest ones are worth an answer.
 constexpr std::size_t kRepeatsKept = 4;
+constexpr std::size_t kCommittedKept = 4096;
 }  // namespace
 
 void PendingCommands::took(const CommandId& id, std::uint64_t index) {
@@ -27,14 +28,22 @@
     Pending& pending = byIndex_.begin()->second;
     for (Asked& request : pending.repeats) answered.push_back({pending.id, std::move(request)});
     indexOf_.erase(pending.id);
+    committedIds_.insert(pending.id);
+    committedOrder_.push_back(pending.id);
     byIndex_.erase(byIndex_.begin());
   }
+  while (committedOrder_.size() > kCommittedKept) {
+    committedIds_.erase(committedOrder_.front());
+    committedOrder_.pop_front();
+  }
   return answered;
 }
 
 void PendingCommands::clear() {
   byIndex_.clear();
   indexOf_.clear();
+  committedIds_.clear();
+  committedOrder_.clear();
 }
 
 }  // namespace stonemount
--- a/src/replication/pending_commands.h
+++ b/src/replication/pending_commands.h
@@ -2,7 +2,9 @@
 // is sent again meanwhile is not written again: it waits for the first one's result.
 #pragma once
 
+#include <deque>
 #include <map>
+#include <set>
 
 #include "replication/messages.h"
 #include "runtime/rpc_endpoint.h"
@@ -20,6 +22,8 @@
   void took(const CommandId& id, std::uint64_t index);
   // True: it is pending, and the request will be answered with it.
   bool joins(const CommandId& id, const Asked& request);
+  // Committed in this view, and lately: its result may be told to whoever asks again because the answer came too late.
+  bool committed(const CommandId& id) const { return committedIds_.contains(id); }
   // All up to that index are committed; the repeats that wait for them.
   std::vector<Repeat> commit(std::uint64_t index);
   void clear();
@@ -32,6 +36,8 @@
   };
   std::map<std::uint64_t, Pending> byIndex_;
   std::map<CommandId, std::uint64_t> indexOf_;
+  std::set<CommandId> committedIds_;
+  std::deque<CommandId> committedOrder_;
 };
 
 }  // namespace stonemount
--- a/src/replication/reader.cc
+++ b/src/replication/reader.cc
@@ -16,8 +16,8 @@
   auto message = unpack<Read>(asked.body);
   if (!std::holds_alternative<Read>(message)) return;
   Read& read = std::get<Read>(message);
-  if (!tail() || read.revision != memory_.view.revision) return refuse(asked, ChainOutcome::kNotMine);
-  if (reads_.size() >= kReadBound) return refuse(asked, ChainOutcome::kBusy);
+  if (!tail() || read.revision != memory_.view.revision) return tell(asked, ChainOutcome::kNotMine);
+  if (reads_.size() >= kReadBound) return tell(asked, ChainOutcome::kBusy);
   ++counts_.reads;
   if (read.holdUs > 0) followers_.note(asked.peer, ports_.clock.monoUs());
   reads_.push_back({asked, std::move(read.query), ports_.clock.monoUs() + read.holdUs});
@@ -50,7 +50,7 @@
       confirmed = poll.enough();
     }
     if (!confirmed || !tail() || memory_.view.revision != view.revision) {
-      for (const Waiting& waiting : batch) refuse(waiting.asked, ChainOutcome::kNotMine);
+      for (const Waiting& waiting : batch) tell(waiting.asked, ChainOutcome::kNotMine);
       continue;
     }
     releaseReads(std::move(batch));
--- a/src/replication/replica.cc
+++ b/src/replication/replica.cc
@@ -57,6 +57,7 @@
   rpc_.serve(CatchUp::kKind, sigc::mem_fun(*this, &Replica::onCatchUp));
   rpc_.serve(ChangeVoters::kKind, sigc::mem_fun(*this, &Replica::onChangeVoters));
   rpc_.serve(Submit::kKind, sigc::mem_fun(*this, &Replica::onSubmit));
+  rpc_.serve(RoomRequest::kKind, sigc::mem_fun(*this, &Replica::onRoomRequest));
   rpc_.serve(Read::kKind, sigc::mem_fun(*this, &Replica::onRead));
   rpc_.serve(Invite::kKind, sigc::mem_fun(*this, &Replica::onInvite));
   rpc_.serve(BootstrapMembers::kKind, sigc::mem_fun(*this, &Replica::onBootstrapMembers));
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "replication/follower_count.h"
+#include "replication/incoming_room.h"
 #include "replication/loss_margin.h"
 #include "replication/machine.h"
 #include "replication/pending_commands.h"
@@ -80,6 +81,10 @@
   Task takeViewTask(View next);
   // intake.cc: commands at the head
   void onSubmit(const Asked& asked);
+  void onRoomRequest(const Asked& asked);
+  ChainOutcome admission(std::size_t commandBytes, bool enlarges);
+  std::optional<ChainOutcome> notHead(Revision revision) const;
+  bool knows(const CommandId& id, const Asked& asked);
   void logRingFull(std::size_t bytes);
   void logBacklogFull(std::size_t bytes);
   std::size_t uncommittedBytes() const;
@@ -89,7 +94,7 @@
   std::size_t unpassedBytes() const;
   void tellCommitted();
   void onAppend(const Asked& asked);
-  void refuse(const Asked& asked, ChainOutcome outcome);
+  void tell(const Asked& asked, ChainOutcome outcome);  // an outcome without a body
   Task write();
   Job<bool> markSynced();
   Task passOn();
@@ -200,6 +205,7 @@
   std::deque<Waiting> reads_;
   std::vector<Waiting> held_;
   FollowerCount followers_;
+  IncomingRoom incomingRoom_;
   // peers
   absl::btree_map<Address, PeerSight> peers_;
   absl::btree_set<Address> pinged_;
--- a/src/simulator/world.cc
+++ b/src/simulator/world.cc
@@ -68,6 +68,12 @@
   SimHost* to = world_.hostByWire(peer);
   if (to == nullptr || !to->up()) return;
   Us atUs = world_.nowUs() + world_.latency(*this, *to);
+  if (linkUsPerKilobyte > 0 || to->linkUsPerKilobyte > 0) {
+    // Short frames have a channel of their own, and share the link.
+    atUs = world_.carriedUs(*this, *to, atUs, frame.size());
+    world_.schedule(atUs, to, std::make_unique<FrameEvent>(world_, *this, *to, std::move(frame)));
+    return;
+  }
   Us& last = world_.lastDelivery_[{place_, to->place()}];
   if (last - world_.nowUs() > kBacklogUs) return;  // a channel that cannot keep up drops what is too much
   last = atUs = std::max(atUs, last) + world_.carriageUs(*this, *to, frame.size());  // a channel keeps its order
@@ -118,6 +124,16 @@
   return (from.usPerKilobyte + to.usPerKilobyte) * static_cast<Us>(bytes) / 1024;
 }
 
+// Through the queue of the sender's link, then that of the receiver's.
+Us World::carriedUs(SimHost& from, SimHost& to, Us atUs, std::size_t bytes) {
+  const Us outUs = from.linkUsPerKilobyte * static_cast<Us>(bytes) / 1024;
+  const Us inUs = to.linkUsPerKilobyte * static_cast<Us>(bytes) / 1024;
+  from.linkOutFreeUs = std::max(from.linkOutFreeUs, nowUs()) + outUs;
+  atUs = std::max(atUs, from.linkOutFreeUs);
+  to.linkInFreeUs = std::max(to.linkInFreeUs, atUs) + inUs;
+  return to.linkInFreeUs;
+}
+
 void World::setCut(const SimHost& from, const SimHost& to, bool isCut) {
   if (isCut)
     cuts_.insert({from.place(), to.place()});
--- a/src/simulator/world.h
+++ b/src/simulator/world.h
@@ -45,8 +45,11 @@
   void fall();  // it is gone; its channels break
   Us frozenUntilUs = 0;
   Us wallOffsetUs = 0;
-  Us usPerKilobyte = 0;  // a slow link: each frame and piece to or from here takes so long besides
-  Us slowUs = 0;         // a slow machine: each thing that it does takes so long
+  // Its link's pace, if that is bounded: all that goes out shares one queue, all that comes in another. 0: no bound.
+  Us linkUsPerKilobyte = 0;
+  Us linkOutFreeUs = 0, linkInFreeUs = 0;  // when these queues will have been carried
+  Us usPerKilobyte = 0;                    // a slow link: each frame and piece to or from here takes so long besides
+  Us slowUs = 0;                           // a slow machine: each thing that it does takes so long
   Us busyUntilUs = 0;
   std::uint64_t steps = 0;  // wakings and deliveries
   std::unique_ptr<SimDisk> disk;
@@ -77,6 +80,7 @@
   std::uint64_t enqueue(Us atUs, SimHost& host, Continuation& continuation);
   void dequeue(Us dueUs, std::uint64_t key);
   Us latency(const SimHost& from, const SimHost& to);
+  Us carriedUs(SimHost& from, SimHost& to, Us atUs, std::size_t bytes);  // when it is there, over bounded links
   Us carriageUs(const SimHost& from, const SimHost& to, std::size_t bytes) const;
   bool cut(const SimHost& from, const SimHost& to) const { return cuts_.contains({from.place(), to.place()}); }
   void setCut(const SimHost& from, const SimHost& to, bool isCut);
