--- a/src/cli/rehearsal.cc
+++ b/src/cli/rehearsal.cc
@@ -8,6 +8,7 @@
 #include "adapters/log.h"
 #include "adapters/tcp_transport.h"
 #include "cli/flags.h"
+#include "cli/keep_alive_caller.h"
 #include "stand_ins/caller.h"
 #include "stand_ins/platform.h"
 #include "stand_ins/worker.h"
@@ -23,6 +24,9 @@
 ABSL_FLAG(int, wholeEveryUs, 100000, "rehearse caller: mean time between whole answers");
 ABSL_FLAG(std::string, event, "", "rehearse caller: hand in lots under this event");
 ABSL_FLAG(int, lots, 0, "rehearse caller: how many lots");
+ABSL_FLAG(int, connections, 2, "rehearse keepalive: connections to each node");
+ABSL_FLAG(std::string, record, "", "rehearse keepalive: file to which it writes what was cut, as it happens");
+ABSL_FLAG(std::uint64_t, seed, 1, "rehearse keepalive: of its choices");
 ABSL_FLAG(int, lotItems, 40, "rehearse caller: items in a lot");
 
 namespace stonemount {
@@ -96,16 +100,38 @@
   stage.loop.run();
   return report(ledger);
 }
+
+int rehearseKeepAlive() {
+  KeepAlivePlan plan;
+  for (const std::string& text : absl::GetFlag(FLAGS_node)) {
+    auto address = parseAddress(text);
+    if (!std::holds_alternative<Address>(address)) return say(Exit::kUsage, "node: '" + text + "' is not IP:PORT");
+    plan.nodes.push_back(std::get<Address>(address));
+  }
+  plan.connections = absl::GetFlag(FLAGS_connections);
+  plan.lengthUs = absl::GetFlag(FLAGS_seconds) * kSecondUs;
+  plan.record = absl::GetFlag(FLAGS_record);
+  plan.seed = absl::GetFlag(FLAGS_seed);
+  const KeepAliveCounts counts = callKeepingAlive(plan);
+  JsonOut out;
+  out.object().field("sent", counts.sent).field("connects", counts.connects);
+  out.field("closesAnnounced", counts.closesAnnounced).field("crossed", counts.crossed).field("cut", counts.cut);
+  out.field("malformed", counts.malformed).key("byStatus").object();
+  for (const auto& [status, count] : counts.byStatus) out.field(absl::StrCat(status), count);
+  out.closeObject().closeObject();
+  return say(Exit::kDone, out.take());
+}
 }  // namespace
 
 int runRehearsal(const std::vector<std::string>& words) {
   const std::string what = words.size() > 1 ? words[1] : "";
+  if (what == "keepalive") return rehearseKeepAlive();
   Log4cxxSink log("rehearse-" + what);
   setLogSink(&log);
   Stage stage;
   auto self = parseAddress(absl::GetFlag(FLAGS_http));
   const bool serves = what == "worker" || what == "platform";
-  if (!serves && what != "caller") return say(Exit::kUsage, "rehearse worker|platform|caller");
+  if (!serves && what != "caller") return say(Exit::kUsage, "rehearse worker|platform|caller|keepalive");
   if (serves && !std::holds_alternative<Address>(self)) return say(Exit::kUsage, "http: is not IP:PORT");
   HttpInEv httpIn(stage.loop, serves ? std::get<Address>(self) : Address());
   Ports ports{stage.loop, stage.loop, stage.wire, httpIn, stage.httpOut, nullptr, stage.chance};
