--- a/src/cli/keep_alive_caller.cc
+++ b/src/cli/keep_alive_caller.cc
@@ -16,7 +16,9 @@
 namespace stonemount {
 
 namespace {
-constexpr Us kCrossingUs = 200 * kMilliUs;  // sent so shortly before a close, a request may have crossed it
+// Sent so shortly before a close, a request may have crossed it, also on a busy machine. A stream that was begun has
+// not.
+constexpr Us kCrossingUs = 400 * kMilliUs;
 constexpr Us kReconnectUs = 100 * kMilliUs;
 constexpr Us kAnswersUs = 15 * kSecondUs;  // that are waited for at the end
 constexpr int kPollMs = 5;
--- a/src/cli/rehearsal.cc
+++ b/src/cli/rehearsal.cc
@@ -24,6 +24,7 @@
 ABSL_FLAG(int, wholeEveryUs, 100000, "rehearse caller: mean time between whole answers");
 ABSL_FLAG(std::string, event, "", "rehearse caller: hand in lots under this event");
 ABSL_FLAG(int, lots, 0, "rehearse caller: how many lots");
+ABSL_FLAG(int, lotReadsSeconds, 125, "rehearse caller: for so long a lot is read again after it was handed in");
 ABSL_FLAG(int, connections, 2, "rehearse keepalive: connections to each node");
 ABSL_FLAG(std::string, record, "", "rehearse keepalive: file to which it writes what was cut, as it happens");
 ABSL_FLAG(std::uint64_t, seed, 1, "rehearse keepalive: of its choices");
@@ -93,6 +94,7 @@
   plan.lots = static_cast<std::uint32_t>(absl::GetFlag(FLAGS_lots));
   plan.lotItems = static_cast<std::uint32_t>(absl::GetFlag(FLAGS_lotItems));
   plan.lotEveryUs = 300 * kMilliUs;
+  plan.lotReadsUs = absl::GetFlag(FLAGS_lotReadsSeconds) * kSecondUs;
   CallerLedger ledger;
   RehearseCaller caller(ports, plan, ledger);
   Ending ending(stage.loop, caller, absl::GetFlag(FLAGS_seconds) * kSecondUs);
--- a/src/stand_ins/caller.h
+++ b/src/stand_ins/caller.h
@@ -19,6 +19,7 @@
   std::uint32_t workerParts = 4;
   Us limitUs = 10 * kSecondUs;
   Us lotPatienceUs = 120 * kSecondUs;
+  Us lotReadsUs = 125 * kSecondUs;  // for so long a lot is read again after it was handed in
 };
 
 struct LotRecord {
