--- a/src/cli/keep_alive_caller.cc
+++ b/src/cli/keep_alive_caller.cc
@@ -113,15 +113,21 @@
     ++counts_.connects;
     return true;
   }
-  // One request, or some at once.
+  std::string lookup() {
+    return absl::StrCat("GET /v1/lookups/card?key=keepalive%20", random_() % 1000,
+                        " HTTP/1.1\r\nHost: soak\r\nx-limit-us: 4000000\r\n\r\n");
+  }
+  std::string stream() {
+    const std::string body = absl::StrCat("{\"prompt\":\"keepalive ", random_() % 1000, "\"}");
+    return absl::StrCat("POST /v1/streams/digest HTTP/1.1\r\nHost: soak\r\nx-limit-us: 4000000\r\nContent-Length: ",
+                        body.size(), "\r\n\r\n", body);
+  }
+  // A stream, a lookup, or some lookups at once.
   void ask() {
-    const std::size_t count = random_() % 4 == 0 ? kMostPipelined : 1;
-    std::string text;
-    for (std::size_t i = 0; i < count; ++i) {
-      const std::string key = absl::StrCat("keepalive%20", random_() % 1000);
-      absl::StrAppend(&text, "GET /v1/lookups/card?key=", key,
-                      " HTTP/1.1\r\nHost: soak\r\nx-limit-us: 4000000\r\n\r\n");
-    }
+    const std::uint64_t kind = random_() % 4;
+    const std::size_t count = kind == 0 ? kMostPipelined : 1;
+    std::string text = kind == 1 ? stream() : lookup();
+    for (std::size_t i = 1; i < count; ++i) text += lookup();
     if (send(handle_, text.data(), text.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(text.size())) return ended();
     sentUs_.insert(sentUs_.end(), count, nowUs());
     counts_.sent += count;
