--- a/src/cli/keep_alive_caller.cc
+++ b/src/cli/keep_alive_caller.cc
@@ -118,7 +118,7 @@
                         " HTTP/1.1\r\nHost: soak\r\nx-limit-us: 4000000\r\n\r\n");
   }
   std::string stream() {
-    const std::string body = absl::StrCat("{\"prompt\":\"keepalive ", random_() % 1000, "\"}");
+    const std::string body = absl::StrCat(R"({"prompt":"keepalive )", random_() % 1000, R"("})");
     return absl::StrCat("POST /v1/streams/digest HTTP/1.1\r\nHost: soak\r\nx-limit-us: 4000000\r\nContent-Length: ",
                         body.size(), "\r\n\r\n", body);
   }
