--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -143,7 +143,7 @@
   while (true) {
     Us againUs = 100 * kMilliUs;
     const Us nowUs = ports_.clock.monoUs();
-    if (controlSilent(begunUs) || (sharing_ != nullptr && sharing_->listStale())) {
+    if (controlSilent(begunUs) || (sharing_ != nullptr && sharing_->listOld())) {
       silentUs = nowUs;
       Job<WorkerListVerdict> fetching = list_->fetch();
       WorkerListVerdict verdict = co_await fetching;
--- a/src/node/worker_sharing.cc
+++ b/src/node/worker_sharing.cc
@@ -5,9 +5,8 @@
 namespace stonemount {
 
 namespace {
-constexpr Us kHeardUs = 2 * kSecondUs;      // control that has not answered for longer is not in touch
-constexpr Us kCountKnownUs = kSecondUs;     // after control has counted this node, the others have been told
-constexpr Us kListStaleUs = 4 * kSecondUs;  // more than control ever needs while it works
+constexpr Us kHeardUs = 2 * kSecondUs;   // control that has not answered for longer is not in touch
+constexpr Us kCountKnownUs = kSecondUs;  // after control has counted this node, the others have been told
 }  // namespace
 
 void WorkerSharing::onContact(const ControlContact& contact) {
@@ -36,9 +35,4 @@
   table_.cold().tick();
 }
 
-bool WorkerSharing::listStale() const {
-  const Us asOfUs = listFreshness_.asOfUs();
-  return asOfUs >= 0 && clock_.monoUs() - asOfUs > kListStaleUs;
-}
-
 }  // namespace stonemount
--- a/src/node/worker_sharing.h
+++ b/src/node/worker_sharing.h
@@ -24,8 +24,7 @@
   // all that there are.
   void shareOut(std::vector<Address> known, bool settled);
   // Control has told no newer list for so long that the platform should be asked.
-  bool listStale() const;
-  std::size_t nodes() const { return fleetSize_.count(); }
+  bool listOld() const { return table_.cold().listOld(); }
 
  private:
   const Clock& clock_;
--- a/src/proxy/cold_allowance.cc
+++ b/src/proxy/cold_allowance.cc
@@ -30,21 +30,23 @@
 
 bool ColdAllowance::frozen() const { return tickUs_ >= 0 && clock_.monoUs() - tickUs_ > kFrozenUs; }
 
+bool ColdAllowance::silent(const WarmthRecord& record) const {
+  return record.unansweredSinceUs >= 0 && clock_.monoUs() - record.unansweredSinceUs > kSilentUs;
+}
+
 Warmth ColdAllowance::warmthOf(const WarmthRecord& record) const {
   const Us nowUs = clock_.monoUs();
   if (nowUs < record.coldUntilUs || frozen()) return Warmth::kCold;
   const Us doubtedUs = std::max(record.doubtedUs, wokeUs_);
   if (doubtedUs >= 0 && listAsOfUs_ <= doubtedUs) return Warmth::kCold;
-  if (listAsOfUs_ >= 0 && nowUs - listAsOfUs_ > kListStaleUs) return Warmth::kCold;
-  if (record.unansweredSinceUs >= 0 && nowUs - record.unansweredSinceUs > kSilentUs) return Warmth::kCold;
+  if (listOlderThan(kListStaleUs) || silent(record)) return Warmth::kCold;
   const bool metLately =
       record.heardUs < 0 || nowUs - record.heardUs > kContactGapUs || nowUs - record.contactSinceUs < kUnprovenUs;
   return metLately ? Warmth::kUnproven : Warmth::kWarm;
 }
 
 PoolWarmth ColdAllowance::poolWarmth(std::size_t cold, std::size_t all) const {
-  const bool old = listAsOfUs_ >= 0 && clock_.monoUs() - listAsOfUs_ > kListOldUs;
-  if (cold == 0 && !old && controlHeard_) return PoolWarmth::kAllWarm;
+  if (cold == 0 && !listOld() && controlHeard_) return PoolWarmth::kAllWarm;
   return cold * 3 < all ? PoolWarmth::kSomeCold : PoolWarmth::kManyCold;
 }
 
@@ -96,17 +98,14 @@
 
 void ColdAllowance::heard(WarmthRecord& record) const {
   const Us nowUs = clock_.monoUs();
-  const bool wasSilent = record.unansweredSinceUs >= 0 && nowUs - record.unansweredSinceUs > kSilentUs;
-  if (wasSilent) doubt(record);
+  if (silent(record)) doubt(record);
   if (record.heardUs < 0 || nowUs - record.heardUs > kContactGapUs) record.contactSinceUs = nowUs;
   record.heardUs = nowUs;
   if (record.unansweredSinceUs >= 0) record.unansweredSinceUs = nowUs;
 }
 
 void ColdAllowance::ended(WarmthRecord& record, bool open) const {
-  const Us nowUs = clock_.monoUs();
-  const bool wasSilent = record.unansweredSinceUs >= 0 && nowUs - record.unansweredSinceUs > kSilentUs;
-  if (wasSilent) doubt(record);
+  if (silent(record)) doubt(record);
   if (!open) record.unansweredSinceUs = -1;
 }
 
--- a/src/proxy/cold_allowance.h
+++ b/src/proxy/cold_allowance.h
@@ -43,6 +43,8 @@
   // Without control this node hears of no evacuation, whatever the platform's own list tells it.
   void setControlHeard(bool heard) { controlHeard_ = heard; }
   void listIsAsOf(Us asOfUs) { listAsOfUs_ = std::max(listAsOfUs_, asOfUs); }
+  // The list is older than it ever is where control works.
+  bool listOld() const { return listOlderThan(kListOldUs); }
 
   Warmth warmthOf(const WarmthRecord& record) const;
   // May it be sent one request more now? `ratePerKs`: requests in 1,000 s that it bears while it is cold; 0: any.
@@ -73,6 +75,9 @@
 
  private:
   bool frozen() const;
+  bool listOlderThan(Us ageUs) const { return listAsOfUs_ >= 0 && clock_.monoUs() - listAsOfUs_ > ageUs; }
+  // Requests are open there, and nothing has come for longer than a worker that runs ever needs.
+  bool silent(const WarmthRecord& record) const;
   std::uint64_t rankAmongSharers(const Address& worker) const;
   bool amongFirst(const WarmthRecord& record, const Address& worker, std::uint64_t places) const;
   const Clock& clock_;
--- a/src/replication/client.cc
+++ b/src/replication/client.cc
@@ -146,7 +146,6 @@
   const bool isLong = submit.command.size() > kLongCommand;
   while (true) {
     bool mayGo = !view_.chain.empty();
-    submit.revision = view_.revision;
     // A long one is not sent to a head that has no room for it, nor sent again to one that has it.
     const bool asksFirst = isLong && (unsure || whenFull == WhenFull::kTellAtOnce);
     if (mayGo && asksFirst) {
--- a/src/replication/intake.cc
+++ b/src/replication/intake.cc
@@ -69,10 +69,10 @@
   ChainOutcome outcome = admission(request->bytes, request->enlarges);
   if (outcome == ChainOutcome::kDone) {
     const std::size_t bound = request->enlarges ? kUncommittedGrowthBytes : kUncommittedBytes;
-    const bool room =
-        incomingRoom_.promise(asked.peer, request->bytes, uncommittedBytes(), bound, ports_.clock.monoUs());
+    const std::size_t backlog = uncommittedBytes();
+    const bool room = incomingRoom_.promise(asked.peer, request->bytes, backlog, bound, ports_.clock.monoUs());
     outcome = room ? ChainOutcome::kRoom : ChainOutcome::kBusy;
-    if (!room) logBacklogFull(uncommittedBytes() + incomingRoom_.bytes());
+    if (!room) logBacklogFull(backlog + incomingRoom_.bytes());
   }
   tell(asked, outcome);
 }
--- a/src/replication/pending_commands.h
+++ b/src/replication/pending_commands.h
@@ -27,7 +27,6 @@
   // All up to that index are committed; the repeats that wait for them.
   std::vector<Repeat> commit(std::uint64_t index);
   void clear();
-  std::size_t size() const { return byIndex_.size(); }
 
  private:
   struct Pending {
--- a/tests/chain_congestion_test.cc
+++ b/tests/chain_congestion_test.cc
@@ -1,7 +1,7 @@
 // More lots come than the slowest link of a chain carries: what is taken is not taken twice, what is refused is told
 // so, and short commands, by which safe time and leases live, are answered in time all the while (design.md 6.3,
 // incident 25).
-#include "chain_rig.h"
+#include "chain_sender.h"
 #include "expect.h"
 
 using namespace stonemount;
@@ -21,28 +21,13 @@
 constexpr std::size_t kRingFileBytes = 32 << 20;  // room is not what is tried here
 constexpr std::uint64_t kSeeds = 6;
 
-// A process that hands in commands, each by itself.
-struct Sender {
-  Sender(World& world, const std::vector<Address>& members, std::uint16_t number)
-      : host(world.addHost("sender-" + std::to_string(number), "zone-0", {1, number}, {2, number})) {
-    host.rise();
-    ports = std::make_unique<Ports>(host.ports());
-    rpc = std::make_unique<RpcEndpoint>(host, host, host.chance);
-    client = std::make_unique<ChainClient>(*ports, *rpc, members);
-  }
-  SimHost& host;
-  std::unique_ptr<Ports> ports;
-  std::unique_ptr<RpcEndpoint> rpc;
-  std::unique_ptr<ChainClient> client;
-};
-
 struct Outcomes {
   std::size_t taken = 0, refused = 0, unsure = 0, others = 0;
   Us worstUs = 0;
   std::size_t late = 0;
 };
 
-Task handIn(Sender& sender, Bytes command, Us limitUs, Outcomes& outcomes) {
+Task handIn(ChainSender& sender, Bytes command, Us limitUs, Outcomes& outcomes) {
   const Us beganUs = sender.host.monoUs();
   Job<ChainAnswer> job = sender.client->submit(std::move(command), limitUs, 0, WhenFull::kTellAtOnce);
   const ChainAnswer answer = co_await job;
@@ -72,9 +57,9 @@
   Log log;
   Rig rig(seed, kMembers, 20000, kRingFileBytes);
   for (const auto& process : rig.processes) log.watch(process->member);
-  std::vector<std::unique_ptr<Sender>> senders;
+  std::vector<std::unique_ptr<ChainSender>> senders;
   for (std::size_t i = 0; i <= kLotClients; ++i)
-    senders.push_back(std::make_unique<Sender>(rig.world, rig.addresses, static_cast<std::uint16_t>(200 + i)));
+    senders.push_back(std::make_unique<ChainSender>(rig, static_cast<std::uint16_t>(i)));
   rig.world.runUntil(2 * kSecondUs);
   for (SimHost* host : rig.hosts) host->usPerKilobyte = kQuickUsPerKilobyte;
   rig.hosts[slowMember]->usPerKilobyte = kSlowUsPerKilobyte;
--- a/tests/cold_workers_control.cc
+++ b/tests/cold_workers_control.cc
@@ -116,7 +116,7 @@
   ColdNode& node = *nodes_[place];
   if (node.life != life) return;
   at(some(600, 900) * kMilliUs, [this, place, life] { askPlatform(place, life); });
-  if (clock_.nowUs < node.frozenUntilUs || !node.sharing.listStale()) return;
+  if (clock_.nowUs < node.frozenUntilUs || !node.sharing.listOld()) return;
   if (chance_.oneIn(3)) return;  // turned away
   node.sharing.onPlatformList(listAsOf(clock_.nowUs - ColdNode::kListLagUs), clock_.nowUs);
 }
--- a/tests/cold_workers_node.h
+++ b/tests/cold_workers_node.h
@@ -1,17 +1,11 @@
 // One node of the modelled fleet: its own copy of the control state, its load table, what it knows of the others.
 #pragma once
 
+#include "hand_clock.h"
 #include "node/worker_sharing.h"
 
 namespace stonemount {
 
-class ModelClock : public Clock {
- public:
-  Us monoUs() const override { return nowUs; }
-  Us wallUs() const override { return nowUs; }
-  Us nowUs = 100 * kSecondUs;
-};
-
 struct ColdNode {
   ColdNode(const Clock& clock, Address given, const std::string& zone)
       : address(given), table(clock, control, planOf(zone, given)), sharing(clock, table, kListLagUs) {}
--- a/tests/cold_workers_rig.h
+++ b/tests/cold_workers_rig.h
@@ -112,7 +112,7 @@
 
   Chance chance_;
   ColdFleetPlan plan_;
-  ModelClock clock_;
+  HandClock clock_;
   std::priority_queue<Later> queue_;
   std::uint64_t lastNumber_ = 0;
   std::vector<Worker> workers_;
--- a/tests/lot_burst_test.cc
+++ b/tests/lot_burst_test.cc
@@ -1,6 +1,6 @@
 // A burst of lots at a chain whose machines have links of 60 Mbit/s: what is too much is refused at once, and costs the
 // chain no member, since it is never sent to the head (design.md 6.3, docs/klimarchiwum.md).
-#include "chain_rig.h"
+#include "chain_sender.h"
 #include "expect.h"
 
 using namespace stonemount;
@@ -13,29 +13,14 @@
 constexpr Us kBurstUs = 3 * kSecondUs;
 constexpr std::uint64_t kSeeds = 12;
 
-// As nodes hand lots in: a client of its own each, for each has a connection of its own.
-struct Node {
-  Node(Rig& rig, std::uint16_t number)
-      : host(rig.world.addHost("node" + std::to_string(number), "zone-0", {3, number}, {4, number})) {
-    host.rise();
-    ports = std::make_unique<Ports>(host.ports());
-    rpc = std::make_unique<RpcEndpoint>(host, host, host.chance);
-    client = std::make_unique<ChainClient>(*ports, *rpc, rig.addresses);
-  }
-  SimHost& host;
-  std::unique_ptr<Ports> ports;
-  std::unique_ptr<RpcEndpoint> rpc;
-  std::unique_ptr<ChainClient> client;
-};
-
 struct Tally {
   std::uint64_t taken = 0, refused = 0, unsure = 0;
   Us slowestRefusalUs = 0;
 };
 
-Task handIn(Rig& rig, Node& node, Bytes lot, Tally& tally) {
+Task handIn(Rig& rig, ChainSender& sender, Bytes lot, Tally& tally) {
   const Us begunUs = rig.world.nowUs();
-  Job<ChainAnswer> job = node.client->submit(std::move(lot), 2500 * kMilliUs, 0, WhenFull::kTellAtOnce);
+  Job<ChainAnswer> job = sender.client->submit(std::move(lot), 2500 * kMilliUs, 0, WhenFull::kTellAtOnce);
   const ChainAnswer answer = co_await job;
   auto* failure = std::get_if<ChainFailure>(&answer);
   if (failure == nullptr) {
@@ -53,16 +38,16 @@
   const std::string name = ", seed " + std::to_string(seed) + ", at " + std::to_string(times) + " times the link";
   Rig rig(seed, kMembers, 20000, kFileBytes);
   for (SimHost* host : rig.hosts) host->linkUsPerKilobyte = kLinkUsPerKilobyte;
-  std::vector<std::unique_ptr<Node>> nodes;
-  for (std::uint16_t i = 0; i < 40; ++i) nodes.push_back(std::make_unique<Node>(rig, i));
+  std::vector<std::unique_ptr<ChainSender>> senders;
+  for (std::uint16_t i = 0; i < 40; ++i) senders.push_back(std::make_unique<ChainSender>(rig, i));
   rig.world.runUntil(2 * kSecondUs);
   expect(rig.wholeAndActive(), "the chain stands" + name);
   Tally tally;
   TaskRoom room;
   const Us everyUs = kLinkUsPerKilobyte * static_cast<Us>(kLotBytes) / 1024 / static_cast<Us>(times);
   for (Us atUs = 0; atUs < kBurstUs; atUs += everyUs) {
-    Node& node = *nodes[rig.chance.below(nodes.size())];
-    room.start(handIn(rig, node, kNoGrowth + hexText(++rig.next) + Bytes(kLotBytes, 'b'), tally));
+    ChainSender& sender = *senders[rig.chance.below(senders.size())];
+    room.start(handIn(rig, sender, kNoGrowth + hexText(++rig.next) + Bytes(kLotBytes, 'b'), tally));
     rig.world.runUntil(rig.world.nowUs() + everyUs);
   }
   rig.world.runUntil(rig.world.nowUs() + 4 * kSecondUs);
@@ -72,7 +57,7 @@
   expect(tally.unsure == 0, "nothing is left unsure: " + std::to_string(tally.unsure) + name);
   expect(tally.slowestRefusalUs < 500 * kMilliUs, "refused at once" + name);
   room.clear();
-  nodes.clear();
+  senders.clear();
 }
 }  // namespace
 
--- a/tests/pool_board_rig.h
+++ b/tests/pool_board_rig.h
@@ -5,16 +5,11 @@
 
 #include <algorithm>
 
+#include "hand_clock.h"
 #include "proxy/pool_load_table.h"
 
 namespace stonemount {
 
-class HandClock : public Clock {
- public:
-  Us monoUs() const override { return nowUs; }
-  Us wallUs() const override { return nowUs; }
-  Us nowUs = 100 * kSecondUs;
-};
 inline constexpr std::uint64_t kWarmPerKs = 12'500;  // 12 a second
 inline constexpr std::uint32_t kChannels = 9;
 inline constexpr std::size_t kWorkers = 6;
