Workers that may be cold are asked: a doubt ends in a round trip, not in 2 to 3 s

Change: WarmthProbe asks the worker (HealthPath, Warmup-Ms) beside a request, within the share; 'warm' stands over doubts from before the question. Coldness of unknown age closes its worker only.

--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -98,6 +98,11 @@
   out.field("lotGranted", lots.granted).field("lotSealed", lots.sealed).field("lotDropped", lots.dropped);
   out.field("lotRefused", lots.refused).field("lotNotGranted", lots.notGranted);
   out.field("lotRunning", scheduler_.running());
+  if (warmthProbe_ != nullptr) {
+    const WarmthProbeCounts& probes = warmthProbe_->counts();
+    out.field("probes", probes.sent).field("probesWarm", probes.warm).field("probesCold", probes.cold);
+    out.field("probesUnanswered", probes.unanswered);
+  }
   out.field("frames", rpc_.sentFrames).field("frameBytes", rpc_.sentBytes).field("controlAsks", configCache_.asks);
   out.field("config", configCache_.state().configRevision());
   out.field("controlRevision", configCache_.state().revision()).closeObject();
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -40,6 +40,7 @@
   sharing_ = std::make_unique<WorkerSharing>(ports.clock, *pools_, settings_.bounds.listLagUs);
   configCache_.contact.connect(sigc::mem_fun(*sharing_, &WorkerSharing::onContact));
   pools_->gone.connect(sigc::mem_fun(*this, &Node::onWorkerGone));
+  warmthProbe_ = std::make_unique<WarmthProbe>(ports, room_, *pools_, configCache_.state(), *plan.dialect);
   gateway_ = std::make_unique<Gateway>(ports, room_, *pools_, configCache_.state(), *plan.dialect, plan.gateway);
   scheduler_.passThrough(*gateway_);
   plan.lotService.keepUs = std::max(plan.lotService.keepUs, settings_.bounds.statusUs + settings_.bounds.statusUs / 4);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,6 +11,7 @@
 #include "proxy/gateway.h"
 #include "proxy/health_watch.h"
 #include "proxy/proxy.h"
+#include "proxy/warmth_probe.h"
 
 namespace stonemount {
 
@@ -103,6 +104,7 @@
   Proxy proxy_;
   std::unique_ptr<PoolLoadTable> pools_;  // only where requests are passed through
   std::unique_ptr<WorkerSharing> sharing_;
+  std::unique_ptr<WarmthProbe> warmthProbe_;
   std::unique_ptr<Gateway> gateway_;
   std::unique_ptr<LotService> lotService_;
   Scheduler scheduler_;
--- a/src/proxy/cold_allowance.cc
+++ b/src/proxy/cold_allowance.cc
@@ -38,11 +38,26 @@
   const Us nowUs = clock_.monoUs();
   if (nowUs < record.coldUntilUs || frozen()) return Warmth::kCold;
   const Us doubtedUs = std::max(record.doubtedUs, wokeUs_);
-  if (doubtedUs >= 0 && listAsOfUs_ <= doubtedUs) return Warmth::kCold;
-  if (listOlderThan(kListStaleUs) || silent(record)) return Warmth::kCold;
-  const bool metLately =
-      record.heardUs < 0 || nowUs - record.heardUs > kContactGapUs || nowUs - record.contactSinceUs < kUnprovenUs;
-  return metLately ? Warmth::kUnproven : Warmth::kWarm;
+  if (doubtedUs >= 0 && warmAsOfUs(record) <= doubtedUs) return Warmth::kCold;
+  const bool stale = listAsOfUs_ >= 0 && nowUs - warmAsOfUs(record) > kListStaleUs;
+  if (stale || silent(record)) return Warmth::kCold;
+  return metLately(record) ? Warmth::kUnproven : Warmth::kWarm;
+}
+
+// It may have been down unseen before this node met it; a list of that time, or its own word, tells otherwise. Its word
+// is from before a gap in the contact if the two are further apart than a gap is.
+bool ColdAllowance::metLately(const WarmthRecord& record) const {
+  const Us nowUs = clock_.monoUs();
+  if (record.heardUs < 0 || nowUs - record.heardUs > kContactGapUs) return true;
+  const bool proven = record.provenUs >= 0 && record.contactSinceUs - record.provenUs <= kContactGapUs;
+  return !proven && nowUs - record.contactSinceUs < kUnprovenUs;
+}
+
+bool ColdAllowance::wantsProbe(const WarmthRecord& record) const {
+  const Us nowUs = clock_.monoUs();
+  if (frozen() || warmthOf(record) == Warmth::kWarm) return false;
+  if (nowUs < record.coldUntilUs && !coldnessMayBeOver(record)) return false;
+  return record.probedUs < 0 || nowUs - record.probedUs >= kProbeAgainUs;
 }
 
 PoolWarmth ColdAllowance::poolWarmth(std::size_t cold, std::size_t all) const {
@@ -89,6 +104,15 @@
   record.coldUntilUs = std::max(record.coldUntilUs, clock_.monoUs() + leftUs);
 }
 
+void ColdAllowance::told(WarmthRecord& record, Us askedUs, Us leftUs) const {
+  if (leftUs > 0) {
+    record.coldnessUndated = false;
+    return listedCold(record, leftUs);
+  }
+  record.provenUs = std::max(record.provenUs, askedUs);
+  if (std::exchange(record.coldnessUndated, false)) record.coldUntilUs = 0;
+}
+
 void ColdAllowance::sent(WarmthRecord& record) const {
   const Us nowUs = clock_.monoUs();
   record.sentUs.push_back(nowUs);
--- a/src/proxy/cold_allowance.h
+++ b/src/proxy/cold_allowance.h
@@ -12,6 +12,10 @@
   Us doubtedUs = -1;       // the last sign that it may have been down: what is there now may be cold
   Us heardUs = -1;         // when the last bytes came from it
   Us contactSinceUs = -1;  // it has been heard of without a long gap since then
+  Us provenUs = -1;        // when a question was asked whose answer said that it is warm
+  Us probedUs = -1;        // when it was last asked
+  // Told as cold by a list of unknown age: this node knows of no list before.
+  bool coldnessUndated = false;
   // Whether this node is among the first at that worker, which share what does not come out even; as of `sharersSeen`.
   mutable bool amongFirst = false;
   mutable std::uint64_t sharersSeen = 0;
@@ -55,6 +59,15 @@
   PoolWarmth poolWarmth(std::size_t cold, std::size_t all) const;
 
   void listedCold(WarmthRecord& record, Us leftUs) const;
+  // The worker itself said in answer to a question asked then how much longer it is cold; 0: it is warm.
+  void told(WarmthRecord& record, Us askedUs, Us leftUs) const;
+  // It was told as cold by a list of unknown age.
+  bool coldnessMayBeOver(const WarmthRecord& record) const {
+    return record.coldnessUndated && clock_.monoUs() < record.coldUntilUs;
+  }
+  // It may well be warm, and this node cannot know it yet: worth asking the worker itself.
+  bool wantsProbe(const WarmthRecord& record) const;
+  void probed(WarmthRecord& record) const { record.probedUs = clock_.monoUs(); }
   void sent(WarmthRecord& record) const;
   void heard(WarmthRecord& record) const;
   // A request there ended, one way or another; `open`: others are still under way.
@@ -67,6 +80,7 @@
   static constexpr Us kSilentUs = 700 * kMilliUs;     // with requests open: it may be down
   static constexpr Us kContactGapUs = 2 * kSecondUs;  // not heard of for so long: met anew
   static constexpr Us kUnprovenUs = 2500 * kMilliUs;  // about what the list of that moment takes to come
+  static constexpr Us kProbeAgainUs = kSecondUs;      // between two questions to one worker
   // Of a cold worker's rate, what a warm one gets at the most from all nodes while others are cold: within the rule's
   // bound, should it be cold after all. And no less than this from a node.
   static constexpr std::uint64_t kWarmPercent = 150;
@@ -76,6 +90,9 @@
  private:
   bool frozen() const;
   bool listOlderThan(Us ageUs) const { return listAsOfUs_ >= 0 && clock_.monoUs() - listAsOfUs_ > ageUs; }
+  // Up to which moment it is known to be warm, by the list or by itself.
+  Us warmAsOfUs(const WarmthRecord& record) const { return std::max(listAsOfUs_, record.provenUs); }
+  bool metLately(const WarmthRecord& record) const;
   // Requests are open there, and nothing has come for longer than a worker that runs ever needs.
   bool silent(const WarmthRecord& record) const;
   std::uint64_t rankAmongSharers(const Address& worker) const;
--- a/src/proxy/pool_load_table.cc
+++ b/src/proxy/pool_load_table.cc
@@ -33,33 +33,15 @@
       worker.live = live;  // of its former life; they end by themselves
       worker.lots = lots;
     }
-    if (listed.changed != worker.listed.changed && listed.coldLeftUs > 0) {
-      cold_.listedCold(worker.warmth, listed.coldLeftUs);
-      logEvent("worker_cold", {{"worker", addressText(address)},
-                               {"leftMs", absl::StrCat(listed.coldLeftUs / kMilliUs)},
-                               {"sentLately", absl::StrCat(worker.warmth.sentUs.size())},
-                               {"nodes", absl::StrCat(cold_.sharers())}});
-    }
+    if (listed.changed != worker.listed.changed && listed.coldLeftUs > 0) noteListedCold(worker, listed);
     worker.listed = listed;
     pools_[listed.pool].push_back(address);
   }
+  listedBefore_ |= !workers_.empty();
   noteEvacuations();
   roomMade.emit();
 }
 
-// The workers of a zone whose evacuation has ended may have gone cold meanwhile. This node may have heard of neither
-// its beginning nor its end, and have gone on sending: the order's revision tells.
-void PoolLoadTable::noteEvacuations() {
-  for (const auto& [zone, state] : control_.zones()) {
-    Revision& seen = zoneOrders_[zone];
-    const bool ended = !state.evacuated && state.changed != seen;
-    seen = state.changed;
-    if (!ended) continue;
-    for (auto& [address, worker] : workers_)
-      if (worker.listed.zone == zone) cold_.doubt(worker.warmth);
-  }
-}
-
 void PoolLoadTable::heardFromPlatform(const std::vector<ListedWorker>& workers) {
   for (const ListedWorker& listed : workers) {
     auto found = workers_.find(listed.address);
@@ -88,26 +70,6 @@
   return others + worker.inFlight();
 }
 
-// Its connections and, while it is or may be cold, its requests of any one second are shared out among the nodes.
-bool PoolLoadTable::bearsMore(const PoolWorker& worker, PoolWarmth warmth) const {
-  auto pool = control_.pools().find(worker.listed.pool);
-  if (pool == control_.pools().end()) return true;
-  const std::size_t channels = pool->second.mostChannels;
-  if (channels > 0 && worker.inFlight() + 1 > std::max<std::size_t>(1, channels / cold_.sharers())) return false;
-  return cold_.allows(worker.warmth, worker.listed.address, pool->second.warmPerKs, warmth);
-}
-
-PoolWarmth PoolLoadTable::warmthOf(const std::vector<Address>& pool) const {
-  std::size_t cold = 0, all = 0;
-  for (const Address& address : pool) {
-    const PoolWorker& worker = workers_.at(address);
-    if (!usable(worker)) continue;
-    ++all;
-    cold += cold_.warmthOf(worker.warmth) == Warmth::kCold ? 1 : 0;
-  }
-  return cold_.poolWarmth(cold, all);
-}
-
 // Requests that share a prompt meet where it is kept, unless that worker has clearly more to do than the
 // others; all else goes where least is.
 const PoolWorker* PoolLoadTable::pickFrom(const Pick& pick, std::uint64_t spot) const {
@@ -195,6 +157,7 @@
   PoolWorker& worker = workers_.at(address);
   ++(lot ? worker.lots : worker.live);
   cold_.sent(worker.warmth);
+  if (cold_.wantsProbe(worker.warmth)) probeWanted.emit(address);
 }
 
 void PoolLoadTable::contact(const Address& address, const std::string& life) {
--- a/src/proxy/pool_load_table.h
+++ b/src/proxy/pool_load_table.h
@@ -1,5 +1,5 @@
 // Workers whose load is known from their answers and the list alone: which one gets a request that is
-// passed through, and how much (design.md 9.7). Nothing is asked of a worker but requests.
+// passed through, and how much (design.md 9.7).
 #pragma once
 
 #include "config/control_state.h"
@@ -57,13 +57,18 @@
   void giveBack(const Address& worker, bool lot, Ending ending);
   void heard(const Address& worker, const WorkerLoad& load);
   void contact(const Address& worker, const std::string& life);  // anything came from that life of it
+  // A question for its warmth is taken as one request more, if its share allows one.
+  bool takeProbe(const Address& worker);
+  // Its answer, of that life: how much longer it is cold; 0: it is warm.
+  void toldWarmth(const Address& worker, const std::string& life, Us askedUs, Us coldLeftUs);
   // Is there any worker that may get anything, now or when room is made?
   bool serves(const std::string& pool) const;
   bool roomForLots(const std::string& pool) const;
   const absl::btree_map<Address, PoolWorker>& workers() const { return workers_; }
   const std::string& lifeOf(const Address& worker) const { return workers_.at(worker).listed.life; }
   sigc::signal<void()> roomMade;
-  sigc::signal<void(const Address&)> gone;  // its kept channels are worth nothing any more
+  sigc::signal<void(const Address&)> gone;         // its kept channels are worth nothing any more
+  sigc::signal<void(const Address&)> probeWanted;  // a request went there, and more could if it were known to be warm
 
  private:
   using Pick = std::vector<const PoolWorker*>;
@@ -75,12 +80,14 @@
   std::uint32_t use(const PoolWorker& worker) const;  // of its slots, by all, as far as is known
   const PoolWorker* pickFrom(const Pick& pick, std::uint64_t spot) const;
   void noteEvacuations();
+  void noteListedCold(PoolWorker& worker, const ListedWorker& listed);
   const Clock& clock_;
   const ControlState& control_;
   PoolLoadTablePlan plan_;
   ColdAllowance cold_;
   absl::btree_map<std::string, Revision> zoneOrders_;  // the newest order of each zone, as of the last relist
   absl::btree_map<Address, PoolWorker> workers_;
+  bool listedBefore_ = false;
   absl::flat_hash_map<std::string, std::vector<Address>> pools_;
 };
 
--- a/src/proxy/worker_dialect.h
+++ b/src/proxy/worker_dialect.h
@@ -24,6 +24,14 @@
   std::optional<WorkerLoad> load;
 };
 
+// A worker's answer to the question for its health.
+struct WorkerHealth {
+  enum class State : std::uint8_t { kWell, kUnwell, kOtherLife };
+  State state = State::kUnwell;
+  Us coldLeftUs = 0;  // 0: it is warm
+  std::optional<WorkerLoad> load;
+};
+
 class WorkerDialect {
  public:
   virtual ~WorkerDialect() = default;
@@ -32,6 +40,8 @@
                       std::optional<std::uint64_t> lastEvent) const = 0;
   virtual HttpVia via(const std::string& exchange) const = 0;
   virtual WorkerHead read(const HttpHead& head) const = 0;
+  // `life`: the one that was meant.
+  virtual WorkerHealth readHealth(const HttpHead& head, const std::string& life) const = 0;
 };
 
 }  // namespace stonemount
--- a/src/runtime/http_call.h
+++ b/src/runtime/http_call.h
@@ -17,12 +17,17 @@
 
 class HttpCall : public Waiter, public sigc::trackable {
  public:
-  HttpCall(Ports& ports, const Address& server, HttpAsk ask, Us limitUs)
-      : Waiter(ports.timers), ports_(ports), server_(server), ask_(std::move(ask)), limitUs_(limitUs) {}
+  HttpCall(Ports& ports, const Address& server, HttpAsk ask, Us limitUs, HttpVia via = {})
+      : Waiter(ports.timers),
+        ports_(ports),
+        server_(server),
+        ask_(std::move(ask)),
+        limitUs_(limitUs),
+        via_(std::move(via)) {}
   bool await_ready() const { return false; }
   void await_suspend(std::coroutine_handle<> handle) {
     sleepFor(handle, limitUs_);
-    flow_ = ports_.httpOut.open(server_, ask_);
+    flow_ = ports_.httpOut.open(server_, ask_, via_);
     flow_->piece.connect(sigc::mem_fun(*this, &HttpCall::put));
   }
   HttpVerdict await_resume() {
@@ -50,6 +55,7 @@
   Address server_;
   HttpAsk ask_;
   Us limitUs_;
+  HttpVia via_;
   std::unique_ptr<HttpFlow> flow_;
   HttpWhole gathered_;
   bool whole_ = false;
--- a/tests/cold_workers_control.cc
+++ b/tests/cold_workers_control.cc
@@ -130,6 +130,7 @@
   node.secondHalf = half;
   node.life = ++lives_;
   node.startedUs = clock_.nowUs;
+  node.table.probeWanted.connect([this, place](const Address& worker) { probe(place, worker); });
   const std::uint64_t life = node.life;
   at(some(1, 300) * kMilliUs, [this, place, life] { follow(place, life); });
   at(some(700, 1200) * kMilliUs, [this, place, life] { arrive(place, life); });
--- a/tests/cold_workers_rig.cc
+++ b/tests/cold_workers_rig.cc
@@ -12,6 +12,7 @@
 constexpr Us kLookUs = 20 * kMilliUs;
 constexpr Us kEventUs = 100 * kMilliUs;  // between what a run puts out
 constexpr Us kLimitUs = 4 * kSecondUs;   // of a request
+constexpr Us kProbeLimitUs = 2 * kSecondUs;
 constexpr char kPool[] = "p";
 const char* const kZones[] = {"a", "b", "c"};
 }  // namespace
@@ -118,6 +119,33 @@
   });
 }
 
+// As WarmthProbe does, by the worker's own health answer.
+void ColdFleet::probe(std::size_t place, const Address& address) {
+  ColdNode& node = *nodes_[place];
+  if (!node.table.takeProbe(address)) return;
+  const Us askedUs = clock_.nowUs;
+  auto run = std::make_shared<Run>(Run{place, node.life, address, node.table.lifeOf(address), false});
+  at(kHopUs + some(0, 1000), [this, run, askedUs] { answerProbe(run, askedUs); });
+}
+
+void ColdFleet::answerProbe(std::shared_ptr<Run> run, Us askedUs) {
+  Worker& worker = workers_[run->worker.ip - workers_[0].address.ip];
+  if (worker.state == WorkerState::kDark)
+    return at(kProbeLimitUs, [this, run] { finish(*run, PoolLoadTable::Ending::kLeft); });
+  if (worker.state == WorkerState::kRefusing) return finish(*run, PoolLoadTable::Ending::kLeft);
+  if (worker.now().life != run->life) return finish(*run, PoolLoadTable::Ending::kOtherLife);
+  countArrival(worker);
+  const Us leftUs = std::max<Us>(0, worker.now().coldUntilUs - clock_.nowUs);
+  at(kHopUs + some(0, 20 * kMilliUs), [this, run, askedUs, leftUs] {
+    ColdNode& node = *nodes_[run->node];
+    if (node.life != run->nodeLife || clock_.nowUs < node.frozenUntilUs)
+      return finish(*run, PoolLoadTable::Ending::kLeft);
+    node.table.contact(run->worker, run->life);
+    node.table.toldWarmth(run->worker, run->life, askedUs, leftUs);
+    finish(*run, PoolLoadTable::Ending::kWhole);
+  });
+}
+
 void ColdFleet::emit(const Run& run) {
   if (!run.over && nodes_[run.node]->life == run.nodeLife) nodes_[run.node]->table.contact(run.worker, run.life);
 }
--- a/tests/cold_workers_rig.h
+++ b/tests/cold_workers_rig.h
@@ -96,6 +96,8 @@
   void reach(Request request, Address address, std::string life, std::uint64_t nodeLife);
   void work(std::shared_ptr<Run> run);
   void emit(const Run& run);
+  void probe(std::size_t node, const Address& address);
+  void answerProbe(std::shared_ptr<Run> run, Us askedUs);
   void finish(Run& run, PoolLoadTable::Ending ending);
   void countArrival(Worker& worker);
   // troubles
--- a/tests/cold_workers_test.cc
+++ b/tests/cold_workers_test.cc
@@ -53,10 +53,28 @@
   expect(total.coldServed * 50 > total.served, absl::StrCat(name, ": cold workers serve"));
   expect(total.refused * 2 < total.served, absl::StrCat(name, ": most requests are served"));
 }
+// All nodes start at once, as after a loss of power: what they have not met yet is not cold, and they must learn so
+// before the first callers are turned away.
+void starts(Seeds seeds) {
+  ColdFleetPlan plan;
+  plan.workers = 16;
+  plan.requestsPerS = 560;
+  plan.lengthUs = 0;  // the first seconds alone
+  std::uint64_t served = 0, refused = 0;
+  for (std::uint64_t seed = seeds.first; seed < seeds.first + seeds.count; ++seed) {
+    ColdFleet fleet(seed, plan);
+    fleet.run();
+    served += fleet.served();
+    refused += fleet.refused();
+  }
+  std::printf("starts: served %lu, refused %lu\n", served, refused);
+  expect(refused * 500 < served, "nodes that have just started serve");
+}
 }  // namespace
 
 int main() {
   const Seeds seeds = givenSeeds();
+  starts({seeds.first, std::max<std::uint64_t>(1, seeds.count / 25)});
   days("small", ColdFleetPlan(), seeds);
   ColdFleetPlan grown;
   grown.nodes = 78;
