--- a/src/cli/keep_alive_caller.cc
+++ b/src/cli/keep_alive_caller.cc
@@ -13,6 +13,8 @@
 
 #include <random>
 
+#include "cli/record_file.h"
+
 namespace stonemount {
 
 namespace {
@@ -23,6 +25,11 @@
 constexpr Us kAnswersUs = 15 * kSecondUs;  // that are waited for at the end
 constexpr int kPollMs = 5;
 constexpr std::size_t kMostPipelined = 3;
+constexpr std::uint64_t kOddsSlow = 8;  // one request in so many is read slowly
+constexpr std::size_t kSlowBytes = 48;
+constexpr Us kSlowEveryUs = 10 * kMilliUs;
+constexpr std::uint64_t kOddsLeaves = 16;  // one in so many: its caller leaves
+constexpr Us kLeavesWithinUs = 120 * kMilliUs;
 
 Us nowUs() { return absl::ToUnixMicros(absl::Now()); }
 
@@ -74,22 +81,26 @@
 
 class Connection {
  public:
-  Connection(const Address& node, KeepAliveCounts& counts, std::FILE* record, std::uint64_t seed)
-      : node_(node), counts_(counts), record_(record), random_(seed) {}
+  Connection(const Address& node, KeepAliveCounts& counts, RecordFile& record, std::uint64_t seed)
+      : node_(node), counts_(counts), record_(record), seed_(seed), random_(seed) {}
   Connection(const Connection&) = delete;
   Connection(Connection&&) = delete;
   ~Connection() { drop(); }
   int handle() const { return handle_; }
   bool idle() const { return sentUs_.empty(); }
-  // Connects if it is closed, asks if nothing is unanswered.
+  // A slow reader lets what has come lie for a while.
+  bool reads() const { return handle_ >= 0 && nowUs() >= nextReadUs_; }
+  // Leaves if it is to; connects if it is closed; asks if nothing is unanswered.
   void step(bool mayAsk) {
+    if (!idle() && leaveAtUs_ > 0 && nowUs() >= leaveAtUs_) leave();
     if (!mayAsk || !idle() || nowUs() < nextUs_) return;
     if (handle_ < 0 && !connectNow()) return;
     ask();
   }
   void readable() {
     char buffer[16384];
-    const ssize_t got = recv(handle_, buffer, sizeof(buffer), 0);
+    const ssize_t got = recv(handle_, buffer, slow_ ? kSlowBytes : sizeof(buffer), 0);
+    nextReadUs_ = slow_ ? nowUs() + kSlowEveryUs : 0;
     if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
     if (got <= 0) return ended();
     unread_.append(buffer, static_cast<std::size_t>(got));
@@ -114,11 +125,11 @@
     return true;
   }
   std::string lookup() {
-    return absl::StrCat("GET /v1/lookups/card?key=keepalive%20", random_() % 1000,
+    return absl::StrCat("GET /v1/lookups/card?key=keepalive%20", seed_, "-", ++asked_,
                         " HTTP/1.1\r\nHost: soak\r\nx-limit-us: 4000000\r\n\r\n");
   }
   std::string stream() {
-    const std::string body = absl::StrCat(R"({"prompt":"keepalive )", random_() % 1000, R"("})");
+    const std::string body = absl::StrCat(R"({"prompt":"keepalive )", seed_, "-", ++asked_, R"("})");
     return absl::StrCat("POST /v1/streams/digest HTTP/1.1\r\nHost: soak\r\nx-limit-us: 4000000\r\nContent-Length: ",
                         body.size(), "\r\n\r\n", body);
   }
@@ -130,6 +141,8 @@
     for (std::size_t i = 1; i < count; ++i) text += lookup();
     if (send(handle_, text.data(), text.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(text.size())) return ended();
     sentUs_.insert(sentUs_.end(), count, nowUs());
+    slow_ = random_() % kOddsSlow == 0;
+    leaveAtUs_ = random_() % kOddsLeaves == 0 ? nowUs() + static_cast<Us>(random_() % kLeavesWithinUs) : 0;
     counts_.sent += count;
     nextUs_ = nowUs() + static_cast<Us>(random_() % 20000);
   }
@@ -137,9 +150,7 @@
     const ParsedAnswer answer = parseAnswer(unread_);
     if (answer.malformed || (answer.bytes > 0 && sentUs_.empty())) {
       ++counts_.malformed;
-      std::fprintf(record_, "{\"malformed\":\"%s\",\"atUs\":%lld}\n", addressText(node_).c_str(),
-                   static_cast<long long>(nowUs()));
-      std::fflush(record_);
+      record_.write(absl::StrCat(R"({"malformed":")", addressText(node_), R"(","atUs":)", nowUs(), "}"));
       drop();
       return false;
     }
@@ -161,58 +172,63 @@
       const bool cut = withinAnswer || atUs - sentUs > kCrossingUs;
       ++(cut ? counts_.cut : counts_.crossed);
       if (!cut) continue;
-      std::fprintf(record_, "{\"cut\":\"%s\",\"sentUs\":%lld,\"atUs\":%lld,\"withinAnswer\":%s}\n",
-                   addressText(node_).c_str(), static_cast<long long>(sentUs), static_cast<long long>(atUs),
-                   withinAnswer ? "true" : "false");
-      std::fflush(record_);
+      record_.write(absl::StrCat(R"({"cut":")", addressText(node_), R"(","sentUs":)", sentUs, R"(,"atUs":)", atUs,
+                                 R"(,"withinAnswer":)", withinAnswer ? "true" : "false", "}"));
     }
     drop();
   }
+  void leave() {
+    counts_.left += sentUs_.size();
+    drop();
+  }
   void drop() {
     if (handle_ >= 0) close(handle_);
     handle_ = -1;
     sentUs_.clear();
     unread_.clear();
+    nextReadUs_ = 0;
   }
   Address node_;
   KeepAliveCounts& counts_;
-  std::FILE* record_;
+  RecordFile& record_;
+  std::uint64_t seed_;  // names its requests, with their number
+  std::uint64_t asked_ = 0;
   std::mt19937_64 random_;
   int handle_ = -1;
   std::deque<Us> sentUs_;  // of the requests that are not answered
   std::string unread_;
   Us nextUs_ = 0;
+  bool slow_ = false;  // reads the answers to what was sent last
+  Us nextReadUs_ = 0;
+  Us leaveAtUs_ = 0;  // 0: it stays
 };
 }  // namespace
 
 KeepAliveCounts callKeepingAlive(const KeepAlivePlan& plan) {
   KeepAliveCounts counts;
-  std::FILE* record = std::fopen(plan.record.empty() ? "/dev/null" : plan.record.c_str(), "a");
-  if (record == nullptr) return counts;
-  {
-    std::vector<std::unique_ptr<Connection>> connections;
-    for (const Address& node : plan.nodes)
-      for (int i = 0; i < plan.connections; ++i)
-        connections.push_back(std::make_unique<Connection>(node, counts, record, plan.seed + connections.size()));
-    const Us untilUs = nowUs() + plan.lengthUs;
-    bool open = true;
-    while (nowUs() < untilUs || (open && nowUs() < untilUs + kAnswersUs)) {
-      std::vector<pollfd> polls;
-      std::vector<Connection*> polled;
-      open = false;
-      for (const auto& connection : connections) {
-        connection->step(nowUs() < untilUs);
-        open |= !connection->idle();
-        if (connection->handle() < 0) continue;
-        polls.push_back({connection->handle(), POLLIN, 0});
-        polled.push_back(connection.get());
-      }
-      poll(polls.data(), polls.size(), kPollMs);
-      for (std::size_t i = 0; i < polls.size(); ++i)
-        if (polls[i].revents != 0 && polled[i]->handle() == polls[i].fd) polled[i]->readable();
+  RecordFile record(plan.record);
+  if (!record.open()) return counts;
+  std::vector<std::unique_ptr<Connection>> connections;
+  for (const Address& node : plan.nodes)
+    for (int i = 0; i < plan.connections; ++i)
+      connections.push_back(std::make_unique<Connection>(node, counts, record, plan.seed + connections.size()));
+  const Us untilUs = nowUs() + plan.lengthUs;
+  bool open = true;
+  while (nowUs() < untilUs || (open && nowUs() < untilUs + kAnswersUs)) {
+    std::vector<pollfd> polls;
+    std::vector<Connection*> polled;
+    open = false;
+    for (const auto& connection : connections) {
+      connection->step(nowUs() < untilUs);
+      open |= !connection->idle();
+      if (!connection->reads()) continue;
+      polls.push_back({connection->handle(), POLLIN, 0});
+      polled.push_back(connection.get());
     }
+    poll(polls.data(), polls.size(), kPollMs);
+    for (std::size_t i = 0; i < polls.size(); ++i)
+      if (polls[i].revents != 0 && polled[i]->handle() == polls[i].fd) polled[i]->readable();
   }
-  std::fclose(record);
   return counts;
 }
 
--- a/src/cli/keep_alive_caller.h
+++ b/src/cli/keep_alive_caller.h
@@ -2,8 +2,6 @@
 // closes it, whatever that process says of its readiness. For soaks (docs/soak.md).
 #pragma once
 
-#include <cstdio>
-
 #include "stonemount.h"
 
 namespace stonemount {
@@ -21,6 +19,7 @@
   std::uint64_t crossed = 0;  // unanswered, sent just before the connection was closed
   std::uint64_t cut = 0;      // unanswered though sent well before, or cut within the answer
   std::uint64_t malformed = 0;
+  std::uint64_t left = 0;  // the caller left before they were answered
   std::map<int, std::uint64_t> byStatus;
 };
 
--- a/src/cli/rehearsal.cc
+++ b/src/cli/rehearsal.cc
@@ -9,6 +9,7 @@
 #include "adapters/tcp_transport.h"
 #include "cli/flags.h"
 #include "cli/keep_alive_caller.h"
+#include "cli/record_file.h"
 #include "stand_ins/caller.h"
 #include "stand_ins/platform.h"
 #include "stand_ins/worker.h"
@@ -26,7 +27,8 @@
 ABSL_FLAG(int, lots, 0, "rehearse caller: how many lots");
 ABSL_FLAG(int, lotReadsSeconds, 125, "rehearse caller: for so long a lot is read again after it was handed in");
 ABSL_FLAG(int, connections, 2, "rehearse keepalive: connections to each node");
-ABSL_FLAG(std::string, record, "", "rehearse keepalive: file to which it writes what was cut, as it happens");
+ABSL_FLAG(std::string, record, "",
+          "rehearse keepalive, worker, caller: file to which it writes what it saw, as it happens");
 ABSL_FLAG(std::uint64_t, seed, 1, "rehearse keepalive: of its choices");
 ABSL_FLAG(int, lotItems, 40, "rehearse caller: items in a lot");
 
@@ -59,6 +61,24 @@
   return say(ledger.faults.empty() ? Exit::kDone : Exit::kFindings, out.take());
 }
 
+// What ran, and what was told never to run, for the judge of a soak. Requests are named by a hash of their prompt.
+class RunRecord : public sigc::trackable {
+ public:
+  explicit RunRecord(const std::string& path) : file_(path) {}
+  void onStarted(const WorkerLedger::Start& start) {
+    file_.write(absl::StrCat("started ",
+                             start.lot      ? "lot "
+                             : start.lookup ? "lookup "
+                                            : "live ",
+                             nameOf(start.prompt)));
+  }
+  void onToldNeverRuns(const Bytes& prompt) { file_.write("never " + nameOf(prompt)); }
+
+ private:
+  static std::string nameOf(const Bytes& prompt) { return hexText(spread(prompt)); }
+  RecordFile file_;
+};
+
 class Ending : public Continuation {
  public:
   Ending(Loop& loop, RehearseCaller& caller, Us callingUs) : loop_(loop), caller_(caller) {
@@ -96,7 +116,9 @@
   plan.lotEveryUs = 300 * kMilliUs;
   plan.lotReadsUs = absl::GetFlag(FLAGS_lotReadsSeconds) * kSecondUs;
   CallerLedger ledger;
+  RunRecord record(absl::GetFlag(FLAGS_record));
   RehearseCaller caller(ports, plan, ledger);
+  caller.toldNeverRuns.connect(sigc::mem_fun(record, &RunRecord::onToldNeverRuns));
   Ending ending(stage.loop, caller, absl::GetFlag(FLAGS_seconds) * kSecondUs);
   caller.begin();
   stage.loop.run();
@@ -118,7 +140,7 @@
   JsonOut out;
   out.object().field("sent", counts.sent).field("connects", counts.connects);
   out.field("closesAnnounced", counts.closesAnnounced).field("crossed", counts.crossed).field("cut", counts.cut);
-  out.field("malformed", counts.malformed).key("byStatus").object();
+  out.field("malformed", counts.malformed).field("left", counts.left).key("byStatus").object();
   for (const auto& [status, count] : counts.byStatus) out.field(absl::StrCat(status), count);
   out.closeObject().closeObject();
   return say(Exit::kDone, out.take());
@@ -155,7 +177,9 @@
   auto platform = parseAddress(absl::GetFlag(FLAGS_platform));
   if (auto* address = std::get_if<Address>(&platform)) plan.platform = *address;
   WorkerLedger ledger;
+  RunRecord record(absl::GetFlag(FLAGS_record));
   RehearseWorker worker(ports, std::get<Address>(self), plan, ledger);
+  worker.started.connect(sigc::mem_fun(record, &RunRecord::onStarted));
   worker.begin();
   stage.loop.run();
   return 0;
--- a/src/stand_ins/caller.cc
+++ b/src/stand_ins/caller.cc
@@ -94,7 +94,10 @@
       if (again && !whole->headers.contains("retry-after")) ledger_.faults.push_back("no Retry-After: " + whole->body);
       JsonVerdict read = parseJson(whole->body);
       auto* document = std::get_if<JsonDocument>(&read);
-      if (document != nullptr && jsonString(*document, "ran") == "no") ledger_.toldNeverRuns.push_back(prompt);
+      if (document != nullptr && jsonString(*document, "ran") == "no") {
+        ledger_.toldNeverRuns.push_back(prompt);
+        toldNeverRuns.emit(prompt);
+      }
     }
   } else {
     ++ledger_.silent;
--- a/src/stand_ins/caller.h
+++ b/src/stand_ins/caller.h
@@ -49,6 +49,7 @@
   void burst(std::uint32_t count);  // so many streams and whole answers at once
   void forget(const Address& node) { std::erase(plan_.nodes, node); }
   std::size_t open() const { return open_; }
+  sigc::signal<void(const Bytes&)> toldNeverRuns;  // prompt
 
  private:
   enum class Kind : std::uint8_t { kLookup, kStream, kWhole };
--- a/src/stand_ins/worker.cc
+++ b/src/stand_ins/worker.cc
@@ -135,6 +135,7 @@
   ++load_;
   ++ledger_.started;
   ledger_.starts.push_back({ports_.clock.monoUs(), prompt, lookup, lot});
+  started.emit(ledger_.starts.back());
   Us waitUs = lookup ? 2 * kMilliUs : plan_.partUs + (cached(prompt) ? 0 : plan_.missUs);
   if (plan_.oddsSilent != 0 && ports_.chance.oneIn(plan_.oddsSilent)) waitUs += plan_.silentUs;
   const std::uint32_t parts = lookup ? 1 : plan_.parts;
--- a/src/stand_ins/worker.h
+++ b/src/stand_ins/worker.h
@@ -50,6 +50,7 @@
   void begin();
   void leave() { leaving_ = true; }
   bool leaving() const { return leaving_; }
+  sigc::signal<void(const WorkerLedger::Start&)> started;
   void refuseAll(bool refusing) { refusing_ = refusing; }  // though it reports that it bears them
 
  private:
