--- a/src/replication/replica_plan.h
+++ b/src/replication/replica_plan.h
@@ -29,7 +29,7 @@
   std::uint64_t applied = 0, viewChanges = 0, ballots = 0, refusedOld = 0, reads = 0, confirms = 0;
   std::uint64_t leftBehind = 0, snapshots = 0, restartedNarrow = 0;
   std::uint64_t ringFull = 0;     // commands refused for want of room in the ring
-  std::uint64_t backlogFull = 0;  // commands refused because the chain has much to commit
+  std::uint64_t backlogFull = 0;  // commands refused, and questions for room, because the chain has much to commit
   std::uint64_t repeats = 0;      // commands that came again while they were pending
 };
 
--- a/src/replication/replica_status.cc
+++ b/src/replication/replica_status.cc
@@ -23,6 +23,7 @@
   out.field("end", member.end()).field("applied", counts.applied).field("reads", counts.reads);
   out.field("confirms", counts.confirms).field("ballots", counts.ballots).field("viewChanges", counts.viewChanges);
   out.field("refusedOld", counts.refusedOld).field("syncs", member.wal().syncs);
+  out.field("ringFull", counts.ringFull).field("backlogFull", counts.backlogFull).field("repeats", counts.repeats);
   out.field("failedSyncs", member.wal().failedSyncs).field("stalledUs", member.wal().stalledUs());
   const LossMargin margin = member.lossMargin();
   out.field("bearsMachines", margin.machines).field("bearsZone", margin.anyZone);
