--- a/tests/soak_judge_test.sh
+++ b/tests/soak_judge_test.sh
@@ -35,13 +35,15 @@
   echo '{"note": "change 1 of a"}' >"$dir/change-1-a"
   echo '{"note": "change 1 of b"}' >"$dir/change-1-b"
   members='"members":[{"standing":"active"},{"standing":"active"},{"standing":"active"}]'
-  evacuated='[]' certainty=true
+  evacuated='[]' certainty=true lot_state=ended
+  echo lot-7 >"$dir/ended"
   answers=(one one)
   told_history='{"history":[{"config":2,"note":"change 1 of a","changes":[]}]}'
 }
 op() {
   case "$1 ${2:-}" in
     "status ") echo "{\"core\":{$members},\"store\":{$members},\"evacuated\":$evacuated}" ;;
+    "lot show") echo "{\"lot\":\"$3\",\"state\":\"$lot_state\"}" ;;
     "config history") echo "$told_history" ;;
     "clock show") echo "{\"certain\":$certainty}" ;;
   esac
@@ -52,7 +54,7 @@
 sound
 for judged in "whole core" "whole store" certain same_configuration callers_saw_no_fault lots_are_complete \
   cuts_are_explained none_ended_alone descriptors_return memory_settles nothing_ran_that_was_refused \
-  no_live_request_ran_twice confirmed_changes_stand none_stays_evacuated "not_in_troubles OVERTIME"; do
+  no_live_request_ran_twice confirmed_changes_stand none_stays_evacuated ended_lots_stand "not_in_troubles OVERTIME"; do
   # shellcheck disable=SC2086
   expect passes "$judged, on a sound run" $judged
 done
@@ -93,6 +95,8 @@
 echo 'change-1-b {"verdict":"taken","config":2}' >>"$dir/config"
 expect fails "two changes under one number" confirmed_changes_stand
 sound
+lot_state=open
+expect fails "a lot that goes on after its end" ended_lots_stand
 evacuated='["zlin"]'
 expect fails "a zone that stays evacuated" none_stays_evacuated
 members='"members":[{"standing":"active"},{"standing":"behind"},{"standing":"active"}]'
