Tests: the seeds that a test is given are read in one place

Found by the check for duplicates: burst_losses_test had the same lines as cold_workers_test. 36 seeds are the usual ones of the former, so that each kind of trouble comes with a power cut too.

--- a/tests/burst_losses_test.cc
+++ b/tests/burst_losses_test.cc
@@ -1,15 +1,13 @@
 // Bursts of lots at a chain with bounded links, with slow machines, losses, joins and a power cut of all: what was
 // acknowledged is kept once and in order, the chain changes its view only for losses and returns, and is whole again
 // soon (design.md 6.3, docs/klimarchiwum.md). More seeds: BURST_SEEDS=FIRST,COUNT.
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_split.h>
 
 #include <algorithm>
-#include <cstdlib>
 
 #include "chain_sender.h"
 #include "expect.h"
+#include "given_seeds.h"
 
 using namespace stonemount;
 
@@ -117,8 +115,9 @@
     auto read = unpack<std::vector<Bytes>>(std::get<Bytes>(answer));
     const std::vector<Bytes>& list = std::get<std::vector<Bytes>>(read);
     const std::set<Bytes> seen(list.begin(), list.end());
-    readable_ = std::all_of(lots_.begin(), lots_.end(),
-                            [&seen](const Lot& lot) { return lot.acknowledgedUs < 0 || seen.contains(lot.command.substr(0, kNameBytes)); });
+    readable_ = std::all_of(lots_.begin(), lots_.end(), [&seen](const Lot& lot) {
+      return lot.acknowledgedUs < 0 || seen.contains(lot.command.substr(0, kNameBytes));
+    });
   }
   bool readable() {
     if (!readable_ && !reading_) room_.start(readAll());
@@ -183,26 +182,11 @@
   TaskRoom room_;
 };
 
-struct Seeds {
-  std::uint64_t first = 1;
-  std::uint64_t count = 24;
-};
-
-Seeds givenSeeds() {
-  Seeds seeds;
-  const char* given = std::getenv("BURST_SEEDS");
-  if (given == nullptr) return seeds;
-  const std::vector<std::string> parts = absl::StrSplit(given, ',');
-  if (parts.size() == 2 && absl::SimpleAtoi(parts[0], &seeds.first) && absl::SimpleAtoi(parts[1], &seeds.count))
-    return seeds;
-  std::printf("BURST_SEEDS: FIRST,COUNT\n");
-  std::exit(2);
-}
 }  // namespace
 
 int main() {
-  const Seeds seeds = givenSeeds();
-  for (std::uint64_t seed = seeds.first; seed < seeds.first + seeds.count; ++seed) {
+  const Seeds seeds = givenSeeds("BURST_SEEDS", {1, 36});
+  for (std::uint64_t seed = seeds.first; seed < seeds.end(); ++seed) {
     Plan plan;
     plan.times = seed % 3 == 0 ? 1 : seed % 3 == 1 ? 2 : 5;
     plan.slowMachine = seed / 3 % 2 == 1;
--- a/tests/cold_workers_test.cc
+++ b/tests/cold_workers_test.cc
@@ -1,41 +1,22 @@
 // A cold worker gets no more requests in one second, from all nodes together, than the platform's rule allows:
 // whatever the nodes know of it and of each other (docs/design-notes/cold-workers.md, incident 24). More seeds:
 // COLD_WORKERS_SEEDS=FIRST,COUNT.
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_split.h>
-
-#include <cstdlib>
 
 #include "cold_workers_rig.h"
 #include "expect.h"
+#include "given_seeds.h"
 
 using namespace stonemount;
 
 namespace {
-struct Seeds {
-  std::uint64_t first = 1;
-  std::uint64_t count = 1000;
-};
-
-Seeds givenSeeds() {
-  Seeds seeds;
-  const char* given = std::getenv("COLD_WORKERS_SEEDS");
-  if (given == nullptr) return seeds;
-  const std::vector<std::string> parts = absl::StrSplit(given, ',');
-  if (parts.size() == 2 && absl::SimpleAtoi(parts[0], &seeds.first) && absl::SimpleAtoi(parts[1], &seeds.count))
-    return seeds;
-  std::printf("COLD_WORKERS_SEEDS: FIRST,COUNT\n");
-  std::exit(2);
-}
-
 struct Total {
   std::uint64_t broken = 0, worst = 0, served = 0, refused = 0, coldServed = 0;
 };
 
 void days(const char* name, const ColdFleetPlan& plan, Seeds seeds) {
   Total total;
-  for (std::uint64_t seed = seeds.first; seed < seeds.first + seeds.count; ++seed) {
+  for (std::uint64_t seed = seeds.first; seed < seeds.end(); ++seed) {
     ColdFleet fleet(seed, plan);
     fleet.run();
     const bool held = fleet.worst() <= coldBound(plan.ratePerS);
@@ -61,7 +42,7 @@
   plan.requestsPerS = 560;
   plan.lengthUs = 0;  // the first seconds alone
   std::uint64_t served = 0, refused = 0;
-  for (std::uint64_t seed = seeds.first; seed < seeds.first + seeds.count; ++seed) {
+  for (std::uint64_t seed = seeds.first; seed < seeds.end(); ++seed) {
     ColdFleet fleet(seed, plan);
     fleet.run();
     served += fleet.served();
@@ -73,8 +54,8 @@
 }  // namespace
 
 int main() {
-  const Seeds seeds = givenSeeds();
-  starts({seeds.first, std::max<std::uint64_t>(1, seeds.count / 25)});
+  const Seeds seeds = givenSeeds("COLD_WORKERS_SEEDS", {1, 1000});
+  starts(seeds.fewer(25));
   days("small", ColdFleetPlan(), seeds);
   ColdFleetPlan grown;
   grown.nodes = 78;
@@ -83,6 +64,6 @@
   grown.slots = 16;
   grown.requestsPerS = 730;
   grown.sameLife = false;  // most nodes have sent it nothing while it was down (see the design note)
-  days("grown", grown, {seeds.first, std::max<std::uint64_t>(1, seeds.count / 25)});
+  days("grown", grown, seeds.fewer(25));
   return expectationsVerdict();
 }
