--- a/tests/soak_judge_test.sh
+++ b/tests/soak_judge_test.sh
@@ -5,6 +5,7 @@
 here=$(cd "$(dirname "$0")/.." && pwd)
 root=$(mktemp -d)
 trap 'rm -rf "$root"' EXIT
+. "$here/scripts/fleet-checks"
 . "$here/scripts/soak-troubles"
 . "$here/scripts/soak-judge"
 good=0 bad=0 seed_failed=0 passed=0 failed=0 core_count=3 store_count=3 nodes=127.0.0.1:8000,127.0.0.2:8000
