A slow link is no silence: late pongs count, and queues on links are bounded in time

Change: pings go out at their time and pongs count when they come; congestion windows by delay for what the chain has not committed, for what the head has promised and for each Append; a joiner is taken in once its link soon carries what it lacks.

--- a/src/replication/catch_up.cc
+++ b/src/replication/catch_up.cc
@@ -14,9 +14,12 @@
 constexpr Us kFetchLimitUs = 600 * kMilliUs;
 constexpr std::size_t kLeastBytes = 8 << 10;
 constexpr int kSilentParts = 12;
-constexpr std::size_t kCheckpointParts = 16;  // with each sync
-constexpr Us kSnapshotUs = 6 * kSecondUs;     // a snapshot that nobody asks for goes
-constexpr std::uint64_t kNearEnough = 64;
+constexpr std::size_t kCheckpointParts = 16;   // with each sync
+constexpr Us kSnapshotUs = 6 * kSecondUs;      // a snapshot that nobody asks for goes
+constexpr std::uint64_t kNearEnough = 64;      // entries
+constexpr Us kNearUs = 300 * kMilliUs;         // that the rest may take to copy: the chain is fenced meanwhile
+constexpr std::size_t kNearBytes = 128 << 10;  // so much is near whatever the pace
+constexpr Us kNearPatienceUs = 5 * kSecondUs;  // after so long within kNearEnough, the chain waits for the rest
 }  // namespace
 
 bool Replica::invited() const { return ports_.clock.monoUs() < invitedUntilUs_; }
@@ -120,11 +123,28 @@
   co_return true;
 }
 
+// Is what is missing soon copied, at the pace of this part of the log? A chain that is fenced for a joiner waits for
+// it. One whose link is slower than the chain's never comes near under load: it is waited for after a while.
+bool Replica::nearEnd(const LogPart& part, Us askedUs) {
+  const Us nowUs = ports_.clock.monoUs();
+  if (end_ + kNearEnough < part.end) {
+    nearSinceUs_ = -1;
+    return false;
+  }
+  if (nearSinceUs_ < 0) nearSinceUs_ = nowUs;
+  std::size_t bytes = 0;
+  for (const Entry& entry : part.entries) bytes += entry.command.size();
+  const double share = static_cast<double>(kNearUs) / static_cast<double>(std::max<Us>(nowUs - askedUs, 1));
+  const std::size_t soonBytes = std::max(kNearBytes, static_cast<std::size_t>(static_cast<double>(bytes) * share));
+  return part.bytesLeft <= soonBytes || nowUs - nearSinceUs_ > kNearPatienceUs;
+}
+
 // Follows the source's log. True once near its end, or past `upTo` where that is given.
 Job<bool> Replica::fetchLog(Address source, std::uint64_t upTo) {
   fetchRefused_ = false;
   while (state_ == ReplicaState::kOutside) {
     FetchLog request{memory_.view.revision, end_, endRevision_, static_cast<std::uint32_t>(fetchBytes_)};
+    const Us askedUs = ports_.clock.monoUs();
     Job<std::variant<LogPart, PeerSilent>> job = ask<LogPart>(rpc_, source, request, kFetchLimitUs);
     std::variant<LogPart, PeerSilent> verdict = co_await job;
     auto* part = std::get_if<LogPart>(&verdict);
@@ -152,7 +172,7 @@
       maybeCheckpoint();  // never between handing entries to the disk and applying them: it would miss them
     }
     const std::uint64_t goal = upTo != 0 ? upTo : part->end;
-    if (upTo == 0 && end_ + kNearEnough >= goal) caughtUp_ = true;
+    if (upTo == 0) caughtUp_ |= nearEnd(*part, askedUs);
     if (end_ >= goal) co_return true;
   }
   co_return false;
--- a/src/replication/catch_up_source.cc
+++ b/src/replication/catch_up_source.cc
@@ -70,6 +70,7 @@
       bytes += recent_[i].command.size();
       part.entries.push_back(recent_[i]);
     }
+    part.bytesLeft = recent_.bytesAfter(part.entries.empty() ? request.after : part.entries.back().index);
   }
   part.parted = holds && !part.granted;
   rpc_.reply(asked, part);
--- a/src/replication/intake.cc
+++ b/src/replication/intake.cc
@@ -18,8 +18,8 @@
 // entries between (design.md 5.2, 5.6), and what the chain has not committed is bounded (6.3).
 ChainOutcome Replica::admission(std::size_t commandBytes, bool enlarges) {
   const std::size_t backlog = uncommittedBytes();
-  if (inbox_.size() >= kInboxBound || backlog >= kUncommittedBytes ||
-      (backlog >= kUncommittedGrowthBytes && enlarges)) {
+  if (inbox_.size() >= kInboxBound || backlog >= kUncommittedBytes || (backlog >= commitWindow_.bytes() && enlarges)) {
+    if (enlarges) commitWindow_.limited();
     logBacklogFull(backlog);
     return ChainOutcome::kBusy;
   }
@@ -68,11 +68,14 @@
   if (knows(request->id, asked)) return;
   ChainOutcome outcome = admission(request->bytes, request->enlarges);
   if (outcome == ChainOutcome::kDone) {
-    const std::size_t bound = request->enlarges ? kUncommittedGrowthBytes : kUncommittedBytes;
+    const std::size_t bound = request->enlarges ? commitWindow_.bytes() : kUncommittedBytes;
     const std::size_t backlog = uncommittedBytes();
     const bool room = incomingRoom_.promise(asked.peer, request->bytes, backlog, bound, ports_.clock.monoUs());
     outcome = room ? ChainOutcome::kRoom : ChainOutcome::kBusy;
-    if (!room) logBacklogFull(backlog + incomingRoom_.bytes());
+    if (!room) {
+      commitWindow_.limited();
+      logBacklogFull(backlog + incomingRoom_.bytes());
+    }
   }
   tell(asked, outcome);
 }
@@ -81,7 +84,7 @@
   auto message = unpack<Submit>(asked.body);
   if (!std::holds_alternative<Submit>(message)) return;
   Submit& submit = std::get<Submit>(message);
-  incomingRoom_.came(asked.peer, submit.command.size());
+  incomingRoom_.came(asked.peer, submit.command.size(), ports_.clock.monoUs());
   if (std::optional<ChainOutcome> refusal = notHead(submit.revision)) return tell(asked, *refusal);
   if (knows(submit.id, asked)) return;
   const ChainOutcome outcome = admission(submit.command.size(), machine_.enlarges(submit.command));
@@ -100,6 +103,7 @@
   entry.command = std::move(std::get<Stamped>(stamped).command);
   inboxBytes_ += entry.command.size();
   pending_.took(entry.id, entry.index);
+  commitWindow_.took(entry.index, entry.command.size(), ports_.clock.monoUs());
   taken.emit(entry);
   inbox_.push_back(std::move(entry));
   inboxEvent_.notify();
@@ -147,6 +151,7 @@
 // Committed in this view, so it may be acknowledged to whoever asked for it again (design.md 6.4).
 void Replica::noteCommitted(std::uint64_t index) {
   committed_ = std::max(committed_, index);
+  commitWindow_.committed(committed_, ports_.clock.monoUs());
   for (const PendingCommands::Repeat& repeat : pending_.commit(committed_)) {
     auto known = verdicts_.find(repeat.id);
     if (known != verdicts_.end())
--- a/src/replication/messages.h
+++ b/src/replication/messages.h
@@ -147,7 +147,8 @@
   bool parted = false;  // the logs differ, or the source no longer keeps what is missing
   std::vector<Entry> entries;
   std::uint64_t end = 0;
-  STONEMOUNT_PACK(granted, parted, entries, end)
+  std::uint64_t bytesLeft = 0;  // of commands behind these entries, up to that end
+  STONEMOUNT_PACK(granted, parted, entries, end, bytesLeft)
 };
 struct CatchUp {
   static constexpr std::uint16_t kKind = 12;
--- a/src/replication/peer_liveness.cc
+++ b/src/replication/peer_liveness.cc
@@ -22,36 +22,52 @@
   if (state_ != ReplicaState::kOpening && pinged_.insert(peer).second) room_.start(ping(peer));
 }
 
+// A ping goes out at its time whether or not the last one was answered, and an answer counts when it comes: where a
+// link is full of entries, signs of life come late, one behind the other, and that is no silence.
 Task Replica::ping(Address peer) {
   while (state_ != ReplicaState::kBroken) {
-    Ping message{memory_.view.revision, memory_.incarnation};
     // Just started, or woken, it is in a hurry to hear of everyone: a question that met a closed port is soon put
     // again.
     const bool hurries = ports_.clock.monoUs() < blindUntilUs_ && !heardLately(peer);
-    Call call(rpc_, peer, Ping::kKind, pack(message), hurries ? plan_.pingUs : plan_.pingLimitUs);
-    auto raw = co_await call;
-    if (auto* body = std::get_if<Bytes>(&raw)) {
-      auto read = unpack<Pong>(*body);
-      if (auto* pong = std::get_if<Pong>(&read)) {
-        PeerSight& sight = peers_[peer];
-        sight.heardUs = ports_.clock.monoUs();
-        sight.pong = std::move(*pong);
-        if (sight.pong.revision > memory_.view.revision && state_ != ReplicaState::kOpening) {
-          Job<std::variant<ViewReply, PeerSilent>> job = ask<ViewReply>(rpc_, peer, ViewAsk{}, plan_.suspectUs);
-          std::variant<ViewReply, PeerSilent> verdict = co_await job;
-          if (auto* found = std::get_if<ViewReply>(&verdict)) {
-            Job<bool> taken = takeView(found->view);
-            co_await taken;
-          }
-        }
-      }
-    }
+    room_.start(pingOnce(peer, plan_.pingLimitUs));
     // Who holds no seat is looked at now and then: it costs each of us as much as a member would.
     Pause pause(ports_.timers, hurries ? plan_.pingUs / 4 : close(peer) ? plan_.pingUs : plan_.farPingUs);
     co_await pause;
   }
 }
 
+Task Replica::pingOnce(Address peer, Us limitUs) {
+  const Us askedUs = ports_.clock.monoUs();
+  Call call(rpc_, peer, Ping::kKind, pack(Ping{memory_.view.revision, memory_.incarnation}), limitUs);
+  auto raw = co_await call;
+  if (std::holds_alternative<PeerSilent>(raw)) co_return;
+  auto read = unpack<Pong>(std::get<Bytes>(raw));
+  auto* pong = std::get_if<Pong>(&read);
+  PeerSight& sight = peers_[peer];
+  if (pong == nullptr || askedUs < sight.askedUs) co_return;
+  const Us nowUs = ports_.clock.monoUs();
+  sight.heardUs = nowUs;
+  sight.askedUs = askedUs;
+  sight.pong = std::move(*pong);
+  if (nowUs - askedUs <= plan_.promptPongUs) {
+    sight.clockHeardUs = nowUs;
+    sight.clockUs = sight.pong.wallUs;
+  }
+  const bool newer = sight.pong.revision > memory_.view.revision && state_ != ReplicaState::kOpening;
+  if (newer && viewFetchers_.insert(peer).second) room_.start(fetchView(peer));
+}
+
+// Some other replica holds a later view.
+Task Replica::fetchView(Address peer) {
+  Job<std::variant<ViewReply, PeerSilent>> job = ask<ViewReply>(rpc_, peer, ViewAsk{}, plan_.suspectUs);
+  std::variant<ViewReply, PeerSilent> reply = co_await job;
+  if (auto* found = std::get_if<ViewReply>(&reply)) {
+    Job<bool> taken = takeView(found->view);
+    co_await taken;
+  }
+  viewFetchers_.erase(peer);
+}
+
 // Do the two of us have to know of each other at once?
 bool Replica::close(const Address& peer) const {
   if (state_ == ReplicaState::kBootstrapping || (request_ && request_->add == peer)) return true;
--- a/src/replication/relay.cc
+++ b/src/replication/relay.cc
@@ -7,7 +7,6 @@
 
 namespace {
 constexpr std::size_t kBatchEntries = 512;
-constexpr std::size_t kBatchBytes = 256 << 10;
 constexpr std::size_t kSnapshotKeeps = 4;  // times as much is kept while someone copies a snapshot
 constexpr std::size_t kVerdictsKept = 16384;
 constexpr std::size_t kVerdictBytesKept = 256 << 10;  // the same at every member, or they would differ
@@ -164,6 +163,16 @@
   tooFarBehind_ = successor;
 }
 
+// The link to the successor, by an attempt that carried entries.
+void Replica::noteAppend(std::size_t bytes, Us sentUs, bool answered) {
+  if (bytes == 0) return;
+  const Us nowUs = ports_.clock.monoUs();
+  if (answered)
+    appendWindow_.delivered(bytes, sentUs, nowUs);
+  else
+    appendWindow_.lost(nowUs);
+}
+
 Task Replica::passOn() {
   while (state_ != ReplicaState::kBroken) {
     EventWait hear(ports_.timers, passEvent_, kIdleUs);
@@ -174,6 +183,7 @@
       std::size_t place = 0;
       while (chain[place].address != self_) ++place;
       const Address successor = chain[place + 1].address;
+      std::size_t sentBytes = 0;
       Append append;
       append.revision = memory_.view.revision;
       append.after = successorEnd_.value_or(0);
@@ -183,15 +193,17 @@
           leaveBehind(successor, *successorEnd_);
           break;
         }
-        std::size_t bytes = 0;
         for (std::size_t i = *successorEnd_ + 1 - recent_.firstIndex(); i < recent_.size(); ++i) {
-          if (append.entries.size() >= kBatchEntries || bytes > kBatchBytes) break;
-          bytes += recent_[i].command.size();
+          if (append.entries.size() >= kBatchEntries || sentBytes > appendWindow_.bytes()) break;
+          sentBytes += recent_[i].command.size();
           append.entries.push_back(recent_[i]);
         }
+        if (sentBytes > appendWindow_.bytes()) appendWindow_.limited();
       }
+      const Us sentUs = ports_.clock.monoUs();
       Call call(rpc_, successor, Append::kKind, pack(append), kPassLimitUs);
       auto raw = co_await call;
+      noteAppend(sentBytes, sentUs, std::holds_alternative<Bytes>(raw));
       if (memory_.view.revision != append.revision || !active()) continue;
       auto read = std::holds_alternative<Bytes>(raw) ? unpack<PassedOn>(std::get<Bytes>(raw))
                                                      : std::variant<PassedOn, BadBytes>(BadBytes{});
--- a/src/replication/replica.cc
+++ b/src/replication/replica.cc
@@ -73,6 +73,8 @@
                              {"end", absl::StrCat(end_)}});
   state_ = next;
   pending_.clear();
+  commitWindow_.clear();
+  appendWindow_ = CongestionWindow(kAppendWindow);  // of another link, perhaps
   inbox_.clear();
   inboxBytes_ = 0;
   for (const Asked& asked : appendsWaiting_) answerAppend(asked, false);
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -1,6 +1,7 @@
 // One member of a chain: the same module keeps control state and store (design.md 6).
 #pragma once
 
+#include "replication/commit_window.h"
 #include "replication/follower_count.h"
 #include "replication/incoming_room.h"
 #include "replication/loss_margin.h"
@@ -20,7 +21,10 @@
 // What is known of another member from its last pong.
 struct PeerSight {
   Us heardUs = -1;
+  Us askedUs = -1;  // when the ping was sent that it answered
   Pong pong;
+  Us clockHeardUs = -1;  // when its wall clock was told by an answer that came promptly
+  Us clockUs = 0;        // what it was then
 };
 
 // The whole state, packed, as it stood after an entry.
@@ -98,6 +102,7 @@
   Task write();
   Job<bool> markSynced();
   Task passOn();
+  void noteAppend(std::size_t bytes, Us sentUs, bool answered);
   void leaveBehind(const Address& successor, std::uint64_t itsEnd);
   void applyEntry(const Entry& entry, bool release);
   void keepRecent(const Entry& entry, Revision before);
@@ -122,6 +127,8 @@
   bool holds() const;
   // mender.cc: detection and proposals
   Task ping(Address peer);
+  Task pingOnce(Address peer, Us limitUs);
+  Task fetchView(Address peer);
   Task pingAll();
   Task reconfigure();
   bool heardLately(const Address& peer) const;
@@ -154,6 +161,7 @@
   Job<bool> fetchState(Address source);
   Job<bool> writeCheckpoint();
   Job<bool> fetchLog(Address source, std::uint64_t upTo);
+  bool nearEnd(const LogPart& part, Us askedUs);
   void onFetchState(const Asked& asked);
   void onFetchLog(const Asked& asked);
   void onCatchUp(const Asked& asked);
@@ -205,10 +213,13 @@
   std::deque<Waiting> reads_;
   std::vector<Waiting> held_;
   FollowerCount followers_;
-  IncomingRoom incomingRoom_;
+  IncomingRoom incomingRoom_{kIncomingWindow};
+  CommitWindow commitWindow_{kCommitWindow};
+  CongestionWindow appendWindow_{kAppendWindow};  // of the link to the successor
   // peers
   absl::btree_map<Address, PeerSight> peers_;
   absl::btree_set<Address> pinged_;
+  absl::btree_set<Address> viewFetchers_;  // who is being asked for a later view
   std::uint64_t highestRound_ = 0;
   Us needSinceUs_ = -1;
   Us blindUntilUs_ = 0;  // since a start or a freeze it has not heard enough to suspect anyone
@@ -224,6 +235,7 @@
   bool caughtUp_ = false;
   bool fetching_ = false;
   bool fetchRefused_ = false;
+  Us nearSinceUs_ = -1;         // since when it lacks few entries; -1: it lacks many
   std::size_t fetchBytes_ = 0;  // asked for at a time; less over a slow link
   bool imageLoose_ = false;     // a fetched state is in memory and not yet on the disk
   Us heldUntilUs_ = 0;          // sealed as a holder: fetches nothing meanwhile
--- a/src/replication/replica_plan.h
+++ b/src/replication/replica_plan.h
@@ -1,7 +1,7 @@
 // How a replica is set up, and what it counts (design.md 6).
 #pragma once
 
-#include "stonemount.h"
+#include "replication/congestion_window.h"
 
 namespace stonemount {
 
@@ -10,8 +10,9 @@
   std::vector<Address> founders;  // all must be empty and present for the first view
   bool mayFound = true;           // the whole fleet's first start: else nobody founds, ever
   Us pingUs = 200 * kMilliUs;
-  Us farPingUs = 500 * kMilliUs;  // of and to those without a seat
-  Us pingLimitUs = 250 * kMilliUs;
+  Us farPingUs = 500 * kMilliUs;     // of and to those without a seat
+  Us pingLimitUs = 1400 * kMilliUs;  // an answer that comes later tells nothing any more
+  Us promptPongUs = 250 * kMilliUs;  // only an answer within it tells a clock
   Us suspectUs = 700 * kMilliUs;
   Us slowDiskUs = 800 * kMilliUs;
   std::size_t keptEntries = 20000;  // of its log, for a successor or joiner that is behind
@@ -19,11 +20,16 @@
   std::size_t memoryBytes = 0;  // that the process may take; 0: not bounded
 };
 
-// Bytes that the chain has taken and not committed. Above the first bound nothing is taken that brings new work, so
-// that what is taken is committed well before its client asks again, also over a link of a few MB/s; the rest up to the
-// second is left to what finishes old work.
-constexpr std::size_t kUncommittedGrowthBytes = 1 << 20;
+// Bytes that the chain has taken and not committed. Above the commit window nothing is taken that brings new work, so
+// that what is taken is committed before its client asks again, whatever its slowest link carries; the rest up to this
+// bound is left to what finishes old work.
 constexpr std::size_t kUncommittedBytes = 4 << 20;
+// From taking a command to its commit, through all members. A client asks again after 0.7 s.
+constexpr CongestionWindow::Limits kCommitWindow{128 << 10, 512 << 10, 1 << 20, 400 * kMilliUs};
+// From the head's word that there is room to the command: the head's own link.
+constexpr CongestionWindow::Limits kIncomingWindow{64 << 10, 256 << 10, 512 << 10, 150 * kMilliUs};
+// Of one Append, from sending it to the successor's answer. Half a second without one ends the attempt.
+constexpr CongestionWindow::Limits kAppendWindow{32 << 10, 128 << 10, 128 << 10, 150 * kMilliUs};
 
 struct ReplicaCounts {
   std::uint64_t applied = 0, viewChanges = 0, ballots = 0, refusedOld = 0, reads = 0, confirms = 0;
--- a/src/replication/voter.cc
+++ b/src/replication/voter.cc
@@ -3,6 +3,10 @@
 
 namespace stonemount {
 
+namespace {
+constexpr Us kClockUs = 2 * kSecondUs;  // for which a wall clock that was told counts
+}  // namespace
+
 Pong Replica::pong() const {
   Pong pong;
   pong.incarnation = memory_.incarnation;
@@ -42,7 +46,8 @@
       sight.wallsUs.push_back(sight.wallUs);
     } else if (heardLately(voter.address)) {
       const PeerSight& heard = peers_.at(voter.address);  // late by the way here, never early
-      sight.wallsUs.push_back(heard.pong.wallUs + nowUs - heard.heardUs);
+      if (heard.clockHeardUs >= 0 && nowUs - heard.clockHeardUs < kClockUs)
+        sight.wallsUs.push_back(heard.clockUs + nowUs - heard.clockHeardUs);
     }
   }
   return sight;
--- /dev/null
+++ b/tests/burst_links_test.cc
@@ -0,0 +1,22 @@
+// Bursts at a chain of five, at ratios of 1 to 10 of what a link carries and of the links' paces, with links that
+// change their pace during the burst (burst_rig.h). More seeds: BURST_SEEDS=FIRST,COUNT.
+#include "burst_rig.h"
+#include "given_seeds.h"
+
+using namespace stonemount;
+
+int main() {
+  const Seeds seeds = givenSeeds("BURST_SEEDS", {1, 60});
+  for (std::uint64_t seed = seeds.first; seed < seeds.end(); ++seed) {
+    Chance chance(seed * 131);
+    bursts::Plan plan;
+    plan.times = 1 + chance.below(bursts::kSlowestTimes);
+    plan.slowTimes = 1 + chance.below(bursts::kSlowestTimes);
+    plan.changes = chance.oneIn(2);
+    plan.loss = chance.oneIn(2) ? bursts::Loss::kNone : static_cast<bursts::Loss>(1 + chance.below(2));
+    plan.powerCut = chance.oneIn(4);
+    if (plan.slowTimes > 3 || plan.changes) plan.leastLots = 1;  // of some 22 that the slowest link carries
+    bursts::Burst(seed, plan).run();
+  }
+  return expectationsVerdict();
+}
