Connections to a worker are dealt out by places that control tells, so their sum stays under its cap

With it, as both stand in the same lines: a pool's warmth is worked out once for each choice, and no probe is asked for where the node's share can never allow one.

--- a/src/adapters/http_out.cc
+++ b/src/adapters/http_out.cc
@@ -185,7 +185,8 @@
 HttpOutEv::~HttpOutEv() = default;
 
 std::unique_ptr<HttpFlow> HttpOutEv::open(const Address& server, const HttpAsk& ask, const HttpVia& via) {
-  return std::make_unique<FlowEv>(loop_, *channels_, connectUs_, server, ask, via, mostPerServer);
+  const std::size_t most = via.most != 0 ? via.most : mostPerServer;
+  return std::make_unique<FlowEv>(loop_, *channels_, connectUs_, server, ask, via, most);
 }
 void HttpOutEv::closeKept(const Address& server) { channels_->closeKept(server); }
 std::uint64_t HttpOutEv::opened() const { return channels_->opened; }
--- a/src/config/config_cache.cc
+++ b/src/config/config_cache.cc
@@ -38,7 +38,7 @@
   if (given == nullptr) return;
   freshUs_ = askedUs;
   take(*given);
-  if (state_.revision() >= given->to) contact.emit({askedUs, follow->listNumber, follow->followers});
+  if (state_.revision() >= given->to) contact.emit({askedUs, follow->listNumber, follow->followers, follow->place});
 }
 
 Task ConfigCache::follow() {
--- a/src/config/config_cache.h
+++ b/src/config/config_cache.h
@@ -19,6 +19,7 @@
   Us askedUs = 0;                // when it was asked
   std::uint64_t listNumber = 0;  // of its newest list of workers
   std::size_t followers = 0;     // nodes that follow it; 0: not known
+  FleetPlace place;              // of this node among them
 };
 
 class ConfigCache {
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/config_check.h"
+#include "runtime/fleet_place.h"
 
 namespace stonemount {
 
@@ -96,8 +97,9 @@
 struct FollowReply {
   std::uint64_t listNumber = 0;  // of the newest list of workers that was taken or confirmed
   std::uint32_t followers = 0;   // nodes that follow control, as its tail has counted them; 0: not known yet
+  FleetPlace place;              // of the node that asked
   Bytes news;                    // ControlNews, packed
-  STONEMOUNT_PACK(listNumber, followers, news)
+  STONEMOUNT_PACK(listNumber, followers, place, news)
 };
 struct HistoryAsk {
   std::uint8_t unused = 0;
--- a/src/control/control_machine.cc
+++ b/src/control/control_machine.cc
@@ -220,7 +220,8 @@
   if (auto* follow = std::get_if<FollowAsk>(query)) {
     std::optional<Bytes> news = newsFor(follow->since, mustAnswer);
     if (!news) return Hold{};
-    return pack(FollowReply{platformVersion_, followers_, std::move(*news)});
+    return pack(FollowReply{platformVersion_, static_cast<std::uint32_t>(followers_.count), followers_.place,
+                            std::move(*news)});
   }
   if (std::holds_alternative<OrdersAsk>(*query)) return pack(orders_);
   return pack(HistoryVerdict{{history_.begin(), history_.end()}});
--- a/src/control/control_machine.h
+++ b/src/control/control_machine.h
@@ -12,7 +12,7 @@
   Bytes apply(const Bytes& command) override;
   StampVerdict stamp(const Bytes& command, const HeadSight& sight) override;
   QueryVerdict answer(const Bytes& query, bool mustAnswer) override;
-  void setFollowers(std::size_t followers) override { followers_ = static_cast<std::uint32_t>(followers); }
+  void setFollowers(const FollowerSight& followers) override { followers_ = followers; }
   // Only a configuration with more in it. Evacuations, worker lists, orders and removals go on where the ring is
   // tight: they are small, and the last of them is the way out.
   bool enlarges(const Bytes& command) const override;
@@ -45,7 +45,7 @@
   std::deque<ConfigStep> history_;
   TakenRequests taken_;
   MemberOrders orders_;
-  std::uint32_t followers_ = 0;                   // not kept: what this replica was told of its readers
+  FollowerSight followers_;                       // not kept: what this replica was told of its readers
   mutable std::map<Revision, Bytes> packedNews_;  // many nodes ask from the same revision
 };
 
--- a/src/node/worker_sharing.cc
+++ b/src/node/worker_sharing.cc
@@ -13,6 +13,7 @@
   heardUs_ = std::max(heardUs_, contact.askedUs);
   followers_ = contact.followers;
   if (followers_ > 0 && firstCountedUs_ < 0) firstCountedUs_ = clock_.monoUs();
+  table_.setPlace(contact.place);
   listFreshness_.controlAnswered(contact.askedUs, contact.listNumber);
   table_.cold().listIsAsOf(listFreshness_.asOfUs());
 }
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -20,7 +20,9 @@
   const Us untilUs = ports_.clock.monoUs() + order.limitUs;
   life_ = board_.lifeOf(worker);
   dialect_.direct(order.ask, life_, order.limitUs, order.lastEvent);
-  std::unique_ptr<HttpFlow> flow = ports_.httpOut.open(worker, order.ask, dialect_.via(order.exchange));
+  HttpVia via = dialect_.via(order.exchange);
+  via.most = board_.mostChannels(worker).value_or(0);
+  std::unique_ptr<HttpFlow> flow = ports_.httpOut.open(worker, order.ask, via);
   order.ask = HttpAsk();
   flow->piece.connect(sigc::mem_fun(*this, &Attempt::put));
   while (!ending_) {
--- a/src/proxy/cold_allowance.cc
+++ b/src/proxy/cold_allowance.cc
@@ -5,8 +5,6 @@
 namespace stonemount {
 
 namespace {
-constexpr std::uint64_t kPerKs = 1000;
-
 std::uint64_t pairHash(const Address& worker, const Address& node) {
   const std::uint64_t workerName = static_cast<std::uint64_t>(worker.ip) << 16 | worker.port;
   return spread(std::string_view(reinterpret_cast<const char*>(&node.ip), sizeof(node.ip)), workerName + node.port);
@@ -83,10 +81,9 @@
 
 // The rate is dealt out in whole requests; what does not come out even goes to the first nodes, in an order that
 // differs from worker to worker, so that no node goes without a place everywhere.
-bool ColdAllowance::allows(const WarmthRecord& record, const Address& worker, std::uint64_t ratePerKs,
+bool ColdAllowance::allows(const WarmthRecord& record, Warmth warmth, const Address& worker, std::uint64_t ratePerKs,
                            PoolWarmth pool) const {
   if (ratePerKs == 0) return true;
-  const Warmth warmth = warmthOf(record);
   if (warmth == Warmth::kWarm && pool == PoolWarmth::kAllWarm) return true;
   if (warmth == Warmth::kCold && !settled_) return false;
   const Us nowUs = clock_.monoUs();
--- a/src/proxy/cold_allowance.h
+++ b/src/proxy/cold_allowance.h
@@ -51,8 +51,12 @@
   bool listOld() const { return listOlderThan(kListOldUs); }
 
   Warmth warmthOf(const WarmthRecord& record) const;
+  // Does every node have a share of at least one request a second?
+  bool sharesEven(std::uint64_t ratePerKs) const { return ratePerKs == 0 || ratePerKs >= kPerKs * count_; }
   // May it be sent one request more now? `ratePerKs`: requests in 1,000 s that it bears while it is cold; 0: any.
-  bool allows(const WarmthRecord& record, const Address& worker, std::uint64_t ratePerKs, PoolWarmth pool) const;
+  // `warmth`: its own, as `warmthOf` says now.
+  bool allows(const WarmthRecord& record, Warmth warmth, const Address& worker, std::uint64_t ratePerKs,
+              PoolWarmth pool) const;
 
   // Of a pool with `cold` workers of `all` that are cold to this node. While control is not heard, or the list is older
   // than it ever is where control works, none is taken for all warm.
@@ -74,6 +78,7 @@
   void ended(WarmthRecord& record, bool open) const;
   void doubt(WarmthRecord& record) const;
 
+  static constexpr std::uint64_t kPerKs = 1000;       // a rate of one a second
   static constexpr Us kFrozenUs = 700 * kMilliUs;     // without a tick
   static constexpr Us kListOldUs = 4 * kSecondUs;     // more than it takes to come where control works
   static constexpr Us kListStaleUs = 6 * kSecondUs;   // a list older than this tells nothing of what is cold now
--- /dev/null
+++ b/src/proxy/connection_shares.cc
@@ -0,0 +1,42 @@
+#include "proxy/connection_shares.h"
+
+#include <algorithm>
+
+namespace stonemount {
+
+namespace {
+constexpr std::size_t kMostSeen = 64;  // nodes that a view of peers holds (design.md 4)
+
+// How many of the numbers below `end` fall to that place when they are dealt out in turn.
+std::size_t dealtBelow(std::size_t end, const FleetPlace& place) {
+  return (end + place.places - 1 - place.place) / place.places;
+}
+}  // namespace
+
+bool ConnectionShares::setPlace(const FleetPlace& place) {
+  if (!place.known() || place == place_) return false;
+  place_ = place;
+  return true;
+}
+
+std::size_t ConnectionShares::of(const Address& worker, std::size_t index, std::size_t most, std::size_t nodes) const {
+  const std::size_t used = std::max<std::size_t>(1, most * kUsedPercent / 100);
+  if (!place_.known()) return estimate(worker, used, std::max<std::size_t>(1, nodes));
+  FleetPlace place = place_;
+  // Where each node has some, all may take less. Where few own a worker, all must deal by the same number: control's.
+  if (used >= place.places) place.places = std::max(place.places, static_cast<std::uint32_t>(nodes));
+  return dealtBelow((index + 1) * used, place) - dealtBelow(index * used, place);
+}
+
+// Without a place: as many owners as there are connections, on average, in an order of each worker's own. A newcomer to
+// a fleet of which it can see a part only owns nothing until control has told it its place.
+std::size_t ConnectionShares::estimate(const Address& worker, std::size_t used, std::size_t nodes) const {
+  if (nodes >= kMostSeen) return 0;
+  if (used >= nodes) return used / nodes;
+  const std::uint64_t name = static_cast<std::uint64_t>(worker.ip) << 16 | worker.port;
+  const std::uint64_t hash =
+      spread(std::string_view(reinterpret_cast<const char*>(&self_.ip), sizeof(self_.ip)), name + self_.port);
+  return hash % nodes < used ? 1 : 0;
+}
+
+}  // namespace stonemount
--- a/src/proxy/pool_load_table.cc
+++ b/src/proxy/pool_load_table.cc
@@ -35,10 +35,12 @@
     }
     if (listed.changed != worker.listed.changed && listed.coldLeftUs > 0) noteListedCold(worker, listed);
     worker.listed = listed;
+    worker.index = pools_[listed.pool].size();
     pools_[listed.pool].push_back(address);
   }
   listedBefore_ |= !workers_.empty();
   noteEvacuations();
+  giveUpChannels();
   roomMade.emit();
 }
 
@@ -102,11 +104,12 @@
   std::uint32_t roof = wish.lot && !wish.urgent ? plan_.lotPercent : plan_.calmPercent;
   if (wish.lot && lotsFull(pool->second)) roof = plan_.idlePercent;
   const Us nowUs = clock_.monoUs();
-  const PoolWarmth warmth = warmthOf(pool->second);
+  const WarmthSight sight = warmthOf(pool->second);
   Pick tiers[5];
-  for (const Address& address : pool->second) {
-    const PoolWorker& worker = workers_.at(address);
-    if (wish.passedOver.contains(address) || !usable(worker) || !bearsMore(worker, warmth)) continue;
+  for (const auto& [candidate, warmth] : sight.usable) {
+    const PoolWorker& worker = *candidate;
+    const bool passedOver = wish.passedOver.contains(worker.listed.address);
+    if (passedOver || !bearsMore(worker, warmth, sight.pool)) continue;
     const std::uint64_t percent = 100ULL * (use(worker) + 1) / slots(worker);
     const bool calm = percent <= roof || use(worker) == 0;
     if (wish.lot && !calm) continue;
@@ -157,7 +160,7 @@
   PoolWorker& worker = workers_.at(address);
   ++(lot ? worker.lots : worker.live);
   cold_.sent(worker.warmth);
-  if (cold_.wantsProbe(worker.warmth)) probeWanted.emit(address);
+  if (mayProbe(worker) && cold_.wantsProbe(worker.warmth)) probeWanted.emit(address);
 }
 
 void PoolLoadTable::contact(const Address& address, const std::string& life) {
--- a/src/proxy/pool_load_table.h
+++ b/src/proxy/pool_load_table.h
@@ -4,6 +4,7 @@
 
 #include "config/control_state.h"
 #include "proxy/cold_allowance.h"
+#include "proxy/connection_shares.h"
 #include "proxy/worker_dialect.h"
 
 namespace stonemount {
@@ -18,6 +19,7 @@
 
 struct PoolWorker {
   ListedWorker listed;
+  std::size_t index = 0;             // in its pool's list
   std::uint32_t live = 0, lots = 0;  // of this node, in flight
   WorkerLoad told;                   // by its newest answer to this node
   Us toldUs = -1;
@@ -44,11 +46,15 @@
 class PoolLoadTable {
  public:
   PoolLoadTable(const Clock& clock, const ControlState& control, PoolLoadTablePlan plan)
-      : clock_(clock), control_(control), plan_(std::move(plan)), cold_(clock, plan_.self) {}
+      : clock_(clock), control_(control), plan_(std::move(plan)), cold_(clock, plan_.self), shares_(plan_.self) {}
   void relist();  // after news from control
   // Who shares the workers, how fresh the list is, and what else bears on cold workers.
   ColdAllowance& cold() { return cold_; }
   const ColdAllowance& cold() const { return cold_; }
+  // Of this node among all, as control told it.
+  void setPlace(const FleetPlace& place);
+  // Connections that this node may hold to that worker, idle ones too; nothing where its pool names no bound.
+  std::optional<std::size_t> mostChannels(const Address& worker) const;
   // The platform itself told this node which workers leave, and how long others are still cold.
   void heardFromPlatform(const std::vector<ListedWorker>& workers);
   std::optional<Address> choose(const PoolRequest& wish) const;
@@ -67,24 +73,37 @@
   const absl::btree_map<Address, PoolWorker>& workers() const { return workers_; }
   const std::string& lifeOf(const Address& worker) const { return workers_.at(worker).listed.life; }
   sigc::signal<void()> roomMade;
-  sigc::signal<void(const Address&)> gone;         // its kept channels are worth nothing any more
+  sigc::signal<void(const Address&)> gone;         // its kept channels are worth nothing any more, or not this node's
   sigc::signal<void(const Address&)> probeWanted;  // a request went there, and more could if it were known to be warm
 
  private:
   using Pick = std::vector<const PoolWorker*>;
   bool lotsFull(const std::vector<Address>& pool) const;
   bool usable(const PoolWorker& worker) const;
-  bool bearsMore(const PoolWorker& worker, PoolWarmth pool) const;
-  PoolWarmth warmthOf(const std::vector<Address>& pool) const;
+  // The workers of a pool that may get anything, and how warm each and all are: worked out once for each choice.
+  struct WorkerWarmth {
+    const PoolWorker* worker = nullptr;
+    Warmth warmth = Warmth::kWarm;
+  };
+  struct WarmthSight {
+    std::vector<WorkerWarmth> usable;
+    PoolWarmth pool = PoolWarmth::kAllWarm;
+  };
+  bool bearsMore(const PoolWorker& worker, Warmth warmth, PoolWarmth poolWarmth) const;
+  WarmthSight warmthOf(const std::vector<Address>& pool) const;
   std::uint32_t slots(const PoolWorker& worker) const;
   std::uint32_t use(const PoolWorker& worker) const;  // of its slots, by all, as far as is known
   const PoolWorker* pickFrom(const Pick& pick, std::uint64_t spot) const;
+  std::optional<std::size_t> mostChannels(const PoolWorker& worker) const;
+  void giveUpChannels();
+  bool mayProbe(const PoolWorker& worker) const;
   void noteEvacuations();
   void noteListedCold(PoolWorker& worker, const ListedWorker& listed);
   const Clock& clock_;
   const ControlState& control_;
   PoolLoadTablePlan plan_;
   ColdAllowance cold_;
+  ConnectionShares shares_;
   absl::btree_map<std::string, Revision> zoneOrders_;  // the newest order of each zone, as of the last relist
   absl::btree_map<Address, PoolWorker> workers_;
   bool listedBefore_ = false;
--- a/src/proxy/pool_warmth.cc
+++ b/src/proxy/pool_warmth.cc
@@ -1,4 +1,5 @@
-// What a load table knows of cold workers, and how much they get (docs/design-notes/cold-workers.md).
+// What a load table knows of bounds that all nodes share: cold workers, and how much they get
+// (docs/design-notes/cold-workers.md); connections (docs/design-notes/connection-shares.md).
 #include <absl/strings/str_cat.h>
 
 #include "proxy/pool_load_table.h"
@@ -29,32 +30,66 @@
 }
 
 // Its connections and, while it is or may be cold, its requests of any one second are shared out among the nodes.
-bool PoolLoadTable::bearsMore(const PoolWorker& worker, PoolWarmth warmth) const {
+bool PoolLoadTable::bearsMore(const PoolWorker& worker, Warmth warmth, PoolWarmth poolWarmth) const {
   auto pool = control_.pools().find(worker.listed.pool);
   if (pool == control_.pools().end()) return true;
-  const std::size_t channels = pool->second.mostChannels;
-  if (channels > 0 && worker.inFlight() + 1 > std::max<std::size_t>(1, channels / cold_.sharers())) return false;
-  return cold_.allows(worker.warmth, worker.listed.address, pool->second.warmPerKs, warmth);
+  const std::optional<std::size_t> channels = mostChannels(worker);
+  if (channels && worker.inFlight() + 1 > *channels) return false;
+  return cold_.allows(worker.warmth, warmth, worker.listed.address, pool->second.warmPerKs, poolWarmth);
 }
 
-PoolWarmth PoolLoadTable::warmthOf(const std::vector<Address>& pool) const {
-  std::size_t cold = 0, all = 0;
+std::optional<std::size_t> PoolLoadTable::mostChannels(const PoolWorker& worker) const {
+  auto pool = control_.pools().find(worker.listed.pool);
+  if (pool == control_.pools().end() || pool->second.mostChannels == 0) return std::nullopt;
+  return shares_.of(worker.listed.address, worker.index, pool->second.mostChannels, cold_.sharers());
+}
+
+std::optional<std::size_t> PoolLoadTable::mostChannels(const Address& address) const {
+  auto found = workers_.find(address);
+  return found == workers_.end() ? std::nullopt : mostChannels(found->second);
+}
+
+void PoolLoadTable::setPlace(const FleetPlace& place) {
+  if (!shares_.setPlace(place)) return;
+  giveUpChannels();
+  roomMade.emit();
+}
+
+// Idle connections to workers that are other nodes' now.
+void PoolLoadTable::giveUpChannels() {
+  for (const auto& [address, worker] : workers_)
+    if (!worker.listed.pool.empty() && mostChannels(worker) == std::optional<std::size_t>(0)) gone.emit(address);
+}
+
+PoolLoadTable::WarmthSight PoolLoadTable::warmthOf(const std::vector<Address>& pool) const {
+  WarmthSight sight;
+  sight.usable.reserve(pool.size());
+  std::size_t cold = 0;
   for (const Address& address : pool) {
     const PoolWorker& worker = workers_.at(address);
     if (!usable(worker)) continue;
-    ++all;
+    sight.usable.push_back({&worker, cold_.warmthOf(worker.warmth)});
     // What a node that has just started heard of may be long over: no ground to hold the others back.
     const bool counts = !cold_.coldnessMayBeOver(worker.warmth);
-    cold += counts && cold_.warmthOf(worker.warmth) == Warmth::kCold ? 1 : 0;
+    cold += counts && sight.usable.back().warmth == Warmth::kCold ? 1 : 0;
   }
-  return cold_.poolWarmth(cold, all);
+  sight.pool = cold_.poolWarmth(cold, sight.usable.size());
+  return sight;
+}
+
+// Beside the request that was just sent there, would this node's share ever allow a question? In large fleets it does
+// not, and neither the pool's warmth nor the worker's need be worked out for it.
+bool PoolLoadTable::mayProbe(const PoolWorker& worker) const {
+  auto pool = control_.pools().find(worker.listed.pool);
+  return pool != control_.pools().end() && cold_.sharesEven(pool->second.warmPerKs);
 }
 
 bool PoolLoadTable::takeProbe(const Address& address) {
   auto found = workers_.find(address);
   if (found == workers_.end() || !usable(found->second)) return false;
   PoolWorker& worker = found->second;
-  if (!bearsMore(worker, warmthOf(pools_.at(worker.listed.pool)))) return false;
+  const PoolWarmth poolWarmth = warmthOf(pools_.at(worker.listed.pool)).pool;
+  if (!bearsMore(worker, cold_.warmthOf(worker.warmth), poolWarmth)) return false;
   cold_.probed(worker.warmth);
   take(address, false);
   return true;
--- a/src/replication/machine.h
+++ b/src/replication/machine.h
@@ -1,6 +1,7 @@
 // The port between a chain and the state it keeps (design.md 6.2).
 #pragma once
 
+#include "replication/follower_count.h"
 #include "runtime/shared_bytes.h"
 #include "stonemount.h"
 
@@ -32,8 +33,8 @@
   virtual Bytes apply(const Bytes& command) = 0;
   virtual StampVerdict stamp(const Bytes& command, const HeadSight& sight) = 0;
   virtual QueryVerdict answer(const Bytes& query, bool mustAnswer) = 0;
-  // How many processes follow this chain by held reads, counted by the tail; 0: not known yet. Not part of the state.
-  virtual void setFollowers(std::size_t) {}
+  // What the tail tells whoever asks next of those that follow this chain by held reads.
+  virtual void setFollowers(const FollowerSight&) {}
   virtual bool enlarges(const Bytes& command) const = 0;  // takes in new work, not needed to finish old
   virtual std::size_t owedBytes() const { return 0; }     // by which what was taken in will yet enlarge the state
   // May one command fill an eighth of the ring? Else half a file of it at most.
--- a/src/replication/reader.cc
+++ b/src/replication/reader.cc
@@ -59,8 +59,9 @@
 
 void Replica::releaseReads(std::vector<Waiting> batch) {
   const Us nowUs = ports_.clock.monoUs();
-  machine_.setFollowers(followers_.count(nowUs));
+  followers_.refresh(nowUs);
   for (Waiting& waiting : batch) {
+    machine_.setFollowers(followers_.sight(waiting.asked.peer));
     QueryVerdict verdict = machine_.answer(waiting.query, waiting.untilUs <= nowUs);
     if (std::holds_alternative<Hold>(verdict)) {
       held_.push_back(std::move(waiting));
--- a/tests/cold_workers_control.cc
+++ b/tests/cold_workers_control.cc
@@ -78,13 +78,16 @@
 void ColdFleet::tellNode(std::size_t place) {
   ColdNode& node = *nodes_[place];
   if (node.life == 0 || clock_.nowUs < std::max({node.cutUntilUs, node.frozenUntilUs, controlDownUntilUs_})) return;
-  control_.setFollowers(followers());
+  tail_.note(node.address, clock_.nowUs);
+  tail_.refresh(clock_.nowUs);
+  control_.setFollowers({followers(), tail_.sight(node.address).place});
   const Bytes query = pack(ControlQuery(FollowAsk{node.control.revision()}));
   auto reply = unpack<FollowReply>(std::get<Bytes>(control_.answer(query, true)));
   const FollowReply& told = std::get<FollowReply>(reply);
   auto news = unpack<ControlNews>(told.news);
   if (node.control.absorb(std::get<ControlNews>(news))) node.table.relist();
-  node.sharing.onContact({std::max(node.startedUs, clock_.nowUs - 600 * kMilliUs), told.listNumber, told.followers});
+  node.sharing.onContact(
+      {std::max(node.startedUs, clock_.nowUs - 600 * kMilliUs), told.listNumber, told.followers, told.place});
 }
 
 std::vector<Address> ColdFleet::knownTo(const ColdNode& node) const {
