--- a/src/cli/flags.h
+++ b/src/cli/flags.h
@@ -22,6 +22,12 @@
 int runProcess(const std::string& role);
 int runOperator(const std::vector<std::string>& words);
 int runRehearsal(const std::vector<std::string>& words);
+// The addresses that --node names: at least one.
+struct BadNodes {
+  std::string why;
+};
+using NodesVerdict = std::variant<std::vector<Address>, BadNodes>;
+NodesVerdict nodesGiven();
 std::optional<std::string> readWholeFile(const std::string& path);
 int say(Exit exit, const std::string& text);
 
--- a/src/cli/operator.cc
+++ b/src/cli/operator.cc
@@ -180,16 +180,22 @@
 };
 }  // namespace
 
-int runOperator(const std::vector<std::string>& words) {
-  AskVerdict read = readWords(words);
-  if (auto* bad = std::get_if<BadWords>(&read)) return say(Exit::kUsage, bad->why);
+NodesVerdict nodesGiven() {
   std::vector<Address> nodes;
   for (const std::string& text : absl::GetFlag(FLAGS_node)) {
     auto address = parseAddress(text);
-    if (!std::holds_alternative<Address>(address)) return say(Exit::kUsage, "node: '" + text + "' is not IP:PORT");
+    if (!std::holds_alternative<Address>(address)) return BadNodes{"node: '" + text + "' is not IP:PORT"};
     nodes.push_back(std::get<Address>(address));
   }
-  if (nodes.empty()) return say(Exit::kUsage, "node: give --node=IP:PORT of any node");
+  if (nodes.empty()) return BadNodes{"node: give --node=IP:PORT of any node"};
+  return nodes;
+}
+
+int runOperator(const std::vector<std::string>& words) {
+  AskVerdict read = readWords(words);
+  if (auto* bad = std::get_if<BadWords>(&read)) return say(Exit::kUsage, bad->why);
+  NodesVerdict nodes = nodesGiven();
+  if (auto* bad = std::get_if<BadNodes>(&nodes)) return say(Exit::kUsage, bad->why);
   Loop loop;
   SilentWire wire;
   HttpInEv httpIn(loop, Address());
@@ -198,7 +204,7 @@
   Ports ports{loop, loop, wire, httpIn, httpOut, nullptr, chance};
   Errand errand;
   TaskRoom room;
-  room.start(run(ports, loop, std::get<HttpAsk>(read), nodes, words[0], errand));
+  room.start(run(ports, loop, std::get<HttpAsk>(read), std::get<std::vector<Address>>(nodes), words[0], errand));
   loop.run();
   return say(errand.exit, errand.shown);
 }
--- a/src/cli/rehearsal.cc
+++ b/src/cli/rehearsal.cc
@@ -101,12 +101,9 @@
 int rehearseCaller(Stage& stage, Ports& ports) {
   CallerPlan plan;
   plan.name = absl::StrCat("caller", stage.chance.below(1000000));
-  for (const std::string& text : absl::GetFlag(FLAGS_node)) {
-    auto address = parseAddress(text);
-    if (!std::holds_alternative<Address>(address)) return say(Exit::kUsage, "node: '" + text + "' is not IP:PORT");
-    plan.nodes.push_back(std::get<Address>(address));
-  }
-  if (plan.nodes.empty()) return say(Exit::kUsage, "node: is missing");
+  NodesVerdict nodes = nodesGiven();
+  if (auto* bad = std::get_if<BadNodes>(&nodes)) return say(Exit::kUsage, bad->why);
+  plan.nodes = std::get<std::vector<Address>>(std::move(nodes));
   plan.lookupEveryUs = absl::GetFlag(FLAGS_lookupEveryUs);
   plan.streamEveryUs = absl::GetFlag(FLAGS_streamEveryUs);
   plan.wholeEveryUs = absl::GetFlag(FLAGS_wholeEveryUs);
@@ -127,11 +124,9 @@
 
 int rehearseKeepAlive() {
   KeepAlivePlan plan;
-  for (const std::string& text : absl::GetFlag(FLAGS_node)) {
-    auto address = parseAddress(text);
-    if (!std::holds_alternative<Address>(address)) return say(Exit::kUsage, "node: '" + text + "' is not IP:PORT");
-    plan.nodes.push_back(std::get<Address>(address));
-  }
+  NodesVerdict nodes = nodesGiven();
+  if (auto* bad = std::get_if<BadNodes>(&nodes)) return say(Exit::kUsage, bad->why);
+  plan.nodes = std::get<std::vector<Address>>(std::move(nodes));
   plan.connections = absl::GetFlag(FLAGS_connections);
   plan.lengthUs = absl::GetFlag(FLAGS_seconds) * kSecondUs;
   plan.record = absl::GetFlag(FLAGS_record);
--- a/src/store/lots.cc
+++ b/src/store/lots.cc
@@ -40,7 +40,8 @@
 StoreVerdict StoreMachine::run(const SubmitLotWithin& command) {
   const std::uint64_t waiting = index_.queuedTokens(command.lot.route);
   const bool fits = command.mostQueuedTokens == 0 || waiting + tokensOf(command.lot) <= command.mostQueuedTokens;
-  if (fits || findKnown(command.lot)) return run(command.lot);
+  if (std::optional<StoreVerdict> known = findKnown(command.lot)) return *known;
+  if (fits) return takeNew(command.lot);
   StoreVerdict verdict;
   verdict.outcome = StoreOutcome::kOverQuota;
   return verdict;
@@ -48,6 +49,10 @@
 
 StoreVerdict StoreMachine::run(const SubmitLot& command) {
   if (std::optional<StoreVerdict> known = findKnown(command)) return *known;
+  return takeNew(command);
+}
+
+StoreVerdict StoreMachine::takeNew(const SubmitLot& command) {
   StoreVerdict verdict;
   const std::pair<std::string, std::string> key = keyOf(command);
   if (!command.standing()) {
--- a/src/store/store_machine.h
+++ b/src/store/store_machine.h
@@ -73,6 +73,7 @@
   void noteTerminal(KeptLot& lot);
   // The lot of that name, or the end of one, as a verdict; none: it is new.
   std::optional<StoreVerdict> findKnown(const SubmitLot& command) const;
+  StoreVerdict takeNew(const SubmitLot& command);  // one that is not known
   void grantAtOnce(KeptLot& lot, const SubmitLot& command, StoreVerdict& verdict);
   void expireLicences();
   void retire();  // items whose lot's retention is over
--- a/src/write_ahead_log/recovery_scan.cc
+++ b/src/write_ahead_log/recovery_scan.cc
@@ -163,11 +163,9 @@
     FileScan scan = scanRecords(std::get<Bytes>(bytes), synced);
     if (scan.records.empty()) return DiskFailure{};  // it read otherwise a moment ago
     if (last == 0) {
-      file_ = head->file;
-      offset_ = scan.end;
-      lastSum_ = scan.sum;
+      writer_.goOn(head->file, scan.end, scan.sum);
       last = scan.records.back().sequence;
-      spans_[file_] = {head->first, last};
+      spans_[head->file] = {head->first, last};
     } else if (scan.records.back().sequence + 1 != next) {
       break;  // a gap: synced records are gone, and those before it are of no use
     }
--- a/src/write_ahead_log/value_log.cc
+++ b/src/write_ahead_log/value_log.cc
@@ -15,7 +15,7 @@
 std::size_t recordBytes(const SharedBytes& value) { return kRecordHeaderBytes + value.size(); }
 }  // namespace
 
-ValueLog::ValueLog(Disk& disk) : disk_(disk), placesIn_(disk.fileCount()) {}
+ValueLog::ValueLog(Disk& disk) : disk_(disk), placesIn_(disk.fileCount()), writer_(disk) {}
 
 void ValueLog::wipe() {
   durable_.clear();
@@ -23,11 +23,11 @@
   order_.clear();
   pending_.clear();
   placesIn_.assign(disk_.fileCount(), 0);
-  file_ = kNoFile;
+  writer_.goOn(kNoFile, 0, 0);
   nextSequence_ = 1;
 }
 
-bool ValueLog::uses(std::size_t file) const { return file == file_ || placesIn_[file] > 0; }
+bool ValueLog::uses(std::size_t file) const { return file == writer_.file() || placesIn_[file] > 0; }
 
 std::size_t ValueLog::filesUsed() const {
   std::size_t used = 0;
@@ -55,7 +55,7 @@
   std::vector<std::size_t> files;
   std::size_t deadBytes = 0;
   for (std::size_t file = 0; file < liveBytes.size(); ++file) {
-    if (file == file_ || liveBytes[file] == 0) continue;
+    if (file == writer_.file() || liveBytes[file] == 0) continue;
     deadBytes += fileBytes - std::min(fileBytes, liveBytes[file]);
     if (liveBytes[file] * 4 <= fileBytes * kLiveQuarters) files.push_back(file);
   }
@@ -95,27 +95,15 @@
       if (place.sequence != 0) ++placesIn_[place.file];
 }
 
-void ValueLog::takeFile(std::size_t file) {
-  file_ = file;
-  offset_ = 0;
-  lastSum_ = 0;
-  // The old first header goes, so that a scan never takes old records for new ones.
-  disk_.write(file_, 0, Bytes(kRecordHeaderBytes, '\0'));
-}
-
 ValueLog::Step ValueLog::writeNext(std::uint64_t synced) {
   const SharedBytes value = pending_.back();
-  const std::size_t length = recordBytes(value);
-  if (length > disk_.fileBytes()) return Step::kTooLong;
-  if (file_ == kNoFile || offset_ + length > disk_.fileBytes()) return Step::kNeedsFile;
+  if (recordBytes(value) > disk_.fileBytes()) return Step::kTooLong;
+  if (!writer_.fits(value.size())) return Step::kNeedsFile;
   pending_.pop_back();
   const std::uint64_t sequence = nextSequence_++;
-  Bytes record = encodeRecord(RecordKind::kValue, sequence, synced, lastSum_, value.get());
-  lastSum_ = getNumber<std::uint32_t>(record, kRecordHeaderBytes - 4);
-  disk_.write(file_, offset_, std::move(record));
-  offset_ += length;
-  begun_[value.identity()] = Place{value, sequence, file_};
-  ++placesIn_[file_];
+  writer_.write(RecordKind::kValue, sequence, synced, value.get());
+  begun_[value.identity()] = Place{value, sequence, writer_.file()};
+  ++placesIn_[writer_.file()];
   return Step::kWritten;
 }
 
@@ -131,7 +119,7 @@
   order_.clear();
   countFiles();
   // An empty one that was never filled is the log's again.
-  if (durable_.empty()) file_ = kNoFile;
+  if (durable_.empty()) writer_.goOn(kNoFile, 0, 0);
 }
 
 // Files are filled one after the other, so what a file holds lies between its first sequence and the next one's; only
@@ -163,9 +151,7 @@
     if (!newest || scan.records.empty()) continue;
     nextSequence_ = scan.records.back().sequence + 1;
     if (!isNamed) continue;  // all of it is dead
-    file_ = found[i].file;
-    offset_ = scan.end;
-    lastSum_ = scan.sum;
+    writer_.goOn(found[i].file, scan.end, scan.sum);
   }
   for (const std::uint64_t sequence : named) {
     auto place = places.find(sequence);
--- a/src/write_ahead_log/value_log.h
+++ b/src/write_ahead_log/value_log.h
@@ -5,7 +5,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include "runtime/shared_bytes.h"
-#include "write_ahead_log/record.h"
+#include "write_ahead_log/record_writer.h"
 
 namespace stonemount {
 
@@ -18,7 +18,7 @@
   bool uses(std::size_t file) const;
   std::size_t filesUsed() const;
   // Left in the file that is being filled.
-  std::size_t roomInFile() const { return file_ == kNoFile ? 0 : disk_.fileBytes() - offset_; }
+  std::size_t roomInFile() const { return writer_.file() == kNoFile ? 0 : disk_.fileBytes() - writer_.offset(); }
   // Of those that the newest durable checkpoint names.
   std::vector<SharedBytes> values() const;
 
@@ -30,7 +30,7 @@
   // Writes the next value. `synced`: the log's newest sequence that is durable.
   Step writeNext(std::uint64_t synced);
   std::size_t nextBytes() const { return pending_.back().size(); }
-  void takeFile(std::size_t file);
+  void takeFile(std::size_t file) { writer_.take(file); }
   // The sequences of the checkpoint's values, in its order; all are written.
   Bytes table() const;
   // The checkpoint that was begun is durable.
@@ -55,7 +55,7 @@
     std::size_t file = 0;
   };
   using Places = absl::flat_hash_map<const Bytes*, Place>;
-  static constexpr std::size_t kNoFile = SIZE_MAX;
+  static constexpr std::size_t kNoFile = RecordWriter::kNoFile;
   std::vector<bool> filesToEmpty(const std::vector<SharedBytes>& values, std::size_t freeFiles) const;
   void countFiles();
   Disk& disk_;
@@ -64,9 +64,7 @@
   std::vector<std::uint32_t> placesIn_;  // of both, by file
   std::vector<SharedBytes> order_;       // of the one that is being written
   std::vector<SharedBytes> pending_;     // to be written, the last first
-  std::size_t file_ = kNoFile;           // that is written to
-  std::size_t offset_ = 0;
-  std::uint32_t lastSum_ = 0;  // checksum of the record before, in this file
+  RecordWriter writer_;
   std::uint64_t nextSequence_ = 1;
 };
 
--- a/src/write_ahead_log/write_ahead_log.cc
+++ b/src/write_ahead_log/write_ahead_log.cc
@@ -5,20 +5,21 @@
 namespace stonemount {
 
 namespace {
-constexpr std::size_t kHeaderBytes = kRecordHeaderBytes;
 constexpr std::size_t kPartBytes = 64 * 1024;
 constexpr Us kRetryUs = 100 * kMilliUs;  // after a sync that failed
 }  // namespace
 
 WriteAheadLog::WriteAheadLog(Disk& disk, Timers& timers, Clock& clock)
-    : disk_(disk), timers_(timers), clock_(clock), values_(disk), spans_(disk.fileCount()) {}
+    : disk_(disk), timers_(timers), clock_(clock), values_(disk), spans_(disk.fileCount()), writer_(disk) {
+  writer_.goOn(0, 0, 0);
+}
 
 void WriteAheadLog::wipe() {
   for (std::size_t i = 0; i < disk_.fileCount(); ++i) disk_.write(i, 0, Bytes(disk_.fileBytes(), '\0'));
   spans_.assign(disk_.fileCount(), FileSpan());
-  file_ = offset_ = 0;
+  writer_.goOn(0, 0, 0);
   keepFrom_ = nextSequence_ = 1;
-  synced_ = lastSum_ = 0;
+  synced_ = 0;
   checkpointOpen_ = false;
   values_.wipe();
 }
@@ -30,13 +31,13 @@
 
 std::optional<std::size_t> WriteAheadLog::nextFreeFile() const {
   for (std::size_t step = 1; step < spans_.size(); ++step)
-    if (const std::size_t file = (file_ + step) % spans_.size(); freeFile(file)) return file;
+    if (const std::size_t file = (writer_.file() + step) % spans_.size(); freeFile(file)) return file;
   return std::nullopt;
 }
 
 std::size_t WriteAheadLog::freeFiles() const {
   std::size_t count = 0;
-  for (std::size_t file = 0; file < spans_.size(); ++file) count += file != file_ && freeFile(file) ? 1 : 0;
+  for (std::size_t file = 0; file < spans_.size(); ++file) count += file != writer_.file() && freeFile(file) ? 1 : 0;
   return count;
 }
 
@@ -50,12 +51,8 @@
 std::variant<Done, RingFull> WriteAheadLog::turnFile() {
   const std::optional<std::size_t> next = nextFreeFile();
   if (!next) return RingFull{};
-  file_ = *next;
-  offset_ = 0;
-  lastSum_ = 0;
-  spans_[file_] = FileSpan();
-  // The old first header goes, so that a scan never takes old records for new ones.
-  disk_.write(file_, 0, Bytes(kHeaderBytes, '\0'));
+  spans_[*next] = FileSpan();
+  writer_.take(*next);
   return Done{};
 }
 
@@ -76,24 +73,21 @@
 }
 
 AppendResult WriteAheadLog::appendOne(RecordKind kind, const Bytes& body) {
-  const std::size_t length = kHeaderBytes + body.size();
-  if (length > disk_.fileBytes()) return RecordTooLong{};
-  if (offset_ + length > disk_.fileBytes()) {
+  if (kRecordHeaderBytes + body.size() > disk_.fileBytes()) return RecordTooLong{};
+  if (!writer_.fits(body.size())) {
     auto turned = turnFile();
     if (std::holds_alternative<RingFull>(turned)) return RingFull{};
   }
   const std::uint64_t sequence = nextSequence_++;
-  Bytes record = encodeRecord(kind, sequence, synced_, lastSum_, body);
-  lastSum_ = getNumber<std::uint32_t>(record, kHeaderBytes - 4);
-  disk_.write(file_, offset_, std::move(record));
-  offset_ += length;
+  const std::size_t length = writer_.write(kind, sequence, synced_, body);
   // Its own parts are not what came since it: counted, they would ask for the next one at once, for ever,
   // where the state is above an eighth of the ring, and refuse all commands at a sixth.
   const bool part = kind == RecordKind::kCheckpointPart || kind == RecordKind::kCheckpointEnd;
   sinceCheckpoint_ += part ? 0 : length;
   lastKind_ = kind;
-  if (spans_[file_].first == 0) spans_[file_].first = sequence;
-  spans_[file_].last = sequence;
+  FileSpan& span = spans_[writer_.file()];
+  if (span.first == 0) span.first = sequence;
+  span.last = sequence;
   return sequence;
 }
 
--- a/src/write_ahead_log/write_ahead_log.h
+++ b/src/write_ahead_log/write_ahead_log.h
@@ -90,9 +90,7 @@
   Clock& clock_;
   ValueLog values_;
   std::vector<FileSpan> spans_;  // of the log
-  std::size_t file_ = 0;
-  std::size_t offset_ = 0;
-  std::uint32_t lastSum_ = 0;  // checksum of the record before, in this file
+  RecordWriter writer_;          // of the log
   std::uint64_t nextSequence_ = 1;
   std::uint64_t synced_ = 0;  // the newest sequence that is
   RecordKind lastKind_ = RecordKind::kMark;
