--- a/tests/cold_workers_rig.h
+++ b/tests/cold_workers_rig.h
@@ -120,7 +120,7 @@
   std::vector<Worker> workers_;
   std::vector<std::unique_ptr<ColdNode>> nodes_;
   ControlMachine control_;
-  FollowerCount tail_;  // of the control chain
+  FollowerCount tail_;                                      // of the control chain
   std::map<Address, std::pair<std::string, Us>> coldTold_;  // what the lister last saw: life, what was left
   Us controlDownUntilUs_ = 0;                               // nobody hears it, and nothing is decided
   Us splitUntilUs_ = 0;                                     // halves of the nodes that do not hear each other
