--- a/src/proxy/connection_shares.cc
+++ b/src/proxy/connection_shares.cc
@@ -5,7 +5,10 @@
 namespace stonemount {
 
 namespace {
-constexpr std::size_t kMostSeen = 64;  // nodes that a view of peers holds (design.md 4)
+constexpr std::size_t kMostSeen = 64;   // nodes that a view of peers holds (design.md 4)
+constexpr std::size_t kSupposed = 512;  // where that is full
+// Of what is used, where each node draws by itself whether it is an owner: room for an uneven draw.
+constexpr std::size_t kDrawnPercent = 66;
 
 // How many of the numbers below `end` fall to that place when they are dealt out in turn.
 std::size_t dealtBelow(std::size_t end, const FleetPlace& place) {
@@ -28,15 +31,15 @@
   return dealtBelow((index + 1) * used, place) - dealtBelow(index * used, place);
 }
 
-// Without a place: as many owners as there are connections, on average, in an order of each worker's own. A newcomer to
-// a fleet of which it can see a part only owns nothing until control has told it its place.
+// Without a place, where control has not been heard since the start: owners are drawn, in an order of each worker's
+// own.
 std::size_t ConnectionShares::estimate(const Address& worker, std::size_t used, std::size_t nodes) const {
-  if (nodes >= kMostSeen) return 0;
+  if (nodes >= kMostSeen) nodes = std::max(nodes, kSupposed);
   if (used >= nodes) return used / nodes;
   const std::uint64_t name = static_cast<std::uint64_t>(worker.ip) << 16 | worker.port;
   const std::uint64_t hash =
       spread(std::string_view(reinterpret_cast<const char*>(&self_.ip), sizeof(self_.ip)), name + self_.port);
-  return hash % nodes < used ? 1 : 0;
+  return hash % nodes < used * kDrawnPercent / 100 ? 1 : 0;
 }
 
 }  // namespace stonemount
--- a/src/proxy/pool_load_table.cc
+++ b/src/proxy/pool_load_table.cc
@@ -35,11 +35,11 @@
     }
     if (listed.changed != worker.listed.changed && listed.coldLeftUs > 0) noteListedCold(worker, listed);
     worker.listed = listed;
-    worker.index = pools_[listed.pool].size();
     pools_[listed.pool].push_back(address);
   }
   listedBefore_ |= !workers_.empty();
   noteEvacuations();
+  numberWorkers();
   giveUpChannels();
   roomMade.emit();
 }
--- a/src/proxy/pool_load_table.h
+++ b/src/proxy/pool_load_table.h
@@ -19,7 +19,7 @@
 
 struct PoolWorker {
   ListedWorker listed;
-  std::size_t index = 0;             // in its pool's list
+  std::size_t index = 0;             // among the workers of its pool that may get anything, by control's word
   std::uint32_t live = 0, lots = 0;  // of this node, in flight
   WorkerLoad told;                   // by its newest answer to this node
   Us toldUs = -1;
@@ -95,6 +95,7 @@
   std::uint32_t use(const PoolWorker& worker) const;  // of its slots, by all, as far as is known
   const PoolWorker* pickFrom(const Pick& pick, std::uint64_t spot) const;
   std::optional<std::size_t> mostChannels(const PoolWorker& worker) const;
+  void numberWorkers();
   void giveUpChannels();
   bool mayProbe(const PoolWorker& worker) const;
   void noteEvacuations();
--- a/src/proxy/pool_warmth.cc
+++ b/src/proxy/pool_warmth.cc
@@ -55,6 +55,19 @@
   roomMade.emit();
 }
 
+// Those that leave, or whose zone is evacuated, get nothing: the nodes that own connections to them get others instead.
+void PoolLoadTable::numberWorkers() {
+  for (const auto& [pool, addresses] : pools_) {
+    std::size_t next = 0;
+    for (const Address& address : addresses) {
+      PoolWorker& worker = workers_.at(address);
+      const bool serves = !worker.listed.leaving && !control_.evacuated(worker.listed.zone);
+      worker.index = next;
+      next += serves ? 1 : 0;
+    }
+  }
+}
+
 // Idle connections to workers that are other nodes' now.
 void PoolLoadTable::giveUpChannels() {
   for (const auto& [address, worker] : workers_)
