--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -87,6 +87,17 @@
   proxy_.enter(*chosenRoute, ask, prompt, reply);
 }
 
+// Requests that are passed through, and this node's share of what all nodes may have at workers.
+void Node::showPassed(JsonOut& out) const {
+  const GatewayCounts& passed = gateway_->counts();
+  out.field("passTaken", passed.taken).field("passWhole", passed.whole).field("passRefused", passed.refused);
+  out.field("passLapsed", passed.lapsed).field("passBroken", passed.broken).field("passLeft", passed.left);
+  out.field("passRetried", passed.retried).field("passResumed", passed.resumed);
+  out.field("passHolding", gateway_->holding()).field("passRelaying", gateway_->relaying());
+  const FleetPlace& place = pools_->place();
+  out.field("fleetPlace", place.place).field("fleetPlaces", place.places);
+}
+
 void Node::showMetrics(ReplyPtr reply) {
   const ProxyCounts& live = proxy_.counts();
   const SchedulerCounts& lots = scheduler_.counts();
@@ -103,6 +114,7 @@
     out.field("probes", probes.sent).field("probesWarm", probes.warm).field("probesCold", probes.cold);
     out.field("probesUnanswered", probes.unanswered);
   }
+  if (gateway_ != nullptr) showPassed(out);
   out.field("frames", rpc_.sentFrames).field("frameBytes", rpc_.sentBytes).field("controlAsks", configCache_.asks);
   out.field("config", configCache_.state().configRevision());
   out.field("controlRevision", configCache_.state().revision()).closeObject();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -76,6 +76,7 @@
   Task showStore(ReplyPtr reply);
   Task doctor(ReplyPtr reply);
   void showMetrics(ReplyPtr reply);
+  void showPassed(JsonOut& out) const;
 
   Job<ChainAnswer> askCore(ControlQuery query);
   Job<std::optional<ControlVerdict>> commandCore(ControlCommand command, ReplyPtr reply);
--- a/src/proxy/pool_load_table.h
+++ b/src/proxy/pool_load_table.h
@@ -53,6 +53,7 @@
   const ColdAllowance& cold() const { return cold_; }
   // Of this node among all, as control told it.
   void setPlace(const FleetPlace& place);
+  const FleetPlace& place() const { return shares_.place(); }
   // Connections that this node may hold to that worker, idle ones too; nothing where its pool names no bound.
   std::optional<std::size_t> mostChannels(const Address& worker) const;
   // The platform itself told this node which workers leave, and how long others are still cold.
--- a/src/replication/incoming_room.h
+++ b/src/replication/incoming_room.h
@@ -37,6 +37,7 @@
     }
   }
   std::size_t bytes() const { return bytes_; }
+  std::size_t windowBytes() const { return window_.bytes(); }
 
  private:
   struct Promise {
--- a/src/replication/relay.cc
+++ b/src/replication/relay.cc
@@ -163,6 +163,10 @@
   tooFarBehind_ = successor;
 }
 
+ReplicaWindows Replica::windows() const {
+  return {commitWindow_.bytes(), incomingRoom_.windowBytes(), appendWindow_.bytes()};
+}
+
 // The link to the successor, by an attempt that carried entries.
 void Replica::noteAppend(std::size_t bytes, Us sentUs, bool answered) {
   if (bytes == 0) return;
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -52,6 +52,7 @@
   // What the chain can lose now, as far as this replica hears its members.
   LossMargin lossMargin() const;
   const ReplicaCounts& counts() const { return counts_; }
+  ReplicaWindows windows() const;
   const absl::btree_map<Address, PeerSight>& peers() const { return peers_; }
   const WriteAheadLog& wal() const { return wal_; }
   sigc::signal<void()> viewMoved;
@@ -64,7 +65,7 @@
     Bytes query;
     Us untilUs = 0;
   };
-  // member.cc, found.cc: life, disk, view
+  // replica.cc, replica_persistence.cc, bootstrap.cc: life, disk, view
   Task open();
   Task bootstrap();
   void changeState(ReplicaState next);
@@ -125,7 +126,7 @@
   Task answerDurably(Asked asked, VoterReply verdict);
   bool votes(Revision revision) const;
   bool holds() const;
-  // mender.cc: detection and proposals
+  // peer_liveness.cc, reconfigurer.cc, propose.cc: detection and proposals
   Task ping(Address peer);
   Task pingOnce(Address peer, Us limitUs);
   Task fetchView(Address peer);
@@ -148,7 +149,6 @@
   Us voterSyncUs() const;
   void onChangeVoters(const Asked& asked);
   Task changeVoters(Asked asked);
-  // propose.cc
   Job<ChangeOutcome> propose(View target);
   Job<bool> fenceChain(View& target);
   Job<bool> fenceHolder(View& target);
--- a/src/replication/replica_plan.h
+++ b/src/replication/replica_plan.h
@@ -31,6 +31,11 @@
 // Of one Append, from sending it to the successor's answer. Half a second without one ends the attempt.
 constexpr CongestionWindow::Limits kAppendWindow{32 << 10, 128 << 10, 128 << 10, 150 * kMilliUs};
 
+// Bytes that its congestion windows allow now.
+struct ReplicaWindows {
+  std::size_t commit = 0, incoming = 0, append = 0;
+};
+
 struct ReplicaCounts {
   std::uint64_t applied = 0, viewChanges = 0, ballots = 0, refusedOld = 0, reads = 0, confirms = 0;
   std::uint64_t leftBehind = 0, snapshots = 0, restartedNarrow = 0;
--- a/src/replication/replica_status.cc
+++ b/src/replication/replica_status.cc
@@ -24,6 +24,9 @@
   out.field("confirms", counts.confirms).field("ballots", counts.ballots).field("viewChanges", counts.viewChanges);
   out.field("refusedOld", counts.refusedOld).field("syncs", member.wal().syncs);
   out.field("ringFull", counts.ringFull).field("backlogFull", counts.backlogFull).field("repeats", counts.repeats);
+  const ReplicaWindows windows = member.windows();
+  out.field("commitWindow", windows.commit).field("incomingWindow", windows.incoming);
+  out.field("appendWindow", windows.append);
   out.field("failedSyncs", member.wal().failedSyncs).field("stalledUs", member.wal().stalledUs());
   const LossMargin margin = member.lossMargin();
   out.field("bearsMachines", margin.machines).field("bearsZone", margin.anyZone);
