--- a/src/adapters/http_channels.cc
+++ b/src/adapters/http_channels.cc
@@ -118,7 +118,7 @@
       return channel;
     }
   }
-  if (most != 0 && of.open > most && !of.kept.empty()) of.kept.erase(of.kept.begin());  // it makes room
+  while (most != 0 && of.open > most && !of.kept.empty()) of.kept.erase(of.kept.begin());  // they make room
   if (most != 0 && of.open > most) {
     left(server);
     return nullptr;
--- a/src/adapters/http_out.cc
+++ b/src/adapters/http_out.cc
@@ -164,7 +164,9 @@
     if (request == nullptr || !self.headSeen_ || !self.framed_) return self.broken();
     self.drain(request);
     self.put(HttpEnd{});
-    if (self.idleUs_ > 0 && !self.channel_->surplus()) self.channels_.keep(std::move(self.channel_), self.idleUs_);
+    const Us mostUs = self.via_.mostIdleUs;
+    const Us idleUs = mostUs > 0 ? std::min(self.idleUs_, mostUs) : self.idleUs_;
+    if (idleUs > 0 && !self.channel_->surplus()) self.channels_.keep(std::move(self.channel_), idleUs);
   }
   Loop& loop_;
   HttpChannels& channels_;
--- a/src/stonemount.h
+++ b/src/stonemount.h
@@ -181,6 +181,7 @@
   bool keep = false;     // may ride on a kept channel, and leaves its own behind
   bool fresh = false;    // must not ride on one that was used before
   std::size_t most = 0;  // channels to that server, kept ones too; 0: as the port is set
+  Us mostIdleUs = 0;     // a kept channel waits no longer for its next request; 0: as long as the server allows
   std::string echoName;  // the answer must repeat this header with this value, or it is another request's
   std::string echoValue;
 };
--- a/tests/http_out_test.cc
+++ b/tests/http_out_test.cc
@@ -177,6 +177,27 @@
   UNTIL(rig.loop, fourth.over() && rig.end(2).gone);
   EXPECT(fourth.ended && rig.kept() == 0);
 }
+// A bound that has become smaller closes as many kept ones as it takes, and an idle one goes at its time.
+void shrinks() {
+  OutRig rig;
+  Gathered first(rig.open("1")), second(rig.open("2")), third(rig.open("3"));
+  UNTIL(rig.loop, rig.server.ends.size() == 3);
+  for (std::size_t end = 0; end < 3; ++end) {
+    UNTIL(rig.loop, rig.end(end).has("body-"));
+    rig.end(end).say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  }
+  UNTIL(rig.loop, rig.kept() == 3);
+  HttpVia via = rig.via();
+  via.fresh = true;
+  via.most = 1;
+  via.mostIdleUs = 100 * kMilliUs;
+  Gathered fourth(rig.out.open(rig.server.address, rig.ask("4"), via));
+  EXPECT(rig.kept() == 0 && rig.out.channels(rig.server.address) == 1);
+  UNTIL(rig.loop, rig.server.ends.size() == 4 && rig.end(3).has("body-4"));
+  rig.end(3).say("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 0\r\n\r\n");
+  UNTIL(rig.loop, fourth.over() && rig.kept() == 1);
+  UNTIL(rig.loop, rig.kept() == 0 && rig.end(3).gone);
+}
 // A request that is given up is taken back: what its server has not confirmed by then must not reach it later.
 void givenUpIsTakenBack() {
   OutRig rig;
@@ -204,5 +225,6 @@
   nameRidesOnce();
   givenUpIsTakenBack();
   bounds();
+  shrinks();
   return closingLine();
 }
