Soak's judge: a confirmation behind other words counts, an unknown mark fails

The program read a change's answer as JSON from its first sign, so one behind a warning was passed over, where the shell that it replaced looked for "taken" anywhere; and a mark that no check knows passed. Both were looser than before. Tests and scripts only.

--- a/tests/soak/read_run.cc
+++ b/tests/soak/read_run.cc
@@ -140,13 +140,19 @@
       if (auto given = words(path, line, 3, {0, 2}))
         run_.memory.push_back({number((*given)[0]), (*given)[1], number((*given)[2])});
   }
-  // A line: the change's file, and the answer of the command line, which is JSON or says what is wrong.
+  // A line: the change's file, and all that the command line said, with its JSON answer last if there was one.
   void readChanges() {
-    for (const std::string& line : lines(folder_ / "config")) {
+    const fs::path config = folder_ / "config";
+    for (const std::string& line : lines(config)) {
       const std::pair<std::string, std::string> given = absl::StrSplit(line, absl::MaxSplits(' ', 1));
-      JsonVerdict answer = parseJson(given.second);
+      const std::size_t begin = std::min(given.second.find('{'), given.second.size());
+      JsonVerdict answer = parseJson(given.second.substr(begin));
       auto* document = std::get_if<JsonDocument>(&answer);
-      if (document == nullptr) continue;  // no clear answer: nothing was confirmed
+      if (document == nullptr) {
+        // What may be a confirmation must not be passed over; else there was no clear answer.
+        if (given.second.find("\"taken\"") != std::string::npos) refuse(config, line);
+        continue;
+      }
       const fs::path path = folder_ / given.first;
       auto change = json(path, text(path).value_or(""));
       const std::string note = change ? jsonString(*change, "note") : "";
--- a/tests/soak_judge_test.sh
+++ b/tests/soak_judge_test.sh
@@ -93,6 +93,13 @@
 told_history='{"history":[{"config":1,"note":"first routes","changes":[]}]}'
 expect fails "a confirmed change that is gone" confirmed_changes_stand
 sound
+echo 'change-1-a warning: slow {"verdict":"taken","config":2}' >"$dir/config"
+expect passes "a confirmed change that is told behind other words" confirmed_changes_stand
+told_history='{"history":[{"config":1,"note":"first routes","changes":[]}]}'
+expect fails "one that is told so and is gone" confirmed_changes_stand
+echo 'change-1-a {"verdict":"taken","config":2' >"$dir/config"
+expect fails "a confirmed answer that is cut off" recorded readable
+sound
 echo 'change-1-b {"verdict":"taken","config":2}' >>"$dir/config"
 expect fails "two changes under one number" confirmed_changes_stand
 sound
@@ -110,5 +117,7 @@
   echo "2000000 $mark store" >>"$dir/troubles"
   expect fails "$mark" not_in_troubles "$mark"
 done
+echo "2000000 NOT_HEARD_OF store" >>"$dir/troubles"
+expect fails "a mark that no check knows" not_in_troubles NOT_HEARD_OF
 echo "$good passed, $bad failed"
 [ "$bad" -eq 0 ]
