Tests: scratch folders below the directory they run in, a failure is told

Change: ScratchFolder makes its folder where the test runs, which the build has written to, and says why it can't. No expectation changed.

--- a/tests/disk_file_test.cc
+++ b/tests/disk_file_test.cc
@@ -10,6 +10,7 @@
 #include <filesystem>
 
 #include "expect.h"
+#include "scratch_folder.h"
 #include "write_ahead_log/write_ahead_log.h"
 
 namespace {
@@ -64,14 +65,10 @@
 constexpr std::size_t kFiles = 4, kBytes = 64 << 10;
 
 struct Folder {
-  Folder() {
-    char name[] = "/tmp/stonemount-disk-XXXXXX";
-    parent = mkdtemp(name);
-    path = parent + "/data";
-  }
-  ~Folder() { std::filesystem::remove_all(parent); }
   std::string ring(std::size_t i) const { return path + "/ring-" + std::to_string(i); }
-  std::string parent, path;
+  ScratchFolder scratch;
+  std::string parent = scratch.path();
+  std::string path = parent + "/data";
 };
 
 class Told : public SyncDone {
--- a/tests/disk_thread_test.cc
+++ b/tests/disk_thread_test.cc
@@ -2,10 +2,9 @@
 // way belong to the next one, and a disk may be closed at any moment. Built under the thread sanitizer, since on a
 // machine with several cores the two threads may take turns at any point (docs/platform.md, "On the machines").
 #include <cstdio>
-#include <cstdlib>
-#include <filesystem>
 
 #include "adapters/disk_file.h"
+#include "scratch_folder.h"
 
 using namespace stonemount;
 
@@ -25,15 +24,6 @@
   Loop& loop;
 };
 
-struct Folder {
-  Folder() {
-    char name[] = "/tmp/stonemount-disk-XXXXXX";
-    path = mkdtemp(name);
-  }
-  ~Folder() { std::filesystem::remove_all(path); }
-  std::string path;
-};
-
 using Model = std::vector<Bytes>;
 
 void writeSome(DiskFile& disk, Model& model, Chance& chance) {
@@ -53,12 +43,12 @@
 }
 
 void keepsWhatWasSynced(std::uint64_t seed) {
-  Folder folder;
+  const ScratchFolder folder;
   Chance chance(seed);
   Model model(kFiles, Bytes(kBytes, '\0'));
   {
     Loop loop;
-    DiskFile disk(loop, folder.path, kFiles, kBytes);
+    DiskFile disk(loop, folder.path(), kFiles, kBytes);
     expect(disk.open(), "a new folder opens");
     for (int round = 0; round < 40; ++round) {
       for (std::uint64_t count = chance.below(6); count > 0; --count) writeSome(disk, model, chance);
@@ -75,18 +65,18 @@
     loop.run();
   }
   Loop loop;
-  DiskFile again(loop, folder.path, kFiles, kBytes);
+  DiskFile again(loop, folder.path(), kFiles, kBytes);
   expect(again.open() && holds(again, model), "and it is there when the disk is opened again");
 }
 
 void closesAtAnyMoment(std::uint64_t seed) {
-  Folder folder;
+  const ScratchFolder folder;
   Chance chance(seed);
   Model model(kFiles, Bytes(kBytes, '\0'));
   for (int round = 0; round < 12; ++round) {
     Loop loop;
     Stopper done(loop);
-    DiskFile disk(loop, folder.path, kFiles, kBytes);
+    DiskFile disk(loop, folder.path(), kFiles, kBytes);
     expect(disk.open(), "a folder opens after a close in the middle");
     for (int count = 0; count < 8; ++count) writeSome(disk, model, chance);
     disk.sync(done);
--- a/tests/settings_watch_test.cc
+++ b/tests/settings_watch_test.cc
@@ -3,14 +3,13 @@
 #include "cli/settings_watch.h"
 
 #include <absl/strings/str_cat.h>
-#include <unistd.h>
 
 #include <csignal>
 #include <cstdio>
-#include <cstdlib>
 #include <fstream>
 
 #include "platform/settings.h"
+#include "scratch_folder.h"
 
 using namespace stonemount;
 
@@ -30,16 +29,12 @@
 
 struct Watched {
   Watched() {
-    char name[] = "/tmp/stonemount-settings-XXXXXX";
-    close(mkstemp(name));
-    path = name;
     write({"10.0.0.1:8146"});
     watch.emplace(
         loop, path, [](const std::string& text) { return platform::readBootFile(text, SettingsFor::kNode); },
         std::vector<Address>{seed("10.0.0.1")});
     watch->seedsChanged.connect(sigc::mem_fun(*this, &Watched::note));
   }
-  ~Watched() { std::remove(path.c_str()); }
   static Address seed(const char* ip) { return std::get<Address>(parseAddress(absl::StrCat(ip, ":7660"))); }
   void note(const std::vector<Address>& given) {
     ++times;
@@ -58,7 +53,8 @@
     loop.disarm(stop);
   }
   Loop loop;
-  std::string path;
+  ScratchFolder folder;
+  std::string path = folder.path() + "/settings.json";
   std::optional<SettingsWatch> watch;
   int times = 0;
   std::vector<Address> seeds;
