Replication: a removal waits until the rest of the chain spans two zones

Change: viewWithoutRemoved judges the chain that would remain; until it spans two zones all else is mended. PeerSight has a header of its own, and an unreadable pong makes no entry any more (pingOnce).

--- a/src/replication/peer_liveness.cc
+++ b/src/replication/peer_liveness.cc
@@ -29,22 +29,23 @@
     // Just started, or woken, it is in a hurry to hear of everyone: a question that met a closed port is soon put
     // again.
     const bool hurries = ports_.clock.monoUs() < blindUntilUs_ && !heardLately(peer);
-    room_.start(pingOnce(peer, plan_.pingLimitUs));
+    room_.start(pingOnce(peer));
     // Who holds no seat is looked at now and then: it costs each of us as much as a member would.
     Pause pause(ports_.timers, hurries ? plan_.pingUs / 4 : close(peer) ? plan_.pingUs : plan_.farPingUs);
     co_await pause;
   }
 }
 
-Task Replica::pingOnce(Address peer, Us limitUs) {
+Task Replica::pingOnce(Address peer) {
   const Us askedUs = ports_.clock.monoUs();
-  Call call(rpc_, peer, Ping::kKind, pack(Ping{memory_.view.revision, memory_.incarnation}), limitUs);
+  Call call(rpc_, peer, Ping::kKind, pack(Ping{memory_.view.revision, memory_.incarnation}), plan_.pingLimitUs);
   auto raw = co_await call;
   if (std::holds_alternative<PeerSilent>(raw)) co_return;
   auto read = unpack<Pong>(std::get<Bytes>(raw));
   auto* pong = std::get_if<Pong>(&read);
+  if (pong == nullptr) co_return;
   PeerSight& sight = peers_[peer];
-  if (pong == nullptr || askedUs < sight.askedUs) co_return;
+  if (askedUs < sight.askedUs) co_return;
   const Us nowUs = ports_.clock.monoUs();
   sight.heardUs = nowUs;
   sight.askedUs = askedUs;
--- a/src/replication/reconfigurer.cc
+++ b/src/replication/reconfigurer.cc
@@ -70,34 +70,35 @@
   wanted.chain = !healthy.empty() && spansZones(healthy) ? healthy : alive;
   if (wanted.chain.empty()) return viewFromHolder();
   needed |= wanted.chain.size() != now.chain.size();
-  // A replacement waits until the new machine is caughtUp; all else is mended meanwhile.
-  const bool waits =
-      request_ && request_->add.set() && findMember(now, request_->add) == nullptr && !ready(request_->add);
-  const bool removing = request_ && findMember(now, request_->remove) != nullptr && !waits;
-  if (removing) {
-    std::erase_if(wanted.chain, SeatAt{request_->remove});
-    std::erase_if(wanted.voters, SeatAt{request_->remove});
-    std::erase_if(wanted.nonVoters, SeatAt{request_->remove});
-    if (wanted.chain.empty()) return std::nullopt;
-  }
-  const bool added = addReadyPeer(wanted);
-  if (request_ && request_->add.set() && findMember(wanted, request_->add) == nullptr) {
-    if (removing) return std::nullopt;
-  } else if (removing) {
-    needed = true;
-    for (const Seat& nonVoter : std::exchange(wanted.nonVoters, {})) {  // one may have a vote now
-      if (ableSeat(nonVoter))
-        giveSeat(wanted, nonVoter);
-      else
-        wanted.nonVoters.push_back(nonVoter);
-    }
-  }
-  needed |= added;
+  if (std::optional<View> without = viewWithoutRemoved(wanted)) return without;
+  needed |= addReadyPeer(wanted);
   needed |= promoteNonVoters(wanted);
   if (!needed) return std::nullopt;
   return wanted;
 }
 
+// The wanted view without the member that an operator's request removes. A replacement waits until the new machine is
+// caught up, and every removal until the chain without that member spans two zones: the next loss would else leave
+// nobody who holds the state and is a member. All else is mended meanwhile.
+std::optional<View> Replica::viewWithoutRemoved(const View& wanted) const {
+  if (!request_ || findMember(memory_.view, request_->remove) == nullptr) return std::nullopt;
+  View without = wanted;
+  std::erase_if(without.chain, SeatAt{request_->remove});
+  std::erase_if(without.voters, SeatAt{request_->remove});
+  std::erase_if(without.nonVoters, SeatAt{request_->remove});
+  addReadyPeer(without);
+  if (request_->add.set() && findMember(without, request_->add) == nullptr) return std::nullopt;
+  if (!spansZones(without.chain)) return std::nullopt;
+  for (const Seat& nonVoter : std::exchange(without.nonVoters, {})) {  // one may have a vote now
+    if (ableSeat(nonVoter))
+      giveSeat(without, nonVoter);
+    else
+      without.nonVoters.push_back(nonVoter);
+  }
+  promoteNonVoters(without);
+  return without;
+}
+
 // Nobody of the chain is left. Where it lay in one zone it acknowledged and showed nothing, and whoever
 // was in the newest chain that did holds all of it (design.md 6.5).
 std::optional<View> Replica::viewFromHolder() const {
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -6,6 +6,7 @@
 #include "replication/incoming_room.h"
 #include "replication/loss_margin.h"
 #include "replication/machine.h"
+#include "replication/peer_sight.h"
 #include "replication/pending_commands.h"
 #include "replication/recent_log.h"
 #include "replication/replica_plan.h"
@@ -18,15 +19,6 @@
 
 constexpr std::size_t kCatchUpPartBytes = 256 << 10;  // of a state or log that is copied, at a time
 
-// What is known of another member from its last pong.
-struct PeerSight {
-  Us heardUs = -1;
-  Us askedUs = -1;  // when the ping was sent that it answered
-  Pong pong;
-  Us clockHeardUs = -1;  // when its wall clock was told by an answer that came promptly
-  Us clockUs = 0;        // what it was then
-};
-
 // The whole state, packed, as it stood after an entry.
 struct StateImage {
   std::shared_ptr<const SavedState> state;  // none: there is none
@@ -128,7 +120,7 @@
   bool holds() const;
   // peer_liveness.cc, reconfigurer.cc, propose.cc: detection and proposals
   Task ping(Address peer);
-  Task pingOnce(Address peer, Us limitUs);
+  Task pingOnce(Address peer);
   Task fetchView(Address peer);
   Task pingAll();
   Task reconfigure();
@@ -140,6 +132,7 @@
   bool ableSeat(const Seat& seat) const;     // alive, and its disk answers
   bool healthySeat(const Seat& seat) const;  // and is not slow
   std::optional<View> wantedView() const;
+  std::optional<View> viewWithoutRemoved(const View& wanted) const;
   std::optional<View> viewFromHolder() const;
   bool addReadyPeer(View& wanted) const;
   bool promoteNonVoters(View& wanted) const;
