Replication: a request for room waits a moment at the head

What is promised to a head stood in a slow link for over 0.7 s (up to 512 KiB), so members counted as silent. Tighter windows held, but a request that met a full window was refused at once, so a window smaller than a lot refuses lots while the chain is idle. Change: such a request waits at the head, oldest first, for up to 0.3 s (room_requests.cc); the incoming window is 32 to 256 KiB, target 150 ms. The head answers also when commands come in or are committed. Four lines that CongestionWindow had twice are one function.

--- a/src/replication/congestion_window.cc
+++ b/src/replication/congestion_window.cc
@@ -21,6 +21,10 @@
 
 void CongestionWindow::lost(Us nowUs) {
   set(bytes_ / 2);
+  beginRound(nowUs);
+}
+
+void CongestionWindow::beginRound(Us nowUs) {
   roundBeganUs_ = nowUs;
   shortestUs_ = -1;
   roundBytes_ = 0;
@@ -35,10 +39,7 @@
     set(static_cast<std::size_t>(static_cast<double>(bytes_) * std::max(ratio, 0.5)));
   else if (limited_)
     set(bytes_ + static_cast<std::size_t>(static_cast<double>(roundBytes_) * (1 - 1 / ratio)));
-  roundBeganUs_ = nowUs;
-  shortestUs_ = -1;
-  roundBytes_ = 0;
-  limited_ = false;
+  beginRound(nowUs);
 }
 
 }  // namespace stonemount
--- a/src/replication/congestion_window.h
+++ b/src/replication/congestion_window.h
@@ -28,6 +28,7 @@
 
  private:
   void adjust(Us nowUs);
+  void beginRound(Us nowUs);
   void set(std::size_t bytes);
   Limits limits_;
   std::size_t bytes_;
--- a/src/replication/incoming_room.h
+++ b/src/replication/incoming_room.h
@@ -1,25 +1,34 @@
-// Bytes of long commands that were promised room and have not come yet (design.md 6.3).
+// Room at a chain's head for long commands: what was promised and has not come, and who waits for a promise
+// (design.md 6.3).
 #pragma once
 
 #include <deque>
 
 #include "replication/congestion_window.h"
+#include "replication/messages.h"
+#include "runtime/rpc_endpoint.h"
 
 namespace stonemount {
 
 // What is promised at a time follows the pace of the head's own link: the window's delay is that from the promise to
-// the command. Kept by the head alone, in memory: a promise that is lost costs its caller one more question. Runs on
-// the loop's thread.
+// the command. One command is always allowed, however long. Kept by the head alone, in memory: a promise that is lost
+// costs its caller one more question. Runs on the loop's thread.
 class IncomingRoom {
  public:
-  static constexpr Us kPromiseUs = kSecondUs;  // what has not come by then comes no more
+  static constexpr Us kPromiseUs = kSecondUs;        // what has not come by then comes no more
+  static constexpr Us kWaitUs = 300 * kMilliUs;      // for a promise; its caller gives up after 0.7 s
+  static constexpr std::size_t kMostWaiting = 1024;  // requests
+
+  // A request that waits until the window opens.
+  struct Waiting {
+    Asked asked;
+    RoomRequest request;
+    Us sinceUs = 0;
+  };
 
   explicit IncomingRoom(const CongestionWindow::Limits& limits) : window_(limits) {}
-  // `backlog`: what was taken and is not committed; with what is under way it stays within `bound`, but for one command
-  // that may be longer.
-  bool promise(const Address& client, std::size_t bytes, std::size_t backlog, std::size_t bound, Us nowUs) {
-    while (!promises_.empty() && nowUs - promises_.front().atUs > kPromiseUs) drop(promises_.begin());
-    if (bytes_ + backlog > 0 && bytes_ + backlog + bytes > bound) return false;
+  // Does the window allow a command that long now? If so it counts as promised to `client`.
+  bool promise(const Address& client, std::size_t bytes, Us nowUs) {
     if (bytes_ > 0 && bytes_ + bytes > window_.bytes()) {
       window_.limited();
       return false;
@@ -36,6 +45,12 @@
       return drop(promise);
     }
   }
+  // Promises that were not used in time.
+  void expire(Us nowUs) {
+    while (!promises_.empty() && nowUs - promises_.front().atUs > kPromiseUs) drop(promises_.begin());
+  }
+  // Oldest first.
+  std::deque<Waiting>& waiting() { return waiting_; }
   std::size_t bytes() const { return bytes_; }
   std::size_t windowBytes() const { return window_.bytes(); }
 
@@ -52,6 +67,7 @@
   CongestionWindow window_;
   std::deque<Promise> promises_;
   std::size_t bytes_ = 0;
+  std::deque<Waiting> waiting_;
 };
 
 }  // namespace stonemount
--- a/src/replication/intake.cc
+++ b/src/replication/intake.cc
@@ -60,31 +60,16 @@
   return true;
 }
 
-void Replica::onRoomRequest(const Asked& asked) {
-  auto message = unpack<RoomRequest>(asked.body);
-  auto* request = std::get_if<RoomRequest>(&message);
-  if (request == nullptr) return;
-  if (std::optional<ChainOutcome> refusal = notHead(request->revision)) return tell(asked, *refusal);
-  if (knows(request->id, asked)) return;
-  ChainOutcome outcome = admission(request->bytes, request->enlarges);
-  if (outcome == ChainOutcome::kDone) {
-    const std::size_t bound = request->enlarges ? commitWindow_.bytes() : kUncommittedBytes;
-    const std::size_t backlog = uncommittedBytes();
-    const bool room = incomingRoom_.promise(asked.peer, request->bytes, backlog, bound, ports_.clock.monoUs());
-    outcome = room ? ChainOutcome::kRoom : ChainOutcome::kBusy;
-    if (!room) {
-      commitWindow_.limited();
-      logBacklogFull(backlog + incomingRoom_.bytes());
-    }
-  }
-  tell(asked, outcome);
-}
-
 void Replica::onSubmit(const Asked& asked) {
   auto message = unpack<Submit>(asked.body);
   if (!std::holds_alternative<Submit>(message)) return;
   Submit& submit = std::get<Submit>(message);
   incomingRoom_.came(asked.peer, submit.command.size(), ports_.clock.monoUs());
+  takeCommand(asked, submit);
+  answerRoomRequests();
+}
+
+void Replica::takeCommand(const Asked& asked, Submit& submit) {
   if (std::optional<ChainOutcome> refusal = notHead(submit.revision)) return tell(asked, *refusal);
   if (knows(submit.id, asked)) return;
   const ChainOutcome outcome = admission(submit.command.size(), machine_.enlarges(submit.command));
@@ -157,6 +142,7 @@
     if (known != verdicts_.end())
       rpc_.reply(repeat.request, ChainReply{ChainOutcome::kDone, memory_.view.revision, known->second});
   }
+  answerRoomRequests();
 }
 
 }  // namespace stonemount
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -78,7 +78,13 @@
   Task takeViewTask(View next);
   // intake.cc: commands at the head
   void onSubmit(const Asked& asked);
+  void takeCommand(const Asked& asked, Submit& submit);
+  // room_requests.cc
   void onRoomRequest(const Asked& asked);
+  void answerRoomRequests();
+  std::optional<ChainOutcome> roomFor(const IncomingRoom::Waiting& waiting);
+  ChainOutcome promiseRoom(const IncomingRoom::Waiting& waiting);
+  Task watchRoomRequests();
   ChainOutcome admission(std::size_t commandBytes, bool enlarges);
   std::optional<ChainOutcome> notHead(Revision revision) const;
   bool knows(const CommandId& id, const Asked& asked);
@@ -207,6 +213,7 @@
   std::vector<Waiting> held_;
   FollowerCount followers_;
   IncomingRoom incomingRoom_{kIncomingWindow};
+  bool roomWatched_ = false;  // watchRoomRequests runs
   CommitWindow commitWindow_{kCommitWindow};
   CongestionWindow appendWindow_{kAppendWindow};  // of the link to the successor
   // peers
--- a/src/replication/replica_plan.h
+++ b/src/replication/replica_plan.h
@@ -26,8 +26,9 @@
 constexpr std::size_t kUncommittedBytes = 4 << 20;
 // From taking a command to its commit, through all members. A client asks again after 0.7 s.
 constexpr CongestionWindow::Limits kCommitWindow{512 << 10, 1 << 20, 1 << 20, 600 * kMilliUs};
-// From the head's word that there is room to the command: the head's own link.
-constexpr CongestionWindow::Limits kIncomingWindow{128 << 10, 512 << 10, 512 << 10, 200 * kMilliUs};
+// From the head's word that there is room to the command: the head's own link. At a tenth of 60 Mbit/s the most stands
+// for 0.35 s, half of a member's silence.
+constexpr CongestionWindow::Limits kIncomingWindow{32 << 10, 128 << 10, 256 << 10, 150 * kMilliUs};
 // Of one Append, from sending it to the successor's answer. Half a second without one ends the attempt.
 constexpr CongestionWindow::Limits kAppendWindow{32 << 10, 128 << 10, 128 << 10, 150 * kMilliUs};
 
