Connections: idle ones are given up early only where they are scarce

Change: ConnectionShare says whether the worker accepts fewer than there are nodes; only there idle ones go early. One function bounds an HttpVia (PoolLoadTable::boundChannels) for requests and health questions; a share of none bounds to one where it was no bound. A pool is looked up once for each candidate; the hash of a worker and a node stands once (address_hash.h).

--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -4,10 +4,6 @@
 
 namespace {
 constexpr std::size_t kFailureBytes = 256 << 10;
-// Where a node has one connection to a worker, they are scarce there. Those of nodes that lose power stay open at the
-// worker until it closes idle ones, and count: so an idle one is given up early.
-constexpr std::size_t kScarceChannels = 1;
-constexpr Us kScarceIdleUs = 500 * kMilliUs;
 
 bool isSeries(const HttpHead& head) {
   auto type = head.headers.find("content-type");
@@ -25,8 +21,7 @@
   life_ = board_.lifeOf(worker);
   dialect_.direct(order.ask, life_, order.limitUs, order.lastEvent);
   HttpVia via = dialect_.via(order.exchange);
-  via.most = board_.mostChannels(worker).value_or(0);
-  if (via.most > 0 && via.most <= kScarceChannels) via.mostIdleUs = kScarceIdleUs;
+  board_.boundChannels(worker, via);
   std::unique_ptr<HttpFlow> flow = ports_.httpOut.open(worker, order.ask, via);
   order.ask = HttpAsk();
   flow->piece.connect(sigc::mem_fun(*this, &Attempt::put));
--- a/src/proxy/cold_allowance.cc
+++ b/src/proxy/cold_allowance.cc
@@ -2,14 +2,9 @@
 
 #include <algorithm>
 
-namespace stonemount {
+#include "runtime/address_hash.h"
 
-namespace {
-std::uint64_t pairHash(const Address& worker, const Address& node) {
-  const std::uint64_t workerName = static_cast<std::uint64_t>(worker.ip) << 16 | worker.port;
-  return spread(std::string_view(reinterpret_cast<const char*>(&node.ip), sizeof(node.ip)), workerName + node.port);
-}
-}  // namespace
+namespace stonemount {
 
 void ColdAllowance::setSharers(std::vector<Address> known, std::size_t count, bool settled) {
   std::erase(known, self_);
@@ -65,9 +60,9 @@
 
 // How many of the nodes come before this one at that worker. Of those that are not known, as many as among the known.
 std::uint64_t ColdAllowance::rankAmongSharers(const Address& worker) const {
-  const std::uint64_t mine = pairHash(worker, self_);
+  const std::uint64_t mine = addressPairHash(worker, self_);
   std::uint64_t before = 0;
-  for (const Address& node : known_) before += pairHash(worker, node) < mine ? 1 : 0;
+  for (const Address& node : known_) before += addressPairHash(worker, node) < mine ? 1 : 0;
   return before * count_ / (known_.size() + 1);
 }
 
--- a/src/proxy/connection_shares.cc
+++ b/src/proxy/connection_shares.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "runtime/address_hash.h"
+
 namespace stonemount {
 
 namespace {
@@ -22,13 +24,14 @@
   return true;
 }
 
-std::size_t ConnectionShares::of(const Address& worker, std::size_t index, std::size_t most, std::size_t nodes) const {
+ConnectionShare ConnectionShares::of(const Address& worker, std::size_t index, std::size_t most,
+                                     std::size_t nodes) const {
   const std::size_t used = std::max<std::size_t>(1, most * kUsedPercent / 100);
-  if (!place_.known()) return estimate(worker, used, std::max<std::size_t>(1, nodes));
+  if (!place_.known()) return {estimate(worker, used, std::max<std::size_t>(1, nodes)), used < nodes};
   FleetPlace place = place_;
   // Where each node has some, all may take less. Where few own a worker, all must deal by the same number: control's.
   if (used >= place.places) place.places = std::max(place.places, static_cast<std::uint32_t>(nodes));
-  return dealtBelow((index + 1) * used, place) - dealtBelow(index * used, place);
+  return {dealtBelow((index + 1) * used, place) - dealtBelow(index * used, place), used < place.places};
 }
 
 // Without a place, where control has not been heard since the start: owners are drawn, in an order of each worker's
@@ -36,10 +39,7 @@
 std::size_t ConnectionShares::estimate(const Address& worker, std::size_t used, std::size_t nodes) const {
   if (nodes >= kMostSeen) nodes = std::max(nodes, kSupposed);
   if (used >= nodes) return used / nodes;
-  const std::uint64_t name = static_cast<std::uint64_t>(worker.ip) << 16 | worker.port;
-  const std::uint64_t hash =
-      spread(std::string_view(reinterpret_cast<const char*>(&self_.ip), sizeof(self_.ip)), name + self_.port);
-  return hash % nodes < used * kDrawnPercent / 100 ? 1 : 0;
+  return addressPairHash(worker, self_) % nodes < used * kDrawnPercent / 100 ? 1 : 0;
 }
 
 }  // namespace stonemount
--- a/src/proxy/connection_shares.h
+++ b/src/proxy/connection_shares.h
@@ -5,6 +5,12 @@
 
 namespace stonemount {
 
+// What one node may hold to one worker.
+struct ConnectionShare {
+  std::size_t connections = 0;
+  bool scarce = false;  // the worker accepts fewer than there are nodes: most nodes own none there
+};
+
 // A worker accepts a number of connections from all nodes together and resets those beyond. What the workers of a pool
 // accept is numbered through, worker after worker, and dealt out in turn to the nodes by their places: the shares of
 // all nodes at a worker add up to what it accepts, and where there are more nodes than connections each worker has a
@@ -22,7 +28,7 @@
   const FleetPlace& place() const { return place_; }
   // `index`: of that worker in its pool's list; `most`: connections that each of its workers accepts; `nodes`: that
   // this node counts, those too that went silent lately (FleetSize): they may be cut off, and hold what they hold.
-  std::size_t of(const Address& worker, std::size_t index, std::size_t most, std::size_t nodes) const;
+  ConnectionShare of(const Address& worker, std::size_t index, std::size_t most, std::size_t nodes) const;
 
  private:
   std::size_t estimate(const Address& worker, std::size_t used, std::size_t nodes) const;
--- a/src/proxy/pool_load_table.h
+++ b/src/proxy/pool_load_table.h
@@ -55,7 +55,8 @@
   void setPlace(const FleetPlace& place);
   const FleetPlace& place() const { return shares_.place(); }
   // Connections that this node may hold to that worker, idle ones too; nothing where its pool names no bound.
-  std::optional<std::size_t> mostChannels(const Address& worker) const;
+  // Bounds the connections to that worker to this node's share.
+  void boundChannels(const Address& worker, HttpVia& via) const;
   // The platform itself told this node which workers leave, and how long others are still cold.
   void heardFromPlatform(const std::vector<ListedWorker>& workers);
   std::optional<Address> choose(const PoolRequest& wish) const;
@@ -95,7 +96,8 @@
   std::uint32_t slots(const PoolWorker& worker) const;
   std::uint32_t use(const PoolWorker& worker) const;  // of its slots, by all, as far as is known
   const PoolWorker* pickFrom(const Pick& pick, std::uint64_t spot) const;
-  std::optional<std::size_t> mostChannels(const PoolWorker& worker) const;
+  std::optional<ConnectionShare> connectionShare(const PoolWorker& worker) const;
+  std::optional<ConnectionShare> connectionShare(const PoolWorker& worker, const Pool& pool) const;
   void numberWorkers();
   void giveUpChannels();
   bool mayProbe(const PoolWorker& worker) const;
--- a/src/proxy/pool_warmth.cc
+++ b/src/proxy/pool_warmth.cc
@@ -6,6 +6,12 @@
 
 namespace stonemount {
 
+namespace {
+// Where connections to a worker are scarce, an idle one is given up early: those of nodes that lost power stay open at
+// the worker until it closes idle ones, and count.
+constexpr Us kScarceIdleUs = 500 * kMilliUs;
+}  // namespace
+
 // Coldness is told as it begins: what a node hears first may have begun long before.
 void PoolLoadTable::noteListedCold(PoolWorker& worker, const ListedWorker& listed) {
   cold_.listedCold(worker.warmth, listed.coldLeftUs);
@@ -33,20 +39,29 @@
 bool PoolLoadTable::bearsMore(const PoolWorker& worker, Warmth warmth, PoolWarmth poolWarmth) const {
   auto pool = control_.pools().find(worker.listed.pool);
   if (pool == control_.pools().end()) return true;
-  const std::optional<std::size_t> channels = mostChannels(worker);
-  if (channels && worker.inFlight() + 1 > *channels) return false;
+  const std::optional<ConnectionShare> share = connectionShare(worker, pool->second);
+  if (share && worker.inFlight() + 1 > share->connections) return false;
   return cold_.allows(worker.warmth, warmth, worker.listed.address, pool->second.warmPerKs, poolWarmth);
 }
 
-std::optional<std::size_t> PoolLoadTable::mostChannels(const PoolWorker& worker) const {
+// None: the pool does not tell how many connections its workers accept.
+std::optional<ConnectionShare> PoolLoadTable::connectionShare(const PoolWorker& worker, const Pool& pool) const {
+  if (pool.mostChannels == 0) return std::nullopt;
+  return shares_.of(worker.listed.address, worker.index, pool.mostChannels, cold_.sharers());
+}
+
+std::optional<ConnectionShare> PoolLoadTable::connectionShare(const PoolWorker& worker) const {
   auto pool = control_.pools().find(worker.listed.pool);
-  if (pool == control_.pools().end() || pool->second.mostChannels == 0) return std::nullopt;
-  return shares_.of(worker.listed.address, worker.index, pool->second.mostChannels, cold_.sharers());
+  return pool == control_.pools().end() ? std::nullopt : connectionShare(worker, pool->second);
 }
 
-std::optional<std::size_t> PoolLoadTable::mostChannels(const Address& address) const {
-  auto found = workers_.find(address);
-  return found == workers_.end() ? std::nullopt : mostChannels(found->second);
+void PoolLoadTable::boundChannels(const Address& worker, HttpVia& via) const {
+  auto found = workers_.find(worker);
+  if (found == workers_.end()) return;
+  const std::optional<ConnectionShare> share = connectionShare(found->second);
+  if (!share) return;
+  via.most = std::max<std::size_t>(1, share->connections);  // a share may end while its last request is on its way
+  if (share->scarce) via.mostIdleUs = kScarceIdleUs;
 }
 
 void PoolLoadTable::setPlace(const FleetPlace& place) {
@@ -70,8 +85,11 @@
 
 // Idle connections to workers that are other nodes' now.
 void PoolLoadTable::giveUpChannels() {
-  for (const auto& [address, worker] : workers_)
-    if (!worker.listed.pool.empty() && mostChannels(worker) == std::optional<std::size_t>(0)) gone.emit(address);
+  for (const auto& [address, worker] : workers_) {
+    if (worker.listed.pool.empty()) continue;
+    const std::optional<ConnectionShare> share = connectionShare(worker);
+    if (share && share->connections == 0) gone.emit(address);
+  }
 }
 
 PoolLoadTable::WarmthSight PoolLoadTable::warmthOf(const std::vector<Address>& pool) const {
--- a/src/proxy/warmth_probe.cc
+++ b/src/proxy/warmth_probe.cc
@@ -28,7 +28,7 @@
   ask.path = std::move(path);
   HttpVia via;
   via.keep = true;
-  via.most = table_.mostChannels(worker).value_or(0);
+  table_.boundChannels(worker, via);
   HttpCall call(ports_, worker, std::move(ask), kLimitUs, via);
   const HttpVerdict verdict = co_await call;
   const PoolLoadTable::Ending ending = read(worker, life, askedUs, verdict);
--- a/tests/connection_shares_test.cc
+++ b/tests/connection_shares_test.cc
@@ -29,9 +29,10 @@
     shares.setPlace({static_cast<std::uint32_t>(node), static_cast<std::uint32_t>(nodes)});
     std::size_t own = 0;
     for (std::size_t worker = 0; worker < workers; ++worker) {
-      const std::size_t share = shares.of(workerAddress(worker), worker, most, nodes);
-      atWorker[worker] += share;
-      own += share;
+      const ConnectionShare share = shares.of(workerAddress(worker), worker, most, nodes);
+      atWorker[worker] += share.connections;
+      own += share.connections;
+      expect(share.scarce == (used < nodes), "scarce where most nodes own none" + name);
     }
     least = std::min(least, own);
     largest = std::max(largest, own);
@@ -144,14 +145,14 @@
   std::size_t own(const Node& node) const {
     std::size_t sum = 0;
     for (std::size_t worker = 0; worker < plan_.workers; ++worker)
-      sum += node.shares.of(workerAddress(worker), worker, plan_.most, node.size->count());
+      sum += node.shares.of(workerAddress(worker), worker, plan_.most, node.size->count()).connections;
     return sum;
   }
   void count() {
     for (std::size_t worker = 0; worker < plan_.workers; ++worker) {
       std::size_t sum = 0;
       for (const Node& node : nodes_)
-        if (node.up) sum += node.shares.of(workerAddress(worker), worker, plan_.most, node.size->count());
+        if (node.up) sum += node.shares.of(workerAddress(worker), worker, plan_.most, node.size->count()).connections;
       worst_ = std::max(worst_, sum);
       ++counted_;
       over_ += sum > plan_.most ? 1 : 0;
