--- a/src/adapters/http_channels.cc
+++ b/src/adapters/http_channels.cc
@@ -78,7 +78,7 @@
   const int on = 1;
   setsockopt(bufferevent_getfd(evhttp_connection_get_bufferevent(self.connection_)), IPPROTO_TCP, TCP_NODELAY, &on,
              sizeof(on));
-  if (self.rider_ != nullptr) self.rider_->connected();
+  if (self.rider_ != nullptr) self.rider_->opened();
 }
 
 void HttpChannel::onClose(evhttp_connection*, void* given) {
--- a/src/adapters/http_channels.h
+++ b/src/adapters/http_channels.h
@@ -14,7 +14,7 @@
 class HttpRider {
  public:
   virtual ~HttpRider() = default;
-  virtual void connected() = 0;  // the request is about to be written
+  virtual void opened() = 0;  // the request is about to be written
 };
 
 // One channel. Destroying it closes it; never from within evhttp's own call about this channel.
--- a/src/adapters/http_out.cc
+++ b/src/adapters/http_out.cc
@@ -88,7 +88,10 @@
       put(HttpBroken{true, false});
     if (!ended_ && !channel_->connected()) loop_.arm(connectUs, connectLimit_);
   }
-  void connected() override { loop_.disarm(connectLimit_); }
+  void opened() override {
+    loop_.disarm(connectLimit_);
+    connected.emit();
+  }
   void connectLapsed() {
     if (ended_) return;
     channel_.reset();  // first, so that it stays unsent
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -36,6 +36,7 @@
   stonemount clock show
   stonemount doctor
   stonemount metrics                (of that one process; also of a core or store)
+  stonemount metrics latency        (of a node: where the time of live requests went)
 
 Stand-ins for rehearsals:
   stonemount rehearse worker   --http= --zone= --pool= --slots= --platform=
--- a/src/cli/operator.cc
+++ b/src/cli/operator.cc
@@ -107,6 +107,7 @@
   if (w[0] == "status" && w.size() == 1) return plainAsk("GET", "/op/status");
   if (w[0] == "clock" && verb == "show") return plainAsk("GET", "/op/clock");
   if (w[0] == "metrics" && w.size() == 1) return plainAsk("GET", "/metrics");
+  if (w[0] == "metrics" && w.size() == 2 && verb == "latency") return plainAsk("GET", "/metrics/latency");
   if (w[0] == "doctor" && w.size() == 1) return plainAsk("GET", "/op/doctor");
   return BadWords{"unknown command; see stonemount help"};
 }
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -98,6 +98,26 @@
   out.field("fleetPlace", place.place).field("fleetPlaces", place.places);
 }
 
+// Where the time of live requests went, a line for each route and stage.
+void Node::showLatency(ReplyPtr reply) const {
+  JsonOut out;
+  out.object().key("stages").array();
+  if (gateway_ != nullptr) {
+    for (const StageSummary& summary : gateway_->stageTimes().summaries()) {
+      out.object().field("route", summary.route).field("stage", stageText(summary.stage));
+      out.field("count", summary.count).field("meanUs", summary.meanUs).field("p50Us", summary.p50Us);
+      out.field("p95Us", summary.p95Us).field("p99Us", summary.p99Us).closeObject();
+    }
+  }
+  out.closeArray().closeObject();
+  reply->whole(200, {}, out.take() + "\n");
+}
+
+void Node::showHistograms(ReplyPtr reply) const {
+  const std::string text = gateway_ != nullptr ? gateway_->stageTimes().text() : std::string();
+  reply->whole(200, {{"content-type", "text/plain; version=0.0.4"}}, text);
+}
+
 void Node::showMetrics(ReplyPtr reply) {
   const ProxyCounts& live = proxy_.counts();
   const SchedulerCounts& lots = scheduler_.counts();
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -13,6 +13,8 @@
 constexpr Us kOrderUs = 4 * kSecondUs;  // an order's answer comes by then, its fate known or not
 constexpr Us kSureUs = 2 * kSecondUs;   // ... or by then, if it was surely not taken
 constexpr Us kSilentUs = 2 * kSecondUs;
+constexpr Us kLoopTickUs = 200 * kMilliUs;
+constexpr std::uint32_t kTellTicks = 5;  // between two tellings of late answers
 constexpr Us kMarksKeptUs = 5 * kSecondUs;  // once control is heard again, until the lister has surely listed
 }  // namespace
 
@@ -65,6 +67,7 @@
   scheduler_.begin();
   room_.start(keepNodes());
   if (list_ != nullptr) room_.start(hearPlatform());
+  if (gateway_ != nullptr) room_.start(watchLatency());
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Node::onAsked));
 }
 
@@ -165,6 +168,17 @@
   }
 }
 
+// By how much this process is late with what it set itself, and which answers were late.
+Task Node::watchLatency() {
+  for (std::uint32_t tick = 1;; ++tick) {
+    const Us dueUs = ports_.clock.monoUs() + kLoopTickUs;
+    Pause pause(ports_.timers, kLoopTickUs);
+    co_await pause;
+    gateway_->noteLoopDelay(std::max<Us>(0, ports_.clock.monoUs() - dueUs));
+    if (tick % kTellTicks == 0) gateway_->tellLateAnswers();
+  }
+}
+
 void Node::methodRefused(HttpReply& reply, const char* allowed) {
   HeaderMap headers{{"allow", allowed}};
   JsonOut out;
@@ -181,6 +195,8 @@
   if (!parts.empty() && parts[0] == "v1") return frontCaller(ask, parts, reply);
   if (!parts.empty() && parts[0] == "op") return frontOperator(ask, parts, reply);
   if (ask.path == "/metrics") return showMetrics(reply);
+  if (ask.path == "/metrics/latency") return showLatency(reply);
+  if (ask.path == "/metrics/prometheus") return showHistograms(reply);
   sendVerdict(*reply, 404, "unknown_path", {{"path", ask.path}});
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -77,6 +77,8 @@
   Task doctor(ReplyPtr reply);
   void showMetrics(ReplyPtr reply);
   void showPassed(JsonOut& out) const;
+  void showLatency(ReplyPtr reply) const;
+  void showHistograms(ReplyPtr reply) const;
 
   Job<ChainAnswer> askCore(ControlQuery query);
   Job<std::optional<ControlVerdict>> commandCore(ControlCommand command, ReplyPtr reply);
@@ -88,6 +90,7 @@
   Task keepNodes();
   std::vector<Address> knownNodes() const;
   Task hearPlatform();
+  Task watchLatency();
   void takePlatformList(const WorkerList& list, Us askedUs);
   bool controlSilent(Us begunUs) const;
   void methodRefused(HttpReply& reply, const char* allowed);
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -1,5 +1,7 @@
 #include "proxy/attempt.h"
 
+#include <algorithm>
+
 namespace stonemount {
 
 namespace {
@@ -22,9 +24,11 @@
   dialect_.direct(order.ask, life_, order.limitUs, order.lastEvent);
   HttpVia via = dialect_.via(order.exchange);
   board_.boundChannels(worker, via);
+  beganUs_ = ports_.clock.monoUs();
   std::unique_ptr<HttpFlow> flow = ports_.httpOut.open(worker, order.ask, via);
   order.ask = HttpAsk();
   flow->piece.connect(sigc::mem_fun(*this, &Attempt::put));
+  flow->connected.connect(sigc::mem_fun(*this, &Attempt::onConnected));
   while (!ending_) {
     if (sink.left()) {
       ending_ = PassBroken{headSeen_};
@@ -53,6 +57,18 @@
   sink_->event().notify();
 }
 
+void Attempt::onConnected() { times_.connectUs = ports_.clock.monoUs() - beganUs_; }
+
+// Something came that its caller waits for.
+void Attempt::noteProgress() {
+  const Us nowUs = ports_.clock.monoUs();
+  if (times_.firstUs < 0)
+    times_.firstUs = nowUs - beganUs_ - times_.connectUs;
+  else
+    times_.pauseUs = std::max(times_.pauseUs, nowUs - progressUs_);
+  progressUs_ = nowUs;
+}
+
 void Attempt::put(HttpPiece piece) {
   if (ending_) return;
   if (!std::holds_alternative<HttpBroken>(piece)) board_.contact(worker_, life_);
@@ -75,6 +91,7 @@
   series_ = isSeries(head);
   // Where it goes on after an event, only events can follow.
   if (lastEvent_ && !series_) return end(PassBroken{true}, PoolLoadTable::Ending::kBroken);
+  if (!series_) noteProgress();
   sink_->head(head);
 }
 
@@ -85,13 +102,17 @@
       end(PassBroken{true}, PoolLoadTable::Ending::kWhole);  // ran; too long to be kept
     return;
   }
-  if (!series_) return sink_->bytes(bytes);
+  if (!series_) {
+    noteProgress();
+    return sink_->bytes(bytes);
+  }
   std::vector<PassEvent> events;
   if (!events_.feed(bytes, events)) return end(PassBroken{true}, PoolLoadTable::Ending::kBroken);
   for (PassEvent& event : events) {
     // Where it goes on for another, not one event may be missing or come twice.
     if (lastEvent_ && event.id != *lastEvent_ + 1) return end(PassBroken{true}, PoolLoadTable::Ending::kBroken);
     lastEvent_ = event.id;
+    noteProgress();
     sink_->event(std::move(event));
   }
 }
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -3,6 +3,7 @@
 
 #include "proxy/event_reader.h"
 #include "proxy/pool_load_table.h"
+#include "proxy/stage_times.h"
 #include "proxy/worker_dialect.h"
 #include "runtime/await.h"
 
@@ -66,9 +67,12 @@
   Attempt(Ports& ports, PoolLoadTable& board, const WorkerDialect& dialect)
       : ports_(ports), board_(board), dialect_(dialect) {}
   Job<PassEnding> run(PassOrder order, Address worker, PassSink& sink);
+  const AttemptTimes& times() const { return times_; }
 
  private:
   void put(HttpPiece piece);
+  void onConnected();
+  void noteProgress();
   void takeHead(const HttpHead& head);
   void takeData(const Bytes& bytes);
   void end(PassEnding ending, PoolLoadTable::Ending told);
@@ -84,6 +88,9 @@
   HttpHead head_;
   WorkerHead word_;
   Bytes failure_;
+  AttemptTimes times_;
+  Us beganUs_ = 0;
+  Us progressUs_ = 0;  // newest event, or bytes of an answer that is no series
   bool headSeen_ = false;
   bool series_ = false;  // the answer is a series of events
   std::optional<PassEnding> ending_;
--- a/src/proxy/gateway.cc
+++ b/src/proxy/gateway.cc
@@ -100,7 +100,9 @@
 }
 
 Task Gateway::serve(std::shared_ptr<Caller> caller) {
+  const std::string route = caller->request.route.name;
   while (true) {
+    const Us holdBeganUs = ports_.clock.monoUs();
     Job<bool> holding = hold(caller, poolFor(caller->request.route, caller->request.exchange));
     const bool chosen = co_await holding;
     if (caller->gone) {
@@ -116,6 +118,9 @@
         refuse(*caller, "no_capacity");
       co_return;
     }
+    const Us heldUs = ports_.clock.monoUs() - holdBeganUs;
+    caller->times.holdUs += heldUs;
+    stageTimes_.note(route, Stage::kHold, heldUs);
     if (leftUs < kLeastLeftUs) {
       board_.giveBack(*caller->worker, false, PoolLoadTable::Ending::kLeft);
       if (caller->mayHaveRun)
@@ -136,6 +141,8 @@
     Job<PassEnding> passing = attempt.run(std::move(order), *caller->worker, *caller);
     const PassEnding ending = co_await passing;
     --relaying_;
+    caller->times.addAttempt(attempt.times());
+    stageTimes_.noteAttempt(route, attempt.times());
     if (!handleEnding(*caller, ending)) co_return;
     ++counts_.retried;
     caller->wish.passedOver.insert(*caller->worker);
@@ -145,6 +152,11 @@
   }
 }
 
+void Gateway::noteLoopDelay(Us lengthUs) {
+  stageTimes_.noteLoopDelay(lengthUs);
+  lateAnswers_.noteLoopDelay(lengthUs);
+}
+
 Job<PassEnding> Gateway::passItem(PassOrder order, PassSink& sink) {
   PoolRequest wish;
   wish.pool = order.pool;
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "proxy/attempt.h"
+#include "proxy/late_answers.h"
 
 namespace stonemount {
 
@@ -38,6 +39,10 @@
   void refuseNew() { admits_ = false; }
   bool admits() const { return admits_; }
   const GatewayCounts& counts() const { return counts_; }
+  const StageTimes& stageTimes() const { return stageTimes_; }
+  // By how much a timer of this process fired too late.
+  void noteLoopDelay(Us lengthUs);
+  void tellLateAnswers() { lateAnswers_.tell(); }
   std::size_t holding() const { return held_; }
   std::size_t relaying() const { return relaying_; }
 
@@ -66,6 +71,8 @@
   std::size_t relaying_ = 0;
   sigc::connection roomMade_;
   GatewayCounts counts_;
+  StageTimes stageTimes_;
+  LateAnswers lateAnswers_;
   Us paceUs_ = 20 * kMilliUs;  // smoothed time between two whole answers
   Us lastWholeUs_ = 0;
   bool draining_ = false;
--- a/src/proxy/gateway_caller.h
+++ b/src/proxy/gateway_caller.h
@@ -58,6 +58,7 @@
   PoolRequest wish;
   std::optional<std::uint64_t> lastEvent;
   std::optional<Address> worker;
+  AnswerTimes times;
   Us enteredUs = 0, limitAtUs = 0, holdUntilUs = 0;
   std::uint32_t sends = 0;
   std::uint64_t number = 0;
--- a/src/stonemount.h
+++ b/src/stonemount.h
@@ -174,6 +174,7 @@
  public:
   virtual ~HttpFlow() = default;
   sigc::signal<void(HttpPiece)> piece;
+  sigc::signal<void()> connected;  // its new channel is open; a kept one does not say so
 };
 // How a channel to a server is come by. Kept ones wait for the next request until the server's own
 // Keep-Alive time, less a margin, or until it says that it closes.
