--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -14,7 +14,7 @@
 constexpr Us kSureUs = 2 * kSecondUs;   // ... or by then, if it was surely not taken
 constexpr Us kSilentUs = 2 * kSecondUs;
 constexpr Us kLoopTickUs = 200 * kMilliUs;
-constexpr std::uint32_t kTellTicks = 5;  // between two tellings of late answers
+constexpr std::uint32_t kTellTicks = 5;     // between two tellings of late answers
 constexpr Us kMarksKeptUs = 5 * kSecondUs;  // once control is heard again, until the lister has surely listed
 }  // namespace
 
--- a/tests/http_out_test.cc
+++ b/tests/http_out_test.cc
@@ -17,12 +17,14 @@
   rig.end(0).say("HTTP/1.1 200 OK\r\nX-A: 1\r\nx-a: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n");
   UNTIL(rig.loop, got.over());
   EXPECT(got.ended && got.body == "ab" && got.head->headers["x-a"] == "1, 2" && rig.kept() == 1);
+  EXPECT(got.connects == 0);
   HttpVia fresh = rig.via();
   fresh.fresh = true;
   Gathered other(rig.out.open(rig.server.address, rig.ask("8"), fresh));
   UNTIL(rig.loop, rig.server.ends.size() == 2 && rig.end(1).has("body-8"));
   rig.end(1).say("HTTP/1.1 204 No Content\r\n\r\n");
   UNTIL(rig.loop, other.over());
+  EXPECT(other.connects == 1);
   EXPECT(other.ended && rig.kept() == 2 && rig.out.channels(rig.server.address) == 2);
 }
 
--- a/tests/raw_peer.h
+++ b/tests/raw_peer.h
@@ -123,15 +123,18 @@
  public:
   explicit Gathered(std::unique_ptr<HttpFlow> opened) : flow(std::move(opened)) {
     flow->piece.connect(sigc::mem_fun(*this, &Gathered::put));
+    flow->connected.connect(sigc::mem_fun(*this, &Gathered::onConnected));
   }
   std::unique_ptr<HttpFlow> flow;
   std::optional<HttpHead> head;
   Bytes body;
   bool ended = false;
+  int connects = 0;
   std::optional<HttpBroken> broken;
   bool over() const { return ended || broken.has_value(); }
 
  private:
+  void onConnected() { ++connects; }
   void put(HttpPiece piece) {
     if (over()) testsFailed += 1;
     if (auto* first = std::get_if<HttpHead>(&piece))
