--- a/src/proxy/gateway.cc
+++ b/src/proxy/gateway.cc
@@ -120,7 +120,7 @@
     }
     const Us heldUs = ports_.clock.monoUs() - holdBeganUs;
     caller->times.holdUs += heldUs;
-    stageTimes_.note(route, Stage::kHold, heldUs);
+    stageTimes_.note(route, RequestStage::kHold, heldUs);
     if (leftUs < kLeastLeftUs) {
       board_.giveBack(*caller->worker, false, PoolLoadTable::Ending::kLeft);
       if (caller->mayHaveRun)
--- a/src/proxy/gateway_answer.cc
+++ b/src/proxy/gateway_answer.cc
@@ -40,7 +40,7 @@
     const Us nowUs = ports_.clock.monoUs();
     paceUs_ = (paceUs_ * 7 + std::min<Us>(nowUs - lastWholeUs_, kSecondUs)) / 8;
     lastWholeUs_ = nowUs;
-    stageTimes_.note(route.name, Stage::kWhole, nowUs - caller.enteredUs);
+    stageTimes_.note(route.name, RequestStage::kWhole, nowUs - caller.enteredUs);
     lateAnswers_.note(route, caller.times, nowUs - caller.enteredUs);
     if (caller.begun)
       caller.reply->end();
--- a/src/proxy/stage_times.cc
+++ b/src/proxy/stage_times.cc
@@ -28,17 +28,17 @@
 }
 }  // namespace
 
-const char* stageText(Stage stage) {
+const char* stageText(RequestStage stage) {
   switch (stage) {
-    case Stage::kHold:
+    case RequestStage::kHold:
       return "hold";
-    case Stage::kConnect:
+    case RequestStage::kConnect:
       return "connect";
-    case Stage::kFirst:
+    case RequestStage::kFirst:
       return "first";
-    case Stage::kPause:
+    case RequestStage::kPause:
       return "pause";
-    case Stage::kWhole:
+    case RequestStage::kWhole:
       return "whole";
   }
   return "unknown";
@@ -59,19 +59,19 @@
   auto [found, made] = byRoute_.try_emplace(name);
   if (!made) return found->second;
   for (std::size_t i = 0; i < kStages; ++i)
-    found->second[i] = &stages_.Add({{"route", name}, {"stage", stageText(static_cast<Stage>(i))}}, bounds());
+    found->second[i] = &stages_.Add({{"route", name}, {"stage", stageText(static_cast<RequestStage>(i))}}, bounds());
   return found->second;
 }
 
-void StageTimes::note(const std::string& route, Stage stage, Us lengthUs) {
+void StageTimes::note(const std::string& route, RequestStage stage, Us lengthUs) {
   histogramsOf(route)[static_cast<std::size_t>(stage)]->Observe(seconds(lengthUs));
 }
 
 void StageTimes::noteAttempt(const std::string& route, const AttemptTimes& times) {
-  note(route, Stage::kConnect, times.connectUs);
+  note(route, RequestStage::kConnect, times.connectUs);
   if (times.firstUs < 0) return;
-  note(route, Stage::kFirst, times.firstUs);
-  note(route, Stage::kPause, times.pauseUs);
+  note(route, RequestStage::kFirst, times.firstUs);
+  note(route, RequestStage::kPause, times.pauseUs);
 }
 
 std::vector<StageSummary> StageTimes::summaries() const {
@@ -80,7 +80,7 @@
     for (std::size_t i = 0; i < kStages; ++i) {
       const prometheus::ClientMetric::Histogram histogram = histograms[i]->Collect().histogram;
       if (histogram.sample_count == 0) continue;
-      StageSummary summary{route, static_cast<Stage>(i), histogram.sample_count};
+      StageSummary summary{route, static_cast<RequestStage>(i), histogram.sample_count};
       summary.meanUs = static_cast<Us>(histogram.sample_sum * kSecondUs / static_cast<double>(histogram.sample_count));
       summary.p50Us = quantileUs(histogram, 0.5);
       summary.p95Us = quantileUs(histogram, 0.95);
--- a/src/proxy/stage_times.h
+++ b/src/proxy/stage_times.h
@@ -1,4 +1,5 @@
-// Where the time of live requests goes: histograms by route and by stage (docs/operators/metrics.md, "Latency by stage").
+// Where the time of live requests goes: histograms by route and by stage (docs/operators/metrics.md, "Latency by
+// stage").
 #pragma once
 
 #include <prometheus/family.h>
@@ -9,7 +10,7 @@
 
 namespace stonemount {
 
-enum class Stage : std::uint8_t {
+enum class RequestStage : std::uint8_t {
   kHold,     // from its arrival, or from the end of a try, until a worker was chosen
   kConnect,  // until the connection to that worker was open; 0 on one that was kept
   kFirst,    // until the first event, or the head of an answer that is no series of events
@@ -17,7 +18,7 @@
   kWhole,    // from arrival to the end of a whole answer
 };
 constexpr std::size_t kStages = 5;
-const char* stageText(Stage stage);
+const char* stageText(RequestStage stage);
 
 // What one try at a worker took.
 struct AttemptTimes {
@@ -29,7 +30,7 @@
 // Quantiles are the upper bounds of the buckets in which they lie; -1: above the last bound.
 struct StageSummary {
   std::string route;
-  Stage stage = Stage::kHold;
+  RequestStage stage = RequestStage::kHold;
   std::uint64_t count = 0;
   Us meanUs = 0, p50Us = 0, p95Us = 0, p99Us = 0;
 };
@@ -38,7 +39,7 @@
 class StageTimes {
  public:
   StageTimes();
-  void note(const std::string& route, Stage stage, Us lengthUs);
+  void note(const std::string& route, RequestStage stage, Us lengthUs);
   void noteAttempt(const std::string& route, const AttemptTimes& times);
   // By how much a timer of this process fired too late: its processor's time went to something else.
   void noteLoopDelay(Us lengthUs) { loopDelay_.Observe(seconds(lengthUs)); }
--- a/tests/stage_times_test.cc
+++ b/tests/stage_times_test.cc
@@ -39,7 +39,7 @@
   return request;
 }
 
-std::optional<StageSummary> summaryOf(const StageTimes& times, const std::string& route, Stage stage) {
+std::optional<StageSummary> summaryOf(const StageTimes& times, const std::string& route, RequestStage stage) {
   for (const StageSummary& summary : times.summaries())
     if (summary.route == route && summary.stage == stage) return summary;
   return std::nullopt;
@@ -61,8 +61,10 @@
   rig.enter(streamRequest(1));
   rig.world.runUntil(10 * kSecondUs);
   const StageTimes& times = rig.gateway.stageTimes();
-  const auto hold = summaryOf(times, "chat", Stage::kHold), first = summaryOf(times, "chat", Stage::kFirst);
-  const auto pause = summaryOf(times, "chat", Stage::kPause), whole = summaryOf(times, "chat", Stage::kWhole);
+  const auto hold = summaryOf(times, "chat", RequestStage::kHold),
+             first = summaryOf(times, "chat", RequestStage::kFirst);
+  const auto pause = summaryOf(times, "chat", RequestStage::kPause),
+             whole = summaryOf(times, "chat", RequestStage::kWhole);
   expect(hold && first && pause && whole, "every stage has a histogram");
   if (!hold || !first || !pause || !whole) return;
   expect(hold->count == 2 && first->count == 2 && pause->count == 2 && whole->count == 2, "each request counts once");
@@ -79,21 +81,21 @@
 
 void quantiles() {
   StageTimes times;
-  for (int i = 0; i < 90; ++i) times.note("r", Stage::kFirst, 3 * kMilliUs);
-  for (int i = 0; i < 9; ++i) times.note("r", Stage::kFirst, 150 * kMilliUs);
-  times.note("r", Stage::kFirst, 40 * kSecondUs);
-  const auto summary = summaryOf(times, "r", Stage::kFirst);
+  for (int i = 0; i < 90; ++i) times.note("r", RequestStage::kFirst, 3 * kMilliUs);
+  for (int i = 0; i < 9; ++i) times.note("r", RequestStage::kFirst, 150 * kMilliUs);
+  times.note("r", RequestStage::kFirst, 40 * kSecondUs);
+  const auto summary = summaryOf(times, "r", RequestStage::kFirst);
   expect(summary && summary->count == 100, "all are counted");
   expect(summary && summary->p50Us == 5 * kMilliUs && summary->p95Us == 200 * kMilliUs, "bounds of their buckets");
   expect(summary && summary->p99Us == 200 * kMilliUs, "the hundredth lies beyond");
-  times.note("r", Stage::kFirst, 40 * kSecondUs);
-  expect(summaryOf(times, "r", Stage::kFirst)->p99Us == -1, "above the last bound is told as such");
+  times.note("r", RequestStage::kFirst, 40 * kSecondUs);
+  expect(summaryOf(times, "r", RequestStage::kFirst)->p99Us == -1, "above the last bound is told as such");
 }
 
 // However many routes a configuration names, a node keeps histograms of a bounded number.
 void manyRoutes() {
   StageTimes times;
-  for (int i = 0; i < 500; ++i) times.note(absl::StrCat("r", i), Stage::kWhole, kMilliUs);
+  for (int i = 0; i < 500; ++i) times.note(absl::StrCat("r", i), RequestStage::kWhole, kMilliUs);
   std::uint64_t count = 0;
   std::size_t routes = 0;
   for (const StageSummary& summary : times.summaries()) {
