Lots follow what workers tell of their use, and leave live requests room

A node hears of one worker every four seconds there, and what it does not know counted as idle. Change: the mean of what a pool's workers tell stands in for what is not known of one of them; how many lots a node has at workers follows that mean as a congestion window follows delay; workers are told apart by levels, then by this node's own requests, then in an order that begins elsewhere at each node (docs/design-notes/lots-beside-live.md).

--- a/src/proxy/pool_load_table.cc
+++ b/src/proxy/pool_load_table.cc
@@ -7,10 +7,7 @@
 namespace stonemount {
 
 namespace {
-constexpr Us kToldKeepsUs = 2 * kSecondUs;  // what was told of others' requests stands so long,
-constexpr Us kToldHalvesUs = kSecondUs;     // then counts half after each
-constexpr std::uint32_t kLeastLots = 4;     // at workers, whatever the share
-constexpr std::uint32_t kSpareUse = 2;      // over the mean, before a spot's worker is passed over
+constexpr std::uint32_t kLeastLots = 4;  // at workers, whatever the share
 }  // namespace
 
 void PoolLoadTable::relist() {
@@ -62,47 +59,16 @@
   return std::max<std::uint32_t>(1, worker.listed.slots);
 }
 
-// What others have there is what it told less what was ours then; it is forgotten by and by.
-std::uint32_t PoolLoadTable::use(const PoolWorker& worker) const {
-  if (worker.toldUs < 0) return worker.inFlight();
-  const std::uint32_t all = worker.told.running + worker.told.waiting;
-  std::uint32_t others = all > worker.inFlightAtTold ? all - worker.inFlightAtTold : 0;
-  const Us ageUs = clock_.monoUs() - worker.toldUs;
-  if (ageUs > kToldKeepsUs) others >>= std::min<Us>((ageUs - kToldKeepsUs) / kToldHalvesUs + 1, 31);
-  return others + worker.inFlight();
-}
-
-// Requests that share a prompt meet where it is kept, unless that worker has clearly more to do than the
-// others; all else goes where least is.
-const PoolWorker* PoolLoadTable::pickFrom(const Pick& pick, std::uint64_t spot) const {
-  std::uint64_t sum = 0;
-  for (const PoolWorker* worker : pick) sum += use(*worker);
-  const std::uint64_t most = pick.empty() ? 0 : sum * 5 / (4 * pick.size()) + kSpareUse;
-  const PoolWorker* chosen = nullptr;
-  std::uint64_t chosenRank = 0;
-  // Where nothing else decides, each node has an order of its own: else all would choose the same worker.
-  const std::uint64_t order = spot != 0 ? spot : (static_cast<std::uint64_t>(plan_.self.ip) << 16) + plan_.self.port;
-  for (const PoolWorker* worker : pick) {
-    const std::uint64_t hash = spread(std::string_view(reinterpret_cast<const char*>(&worker->listed.address.ip), 4),
-                                      order + worker->listed.address.port);
-    std::uint64_t rank = hash >> 8;
-    if (spot == 0)
-      rank = (static_cast<std::uint64_t>(use(*worker)) * 1000 / slots(*worker) << 32) + (hash >> 40);
-    else if (use(*worker) > most)
-      rank |= 1ULL << 60;
-    if (chosen != nullptr && rank >= chosenRank) continue;
-    chosen = worker;
-    chosenRank = rank;
-  }
-  return chosen;
-}
-
 // In turn: this zone while it is calm there, any zone that is, any that has room; those that failed lately last.
 std::optional<Address> PoolLoadTable::choose(const PoolRequest& wish) const {
   auto pool = pools_.find(wish.pool);
   if (pool == pools_.end()) return std::nullopt;
   std::uint32_t roof = wish.lot && !wish.urgent ? plan_.lotPercent : plan_.calmPercent;
-  if (wish.lot && lotsFull(pool->second)) roof = plan_.idlePercent;
+  const std::uint64_t lotsHere = wish.lot ? lotsAt(pool->second) : 0;
+  if (wish.lot && lotsHere >= mostLots(wish.pool, pool->second)) {
+    if (sights_.contains(wish.pool)) return std::nullopt;
+    roof = plan_.idlePercent;  // workers that tell nothing of themselves
+  }
   const Us nowUs = clock_.monoUs();
   const WarmthSight sight = warmthOf(pool->second);
   Pick tiers[5];
@@ -110,10 +76,12 @@
     const PoolWorker& worker = *candidate;
     const bool passedOver = wish.passedOver.contains(worker.listed.address);
     if (passedOver || !bearsMore(worker, warmth, sight.pool)) continue;
-    const std::uint64_t percent = 100ULL * (use(worker) + 1) / slots(worker);
-    const bool calm = percent <= roof || use(worker) == 0;
+    const std::uint32_t known = knownUse(worker);
+    // The mean speaks against a worker, but shuts none out: a live request finds it, and one lot of each node.
+    const std::uint32_t use = wish.lot && lotsHere == 0 ? known : likelyUse(worker);
+    const bool calm = percentOf(worker, use + 1) <= roof || use == 0;
     if (wish.lot && !calm) continue;
-    if (percent > plan_.fullPercent && use(worker) > 0) continue;
+    if (percentOf(worker, known + 1) > plan_.fullPercent && known > 0) continue;
     const bool own = worker.listed.zone == plan_.zone;
     if (nowUs < worker.suspectUntilUs) {
       if (worker.inFlight() == 0) tiers[4].push_back(&worker);
@@ -129,16 +97,27 @@
   return std::nullopt;
 }
 
-// Lots can wait and live requests cannot: each node has its share of what lots may take, so that no crowd of
-// lots fills what workers let in as it comes, before anybody has heard of it.
-bool PoolLoadTable::lotsFull(const std::vector<Address>& pool) const {
-  std::uint64_t slotsThere = 0, lotsHere = 0;
+std::uint64_t PoolLoadTable::lotsAt(const std::vector<Address>& pool) const {
+  std::uint64_t lots = 0;
+  for (const Address& address : pool) lots += workers_.at(address).lots;
+  return lots;
+}
+
+// Lots can wait and live requests cannot: a node begins with its share of what lots may take, so that no crowd of lots
+// fills what workers let in as it comes, and goes on with what the workers tell.
+std::uint64_t PoolLoadTable::mostLots(const std::string& name, const std::vector<Address>& pool) const {
+  auto sight = sights_.find(name);
+  const std::uint64_t share = lotShare(pool);
+  return sight == sights_.end() ? share : sight->second.lots.most(share);
+}
+
+std::uint64_t PoolLoadTable::lotShare(const std::vector<Address>& pool) const {
+  std::uint64_t slotsThere = 0;
   for (const Address& address : pool) {
     const PoolWorker& worker = workers_.at(address);
     if (usable(worker)) slotsThere += slots(worker);
-    lotsHere += worker.lots;
   }
-  return lotsHere >= std::max<std::uint64_t>(kLeastLots, slotsThere * plan_.lotPercent / 100 / cold_.sharers());
+  return std::max<std::uint64_t>(kLeastLots, slotsThere * plan_.lotPercent / 100 / cold_.sharers());
 }
 
 bool PoolLoadTable::serves(const std::string& pool) const {
@@ -171,9 +150,21 @@
 void PoolLoadTable::heard(const Address& address, const WorkerLoad& load) {
   auto found = workers_.find(address);
   if (found == workers_.end()) return;
-  found->second.told = load;
-  found->second.toldUs = clock_.monoUs();
-  found->second.inFlightAtTold = found->second.inFlight();
+  PoolWorker& worker = found->second;
+  worker.told = load;
+  worker.toldUs = clock_.monoUs();
+  worker.inFlightAtTold = worker.inFlight();
+  if (!worker.listed.pool.empty()) noteUse(worker);
+}
+
+void PoolLoadTable::noteUse(const PoolWorker& worker) {
+  const Us nowUs = clock_.monoUs();
+  PoolSight& sight = sights_[worker.listed.pool];
+  const std::uint32_t all = worker.told.running + worker.told.waiting;
+  sight.use.told(all, othersTold(worker), slots(worker), nowUs);
+  if (worker.lots == 0) return;
+  const std::uint64_t share = lotShare(pools_.at(worker.listed.pool));
+  sight.lots.answered(sight.use.allBySlot(nowUs), lotTarget(slots(worker)), share);
 }
 
 void PoolLoadTable::giveBack(const Address& address, bool lot, Ending ending) {
--- a/src/proxy/pool_load_table.h
+++ b/src/proxy/pool_load_table.h
@@ -5,6 +5,7 @@
 #include "config/control_state.h"
 #include "proxy/cold_allowance.h"
 #include "proxy/connection_shares.h"
+#include "proxy/pool_use.h"
 #include "proxy/worker_dialect.h"
 
 namespace stonemount {
@@ -36,8 +37,8 @@
   std::string zone;
   Address self;                     // tells nodes apart where all else is equal
   std::uint32_t calmPercent = 85;   // of a worker's slots: up to here it gets requests before another zone does
-  std::uint32_t lotPercent = 80;    // up to here lots start; of all slots, all nodes' lots together take no more,
-  std::uint32_t idlePercent = 55;   // but for workers that are known to have less to do than this
+  std::uint32_t lotPercent = 80;    // up to here lots start at a worker; of all slots, what all nodes' lots begin with
+  std::uint32_t idlePercent = 55;   // where workers tell nothing, lots beyond a node's share start up to here
   std::uint32_t fullPercent = 140;  // from here on it has no room: what waits there would be late
   Us suspectUs = 400 * kMilliUs;    // doubles with each failure in a row
   Us mostSuspectUs = 4 * kSecondUs;
@@ -80,7 +81,11 @@
 
  private:
   using Pick = std::vector<const PoolWorker*>;
-  bool lotsFull(const std::vector<Address>& pool) const;
+  std::uint64_t lotsAt(const std::vector<Address>& pool) const;  // of this node
+  std::uint64_t mostLots(const std::string& name, const std::vector<Address>& pool) const;
+  std::uint64_t lotShare(const std::vector<Address>& pool) const;
+  std::uint32_t othersTold(const PoolWorker& worker) const;
+  void noteUse(const PoolWorker& worker);
   bool usable(const PoolWorker& worker) const;
   // The workers of a pool that may get anything, and how warm each and all are: worked out once for each choice.
   struct WorkerWarmth {
@@ -94,7 +99,13 @@
   bool bearsMore(const PoolWorker& worker, Warmth warmth, PoolWarmth poolWarmth) const;
   WarmthSight warmthOf(const std::vector<Address>& pool) const;
   std::uint32_t slots(const PoolWorker& worker) const;
-  std::uint32_t use(const PoolWorker& worker) const;  // of its slots, by all, as far as is known
+  // Of its slots, by all: as far as is known of it, and as it is likely from what its whole pool told.
+  std::uint32_t knownUse(const PoolWorker& worker) const;
+  std::uint32_t likelyUse(const PoolWorker& worker) const;
+  std::uint64_t percentOf(const PoolWorker& worker, std::uint32_t use) const { return 100ULL * use / slots(worker); }
+  std::uint64_t spreadRank(const PoolWorker& worker) const;
+  std::size_t firstOf(std::size_t count) const;
+  std::uint64_t promptRank(const PoolWorker& worker, std::uint64_t spot, std::uint64_t mostUse) const;
   const PoolWorker* pickFrom(const Pick& pick, std::uint64_t spot) const;
   std::optional<ConnectionShare> connectionShare(const PoolWorker& worker) const;
   std::optional<ConnectionShare> connectionShare(const PoolWorker& worker, const Pool& pool) const;
@@ -112,6 +123,11 @@
   absl::btree_map<Address, PoolWorker> workers_;
   bool listedBefore_ = false;
   absl::flat_hash_map<std::string, std::vector<Address>> pools_;
+  struct PoolSight {
+    PoolUse use;
+    LotWindow lots;
+  };
+  absl::flat_hash_map<std::string, PoolSight> sights_;  // by pool, of pools whose workers told anything
 };
 
 }  // namespace stonemount
--- a/tests/pool_board_rig.h
+++ b/tests/pool_board_rig.h
@@ -117,8 +117,16 @@
     if (first || clock.nowUs - found->second.lastUs > ColdAllowance::kContactGapUs) found->second.sinceUs = clock.nowUs;
     found->second.lastUs = clock.nowUs;
   }
+  // A node that has a lot at the pool holds further ones back for what any of its workers told: there may be no room
+  // for them although one worker is idle as far as this node knows (docs/design-notes/lots-beside-live.md).
+  bool lotsMayWait(std::size_t board, const std::string& pool) const {
+    bool has = false;
+    for (const auto& [address, worker] : boards[board]->workers()) has |= worker.listed.pool == pool && worker.lots > 0;
+    return has && toldPools.contains({board, pool});
+  }
   // Nothing at all speaks against it.
   bool mustFind(std::size_t board, const PoolRequest& wish) const {
+    if (wish.lot && lotsMayWait(board, wish.pool)) return false;
     for (const auto& [address, worker] : control.workers()) {
       const bool idle = inFlight(board, address) == 0 && !told.contains(address) && mayGetOneMore(board, address);
       if (mayGet(board, wish, worker) && idle && clock.nowUs >= coldUntilUs.at(address)) return true;
@@ -180,7 +188,10 @@
   void hear() {
     const Address address = workerAddress(chance.below(kWorkers));
     WorkerLoad load{static_cast<std::uint32_t>(chance.below(6)), static_cast<std::uint32_t>(chance.below(3)), 4};
-    boards[chance.below(nodes)]->heard(address, load);
+    const std::size_t board = chance.below(nodes);
+    auto known = boards[board]->workers().find(address);
+    if (known != boards[board]->workers().end()) toldPools.insert({board, known->second.listed.pool});
+    boards[board]->heard(address, load);
     told.insert(address);
   }
   Chance chance;
@@ -194,6 +205,7 @@
   struct Contact {
     Us sinceUs = 0, lastUs = 0;
   };
+  std::set<std::pair<std::size_t, std::string>> toldPools;             // of which any worker told this board its load
   std::map<std::pair<std::size_t, Address>, std::deque<Us>> sentByUs;  // by board
   std::map<std::pair<std::size_t, Address>, Contact> contacts;         // with the worker's present life
   // by board: who was found to be somebody else, until they are listed anew
