--- a/tests/raw_peer.h
+++ b/tests/raw_peer.h
@@ -5,6 +5,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -72,6 +73,18 @@
     close();
   }
   void setReading(bool reads) { (reads ? bufferevent_enable : bufferevent_disable)(channel_, EV_READ); }
+  // Bytes that came and were not read yet, where it does not read by itself.
+  std::size_t pending() const {
+    int bytes = 0;
+    ioctl(socket_, FIONREAD, &bytes);
+    return static_cast<std::size_t>(bytes);
+  }
+  // Reads so many of them.
+  void readSome(std::size_t bytes) {
+    std::string part(bytes, '\0');
+    const ssize_t came = recv(socket_, part.data(), bytes, 0);
+    heard += part.substr(0, came < 0 ? 0 : static_cast<std::size_t>(came));
+  }
   bool has(const std::string& text) const { return heard.find(text) != std::string::npos; }
   std::string take() { return std::exchange(heard, {}); }
   std::string heard;
