--- a/tests/tenant_keys_test.cc
+++ b/tests/tenant_keys_test.cc
@@ -98,16 +98,19 @@
   }
   rig.configure("PUT", 6, tenantConfig(6, twoTenants()));
   judge(rig, "no key once there are tenants", "/keyed/1", {}, {401, ""});
-  rig.configure("PUT", 7, tenantConfig(7, {}));
+  rig.configure("PUT", 7, putText(7, tenantRoutes(), {coldlessService("s0"), coldlessService("s1")}));
   rig.expect(rig.call("/keyed/1")->status == 200, "and once there are none");
 }
 
 // A node that knows nothing yet refuses nobody for good: 503 is tried again, 401 is not.
 void nothingKnownYet() {
   TenantRig rig(4);
-  for (const HeaderMap& headers : {HeaderMap(), bearing("key-a1"), bearing("key-none")})
-    for (const char* path : {"/keyed/1", "/open/1", "/lots/1", "/api/lots/1"})
-      rig.expect(rig.call(path, headers)->status == 503, absl::StrCat("503 before any configuration at ", path));
+  for (const HeaderMap& headers : {HeaderMap(), bearing("key-a1"), bearing("key-none")}) {
+    for (const char* path : {"/keyed/1", "/open/1", "/lots/1", "/api/lots/1"}) {
+      const int status = rig.call(path, headers)->status;
+      rig.expect(status == 503, absl::StrCat("before any configuration ", path, " got ", status, ", not 503"));
+    }
+  }
   rig.expect(rig.sights.empty(), "ROUTE: nothing ran");
 }
 
--- a/tests/tenant_lots_cases.cc
+++ b/tests/tenant_lots_cases.cc
@@ -69,6 +69,7 @@
   caller.expectStatus("a lot of anna", caller.handIn("lot-a", bearing("key-a1")), 202);
   caller.expectStatus("a lot of bert",
                       caller.handIn("lot-b", {{"authorization", "bearer key-b1"}, {"subscriber", "anna"}}), 202);
+  caller.expectStatus("the lot of anna again, by her other key", caller.handIn("lot-a", bearing("key-a2")), 202);
   caller.rig.run(4 * kSecondUs);
   caller.expectRuns("lot-a", "anna");
   caller.expectRuns("lot-b", "bert");
--- a/tests/tenant_open_connections.cc
+++ b/tests/tenant_open_connections.cc
@@ -1,4 +1,6 @@
 // Keys on connections that stay open, byte for byte through the real HTTP server; all behind it is simulated.
+#include <absl/strings/escaping.h>
+
 #include "http_in_rig.h"
 #include "tenant_cases.h"
 
@@ -54,15 +56,16 @@
   for (const char* claim : claims) {
     for (const char* key : {"Authorization: Bearer key-a1\r\n", "AUTHORIZATION: BEARER key-a1\r\n"}) {
       const std::string id = absl::StrCat("claim", ++number);
-      rig.expect(connection.ask(id, absl::StrCat(claim, key)) == 200, "a known key: " + std::string(claim));
+      rig.expect(connection.ask(id, absl::StrCat(claim, key)) == 200,
+                 absl::StrCat("a known key with ", absl::CEscape(claim)));
       expectTenant(rig, id, "anna");
       const std::string later = absl::StrCat("claim", ++number);
       rig.expect(connection.ask(later, absl::StrCat(key, claim)) == 200, "whichever stands first");
       expectTenant(rig, later, "anna");
     }
     const std::string none = absl::StrCat("claim", ++number);
-    rig.expect(connection.ask(none, claim) == 401, absl::StrCat("ROUTE: no key but ", claim));
-    rig.expect(rig.sightsOf(none).empty(), absl::StrCat("ROUTE: it ran without a key but with ", claim));
+    rig.expect(connection.ask(none, claim) == 401, absl::StrCat("ROUTE: no key but ", absl::CEscape(claim)));
+    rig.expect(rig.sightsOf(none).empty(), absl::StrCat("ROUTE: it ran without a key but with ", absl::CEscape(claim)));
     const std::string open = absl::StrCat("claim", ++number);
     rig.expect(connection.ask(open, claim, "/open/1") == 200, "a route without keys");
     expectTenant(rig, open, "(none)");
