--- a/tests/tenant_cases.h
+++ b/tests/tenant_cases.h
@@ -7,9 +7,10 @@
 
 inline HeaderMap bearing(const std::string& key) { return {{"authorization", "Bearer " + key}}; }
 
-// Two tenants; a route that wants a key, one that wants none, and one of lots.
+// Routes that want a key, by their own word or by none; one that wants none, and one of lots.
 inline std::vector<std::string> tenantRoutes() {
-  return {tenantRoute("keyed", false), tenantRoute("open", true), tenantRoute("other", false, "s1"),
+  return {routeText({.name = "plain", .prefix = "/plain/", .type = "idempotent", .guard = "4000"}),
+          tenantRoute("keyed", false), tenantRoute("open", true), tenantRoute("other", false, "s1"),
           tenantRoute("lots", false, "s0", "bulk")};
 }
 inline std::string tenantConfig(std::uint64_t revision, const std::vector<std::string>& tenants) {
--- a/tests/tenant_config_test.cc
+++ b/tests/tenant_config_test.cc
@@ -96,6 +96,7 @@
   user.valid("routes with and without keys", "PUT", 9, anonymous);
   user.readsBack("routes with and without keys", anonymous);
   user.valid("no tenant more", "PUT", 10, tenantPut(11, {}));
+  user.readsBack("no tenant more", tenantPut(11, {}));
   user.valid("none said of them", "PUT", 11, plainPut(12));
   user.readsBack("none said of them", plainPut(12));
 }
--- a/tests/tenant_keys_test.cc
+++ b/tests/tenant_keys_test.cc
@@ -51,9 +51,11 @@
     for (const auto& [name, value] : headers) absl::StrAppend(&what, " ", name, ": ", value);
     judge(rig, what, "/keyed/1", headers, {401, ""});
     judge(rig, what, "/other/1", headers, {401, ""});
+    judge(rig, what, "/plain/1", headers, {401, ""});
   }
   judge(rig, "a key of anna", "/keyed/1", bearing("key-a1"), {200, "anna"});
   judge(rig, "her other key", "/other/1", bearing("key-a2"), {200, "anna"});
+  judge(rig, "a route that does not say", "/plain/1", bearing("key-a2"), {200, "anna"});
   judge(rig, "the key of bert", "/keyed/1", bearing("key-b1"), {200, "bert"});
   for (const char* scheme : {"bearer", "BEARER", "bEaReR"})
     judge(rig, scheme, "/keyed/1", {{"authorization", absl::StrCat(scheme, " key-a1")}}, {200, "anna"});
