Test: control processes on machines without a disk (known red)

Cause: `share` gives the control role to more machines of a zone than have a disk there, and the program refuses settings without one. This test fails on it: settings of every such kind, the program itself, and fleets in which control processes have no disk. The simulated fleet ends such a process, as the program does.

--- a/src/simulator/fleet.cc
+++ b/src/simulator/fleet.cc
@@ -30,6 +30,7 @@
     Part& part = add(PartKind::kCore, absl::StrCat("core-", i + 1), shape_.zones[i % zones], 1 + i);
     part.settings.founders = cores;
     if (!shape_.told && cores.size() > 3) part.settings.founders.resize(3);
+    if (shape_.coresWithoutDisk.contains(i)) part.host->disk.reset();
   }
   for (std::uint32_t i = 0; i < shape_.stores; ++i) {
     Part& part = add(PartKind::kStore, absl::StrCat("store-", i + 1), shape_.zones[i % zones], 21 + i);
@@ -128,6 +129,10 @@
     if (founder != part.settings.wire) gossip.seeds.push_back(founder);
   switch (part.kind) {
     case PartKind::kCore: {
+      if (part.host->disk == nullptr) {  // as the program does: its settings are refused
+        kill(part, false);
+        break;
+      }
       CorePlan plan;
       plan.gossip = gossip;
       part.core = std::make_unique<Core>(*part.ports, part.settings, plan);
--- a/src/simulator/fleet.h
+++ b/src/simulator/fleet.h
@@ -1,6 +1,8 @@
 // A whole fleet in one process: the real tasks on simulated machines (design.md 13).
 #pragma once
 
+#include <set>
+
 #include "control/core.h"
 #include "node/node.h"
 #include "simulator/world.h"
@@ -26,6 +28,7 @@
   std::size_t padBytes = 0;
   StorePlan store;
   bool told = true;  // who founds is in the settings; else only three cores are, and stores are found
+  std::set<std::uint32_t> coresWithoutDisk;  // by their place among the cores, from 0
 };
 FleetShape posilkaShape();
 FleetShape portaviaShape();
@@ -56,7 +59,10 @@
   bool leaving(Us nowUs) const { return !leaves.empty() && leaves.back().second > nowUs; }
   Us troubledUs = 0;  // until when it was cut, frozen or down
   Revision seenControl = 0;
-  bool gone = false;            // for good
+  bool gone = false;  // for good
+  // What a control process offers to operators; none: it does not run.
+  OperatorService* operators() const { return core ? &core->operators() : nullptr; }
+  RetireService* retireService() const { return core ? &core->retireService() : nullptr; }
   std::vector<TermNote> terms;  // noted by the command that is being applied
 };
 
