Control without a disk stands by instead of ending

Cause: the share that gives the role to a zone's first machines cannot fit every zone's disks, and the program refused settings without a folder. All seeds were founders, and the first view waited for each of them to be present and empty: with a seed that has no disk, none was ever made. Fix: a control process without a disk is a StandbyCore. It has no replica, and a gossip role of its own, so that no client, membership manager or elector takes it for a member; its calls go through the chain's client. It answers pings by `standby`, which counts as a disk that does not answer. The first view has the founders with disks as its voters, once each founder is heard and says which it is; the lowest of them makes it. Two first views cannot come of a machine that gets or loses its disk meanwhile: who pings with an incarnation is asked anew before it is taken to have none, a first view that is still being written is no emptiness any more, and one that names another incarnation of a founder is not taken.

--- a/src/cli/process.cc
+++ b/src/cli/process.cc
@@ -1,22 +1,19 @@
 // The long-lived roles on the real ports (design.md 2).
 #include <absl/flags/flag.h>
 #include <absl/strings/str_cat.h>
-#include <fcntl.h>
-#include <sys/file.h>
-#include <sys/stat.h>
-#include <unistd.h>
 
 #include <cstdlib>
-#include <filesystem>
 #include <random>
 
 #include "adapters/disk_file.h"
 #include "adapters/http.h"
 #include "adapters/log.h"
 #include "adapters/tcp_transport.h"
+#include "cli/data_folder.h"
 #include "cli/flags.h"
 #include "cli/settings_watch.h"
 #include "control/core.h"
+#include "control/standby_core.h"
 #include "node/graceful_stop.h"
 #include "node/node.h"
 #include "platform/front.h"
@@ -31,7 +28,7 @@
 ABSL_FLAG(std::string, zone, "", "the zone of this machine");
 ABSL_FLAG(std::string, seeds, "", "three addresses of other processes, with commas");
 ABSL_FLAG(std::string, founders, "", "core, store: the members that found the chain, with commas");
-ABSL_FLAG(std::string, data, "", "core, store: the folder on the disk");
+ABSL_FLAG(std::string, data, "", "core, store: the folder on the disk; a core without one stands by");
 ABSL_FLAG(std::string, platform, "", "core, rehearse worker: HTTP address of the platform");
 ABSL_FLAG(std::string, ringFiles, "", "core, store: files in the ring");
 ABSL_FLAG(std::string, ringFileBytes, "", "core, store: bytes of each file in the ring");
@@ -57,24 +54,6 @@
   return given;
 }
 
-// A folder that had to be made lasts only once the one that holds it is synced: else a loss of power may take it
-// with all that was synced in it.
-void makeFolder(const std::string& folder) {
-  if (mkdir(folder.c_str(), 0755) != 0) return;
-  const std::string holder = std::filesystem::absolute(folder).parent_path();
-  const int handle = open(holder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (handle < 0) return;
-  fsync(handle);
-  close(handle);
-}
-
-// Two processes on one data folder would be two members with one incarnation.
-bool lockFolder(const std::string& folder) {
-  makeFolder(folder);
-  const int handle = open(absl::StrCat(folder, "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
-  return handle >= 0 && flock(handle, LOCK_EX | LOCK_NB) == 0;
-}
-
 std::uint64_t freshSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32) ^ device();
@@ -166,21 +145,32 @@
   return 0;
 }
 
-// The core role, with the platform's operator where that is served here.
+// A control process, with the platform's operator where that is served here.
+template <class Control>
+int serveControl(Loop& loop, Control& control, const Settings& settings, SettingsWatch* watch) {
+  HttpInEv controlIn(loop, settings.control);
+  if (settings.control.set() && !controlIn.listen())
+    return say(Exit::kUsage, "settings: cannot listen on " + addressText(settings.control));
+  PlatformOperator operators(control.operators(), &control.retireService(),
+                             {settings.zones.begin(), settings.zones.end()});
+  if (settings.control.set()) operators.begin(controlIn);
+  serve(loop, control, watch);
+  return 0;
+}
+
+// The core role; without a disk it stands by.
 int runCore(Loop& loop, Ports& ports, const Settings& settings, const GossipPlan& gossip, bool onPlatform,
             SettingsWatch* watch) {
+  if (settings.data.empty()) {
+    StandbyCore standby(ports, settings, gossip);
+    return serveControl(loop, standby, settings, watch);
+  }
   PlatformWorkerList list(ports, settings.platform);
   CorePlan plan;
   plan.gossip = gossip;
   if (onPlatform) plan.list = &list;
-  HttpInEv controlIn(loop, settings.control);
-  if (settings.control.set() && !controlIn.listen())
-    return say(Exit::kUsage, "settings: cannot listen on " + addressText(settings.control));
   Core core(ports, settings, plan);
-  PlatformOperator operators(core.operators(), &core.retireService(), {settings.zones.begin(), settings.zones.end()});
-  if (settings.control.set()) operators.begin(controlIn);
-  serve(loop, core, watch);
-  return 0;
+  return serveControl(loop, core, settings, watch);
 }
 }  // namespace
 
@@ -202,7 +192,7 @@
   HttpOutEv httpOut(loop);
   Chance chance(freshSeed());
   std::unique_ptr<DiskFile> disk;
-  if (kind != SettingsFor::kNode) {
+  if (kind != SettingsFor::kNode && !settings.data.empty()) {
     if (!lockFolder(settings.data))
       return say(Exit::kUsage, "settings: key data: another process uses " + settings.data);
     disk = std::make_unique<DiskFile>(loop, settings.data, static_cast<std::size_t>(settings.ringFiles),
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -87,6 +87,19 @@
 }
 }  // namespace
 
+namespace {
+// A store needs a folder. A core without one stands by: it is no founder, and the founders are whom it asks.
+Fault checkFolder(Settings& settings, SettingsFor role) {
+  if (role == SettingsFor::kNode || !settings.data.empty()) return std::nullopt;
+  if (role == SettingsFor::kStore) return SettingsFault{"data", "is missing"};
+  for (const Address& founder : settings.founders)
+    if (founder == settings.wire) return SettingsFault{"data", "is missing, and this process is among the founders"};
+  settings.seeds.insert(settings.seeds.end(), settings.founders.begin(), settings.founders.end());
+  settings.founders.clear();
+  return std::nullopt;
+}
+}  // namespace
+
 SettingsVerdict readSettings(const std::string& fileText, const HeaderMap& flags, SettingsFor role) {
   Settings settings;
   if (!fileText.empty())
@@ -98,7 +111,7 @@
   if (settings.wire == settings.http) return SettingsFault{"http", "is the same address as wire"};
   if (settings.zone.empty()) return SettingsFault{"zone", "is missing"};
   if (settings.seeds.empty() && settings.founders.empty()) return SettingsFault{"seeds", "is empty"};
-  if (role != SettingsFor::kNode && settings.data.empty()) return SettingsFault{"data", "is missing"};
+  if (Fault fault = checkFolder(settings, role)) return *fault;
   return settings;
 }
 
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -29,7 +29,7 @@
   std::set<std::string> zones;  // all that there are; empty: not told
   std::vector<Address> seeds;
   std::vector<Address> founders;
-  std::string data;
+  std::string data;  // the folder on the disk; empty: none, and a core stands by (StandbyCore)
   Address platform;
   std::int64_t ringFiles = 16;
   std::int64_t ringFileBytes = 8 << 20;
--- a/src/control/core.cc
+++ b/src/control/core.cc
@@ -21,7 +21,7 @@
       rebuilder_(rpc_, gossip_, core_, machine_),
       ownList_(ports, settings_.platform),
       workerDiscovery_(core_, machine_, plan.list != nullptr ? plan.list : &ownList_),
-      operators_(ports, core_, replica_, machine_),
+      operators_(ports, core_, &replica_, &machine_),
       membershipManager_(ports, rpc_, room_, election_, gossip_, replica_, machine_, core_, store_,
                          membershipPlanOf(settings_, plan.membershipManager)),
       retireService_(ports, rpc_, gossip_, core_, store_, settings_.bounds.lostMachines) {}
@@ -56,6 +56,7 @@
     core_.learnMember(record.wire);
     replica_.meet(record.wire);
   }
+  if (record.role == Role::kStandby) core_.forgetMember(record.wire);
   if (record.role == Role::kStore) store_.learnMember(record.wire);
 }
 
--- a/src/control/operator_service.cc
+++ b/src/control/operator_service.cc
@@ -101,7 +101,7 @@
 // does not, and its order is taken as it comes.
 Job<ZoneVerdict> OperatorService::setZone(std::string zone, bool evacuated) {
   ControlCommand wished = SetZone{zone, evacuated};
-  if (replica_.active()) wished = SetZoneSince{zone, evacuated, machine_.zoneOrdered(zone)};
+  if (replica_ != nullptr && replica_->active()) wished = SetZoneSince{zone, evacuated, machine_->zoneOrdered(zone)};
   Job<CommandAnswer> sending = command(std::move(wished));
   CommandAnswer answer = co_await sending;
   if (auto* failure = std::get_if<ChainFailure>(&answer)) {
--- a/src/control/operator_service.h
+++ b/src/control/operator_service.h
@@ -51,8 +51,8 @@
 
 class OperatorService {
  public:
-  // The replica and its machine are those of this process.
-  OperatorService(Ports& ports, ChainClient& core, const Replica& replica, const ControlMachine& machine)
+  // The replica and its machine are those of this process; none where it stands by.
+  OperatorService(Ports& ports, ChainClient& core, const Replica* replica, const ControlMachine* machine)
       : ports_(ports), core_(core), replica_(replica), machine_(machine) {}
   Job<PushVerdict> push(ConfigRequest wish);
   Job<ConfigAnswer> current();  // as of now: nothing acknowledged before is missing
@@ -63,8 +63,8 @@
   Job<CommandAnswer> command(ControlCommand command);
   Ports& ports_;
   ChainClient& core_;
-  const Replica& replica_;
-  const ControlMachine& machine_;
+  const Replica* replica_;
+  const ControlMachine* machine_;
 };
 
 }  // namespace stonemount
--- a/src/gossip/gossip.cc
+++ b/src/gossip/gossip.cc
@@ -19,6 +19,8 @@
       return "node";
     case Role::kOther:
       return "other";
+    case Role::kStandby:
+      return "standby";
   }
   return "unknown";
 }
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -5,7 +5,8 @@
 
 namespace stonemount {
 
-enum class Role : std::uint8_t { kCore, kStore, kNode, kOther };
+// kStandby: a control process without a disk, which is no replica of the control chain.
+enum class Role : std::uint8_t { kCore, kStore, kNode, kOther, kStandby };
 const char* roleText(Role role);
 
 struct PeerRecord {  // what a process says of itself
--- a/src/node/doctor.cc
+++ b/src/node/doctor.cc
@@ -67,6 +67,14 @@
   }
 }
 
+void lookAtStandbys(const std::vector<PeerRecord>& standbys, Findings& findings) {
+  if (standbys.empty()) return;
+  findings.push_back({"D112",
+                      absl::StrCat("core: ", standbys.size(), " processes without a disk stand by, as ",
+                                   addressText(standbys.front().wire)),
+                      "no fault where their machines have no disk: they pass calls on; else give them a data folder"});
+}
+
 void lookAtClock(const ClockVerdict& clock, Findings& findings) {
   if (!clock.cut.certain)
     findings.push_back(
@@ -96,6 +104,7 @@
   Job<ChainSight> peekingCore = peekChain(rpc_, core_);
   const ChainSight core = co_await peekingCore;
   lookAtChain("core", core, findings);
+  lookAtStandbys(gossip_.alive(Role::kStandby), findings);
   Job<ChainSight> peekingStore = peekChain(rpc_, store_);
   const ChainSight store = co_await peekingStore;
   lookAtChain("store", store, findings);
--- a/src/node/inspect.cc
+++ b/src/node/inspect.cc
@@ -62,6 +62,9 @@
   writeChain(out, core);
   out.key("store");
   writeChain(out, store);
+  out.key("controlStandbys").array();
+  for (const PeerRecord& record : gossip_.alive(Role::kStandby)) out.text(addressText(record.wire));
+  out.closeArray();
   if (std::holds_alternative<Bytes>(control)) {
     auto read = unpack<ControlNews>(std::get<Bytes>(control));
     if (auto* news = std::get_if<ControlNews>(&read)) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -91,6 +91,7 @@
 
 void Node::onMet(const PeerRecord& record) {
   if (record.role == Role::kCore) core_.learnMember(record.wire);
+  if (record.role == Role::kStandby) core_.forgetMember(record.wire);
   if (record.role == Role::kStore) store_.learnMember(record.wire);
 }
 
--- a/src/replication/client.cc
+++ b/src/replication/client.cc
@@ -94,6 +94,11 @@
   keepSeats();
 }
 
+void ChainClient::forgetMember(const Address& member) {
+  members_.erase(member);
+  keepSeats();
+}
+
 void ChainClient::keepSeats() {
   for (const Seat& voter : view_.voters) members_.insert(voter.address);
   for (const Seat& nonVoter : view_.nonVoters) members_.insert(nonVoter.address);
--- a/src/replication/client.h
+++ b/src/replication/client.h
@@ -36,6 +36,7 @@
   Job<std::variant<ChangeReply, PeerSilent>> changeVoters(ChangeVoters request, Us limitUs);
   const View& view() const { return view_; }
   void learnMember(const Address& member) { members_.insert(member); }
+  void forgetMember(const Address& member);  // it is no replica; it stays known only while it has a seat
   Job<Done> refresh();
   // Looks for the newest view, and whether its head and most voters can be heard. False: a command sent now would be
   // sent in vain.
--- a/src/replication/messages.h
+++ b/src/replication/messages.h
@@ -32,9 +32,9 @@
                   suspects)
 };
 // A replica that answers while its disk does not can neither vote nor keep anything: it is lost to every count of
-// sound members, as if it were silent (design.md 5.4).
+// sound members, as if it were silent (design.md 5.4). So is a process that stands by, having no disk.
 inline bool diskAnswers(const Pong& pong, Us limitUs) {
-  return pong.state != ReplicaState::kBroken && pong.stalledUs < limitUs;
+  return pong.state != ReplicaState::kBroken && pong.state != ReplicaState::kStandby && pong.stalledUs < limitUs;
 }
 struct ViewAsk {
   static constexpr std::uint16_t kKind = 2;
--- a/src/replication/replica.cc
+++ b/src/replication/replica.cc
@@ -23,6 +23,8 @@
       return "active";
     case ReplicaState::kBroken:
       return "broken";
+    case ReplicaState::kStandby:
+      return "standby";
   }
   return "unknown";
 }
--- a/src/replication/view.h
+++ b/src/replication/view.h
@@ -113,6 +113,7 @@
   kSealed,         // in the chain, but must not pass on or acknowledge until a later view
   kActive,         // serves in the current view
   kBroken,         // its log is too small, or holds what it cannot read; takes part in nothing
+  kStandby,        // told by a control process without a disk: it is no replica (StandbyCore)
 };
 const char* replicaStateText(ReplicaState state);
 
--- a/src/replication/voter.cc
+++ b/src/replication/voter.cc
@@ -5,13 +5,23 @@
 
 namespace {
 constexpr Us kClockUs = 2 * kSecondUs;  // for which a wall clock that was told counts
+
+// Who stood by, and pings now, has a disk since: its earlier answers count no more. It may found, for it learns by this
+// ping whether we are empty; so from here on we count it among the founders.
+void askAnew(PeerSight& sight, Us nowUs) {
+  if (sight.pong.state != ReplicaState::kStandby) return;
+  sight.heardUs = -1;
+  sight.askedUs = nowUs;
+}
 }  // namespace
 
 Pong Replica::pong() const {
   Pong pong;
   pong.incarnation = memory_.incarnation;
   pong.revision = durableRevision_;
-  pong.state = state_;
+  // A first view that is being kept is a view: who founds must not take this replica for empty any more.
+  const bool takesFirst = state_ == ReplicaState::kBootstrapping && memory_.view.revision != 0;
+  pong.state = takesFirst ? ReplicaState::kOpening : state_;
   pong.zone = plan_.zone;
   pong.end = end_;
   pong.caughtUp = caughtUp_ && state_ != ReplicaState::kBroken;
@@ -66,6 +76,8 @@
 void Replica::onPing(const Asked& asked) {
   auto message = unpack<Ping>(asked.body);
   if (!std::holds_alternative<Ping>(message)) return;
+  auto found = peers_.find(asked.peer);
+  if (found != peers_.end() && std::get<Ping>(message).incarnation != 0) askAnew(found->second, ports_.clock.monoUs());
   rpc_.reply(asked, pong());
   if (pinged_.insert(asked.peer).second) room_.start(ping(asked.peer));
 }
--- a/src/simulator/fleet.h
+++ b/src/simulator/fleet.h
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "control/core.h"
+#include "control/standby_core.h"
 #include "node/node.h"
 #include "simulator/world.h"
 #include "stand_ins/caller.h"
@@ -50,6 +51,7 @@
   CallerLedger callerLedger;
   std::unique_ptr<Ports> ports;  // outlives the process that uses them
   std::unique_ptr<Core> core;
+  std::unique_ptr<StandbyCore> standby;  // in place of a core, on a machine without a disk
   std::unique_ptr<Store> store;
   std::unique_ptr<Node> node;
   std::unique_ptr<RehearseWorker> worker;
@@ -61,8 +63,10 @@
   Revision seenControl = 0;
   bool gone = false;  // for good
   // What a control process offers to operators; none: it does not run.
-  OperatorService* operators() const { return core ? &core->operators() : nullptr; }
-  RetireService* retireService() const { return core ? &core->retireService() : nullptr; }
+  OperatorService* operators() const { return standby ? &standby->operators() : core ? &core->operators() : nullptr; }
+  RetireService* retireService() const {
+    return standby ? &standby->retireService() : core ? &core->retireService() : nullptr;
+  }
   std::vector<TermNote> terms;  // noted by the command that is being applied
 };
 
