--- a/src/simulator/fleet.cc
+++ b/src/simulator/fleet.cc
@@ -30,6 +30,7 @@
     Part& part = add(PartKind::kCore, absl::StrCat("core-", i + 1), shape_.zones[i % zones], 1 + i);
     part.settings.founders = cores;
     if (!shape_.told && cores.size() > 3) part.settings.founders.resize(3);
+    if (shape_.coresWithoutDisk.contains(i)) part.host->disk.reset();
   }
   for (std::uint32_t i = 0; i < shape_.stores; ++i) {
     Part& part = add(PartKind::kStore, absl::StrCat("store-", i + 1), shape_.zones[i % zones], 21 + i);
@@ -128,6 +129,11 @@
     if (founder != part.settings.wire) gossip.seeds.push_back(founder);
   switch (part.kind) {
     case PartKind::kCore: {
+      if (part.host->disk == nullptr) {
+        part.standby = std::make_unique<StandbyCore>(*part.ports, part.settings, gossip);
+        part.standby->begin();
+        break;
+      }
       CorePlan plan;
       plan.gossip = gossip;
       part.core = std::make_unique<Core>(*part.ports, part.settings, plan);
@@ -187,6 +193,7 @@
 void Fleet::kill(Part& part, bool power) {
   if (!part.host->up()) return;
   part.core.reset();
+  part.standby.reset();
   part.store.reset();
   part.node.reset();
   part.worker.reset();
--- a/src/simulator/fleet.h
+++ b/src/simulator/fleet.h
@@ -1,7 +1,10 @@
 // A whole fleet in one process: the real tasks on simulated machines (design.md 13).
 #pragma once
 
+#include <set>
+
 #include "control/core.h"
+#include "control/standby_core.h"
 #include "node/node.h"
 #include "simulator/world.h"
 #include "stand_ins/caller.h"
@@ -26,6 +29,7 @@
   std::size_t padBytes = 0;
   StorePlan store;
   bool told = true;  // who founds is in the settings; else only three cores are, and stores are found
+  std::set<std::uint32_t> coresWithoutDisk;  // by their place among the cores, from 0
 };
 FleetShape posilkaShape();
 FleetShape portaviaShape();
@@ -47,6 +51,7 @@
   CallerLedger callerLedger;
   std::unique_ptr<Ports> ports;  // outlives the process that uses them
   std::unique_ptr<Core> core;
+  std::unique_ptr<StandbyCore> standby;  // in place of a core, on a machine without a disk
   std::unique_ptr<Store> store;
   std::unique_ptr<Node> node;
   std::unique_ptr<RehearseWorker> worker;
@@ -56,7 +61,12 @@
   bool leaving(Us nowUs) const { return !leaves.empty() && leaves.back().second > nowUs; }
   Us troubledUs = 0;  // until when it was cut, frozen or down
   Revision seenControl = 0;
-  bool gone = false;            // for good
+  bool gone = false;  // for good
+  // What a control process offers to operators; none: it does not run.
+  OperatorService* operators() const { return standby ? &standby->operators() : core ? &core->operators() : nullptr; }
+  RetireService* retireService() const {
+    return standby ? &standby->retireService() : core ? &core->retireService() : nullptr;
+  }
   std::vector<TermNote> terms;  // noted by the command that is being applied
 };
 
