--- a/src/config/config_check.cc
+++ b/src/config/config_check.cc
@@ -70,6 +70,7 @@
   route.precedence = static_cast<std::uint32_t>(jsonNumber(given, "precedence"));
   route.affinity = jsonFlag(given, "affinity");
   route.resumable = jsonFlag(given, "resumable");
+  route.open = jsonFlag(given, "open");
   return route;
 }
 
@@ -97,6 +98,17 @@
   return pool;
 }
 
+Tenant readTenant(const JsonValue& given) {
+  Tenant tenant;
+  tenant.name = jsonString(given, "name");
+  if (given.HasMember("keys"))
+    for (const JsonValue& key : given["keys"].GetArray()) tenant.keys.emplace_back(key.GetString());
+  tenant.precedence = static_cast<std::uint32_t>(jsonNumber(given, "precedence"));
+  tenant.ratePerKs = static_cast<std::uint64_t>(jsonNumber(given, "ratePerKs"));
+  tenant.burst = static_cast<std::uint64_t>(jsonNumber(given, "burst"));
+  return tenant;
+}
+
 CallerLimits readLimits(const JsonValue& given) {
   CallerLimits limits;
   limits.headerBytes = static_cast<std::uint32_t>(jsonNumber(given, "headerBytes", limits.headerBytes));
@@ -129,7 +141,7 @@
   wish.base = static_cast<Revision>(document["base"].GetInt64());
   wish.note = jsonString(document, "note");
   wish.next = static_cast<Revision>(jsonNumber(document, "next"));
-  absl::btree_set<std::string> names, poolNames;
+  absl::btree_set<std::string> names, poolNames, tenantNames;
   if (document.HasMember("routes")) {
     for (const JsonValue& given : document["routes"].GetArray()) {
       const std::string field = absl::StrCat("/routes/", wish.routes.size());
@@ -148,12 +160,25 @@
       wish.pools.push_back(std::move(pool));
     }
   }
+  wish.tenantsGiven = document.HasMember("tenants");
+  if (wish.tenantsGiven) {
+    for (const JsonValue& given : document["tenants"].GetArray()) {
+      const std::string field = absl::StrCat("/tenants/", wish.tenants.size(), "/name");
+      Tenant tenant = readTenant(given);
+      if (!fitsAsTenantName(tenant.name)) return ConfigFault{field, "does not fit into a header"};
+      if (!tenantNames.insert(tenant.name).second) return ConfigFault{field, "names a tenant twice"};
+      wish.tenants.push_back(std::move(tenant));
+    }
+  }
   if (document.HasMember("limits")) wish.limits = readLimits(document["limits"]);
   if (std::optional<ConfigFault> fault = readRemoved(document, "remove", "routes", whole, names, wish.removed))
     return *fault;
   if (std::optional<ConfigFault> fault =
           readRemoved(document, "removePools", "pools", whole, poolNames, wish.removedPools))
     return *fault;
+  if (std::optional<ConfigFault> fault =
+          readRemoved(document, "removeTenants", "tenants", whole, tenantNames, wish.removedTenants))
+    return *fault;
   if (whole && !document.HasMember("routes")) return ConfigFault{"/routes", "is missing"};
   return wish;
 }
--- a/src/config/config_check.h
+++ b/src/config/config_check.h
@@ -25,15 +25,23 @@
   std::vector<std::string> removedPools;
   std::optional<CallerLimits> limits;  // absent: a push takes the standing ones away, a patch leaves them
   std::string given;                   // what else the operator's text held; of a push only
-  STONEMOUNT_PACK(whole, base, next, digest, poolsGiven, note, routes, removed, pools, removedPools, limits, given)
+  bool tenantsGiven = false;           // from now on requests need keys, even where no tenant is named
+  std::vector<Tenant> tenants;
+  std::vector<std::string> removedTenants;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(whole, base, next, digest, poolsGiven, note, routes, removed, pools, removedPools, limits, given);
+    packTrailing(archive, tenantsGiven, tenants, removedTenants);
+  }
 };
 // What is wrong with a configuration as a whole.
-enum class ConfigFlaw : std::uint8_t { kNone, kUnknownPool, kSamePlace, kNoWeight, kNoTime };
+enum class ConfigFlaw : std::uint8_t { kNone, kUnknownPool, kSamePlace, kNoWeight, kNoTime, kSharedKey };
 const char* configFlawText(ConfigFlaw flaw);
 using ConfigVerdict = std::variant<ConfigRequest, ConfigFault>;
 ConfigVerdict readConfig(const JsonValue& document, bool whole);
 void writeRoute(JsonOut& out, const Route& route);
 void writePool(JsonOut& out, const Pool& pool);
+void writeTenant(JsonOut& out, const Tenant& tenant);
 void writeLimits(JsonOut& out, const CallerLimits& limits);
 const char* routeKindText(RouteKind kind);
 
--- a/src/config/config_schema.h
+++ b/src/config/config_schema.h
@@ -13,6 +13,7 @@
     "note": {"type": "string", "maxLength": 200},
     "remove": {"type": "array", "maxItems": 20000, "items": {"type": "string"}},
     "removePools": {"type": "array", "maxItems": 1000, "items": {"type": "string"}},
+    "removeTenants": {"type": "array", "maxItems": 20000, "items": {"type": "string"}},
     "routes": {
       "type": "array",
       "maxItems": 20000,
@@ -53,7 +54,8 @@
           "attempts": {"type": "integer", "minimum": 0, "maximum": 1000},
           "precedence": {"type": "integer", "minimum": 0, "maximum": 1000},
           "affinity": {"type": "boolean"},
-          "resumable": {"type": "boolean"}
+          "resumable": {"type": "boolean"},
+          "open": {"type": "boolean"}
         }
       }
     },
@@ -75,6 +77,22 @@
         }
       }
     },
+    "tenants": {
+      "type": "array",
+      "maxItems": 20000,
+      "items": {
+        "type": "object",
+        "additionalProperties": false,
+        "required": ["name"],
+        "properties": {
+          "name": {"type": "string", "minLength": 1, "maxLength": 250},
+          "keys": {"type": "array", "maxItems": 1000, "items": {"type": "string", "minLength": 1, "maxLength": 4000}},
+          "precedence": {"type": "integer", "minimum": 0, "maximum": 1000},
+          "ratePerKs": {"type": "integer", "minimum": 0, "maximum": 1000000000000},
+          "burst": {"type": "integer", "minimum": 0, "maximum": 1000000000}
+        }
+      }
+    },
     "limits": {
       "type": "object",
       "additionalProperties": false,
--- a/src/config/config_text.cc
+++ b/src/config/config_text.cc
@@ -27,6 +27,8 @@
       return "no_weight";
     case ConfigFlaw::kNoTime:
       return "no_time";
+    case ConfigFlaw::kSharedKey:
+      return "shared_key";
   }
   return "unknown";
 }
@@ -53,6 +55,7 @@
   if (route.precedence != 0) out.field("precedence", route.precedence);
   if (route.affinity) out.field("affinity", true);
   if (route.resumable) out.field("resumable", true);
+  if (route.open) out.field("open", true);
   out.field("lots", route.lots).closeObject();
 }
 
@@ -63,6 +66,13 @@
   out.field("slots", pool.slots).field("cacheTokens", pool.cacheTokens).closeObject();
 }
 
+void writeTenant(JsonOut& out, const Tenant& tenant) {
+  out.object().field("name", tenant.name).key("keys").array();
+  for (const std::string& key : tenant.keys) out.text(key);
+  out.closeArray().field("precedence", tenant.precedence).field("ratePerKs", tenant.ratePerKs);
+  out.field("burst", tenant.burst).closeObject();
+}
+
 void writeLimits(JsonOut& out, const CallerLimits& limits) {
   out.object().field("headerBytes", limits.headerBytes).field("bodyBytes", limits.bodyBytes);
   out.field("headerUs", limits.headerUs).field("idleUs", limits.idleUs).closeObject();
--- a/src/config/control_state.cc
+++ b/src/config/control_state.cc
@@ -27,6 +27,9 @@
     if (news.whole || state.changed > since) news.zones.emplace_back(zone, state);
   for (const auto& [name, pool] : pools_)
     if (news.whole || pool.changed > since) news.pools.push_back(pool);
+  for (const auto& [name, tenant] : tenants_.all())
+    if (news.whole || tenant.changed > since) news.tenants.push_back(tenant);
+  news.keysNeeded = tenants_.keysNeeded();
   news.limits = limits_;
   news.given = given_;
   if (news.whole) return news;
@@ -36,6 +39,8 @@
     if (changed > since) news.removedWorkers.push_back(address);
   for (const auto& [name, changed] : gonePools_)
     if (changed > since) news.removedPools.push_back(name);
+  for (const auto& [name, changed] : goneTenants_)
+    if (changed > since) news.removedTenants.push_back(name);
   return news;
 }
 
@@ -48,7 +53,9 @@
     workers_.clear();
     zones_.clear();
     pools_.clear();
+    tenants_.clear();
     gonePools_.clear();
+    goneTenants_.clear();
     goneRoutes_.clear();
     goneWorkers_.clear();
     forgotten_ = news.to;
@@ -77,6 +84,15 @@
     gonePools_.erase(pool.name);
     pools_[pool.name] = pool;
   }
+  for (const std::string& name : news.removedTenants) {
+    tenants_.remove(name);
+    goneTenants_[name] = news.to;
+  }
+  for (const Tenant& tenant : news.tenants) {
+    goneTenants_.erase(tenant.name);
+    tenants_.put(tenant);
+  }
+  tenants_.setKeysNeeded(news.keysNeeded);
   limits_ = news.limits;
   given_ = news.given;
   revision_ = news.to;
@@ -158,6 +174,17 @@
   forgetOld();
 }
 
+void ControlState::putTenant(Tenant tenant) {
+  tenant.changed = revision_;
+  goneTenants_.erase(tenant.name);
+  tenants_.put(std::move(tenant));
+}
+
+void ControlState::removeTenant(const std::string& name) {
+  if (tenants_.remove(name)) goneTenants_[name] = revision_;
+  forgetOld();
+}
+
 void ControlState::setLimits(CallerLimits limits) {
   limits.changed = revision_;
   limits_ = std::move(limits);
@@ -194,6 +221,10 @@
     forgotten_ = revision_;
     gonePools_.clear();
   }
+  while (goneTenants_.size() > kGoneKept) {
+    forgotten_ = revision_;
+    goneTenants_.clear();
+  }
 }
 
 }  // namespace stonemount
--- a/src/config/control_state.h
+++ b/src/config/control_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/sparse.h"
+#include "config/tenants.h"
 
 namespace stonemount {
 
@@ -38,6 +39,7 @@
   std::uint32_t precedence = 0;  // 0 is the highest
   bool affinity = false;         // requests name the parts of their prompts
   bool resumable = false;        // a stream may go on at another worker
+  bool open = false;             // requests need no key
   std::string given;             // the operator's own text of it, to be read back
   std::uint64_t order = 0;       // where it stands in the operator's text, beside the others
   Revision changed = 0;
@@ -45,7 +47,7 @@
   void serialize(Archive& archive) {
     archive(name, kind, limitUs, prefixBytes);
     packSparse(archive, pool, adapter, lots, when, otherwise, host, prefix, shares, targetUs, gapTargetUs, completionUs,
-               retentionUs, attempts, precedence, affinity, resumable, given, order, changed, mostQueuedTokens);
+               retentionUs, attempts, precedence, affinity, resumable, given, order, changed, mostQueuedTokens, open);
   }
 };
 
@@ -119,8 +121,15 @@
   std::vector<std::string> removedPools;
   CallerLimits limits;  // always told
   std::string given;    // always told
-  STONEMOUNT_PACK(from, to, configRevision, whole, routes, removedRoutes, workers, removedWorkers, zones, pools,
-                  removedPools, limits, given)
+  std::vector<Tenant> tenants;
+  std::vector<std::string> removedTenants;
+  bool keysNeeded = false;  // always told
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(from, to, configRevision, whole, routes, removedRoutes, workers, removedWorkers, zones, pools, removedPools,
+            limits, given);
+    packTrailing(archive, tenants, removedTenants, keysNeeded);
+  }
 };
 
 class ControlState {
@@ -131,6 +140,8 @@
   const std::map<Address, ListedWorker>& workers() const { return workers_; }
   const std::map<std::string, ZoneState>& zones() const { return zones_; }
   const std::map<std::string, Pool>& pools() const { return pools_; }
+  const TenantTable& tenantTable() const { return tenants_; }
+  const std::map<std::string, Tenant>& tenants() const { return tenants_.all(); }
   const CallerLimits& limits() const { return limits_; }
   const std::string& given() const { return given_; }  // what else the operator's text held
   // The route of that host with the longest prefix that begins the path; none: nullptr. Prefixes begin and
@@ -156,8 +167,16 @@
   void removeWorker(const Address& address);
   void putPool(Pool pool);
   void removePool(const std::string& name);
+  void putTenant(Tenant tenant);
+  void removeTenant(const std::string& name);
+  void setKeysNeeded(bool needed) { tenants_.setKeysNeeded(needed); }
   void setLimits(CallerLimits limits);
   void setGiven(std::string given) { given_ = std::move(given); }
+  // Tenants are saved apart from the rest, which keeps its format.
+  template <class Archive>
+  void serializeTenants(Archive& archive) {
+    archive(tenants_, goneTenants_);
+  }
   template <class Archive>
   void serialize(Archive& archive) {
     archive(revision_, configRevision_, routes_, workers_, zones_, pools_, limits_, given_, goneRoutes_, goneWorkers_,
@@ -183,11 +202,13 @@
   std::map<Address, ListedWorker> workers_;
   std::map<std::string, ZoneState> zones_;
   std::map<std::string, Pool> pools_;
+  TenantTable tenants_;
   CallerLimits limits_;
   std::string given_;
   absl::flat_hash_map<std::string, HostPlaces> places_;  // not saved
   std::map<std::string, Revision> goneRoutes_;
   std::map<std::string, Revision> gonePools_;
+  std::map<std::string, Revision> goneTenants_;
   std::map<Address, Revision> goneWorkers_;
   Revision forgotten_ = 0;  // whoever is older than this is sent the whole
 };
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -119,6 +119,7 @@
 };
 using RouteChange = ItemChange<Route>;
 using PoolChange = ItemChange<Pool>;
+using TenantChange = ItemChange<Tenant>;
 // From one configuration to the next, and back.
 struct ConfigStep {
   Revision revision = 0;
@@ -128,7 +129,9 @@
   std::vector<PoolChange> pools;
   ItemChange<CallerLimits> limits;  // empty: as they were
   ItemChange<std::string> given;
-  STONEMOUNT_PACK(revision, base, note, changes, pools, limits, given)
+  std::vector<TenantChange> tenants;
+  ItemChange<bool> keysNeeded;
+  STONEMOUNT_PACK(revision, base, note, changes, pools, limits, given, tenants, keysNeeded)
 };
 struct RetireOrder {
   std::string machine;
--- a/src/control/config_merge.cc
+++ b/src/control/config_merge.cc
@@ -119,6 +119,9 @@
   step.note = wish.note;
   step.changes = mergeItems(state.routes(), wish.routes, wish.removed, wish.whole);
   step.pools = mergeItems(state.pools(), wish.pools, wish.removedPools, wish.whole);
+  step.tenants = mergeItems(state.tenants(), wish.tenants, wish.removedTenants, wish.whole);
+  const bool keysNeeded = wish.tenantsGiven || (!wish.whole && state.tenantTable().keysNeeded());
+  mergeOne(state.tenantTable().keysNeeded(), keysNeeded, step.keysNeeded);
   CallerLimits limits = wish.limits ? *wish.limits : wish.whole ? CallerLimits() : state.limits();
   limits.changed = state.limits().changed;
   mergeOne(state.limits(), limits, step.limits);
@@ -132,17 +135,23 @@
   back.revision = back.base + 1;
   std::map<std::string, std::optional<Route>> routes;
   std::map<std::string, std::optional<Pool>> pools;
+  std::map<std::string, std::optional<Tenant>> tenants;
+  bool keysNeeded = state.tenantTable().keysNeeded();
   CallerLimits limits = state.limits();
   std::string given = state.given();
   for (const ConfigStep* step : steps) {
     gatherBack(step->changes, routes);
     gatherBack(step->pools, pools);
+    gatherBack(step->tenants, tenants);
+    if (step->keysNeeded.before) keysNeeded = *step->keysNeeded.before;
     if (step->limits.before) limits = *step->limits.before;
     if (step->given.before) given = *step->given.before;
   }
   limits.changed = state.limits().changed;
   back.changes = changesTo(routes, state.routes());
   back.pools = changesTo(pools, state.pools());
+  back.tenants = changesTo(tenants, state.tenants());
+  mergeOne(state.tenantTable().keysNeeded(), keysNeeded, back.keysNeeded);
   mergeOne(state.limits(), limits, back.limits);
   mergeOne(state.given(), given, back.given);
   return back;
@@ -179,7 +188,22 @@
 }
 }  // namespace
 
-ConfigFlawFound findFlaw(const ControlState& state, const ConfigStep& step, bool poolsGiven) {
+namespace {
+// Of what stands no two share a key, so a step that leaves the tenants as they are is not looked at. The flaw is told
+// by the name of the later tenant, never by the key.
+ConfigFlawFound findSharedKey(const ControlState& state, const ConfigStep& step) {
+  if (step.tenants.empty()) return {};
+  absl::flat_hash_map<std::string_view, std::string_view> holders;
+  for (const auto& [name, tenant] : resultOf(state.tenants(), step.tenants)) {
+    for (const std::string& key : tenant->keys) {
+      const auto [holder, added] = holders.emplace(key, name);
+      if (!added && holder->second != name) return {ConfigFlaw::kSharedKey, name};
+    }
+  }
+  return {};
+}
+
+ConfigFlawFound findRouteFlaw(const ControlState& state, const ConfigStep& step, bool poolsGiven) {
   const std::map<std::string, const Pool*> pools = resultOf(state.pools(), step.pools);
   const bool few = step.changes.size() < state.routes().size() / 8;
   if (few && step.pools.empty() && !pools.empty() && std::all_of(step.changes.begin(), step.changes.end(), hasPrefix))
@@ -193,5 +217,11 @@
   }
   return {};
 }
+}  // namespace
+
+ConfigFlawFound findFlaw(const ControlState& state, const ConfigStep& step, bool poolsGiven) {
+  ConfigFlawFound found = findRouteFlaw(state, step, poolsGiven);
+  return found.flaw != ConfigFlaw::kNone ? found : findSharedKey(state, step);
+}
 
 }  // namespace stonemount
--- a/src/control/config_merge.h
+++ b/src/control/config_merge.h
@@ -13,7 +13,7 @@
 
 struct ConfigFlawFound {
   ConfigFlaw flaw = ConfigFlaw::kNone;
-  std::string route;
+  std::string route;  // or the tenant that has it
 };
 // Of the state as it would be after the step.
 ConfigFlawFound findFlaw(const ControlState& state, const ConfigStep& step, bool poolsGiven);
--- a/src/control/control_machine.cc
+++ b/src/control/control_machine.cc
@@ -34,7 +34,8 @@
   auto* config = std::get_if<PutConfig>(command);
   if (config == nullptr) return false;
   const ConfigRequest& wish = config->wish;
-  return wish.whole ? wish.routes.size() > state_.routes().size() : !wish.routes.empty() || !wish.pools.empty();
+  if (wish.whole) return wish.routes.size() > state_.routes().size() || wish.tenants.size() > state_.tenants().size();
+  return !wish.routes.empty() || !wish.pools.empty() || !wish.tenants.empty();
 }
 
 Bytes ControlMachine::apply(const Bytes& bytes) {
@@ -102,6 +103,11 @@
     else
       state_.removePool(change.before->name);
   }
+  for (const TenantChange& change : step.tenants)
+    if (!change.after) state_.removeTenant(change.before->name);
+  for (const TenantChange& change : step.tenants)
+    if (change.after) state_.putTenant(*change.after);
+  if (step.keysNeeded.after) state_.setKeysNeeded(*step.keysNeeded.after);
   if (step.limits.after) state_.setLimits(*step.limits.after);
   if (step.given.after) state_.setGiven(*step.given.after);
   history_.push_back(std::move(step));
--- a/src/control/operator_service.cc
+++ b/src/control/operator_service.cc
@@ -93,8 +93,14 @@
   if (news->configRevision == 0) co_return NoConfig{};
   std::stable_sort(news->routes.begin(), news->routes.end(), ByOrder());
   std::stable_sort(news->pools.begin(), news->pools.end(), ByOrder());
-  co_return ConfigSight{news->configRevision, std::move(news->routes), std::move(news->pools), std::move(news->limits),
-                        std::move(news->given)};
+  std::stable_sort(news->tenants.begin(), news->tenants.end(), ByOrder());
+  co_return ConfigSight{news->configRevision,
+                        std::move(news->routes),
+                        std::move(news->pools),
+                        std::move(news->limits),
+                        std::move(news->given),
+                        std::move(news->tenants),
+                        news->keysNeeded};
 }
 
 // A member of the chain knows which order for the zone was the newest as the call came in; a process without a seat
--- a/src/control/operator_service.h
+++ b/src/control/operator_service.h
@@ -35,6 +35,8 @@
   std::vector<Pool> pools;
   CallerLimits limits;
   std::string given;
+  std::vector<Tenant> tenants;
+  bool keysNeeded = false;
 };
 struct NoConfig {};  // none was ever taken, as far as the chain knows
 using ConfigAnswer = std::variant<ConfigSight, NoConfig, CallUntaken>;
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -67,6 +67,8 @@
   if (route == configCache_.state().routes().end()) return sendVerdict(*reply, 404, "unknown_route", {{"route", name}});
   if (route->second.kind != kind)
     return sendVerdict(*reply, 404, "other_kind_of_route", {{"route", name}, {"path", pathOf(route->second.kind)}});
+  const CallerTenant caller = tenantOfCaller(configCache_.state().tenantTable(), route->second.open, ask.headers);
+  if (std::holds_alternative<KeyRefused>(caller)) return sendVerdict(*reply, 401, "unknown_key", {{"ran", "no"}});
   if (lookup) {
     auto key = ask.query.find("key");
     if (key == ask.query.end() || key->second.empty())
--- a/src/proxy/gateway.cc
+++ b/src/proxy/gateway.cc
@@ -31,7 +31,7 @@
 }
 
 // The first few may look: the very first may have passed over the worker that has room.
-bool Gateway::mayChoose(const std::string& pool, const std::pair<std::uint32_t, std::uint64_t>& place) const {
+bool Gateway::mayChoose(const std::string& pool, const QueuePlace& place) const {
   auto queue = queues_.find(pool);
   if (queue == queues_.end()) return true;
   std::size_t ahead = 0;
@@ -72,7 +72,7 @@
 // Until a worker has room, for as long as an answer could still be early. True: one was charged for it.
 Job<bool> Gateway::hold(std::shared_ptr<Caller> caller, std::string pool) {
   caller->wish.pool = std::move(pool);
-  const std::pair<std::uint32_t, std::uint64_t> place(caller->request.route.precedence, caller->number);
+  const QueuePlace place{caller->request.tenantPrecedence, caller->request.route.precedence, caller->number};
   bool givesWay = queues_.contains(caller->wish.pool);  // those who wait look first
   if (givesWay) onRoom();
   while (true) {
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -14,6 +14,8 @@
   Us limitUs = 0;        // that the caller waits
   std::uint64_t spot = 0;
   std::optional<std::uint64_t> lastEvent;
+  std::string tenant;                  // by name; empty: none
+  std::uint32_t tenantPrecedence = 0;  // goes before the route's
 };
 
 struct GatewayPlan {
@@ -48,7 +50,14 @@
 
  private:
   struct Caller;
-  bool mayChoose(const std::string& pool, const std::pair<std::uint32_t, std::uint64_t>& place) const;
+  // In a queue: by the tenant's precedence, then the route's, then as they came.
+  struct QueuePlace {
+    std::uint32_t tenantPrecedence = 0;
+    std::uint32_t routePrecedence = 0;
+    std::uint64_t number = 0;
+    auto operator<=>(const QueuePlace&) const = default;
+  };
+  bool mayChoose(const std::string& pool, const QueuePlace& place) const;
   Task serve(std::shared_ptr<Caller> caller);
   Job<bool> hold(std::shared_ptr<Caller> caller, std::string pool);
   bool mayTryAgain(const Caller& caller) const;
@@ -65,8 +74,8 @@
   const WorkerDialect& dialect_;
   GatewayPlan plan_;
   std::uint64_t lastEntered_ = 0;
-  using Queue = std::map<std::pair<std::uint32_t, std::uint64_t>, Caller*>;  // by precedence, then as they came
-  std::map<std::string, Queue> queues_;                                      // by pool
+  using Queue = std::map<QueuePlace, Caller*>;
+  std::map<std::string, Queue> queues_;  // by pool
   std::size_t held_ = 0;
   std::size_t relaying_ = 0;
   sigc::connection roomMade_;
--- a/src/runtime/pack.h
+++ b/src/runtime/pack.h
@@ -166,6 +166,16 @@
   return static_cast<std::size_t>(index);
 }
 
+// Fields that were added at the end of a record which stands last in what is packed: where older bytes end before
+// them they are as by default.
+template <class Archive, class... Fields>
+void packTrailing(Archive& archive, Fields&... fields) {
+  if constexpr (std::is_same_v<Archive, PackIn>) {
+    if (archive.left() == 0) return;
+  }
+  archive(fields...);
+}
+
 #define STONEMOUNT_PACK(...)          \
   template <class Archive>            \
   void serialize(Archive& archive_) { \
