--- a/src/control/operator_service.cc
+++ b/src/control/operator_service.cc
@@ -94,12 +94,8 @@
   std::stable_sort(news->routes.begin(), news->routes.end(), ByOrder());
   std::stable_sort(news->pools.begin(), news->pools.end(), ByOrder());
   std::stable_sort(news->tenants.begin(), news->tenants.end(), ByOrder());
-  co_return ConfigSight{news->configRevision,
-                        std::move(news->routes),
-                        std::move(news->pools),
-                        std::move(news->limits),
-                        std::move(news->given),
-                        std::move(news->tenants),
+  co_return ConfigSight{news->configRevision,    std::move(news->routes), std::move(news->pools),
+                        std::move(news->limits), std::move(news->given),  std::move(news->tenants),
                         news->keysNeeded};
 }
 
