Replication: a chain acknowledges with one member more than disks may be lost

Cause: what was asked of a chain that acknowledges and shows was two zones. Where two disks may be lost at once (five voters), a chain of two took lots and answered reads: both disks lost, and what it had acknowledged is gone; nor was such a chain ever left behind for a holder, so it stayed closed. Change: acknowledges(view): two zones, and more members than voters may be lost with a majority left (three of five, two of three or four). It decides what is taken, read, kept as the newest wide chain, left behind for a holder, reconfigured without a slow disk or by a removal, and told by doctor.

--- a/src/node/doctor.cc
+++ b/src/node/doctor.cc
@@ -27,9 +27,10 @@
     return;
   }
   const std::size_t members = sight.view.voters.size() + sight.view.nonVoters.size();
-  if (!spansZones(sight.view.chain))
-    findings.push_back({"D" + number + "02", name + ": the chain lies in one zone; writes and reads are refused",
-                        "bring back a " + name + " machine in another zone"});
+  if (!acknowledges(sight.view))
+    findings.push_back({"D" + number + "02",
+                        name + ": the chain lies in one zone or has too few members; writes and reads are refused",
+                        "bring back the " + name + " machines; one in another zone, if it lies in one"});
   else if (sight.view.chain.size() < members)
     findings.push_back({"D" + number + "03",
                         absl::StrCat(name, ": ", sight.view.chain.size(), " of ", members, " members in the chain"),
--- a/src/replication/intake.cc
+++ b/src/replication/intake.cc
@@ -39,10 +39,10 @@
   return ChainOutcome::kRingFull;
 }
 
-// Who may take commands: the head of a chain in two zones, in the view that the client names.
+// Who may take commands: the head of a chain that acknowledges, in the view that the client names.
 std::optional<ChainOutcome> Replica::notHead(Revision revision) const {
   if (!head() || revision != memory_.view.revision) return ChainOutcome::kNotMine;
-  if (!spansZones(memory_.view.chain)) return ChainOutcome::kTooFewCopies;
+  if (!acknowledges(memory_.view)) return ChainOutcome::kTooFewCopies;
   return std::nullopt;
 }
 
--- a/src/replication/loss_margin.cc
+++ b/src/replication/loss_margin.cc
@@ -39,7 +39,7 @@
   margin.soundCopies = copies.size();
   if (view.voters.empty() || voters.size() < margin.majority || copies.empty()) return margin;
   // A chain that is not whole acknowledges nothing: its members wait for the next view.
-  if (copies.size() != view.chain.size() || !spansZones(view.chain)) return margin;
+  if (copies.size() != view.chain.size() || !acknowledges(view)) return margin;
   margin.machines = std::min(voters.size() - margin.majority, copies.size() - 1);
   margin.anyZone = true;
   for (const Seat& lost : view.voters)
--- a/src/replication/propose.cc
+++ b/src/replication/propose.cc
@@ -167,7 +167,7 @@
   Job<bool> sealing = fenceChain(target);
   const bool sealed = co_await sealing;
   if (!sealed || target.revision != memory_.view.revision + 1) co_return ChangeOutcome::kNotReady;
-  target.wide = spansZones(target.chain) ? target.chain : memory_.view.wide;
+  target.wide = acknowledges(target) ? target.chain : memory_.view.wide;
   Job<bool> voting = ballot(target);
   const bool decided = co_await voting;
   co_return decided ? ChangeOutcome::kDone : ChangeOutcome::kNoMajority;
--- a/src/replication/reader.cc
+++ b/src/replication/reader.cc
@@ -1,5 +1,5 @@
-// Reads: answered at the tail, after a majority of voters has confirmed its view, and only from a chain in
-// two zones: nothing is shown that one lost disk could take back (design.md 6.6).
+// Reads: answered at the tail, after a majority of voters has confirmed its view, and only from a chain that
+// acknowledges: nothing is shown that lost disks could take back (design.md 6.6).
 #include "replication/polls.h"
 #include "replication/replica.h"
 
@@ -43,7 +43,7 @@
     if (batch.empty()) continue;
     const View view = memory_.view;
     bool confirmed = false;
-    if (tail() && verified_ && spansZones(view.chain)) {
+    if (tail() && verified_ && acknowledges(view)) {
       ++counts_.confirms;
       SeatPoll<VoterReply> poll(rpc_, Confirm{view.revision}, view.voters, view.majority(), kConfirmLimitUs);
       co_await poll;
--- a/src/replication/reconfigurer.cc
+++ b/src/replication/reconfigurer.cc
@@ -63,11 +63,10 @@
   for (const Seat& voter : now.voters)
     needed |= aliveSeat(voter) && peers_.at(voter.address).pong.ballotOpen &&
               peers_.at(voter.address).pong.revision == now.revision;
-  std::vector<Seat> healthy;
   for (const Seat& seat : alive)
-    if (healthySeat(seat)) healthy.push_back(seat);
-  // A slow disk is mended out only where two zones remain without it.
-  wanted.chain = !healthy.empty() && spansZones(healthy) ? healthy : alive;
+    if (healthySeat(seat)) wanted.chain.push_back(seat);
+  // A slow disk is mended out only where the chain acknowledges without it.
+  if (!acknowledges(wanted)) wanted.chain = alive;
   if (wanted.chain.empty()) return viewFromHolder();
   needed |= wanted.chain.size() != now.chain.size();
   if (std::optional<View> without = viewWithoutRemoved(wanted)) return without;
@@ -78,7 +77,7 @@
 }
 
 // The wanted view without the member that an operator's request removes. A replacement waits until the new machine is
-// caught up, and every removal until the chain without that member spans two zones: the next loss would else leave
+// caught up, and every removal until the chain without that member acknowledges: the next loss would else leave
 // nobody who holds the state and is a member. All else is mended meanwhile.
 std::optional<View> Replica::viewWithoutRemoved(const View& wanted) const {
   if (!request_ || findMember(memory_.view, request_->remove) == nullptr) return std::nullopt;
@@ -88,7 +87,6 @@
   std::erase_if(without.nonVoters, SeatAt{request_->remove});
   addReadyPeer(without);
   if (request_->add.set() && findMember(without, request_->add) == nullptr) return std::nullopt;
-  if (!spansZones(without.chain)) return std::nullopt;
   for (const Seat& nonVoter : std::exchange(without.nonVoters, {})) {  // one may have a vote now
     if (ableSeat(nonVoter))
       giveSeat(without, nonVoter);
@@ -96,11 +94,12 @@
       without.nonVoters.push_back(nonVoter);
   }
   promoteNonVoters(without);
+  if (!acknowledges(without)) return std::nullopt;
   return without;
 }
 
-// Nobody of the chain is left. Where it lay in one zone it acknowledged and showed nothing, and whoever
-// was in the newest chain that did holds all of it (design.md 6.5).
+// Nobody of the chain is left. Where it was too small, or lay in one zone, it acknowledged and showed nothing, and
+// whoever was in the newest chain that did holds all of it (design.md 6.5).
 std::optional<View> Replica::viewFromHolder() const {
   const View& now = memory_.view;
   if (!mayLeaveChain(now)) return std::nullopt;
--- a/src/replication/view.h
+++ b/src/replication/view.h
@@ -18,7 +18,7 @@
   std::vector<Seat> voters;
   std::vector<Seat> nonVoters;  // may be in the chain, and have no vote (design.md 6.1)
   std::vector<Seat> chain;      // head first, tail last
-  std::vector<Seat> wide;       // the newest chain in two zones: each of it holds all that was acknowledged or shown
+  std::vector<Seat> wide;  // the newest chain that acknowledges: each of it holds all that was acknowledged or shown
   friend bool operator==(const View&, const View&) = default;
   STONEMOUNT_PACK(revision, voters, nonVoters, chain, wide)
   std::size_t majority() const { return voters.size() / 2 + 1; }
@@ -37,13 +37,19 @@
   const Seat* seat = findSeat(seats, address);
   return seat != nullptr && seat->incarnation == incarnation;
 }
-// Two copies in two zones, or nothing is acknowledged, nor read (design.md 6.4, 6.6).
 inline bool spansZones(const std::vector<Seat>& chain) {
   for (const Seat& seat : chain)
     if (seat.zone != chain.front().zone) return true;
   return false;
 }
 
+// A chain that acknowledges and shows: in two zones, and with a member more than disks may be lost at once, that is,
+// than voters may be with a majority left (design.md 6.4).
+inline bool acknowledges(const View& view) {
+  const std::size_t losses = view.voters.empty() ? 0 : (view.voters.size() - 1) / 2;
+  return view.chain.size() > losses && spansZones(view.chain);
+}
+
 // Would the loss of any one zone leave a majority of them?
 inline bool outlivesZones(const std::vector<Seat>& voters) {
   for (const Seat& lost : voters) {
@@ -65,9 +71,9 @@
   return voter != nullptr ? voter : findSeat(view.nonVoters, address);
 }
 
-// A chain in one zone acknowledges and shows nothing, so it may be left behind for one that starts from
-// a holder of all that was acknowledged before it (design.md 6.5).
-inline bool mayLeaveChain(const View& view) { return !view.chain.empty() && !spansZones(view.chain); }
+// A chain that acknowledges and shows nothing may be left behind for one that starts from a holder of all that was
+// acknowledged before it (design.md 6.5).
+inline bool mayLeaveChain(const View& view) { return !view.chain.empty() && !acknowledges(view); }
 
 struct Ballot {
   std::uint64_t round = 0;
