Tests: two disks replaced, then the two that have lasted longest are lost

The same test's second part: two disks are lost one after the other and come back empty; 6 s later, when they count as lost no more, two of the other three are lost while all others lose power.

--- a/tests/few_copies_test.cc
+++ b/tests/few_copies_test.cc
@@ -16,10 +16,11 @@
 constexpr Us kLinkUsPerKilobyte = 137;
 constexpr std::size_t kCommandBytes = 6 << 10;
 constexpr Us kCommandEveryUs = 20 * kMilliUs;
+constexpr Us kSyncUs = 6 * kSecondUs;  // after which a machine that is back counts as lost no more
 constexpr Us kReadableUs = 15 * kSecondUs;
 constexpr Us kWholeUs = 60 * kSecondUs;
 
-enum class Trouble : std::uint8_t { kDark, kFrozen, kSlowDisk, kSlowLink };
+enum class Trouble : std::uint8_t { kDark, kFrozen, kSlowDisk, kSlowLink, kDiskLost };
 
 struct Spell {
   Trouble trouble = Trouble::kDark;
@@ -30,8 +31,11 @@
 
 class Day {
  public:
-  explicit Day(std::uint64_t seed)
-      : name_(absl::StrCat(", seed ", seed)), rig_(seed, kMembers, kKeptEntries, kFileBytes), chance_(seed * 31 + 5) {
+  Day(std::uint64_t seed, bool replaced)
+      : name_(absl::StrCat(", seed ", seed, replaced ? ", two disks replaced" : "")),
+        replaced_(replaced),
+        rig_(seed, kMembers, kKeptEntries, kFileBytes),
+        chance_(seed * 31 + 5) {
     for (SimHost* host : rig_.hosts) host->linkUsPerKilobyte = kLinkUsPerKilobyte;
   }
   void run() {
@@ -39,7 +43,8 @@
     rig_.world.runUntil(2 * kSecondUs);
     expect(rig_.wholeAndActive(), "the chain stands" + name_);
     drawSpells();
-    const Us strikeUs = spells_[2].fromUs + drawn(200, 2500);
+    const Us quietUs = std::max(spells_[0].untilUs, spells_[1].untilUs) + kSyncUs;
+    const Us strikeUs = replaced_ ? quietUs : spells_[2].fromUs + drawn(200, 2500);
     while (rig_.world.nowUs() < strikeUs) step();
     const std::uint64_t before = rig_.written;
     while (rig_.written == before && rig_.world.nowUs() < strikeUs + kSecondUs) step();
@@ -55,9 +60,9 @@
     std::vector<std::size_t> places = {0, 1, 2, 3, 4};
     for (std::size_t i = places.size(); i > 1; --i) std::swap(places[i - 1], places[chance_.below(i)]);
     Us fromUs = rig_.world.nowUs() + drawn(500, 2500);
-    for (std::size_t i = 0; i < 3; ++i) {
+    for (std::size_t i = 0; i < (replaced_ ? 2 : 3); ++i) {
       Spell spell;
-      spell.trouble = static_cast<Trouble>(chance_.below(4));
+      spell.trouble = replaced_ ? Trouble::kDiskLost : static_cast<Trouble>(chance_.below(4));
       spell.place = places[i];
       spell.fromUs = fromUs;
       spell.untilUs = fromUs + drawn(800, 4000);
@@ -71,6 +76,9 @@
       case Trouble::kDark:
         begins ? rig_.kill(spell.place) : rig_.start(spell.place);
         break;
+      case Trouble::kDiskLost:
+        begins ? rig_.wipe(spell.place) : rig_.start(spell.place);
+        break;
       case Trouble::kFrozen:
         if (begins) host.frozenUntilUs = spell.untilUs;
         break;
@@ -100,8 +108,14 @@
     for (const Seat& seat : view.chain) order.push_back(placeOf(seat.address));
     for (std::size_t place = 0; place < kMembers; ++place)
       if (std::find(order.begin(), order.end(), place) == order.end()) order.push_back(place);
-    const std::size_t first = chance_.below(2) == 0 ? 0 : chance_.below(kMembers);
-    const std::size_t second = (first + 1 + (chance_.below(2) == 0 ? 0 : chance_.below(kMembers - 1))) % kMembers;
+    // The two whose disks have lasted longest, if two were replaced.
+    const auto lasted = [this](std::size_t place) {
+      return std::none_of(spells_.begin(), spells_.end(), [place](const Spell& spell) { return spell.place == place; });
+    };
+    if (replaced_) std::stable_partition(order.begin(), order.end(), lasted);
+    const std::size_t first = replaced_ ? 0 : chance_.below(2) == 0 ? 0 : chance_.below(kMembers);
+    const std::size_t second =
+        (first + 1 + (replaced_ || chance_.below(2) == 0 ? 0 : chance_.below(kMembers - 1))) % kMembers;
     absl::StrAppend(&name_, ", ", view.chain.size(), " in the chain");
     for (std::size_t i = 0; i < kMembers; ++i) {
       if (i == first || i == second)
@@ -148,6 +162,7 @@
     expect(rig_.wholeAndActive(), "the chain is whole again" + name_);
   }
   std::string name_;
+  bool replaced_;
   Rig rig_;
   Chance chance_;
   std::vector<Spell> spells_;
@@ -159,6 +174,9 @@
 
 int main() {
   const Seeds seeds = givenSeeds("FEW_COPIES_SEEDS", {1, 100});
-  for (std::uint64_t seed = seeds.first; seed < seeds.end(); ++seed) Day(seed).run();
+  for (std::uint64_t seed = seeds.first; seed < seeds.end(); ++seed) {
+    Day(seed, false).run();
+    Day(seed, true).run();
+  }
   return expectationsVerdict();
 }
