Platform: one node asks for many while control is silent

Cause: each node that had not heard control for 2 s fetched the platform's whole list, all its pages, every 0.6 to 0.9 s; also nodes that had been told of no workers yet, whom a mark tells nothing.

Change: PlatformRelay. A node asks the peer that ranks first by hash among those it knows to be alive; who knows of none before itself asks the platform. Answers carry their age, never a clock. Who holds nothing fresh (1.5 s) asks the platform itself after 0.6 to 0.9 s. A node without workers does not ask. Peers are asked after 1.6 s of silence, so that a node that is cut off asks the platform some 2.4 s after control's last word (2.0 before).

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -12,7 +12,9 @@
 constexpr std::size_t kBodyBytes = 4 << 20;
 constexpr Us kOrderUs = 4 * kSecondUs;  // an order's answer comes by then, its fate known or not
 constexpr Us kSureUs = 2 * kSecondUs;   // ... or by then, if it was surely not taken
-constexpr Us kSilentUs = 2 * kSecondUs;
+// Where control works the last answered question is at most two held ones old (1.45 s). Then peers are asked what the
+// platform tells, and the platform itself at most 0.9 s later, if they do not know.
+constexpr Us kSilentUs = 1600 * kMilliUs;
 constexpr Us kLoopTickUs = 200 * kMilliUs;
 constexpr std::uint32_t kTellTicks = 5;     // between two tellings of late answers
 constexpr Us kMarksKeptUs = 5 * kSecondUs;  // once control is heard again, until the lister has surely listed
@@ -34,6 +36,8 @@
       ownList_(ports, settings_.platform),
       list_(plan.list) {
   if (list_ == nullptr && settings_.platform.set()) list_ = &ownList_;
+  if (list_ != nullptr)
+    relay_ = std::make_unique<PlatformRelay>(ports, rpc_, gossip_, *list_, sigc::mem_fun(*this, &Node::wantsPlatform));
   if (plan.dialect == nullptr) return;
   PoolLoadTablePlan board;
   board.zone = settings_.zone;
@@ -66,7 +70,12 @@
   proxy_.begin();
   scheduler_.begin();
   room_.start(keepNodes());
-  if (list_ != nullptr) room_.start(hearPlatform());
+  begunUs_ = ports_.clock.monoUs();
+  if (relay_ != nullptr) {
+    relay_->heard.connect(sigc::mem_fun(*this, &Node::takePlatformMarks));
+    relay_->begin(room_);
+    room_.start(keepMarks());
+  }
   if (gateway_ != nullptr) room_.start(watchLatency());
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Node::onAsked));
 }
@@ -124,46 +133,39 @@
 }
 
 // Control not heard for a while, counted from the start of this process at the earliest.
-bool Node::controlSilent(Us begunUs) const {
-  return ports_.clock.monoUs() - std::max(begunUs, configCache_.freshUs()) > kSilentUs;
+bool Node::controlSilent() const {
+  return ports_.clock.monoUs() - std::max(begunUs_, configCache_.freshUs()) > kSilentUs;
+}
+
+// What the platform's list marks says nothing to a node that has been told of no workers to send to.
+bool Node::wantsPlatform() const {
+  if (configCache_.state().workers().empty()) return false;
+  return controlSilent() || (sharing_ != nullptr && sharing_->listOld());
 }
 
-void Node::takePlatformList(const WorkerList& list, Us askedUs) {
+void Node::takePlatformMarks(const std::vector<ListedWorker>& marked, Us askedUs) {
   absl::btree_set<Address> marks;
-  for (const ListedWorker& worker : list.workers)
+  for (const ListedWorker& worker : marked)
     if (worker.leaving) marks.insert(worker.address);
   board_.setLeavingMarks(std::move(marks), askedUs);
-  if (sharing_ != nullptr) sharing_->onPlatformList(list.workers, askedUs);
+  marked_ = true;
+  if (sharing_ != nullptr) sharing_->onPlatformList(marked, askedUs);
 }
 
 // The list itself comes through the core. A leaving mark, and that a worker has turned cold, must be heard even while
-// the core cannot be: then each node asks the platform itself, and takes nothing but these, until control has told it
-// for a while (design.md 7.7). Asking is priced, and bounded for all nodes together.
-Task Node::hearPlatform() {
-  const Us begunUs = ports_.clock.monoUs();
-  Us silentUs = begunUs;  // when control was last found silent
-  bool marked = false;
-  std::uint64_t busy = 0;  // in a row
+// the core cannot be: then the nodes have the platform asked, by one for many, and take nothing but these, until
+// control has told it for a while (design.md 7.7).
+Task Node::keepMarks() {
+  Us silentUs = ports_.clock.monoUs();  // when control was last found silent
   while (true) {
-    Us againUs = 100 * kMilliUs;
     const Us nowUs = ports_.clock.monoUs();
-    if (controlSilent(begunUs) || (sharing_ != nullptr && sharing_->listOld())) {
+    if (wantsPlatform()) {
       silentUs = nowUs;
-      Job<WorkerListVerdict> fetching = list_->fetch();
-      WorkerListVerdict verdict = co_await fetching;
-      if (auto* list = std::get_if<WorkerList>(&verdict)) {
-        takePlatformList(*list, nowUs);
-        marked = true;
-      }
-      const bool turnedAway =
-          std::holds_alternative<ListTrouble>(verdict) && std::get<ListTrouble>(verdict) == ListTrouble::kBusy;
-      busy = turnedAway ? std::min<std::uint64_t>(busy + 1, 4) : 0;
-      againUs = static_cast<Us>((600 << busy) + ports_.chance.below(300 << busy)) * kMilliUs;
-    } else if (marked && nowUs - silentUs > kMarksKeptUs) {
+    } else if (marked_ && nowUs - silentUs > kMarksKeptUs) {
       board_.setLeavingMarks({}, -1);
-      marked = false;
+      marked_ = false;
     }
-    Pause pause(ports_.timers, againUs);
+    Pause pause(ports_.timers, 100 * kMilliUs);
     co_await pause;
   }
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -7,6 +7,7 @@
 #include "config/rule.h"
 #include "config/settings.h"
 #include "node/lot_desk.h"
+#include "node/platform_relay.h"
 #include "node/worker_sharing.h"
 #include "proxy/gateway.h"
 #include "proxy/health_watch.h"
@@ -89,10 +90,11 @@
   void onWorkerGone(const Address& worker) { ports_.httpOut.closeKept(worker); }
   Task keepNodes();
   std::vector<Address> knownNodes() const;
-  Task hearPlatform();
+  Task keepMarks();
   Task watchLatency();
-  void takePlatformList(const WorkerList& list, Us askedUs);
-  bool controlSilent(Us begunUs) const;
+  void takePlatformMarks(const std::vector<ListedWorker>& marked, Us askedUs);
+  bool controlSilent() const;
+  bool wantsPlatform() const;
   void methodRefused(HttpReply& reply, const char* allowed);
 
   Ports& ports_;
@@ -115,6 +117,9 @@
   RuleBook rules_;
   PlatformListSource ownList_;
   WorkerListSource* list_;
+  std::unique_ptr<PlatformRelay> relay_;  // only where there is a platform
+  Us begunUs_ = 0;
+  bool marked_ = false;  // leaving marks of the platform's are held
   sigc::connection asked_;
   bool draining_ = false;
 };
