--- a/tests/chain_rig.h
+++ b/tests/chain_rig.h
@@ -80,9 +80,11 @@
 
 struct Rig {
   Rig(std::uint64_t seed, std::size_t members, std::size_t keptEntries = 20000, std::size_t fileBytes = 256 << 10,
-      std::size_t zones = 0, std::size_t files = kFiles, bool beside = false)
+      std::size_t zones = 0, std::size_t files = kFiles, bool beside = false, std::size_t founding = 0)
       : world(seed), chance(seed ^ 7), kept(keptEntries), valuesBeside(beside) {
     for (std::size_t i = 0; i < members; ++i) addresses.push_back({1, static_cast<std::uint16_t>(1 + i)});
+    founders.assign(addresses.begin(),
+                    addresses.begin() + static_cast<std::ptrdiff_t>(founding > 0 ? founding : members));
     for (std::size_t i = 0; i < members; ++i) {
       hosts.push_back(&world.addHost("m" + std::to_string(i),
                                      "zone-" + std::to_string(i % (zones > 0      ? zones
@@ -108,7 +110,7 @@
     hosts[i]->rise();
     ReplicaPlan plan;
     plan.zone = hosts[i]->zone();
-    plan.founders = addresses;
+    plan.founders = founders;
     plan.keptEntries = kept;
     processes[i] = std::make_unique<Process>(*hosts[i], plan, views, valuesBeside);
   }
@@ -156,6 +158,7 @@
   std::uint64_t leftBehind = 0, restartedNarrow = 0;
   Views views;
   std::vector<Address> addresses;
+  std::vector<Address> founders;  // the first of them; the others may be taken in later
   std::vector<SimHost*> hosts;
   std::vector<std::unique_ptr<Process>> processes;
   SimHost* clientHost = nullptr;
