Replication: two members get their votes together where one alone may not

Cause: votes were given one at a time, each only if the loss of any one zone leaves a majority. Of four voters, two in one zone, none does; so a chain founded by three in three zones and grown to five members kept three voters for ever, in a deployment that bears two losses. Two voters' disks lost at once stopped the control chain for good. Class: a step that is safe by itself bars the way to a state that is safer. Change: where no single vote may be given, two are, in one view, if the zones allow the result (three voters to five). A view is chosen by a majority of the voters before it, whatever their number after it.

--- a/src/replication/reconfigurer.cc
+++ b/src/replication/reconfigurer.cc
@@ -10,6 +10,26 @@
 namespace {
 constexpr Us kTurnUs = 350 * kMilliUs;
 constexpr Us kPromiseUs = 250 * kMilliUs;
+
+// From three voters to five in one view: of four, two in one zone, the loss of that zone would leave no majority.
+bool promotePair(View& wanted) {
+  for (const Seat& first : wanted.nonVoters) {
+    for (const Seat& second : wanted.nonVoters) {
+      const bool placed =
+          findSeat(wanted.chain, first.address) != nullptr && findSeat(wanted.chain, second.address) != nullptr;
+      if (first.address == second.address || !placed) continue;
+      View with = wanted;
+      with.voters.push_back(first);
+      with.voters.push_back(second);
+      if (!outlivesZones(with.voters)) continue;
+      std::erase_if(with.nonVoters, SeatAt{first.address});
+      std::erase_if(with.nonVoters, SeatAt{second.address});
+      wanted = std::move(with);
+      return true;
+    }
+  }
+  return false;
+}
 }  // namespace
 
 // Refilled, healthy and waiting outside in the current view.
@@ -134,7 +154,7 @@
     wanted = std::move(with);
     promoted = true;
   }
-  return promoted;
+  return promotePair(wanted) || promoted;
 }
 
 // Voters propose in turn, so that two seldom do so at once. Safety does not hang on it.
