Config cache: a list of workers alone is no configuration

Cause: ready() asked for any revision of control, and the list of workers makes one. It asks for a configuration's now.

--- a/src/config/config_cache.h
+++ b/src/config/config_cache.h
@@ -27,7 +27,8 @@
   ConfigCache(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, ChainClient& core, Gossip& gossip);
   void begin();
   const ControlState& state() const { return state_; }
-  bool ready() const { return state_.revision() != 0; }
+  // A configuration is known; a list of workers alone may come before it.
+  bool ready() const { return state_.configRevision() != 0; }
   Us freshUs() const { return freshUs_; }  // when the question was asked that control answered last
   std::uint64_t asks = 0;
   sigc::signal<void()> news;
