--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -16,6 +16,11 @@
   Us cancelUs = 3 * kSecondUs;     // an ended lot starts nothing after this
   Us listLagUs = kSecondUs;        // by which the platform's list of workers lags behind
   std::uint32_t lostMachines = 1;  // with disks, at once
+  // How strictly tenants' requests are counted: in any window no more than (rate x window + burst) x (1 + overshoot)
+  // + slack.
+  Us quotaWindowUs = 5 * kSecondUs;
+  std::uint32_t quotaOvershootPerMille = 100;
+  std::uint64_t quotaSlack = 20;
 };
 
 struct Settings {
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/config_check.h"
+#include "quota/quota_ledger.h"
 #include "runtime/fleet_place.h"
 
 namespace stonemount {
@@ -62,7 +63,7 @@
 };
 // New kinds go to the end: a log names them by their place.
 using ControlCommand = std::variant<PutConfig, SetZone, PutWorkers, ReturnConfig, Rebuild, FoundStore, RetireStore,
-                                    SetZoneSince, ConfirmWorkers>;
+                                    SetZoneSince, ConfirmWorkers, TakeQuotaPart, ReserveQuota>;
 
 enum class ControlOutcome : std::uint8_t {
   kDone,
--- a/src/control/control_machine.cc
+++ b/src/control/control_machine.cc
@@ -43,6 +43,8 @@
   if (command == nullptr) return pack(verdict(ControlOutcome::kUnreadable));
   if (auto* found = std::get_if<FoundStore>(command)) return pack(applyOrder(orders_, *found));
   if (auto* retire = std::get_if<RetireStore>(command)) return pack(applyOrder(orders_, *retire));
+  if (auto* take = std::get_if<TakeQuotaPart>(command)) return pack(quotas_.apply(*take));
+  if (auto* reserve = std::get_if<ReserveQuota>(command)) return pack(quotas_.apply(*reserve));
   ControlVerdict done;
   if (auto* config = std::get_if<PutConfig>(command))
     done = put(*config);
--- a/src/control/control_machine.h
+++ b/src/control/control_machine.h
@@ -18,12 +18,14 @@
   bool enlarges(const Bytes& command) const override;
   bool takesLong() const override { return true; }  // a push of 10,000 routes is one command
   Bytes save() const override;
-  // Also reads the format before this one, which kept no more than 256 requests and none of what it forgot.
+  // Also reads the two formats before this one: the newer had no count of quotas, the older besides kept no more than
+  // 256 requests and none of what it forgot.
   bool load(const Bytes& state) override;
   const ControlState& state() const { return state_; }
   std::uint64_t platformVersion() const { return platformVersion_; }
   const MemberOrders& orders() const { return orders_; }
   const TakenRequests& taken() const { return taken_; }
+  const QuotaLedger& quotas() const { return quotas_; }
   // The revision of the newest order for that zone; 0: none.
   Revision zoneOrdered(const std::string& zone) const;
 
@@ -45,6 +47,7 @@
   std::deque<ConfigStep> history_;
   TakenRequests taken_;
   MemberOrders orders_;
+  QuotaLedger quotas_;
   FollowerSight followers_;                       // not kept: what this replica was told of its readers
   mutable std::map<Revision, Bytes> packedNews_;  // many nodes ask from the same revision
 };
--- a/src/control/core.h
+++ b/src/control/core.h
@@ -9,6 +9,7 @@
 #include "gossip/gossip.h"
 #include "membership/membership_manager.h"
 #include "membership/retire.h"
+#include "quota/quota_leader.h"
 #include "replication/replica.h"
 #include "restore/rebuild.h"
 #include "safe_time/sampler.h"
--- a/src/proxy/gateway.cc
+++ b/src/proxy/gateway.cc
@@ -101,7 +101,14 @@
 
 Task Gateway::serve(std::shared_ptr<Caller> caller) {
   const std::string route = caller->request.route.name;
+  bool counted = false;  // by its tenant's quota, for the next worker
   while (true) {
+    if (!counted) {
+      Job<bool> admitting = admitByQuota(caller);
+      const bool admitted = co_await admitting;
+      if (!admitted) co_return;
+      counted = true;
+    }
     const Us holdBeganUs = ports_.clock.monoUs();
     Job<bool> holding = hold(caller, poolFor(caller->request.route, caller->request.exchange));
     const bool chosen = co_await holding;
@@ -137,6 +144,7 @@
     order.limitUs = leftUs;
     ++relaying_;
     ++caller->sends;
+    caller->quota.spend();
     Attempt attempt(ports_, board_, dialect_);
     Job<PassEnding> passing = attempt.run(std::move(order), *caller->worker, *caller);
     const PassEnding ending = co_await passing;
@@ -145,6 +153,7 @@
     stageTimes_.noteAttempt(route, attempt.times());
     if (!handleEnding(*caller, ending)) co_return;
     ++counts_.retried;
+    counted = std::holds_alternative<PassNotRun>(ending);  // where it may have run, the next worker is counted too
     caller->wish.passedOver.insert(*caller->worker);
     // What is known not to have run may look for another worker as long as its answer could be early.
     caller->holdUntilUs =
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -4,6 +4,7 @@
 
 #include "proxy/attempt.h"
 #include "proxy/late_answers.h"
+#include "quota/quota_gate.h"
 
 namespace stonemount {
 
@@ -14,6 +15,7 @@
   Us limitUs = 0;        // that the caller waits
   std::uint64_t spot = 0;
   std::optional<std::uint64_t> lastEvent;
+  std::string tenant;  // by name; empty: none
 };
 
 struct GatewayPlan {
@@ -24,6 +26,7 @@
 };
 struct GatewayCounts {
   std::uint64_t taken = 0, whole = 0, refused = 0, lapsed = 0, broken = 0, left = 0, retried = 0, resumed = 0;
+  std::uint64_t overQuota = 0, quotaUnreachable = 0;
 };
 
 class Gateway : public ItemPasser {
@@ -34,6 +37,8 @@
   void enter(LiveRequest request, ReplyPtr reply);
   Job<PassEnding> passItem(PassOrder order, PassSink& sink) override;
   bool roomForLots(const std::string& pool) const override { return held_ == 0 && board_.roomForLots(pool); }
+  // From now on requests of tenants are admitted by it.
+  void setQuotas(QuotaGate& quotas) { quotas_ = &quotas; }
   void drain() { draining_ = true; }
   // Requests that come from now on are refused at once; those that it has go on to their end.
   void refuseNew() { admits_ = false; }
@@ -51,6 +56,8 @@
   bool mayChoose(const std::string& pool, const std::pair<std::uint32_t, std::uint64_t>& place) const;
   Task serve(std::shared_ptr<Caller> caller);
   Job<bool> hold(std::shared_ptr<Caller> caller, std::string pool);
+  Job<bool> admitByQuota(std::shared_ptr<Caller> caller);  // false: its caller was told
+  void refuseByQuota(Caller& caller, const QuotaRefusal& refusal);
   bool mayTryAgain(const Caller& caller) const;
   bool handleEnding(Caller& caller, const PassEnding& ending);  // true: try again
   void refuse(Caller& caller, const char* why);
@@ -64,6 +71,7 @@
   const ControlState& control_;
   const WorkerDialect& dialect_;
   GatewayPlan plan_;
+  QuotaGate* quotas_ = nullptr;  // none: tenants are not counted
   std::uint64_t lastEntered_ = 0;
   using Queue = std::map<std::pair<std::uint32_t, std::uint64_t>, Caller*>;  // by precedence, then as they came
   std::map<std::string, Queue> queues_;                                      // by pool
--- a/src/proxy/gateway_caller.h
+++ b/src/proxy/gateway_caller.h
@@ -59,6 +59,7 @@
   std::optional<std::uint64_t> lastEvent;
   std::optional<Address> worker;
   AnswerTimes times;
+  QuotaHold quota;
   Us enteredUs = 0, limitAtUs = 0, holdUntilUs = 0;
   std::uint32_t sends = 0;
   std::uint64_t number = 0;
