--- a/src/control/core.cc
+++ b/src/control/core.cc
@@ -24,7 +24,9 @@
       operators_(ports, core_, &replica_, &machine_),
       membershipManager_(ports, rpc_, room_, election_, gossip_, replica_, machine_, core_, store_,
                          membershipPlanOf(settings_, plan.membershipManager)),
-      retireService_(ports, rpc_, gossip_, core_, store_, settings_.bounds.lostMachines) {}
+      retireService_(ports, rpc_, gossip_, core_, store_, settings_.bounds.lostMachines),
+      quotaLimits_(machine_.state()),
+      quotaLeader_(ports, rpc_, room_, election_, core_, quotaLimits_, quotaBoundsOf(settings_.bounds)) {}
 
 Core::~Core() {
   asked_.disconnect();
@@ -42,10 +44,13 @@
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Core::onAsked));
   gossip_.begin(record);
   core_.learnMember(settings_.wire);
-  election_.begin({Sampler::kDuty, kWorkerDiscovery, MembershipManager::kDuty});
+  std::vector<std::string> duties = QuotaLeader::duties();
+  duties.insert(duties.end(), {Sampler::kDuty, kWorkerDiscovery, MembershipManager::kDuty});
+  election_.begin(duties);
   replica_.begin();
   sampler_.begin();
   membershipManager_.begin();
+  quotaLeader_.begin();
   room_.start(list());
   room_.start(watchZone());
   room_.start(watchDisk());
@@ -104,6 +109,7 @@
       .field("role", "core")
       .field("sampler", election_.holds(Sampler::kDuty))
       .field("lister", election_.holds(kWorkerDiscovery));
+  quotaLeader_.show(out);
   answerReplicaMetrics(ask, *reply, out, replica_, rpc_);
 }
 
--- a/src/control/core.h
+++ b/src/control/core.h
@@ -9,6 +9,7 @@
 #include "gossip/gossip.h"
 #include "membership/membership_manager.h"
 #include "membership/retire.h"
+#include "quota/configured_limits.h"
 #include "quota/quota_leader.h"
 #include "replication/replica.h"
 #include "restore/rebuild.h"
@@ -65,6 +66,8 @@
   OperatorService operators_;
   MembershipManager membershipManager_;
   RetireByOrder retireService_;
+  ConfiguredLimits quotaLimits_;
+  QuotaLeader quotaLeader_;
   sigc::connection asked_;
 };
 
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -135,6 +135,7 @@
     out.field("probesUnanswered", probes.unanswered);
   }
   if (gateway_ != nullptr) showPassed(out);
+  if (quotas_ != nullptr) showQuotas(out);
   out.field("frames", rpc_.sentFrames).field("frameBytes", rpc_.sentBytes).field("controlAsks", configCache_.asks);
   out.field("config", configCache_.state().configRevision());
   out.field("controlRevision", configCache_.state().revision()).closeObject();
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -29,6 +29,7 @@
       board_(ports.clock, configCache_.state(), {settings_.zone, settings_.wire}),
       health_(ports, room_, board_),
       proxy_(ports, room_, board_, configCache_.state(), plan.proxy, hexText(ports.chance.next())),
+      quotaLimits_(configCache_.state()),
       scheduler_(ports, rpc_, room_, store_, board_, configCache_.state(), gossip_, settings_.zone,
                  plan.dialect != nullptr ? passingPlan(plan.scheduler, settings_.bounds) : plan.scheduler),
       ownList_(ports, settings_.platform),
@@ -68,6 +69,7 @@
   room_.start(keepNodes());
   if (list_ != nullptr) room_.start(hearPlatform());
   if (gateway_ != nullptr) room_.start(watchLatency());
+  if (gateway_ != nullptr) countQuotas();
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Node::onAsked));
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,6 +12,8 @@
 #include "proxy/health_watch.h"
 #include "proxy/proxy.h"
 #include "proxy/warmth_probe.h"
+#include "quota/configured_limits.h"
+#include "quota/quota_client.h"
 
 namespace stonemount {
 
@@ -87,6 +89,9 @@
   void onMet(const PeerRecord& record);
   void onNews();
   void onWorkerGone(const Address& worker) { ports_.httpOut.closeKept(worker); }
+  std::vector<Address> knownCores() const;
+  void countQuotas();
+  void showQuotas(JsonOut& out) const;
   Task keepNodes();
   std::vector<Address> knownNodes() const;
   Task hearPlatform();
@@ -109,6 +114,8 @@
   std::unique_ptr<PoolLoadTable> pools_;  // only where requests are passed through
   std::unique_ptr<WorkerSharing> sharing_;
   std::unique_ptr<WarmthProbe> warmthProbe_;
+  ConfiguredLimits quotaLimits_;
+  std::unique_ptr<QuotaClient> quotas_;
   std::unique_ptr<Gateway> gateway_;
   std::unique_ptr<LotService> lotService_;
   Scheduler scheduler_;
--- a/src/quota/quota_leader.cc
+++ b/src/quota/quota_leader.cc
@@ -22,9 +22,13 @@
 }
 }  // namespace
 
+QuotaBounds quotaBoundsOf(const Bounds& bounds) {
+  return {bounds.quotaWindowUs, bounds.quotaOvershootPerMille, bounds.quotaSlack};
+}
+
 QuotaLeader::QuotaLeader(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, const Election& election, ChainClient& core,
                          const QuotaLimits& limits, const QuotaBounds& bounds)
-    : ports_(ports), rpc_(rpc), room_(room), election_(election), core_(core) {
+    : ports_(ports), rpc_(rpc), room_(room), election_(election), core_(core), limits_(limits) {
   for (std::uint32_t part = 0; part < kQuotaParts; ++part) {
     books_.emplace_back(part, bounds, limits);
     lacking_.push_back(std::make_unique<Event>());
@@ -51,7 +55,7 @@
       book.end();
       logEvent("quota_part_left", {{"part", absl::StrCat(part)}});
     }
-    if (holds && !book.leads()) {
+    if (holds && !book.leads() && !limits_.limited().empty()) {
       Job<Done> taking = takePart(part);
       co_await taking;
     }
@@ -122,4 +126,14 @@
   return entries;
 }
 
+void QuotaLeader::show(JsonOut& out) const {
+  out.key("quotas").array();
+  for (const QuotaBookEntry& entry : entries()) {
+    out.object().field("tenant", entry.tenant).field("ratePerKs", entry.limit.ratePerKs);
+    out.field("burst", entry.limit.burst).field("inStock", entry.stock).field("atNodes", entry.out);
+    out.field("granted", entry.granted).field("refused", entry.refused).closeObject();
+  }
+  out.closeArray();
+}
+
 }  // namespace stonemount
--- a/src/quota/quota_leader.h
+++ b/src/quota/quota_leader.h
@@ -1,12 +1,16 @@
 // A core's work for tenants' quotas: it leads the parts whose duty it holds (docs/design-notes/one-count.md).
 #pragma once
 
+#include "config/json.h"
+#include "config/settings.h"
 #include "election/election.h"
 #include "quota/quota_book.h"
 #include "replication/client.h"
 
 namespace stonemount {
 
+QuotaBounds quotaBoundsOf(const Bounds& bounds);
+
 class QuotaLeader {
  public:
   QuotaLeader(Ports& ports, RpcEndpoint& rpc, TaskRoom& room, const Election& election, ChainClient& core,
@@ -16,6 +20,7 @@
   void begin();
   bool leads(std::uint32_t part) const { return books_[part].leads(); }
   std::vector<QuotaBookEntry> entries() const;  // of the parts that are led here
+  void show(JsonOut& out) const;                // the same, as a field of an object that is open
 
  private:
   Task lead(std::uint32_t part);
@@ -28,6 +33,7 @@
   TaskRoom& room_;
   const Election& election_;
   ChainClient& core_;
+  const QuotaLimits& limits_;
   std::vector<QuotaBook> books_;  // by part
   std::vector<std::unique_ptr<Event>> lacking_;
 };
