--- a/tests/quota_rig.h
+++ b/tests/quota_rig.h
@@ -87,6 +87,7 @@
   void trouble();
   void jump();
   void joinHerd(std::size_t node);
+  std::size_t chooseNode();
   void nodeTrouble();
   void coreTrouble();
   void loseCore(std::size_t core, Us lengthUs);
--- a/tests/quota_rig_troubles.cc
+++ b/tests/quota_rig_troubles.cc
@@ -65,6 +65,15 @@
   if (nowUs_ < thawUs_ - kSecondUs) nodes_[number]->frozenUntilUs = thawUs_;
 }
 
+// Callers of a herd go where nobody is frozen.
+std::size_t QuotaFleet::chooseNode() {
+  if (plan_.jumps && !favoured_.empty()) return favoured_[chance_.below(favoured_.size())];
+  std::size_t node = chance_.below(plan_.nodes);
+  for (std::size_t i = 0; plan_.herd && i < plan_.nodes && nodes_[node]->frozenUntilUs > nowUs_; ++i)
+    node = (node + 1) % plan_.nodes;
+  return node;
+}
+
 void QuotaFleet::nodeTrouble() {
   const std::size_t first = chance_.below(plan_.nodes);
   const std::size_t many = chance_.oneIn(6) ? 1 + plan_.nodes / 4 : 1;
