--- a/tests/quota_ledger_test.cc
+++ b/tests/quota_ledger_test.cc
@@ -155,9 +155,10 @@
   expect(ledger.apply(take).epoch == 2, "the next epoch");
   expect(!ledger.apply(command(1, 4, kSecondUs, {kTenant, budget, 0, 0, 2, 5})).current,
          "the leader before is refused");
-  verdict = ledger.apply(command(2, 1, 0, {kTenant, budget, 0, 0, 9, 50}));
-  expect(verdict.reserved.front().taken == 5 && verdict.reserved.front().mostOut == 2,
-         "the lost leader's stock and tokens at nodes stay counted");
+  verdict = ledger.apply(command(2, 1, 2 * kSecondUs, {kTenant, budget, 0, 0, 9, 50}));
+  expect(verdict.reserved.front().taken == 5 && verdict.reserved.front().levelMicro == 5 * kMicroTokens,
+         "the lost leader's stock stays counted");
+  expect(verdict.reserved.front().mostOut == 2, "and what its nodes hold");
   verdict = ledger.apply(command(2, 2, kStockVoidUs, {kTenant, budget, 0, 0, 9, 50}));
   expect(verdict.reserved.front().taken == 10 && verdict.reserved.front().mostOut == 2, "its stock is void later");
   verdict = ledger.apply(command(2, 3, kOutWrittenOffUs, {kTenant, budget, 0, 0, 9, 50}));
