--- a/src/control/control_snapshot.cc
+++ b/src/control/control_snapshot.cc
@@ -18,10 +18,12 @@
   MemberOrders orders;
   Revision forgotten = 0;
   Revision restored = 0;
+  QuotaLedger quotas;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(format, state, platformVersion, history, taken, orders, forgotten, restored);
     state.serializeTenants(archive);
+    archive(quotas);
   }
 };
 
@@ -85,7 +87,7 @@
 
 Bytes ControlMachine::save() const {
   return pack(Saved{kStateFormat, state_, platformVersion_, history_, taken_.kept(), orders_, taken_.forgotten(),
-                    taken_.restored()});
+                    taken_.restored(), quotas_});
 }
 
 bool ControlMachine::load(const Bytes& bytes) {
@@ -96,6 +98,7 @@
   history_ = std::move(saved->history);
   taken_.load(std::move(saved->taken), saved->forgotten, saved->restored);
   orders_ = std::move(saved->orders);
+  quotas_ = std::move(saved->quotas);
   packedNews_.clear();
   return true;
 }
