--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -16,6 +16,11 @@
   Us cancelUs = 3 * kSecondUs;     // an ended lot starts nothing after this
   Us listLagUs = kSecondUs;        // by which the platform's list of workers lags behind
   std::uint32_t lostMachines = 1;  // with disks, at once
+  // How strictly tenants' requests are counted: in any window no more than (rate x window + burst) x (1 + overshoot)
+  // + slack.
+  Us quotaWindowUs = 5 * kSecondUs;
+  std::uint32_t quotaOvershootPerMille = 100;
+  std::uint64_t quotaSlack = 20;
 };
 
 struct Settings {
@@ -29,7 +34,7 @@
   std::set<std::string> zones;  // all that there are; empty: not told
   std::vector<Address> seeds;
   std::vector<Address> founders;
-  std::string data;
+  std::string data;  // the folder on the disk; empty: none, and a core stands by (StandbyCore)
   Address platform;
   std::int64_t ringFiles = 16;
   std::int64_t ringFileBytes = 8 << 20;
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/config_check.h"
+#include "quota/quota_ledger.h"
 #include "runtime/fleet_place.h"
 
 namespace stonemount {
@@ -62,7 +63,7 @@
 };
 // New kinds go to the end: a log names them by their place.
 using ControlCommand = std::variant<PutConfig, SetZone, PutWorkers, ReturnConfig, Rebuild, FoundStore, RetireStore,
-                                    SetZoneSince, ConfirmWorkers>;
+                                    SetZoneSince, ConfirmWorkers, TakeQuotaPart, ReserveQuota>;
 
 enum class ControlOutcome : std::uint8_t {
   kDone,
@@ -119,6 +120,7 @@
 };
 using RouteChange = ItemChange<Route>;
 using PoolChange = ItemChange<Pool>;
+using TenantChange = ItemChange<Tenant>;
 // From one configuration to the next, and back.
 struct ConfigStep {
   Revision revision = 0;
@@ -128,7 +130,9 @@
   std::vector<PoolChange> pools;
   ItemChange<CallerLimits> limits;  // empty: as they were
   ItemChange<std::string> given;
-  STONEMOUNT_PACK(revision, base, note, changes, pools, limits, given)
+  std::vector<TenantChange> tenants;
+  ItemChange<bool> keysNeeded;
+  STONEMOUNT_PACK(revision, base, note, changes, pools, limits, given, tenants, keysNeeded)
 };
 struct RetireOrder {
   std::string machine;
--- a/src/control/operator_service.cc
+++ b/src/control/operator_service.cc
@@ -93,15 +93,17 @@
   if (news->configRevision == 0) co_return NoConfig{};
   std::stable_sort(news->routes.begin(), news->routes.end(), ByOrder());
   std::stable_sort(news->pools.begin(), news->pools.end(), ByOrder());
-  co_return ConfigSight{news->configRevision, std::move(news->routes), std::move(news->pools), std::move(news->limits),
-                        std::move(news->given)};
+  std::stable_sort(news->tenants.begin(), news->tenants.end(), ByOrder());
+  co_return ConfigSight{news->configRevision,    std::move(news->routes), std::move(news->pools),
+                        std::move(news->limits), std::move(news->given),  std::move(news->tenants),
+                        news->keysNeeded};
 }
 
 // A member of the chain knows which order for the zone was the newest as the call came in; a process without a seat
 // does not, and its order is taken as it comes.
 Job<ZoneVerdict> OperatorService::setZone(std::string zone, bool evacuated) {
   ControlCommand wished = SetZone{zone, evacuated};
-  if (replica_.active()) wished = SetZoneSince{zone, evacuated, machine_.zoneOrdered(zone)};
+  if (replica_ != nullptr && replica_->active()) wished = SetZoneSince{zone, evacuated, machine_->zoneOrdered(zone)};
   Job<CommandAnswer> sending = command(std::move(wished));
   CommandAnswer answer = co_await sending;
   if (auto* failure = std::get_if<ChainFailure>(&answer)) {
--- a/src/node/doctor.cc
+++ b/src/node/doctor.cc
@@ -27,9 +27,10 @@
     return;
   }
   const std::size_t members = sight.view.voters.size() + sight.view.nonVoters.size();
-  if (!spansZones(sight.view.chain))
-    findings.push_back({"D" + number + "02", name + ": the chain lies in one zone; writes and reads are refused",
-                        "bring back a " + name + " machine in another zone"});
+  if (!acknowledges(sight.view))
+    findings.push_back({"D" + number + "02",
+                        name + ": the chain lies in one zone or has too few members; writes and reads are refused",
+                        "bring back the " + name + " machines; one in another zone, if it lies in one"});
   else if (sight.view.chain.size() < members)
     findings.push_back({"D" + number + "03",
                         absl::StrCat(name, ": ", sight.view.chain.size(), " of ", members, " members in the chain"),
@@ -67,6 +68,14 @@
   }
 }
 
+void lookAtStandbys(const std::vector<PeerRecord>& standbys, Findings& findings) {
+  if (standbys.empty()) return;
+  findings.push_back({"D112",
+                      absl::StrCat("core: ", standbys.size(), " processes without a disk stand by, as ",
+                                   addressText(standbys.front().wire)),
+                      "no fault where their machines have no disk: they pass calls on; else give them a data folder"});
+}
+
 void lookAtClock(const ClockVerdict& clock, Findings& findings) {
   if (!clock.cut.certain)
     findings.push_back(
@@ -96,6 +105,7 @@
   Job<ChainSight> peekingCore = peekChain(rpc_, core_);
   const ChainSight core = co_await peekingCore;
   lookAtChain("core", core, findings);
+  lookAtStandbys(gossip_.alive(Role::kStandby), findings);
   Job<ChainSight> peekingStore = peekChain(rpc_, store_);
   const ChainSight store = co_await peekingStore;
   lookAtChain("store", store, findings);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -12,10 +12,8 @@
 constexpr std::size_t kBodyBytes = 4 << 20;
 constexpr Us kOrderUs = 4 * kSecondUs;  // an order's answer comes by then, its fate known or not
 constexpr Us kSureUs = 2 * kSecondUs;   // ... or by then, if it was surely not taken
-constexpr Us kSilentUs = 2 * kSecondUs;
 constexpr Us kLoopTickUs = 200 * kMilliUs;
-constexpr std::uint32_t kTellTicks = 5;     // between two tellings of late answers
-constexpr Us kMarksKeptUs = 5 * kSecondUs;  // once control is heard again, until the lister has surely listed
+constexpr std::uint32_t kTellTicks = 5;  // between two tellings of late answers
 }  // namespace
 
 Node::Node(Ports& ports, Settings settings, NodePlan plan)
@@ -29,11 +27,14 @@
       board_(ports.clock, configCache_.state(), {settings_.zone, settings_.wire}),
       health_(ports, room_, board_),
       proxy_(ports, room_, board_, configCache_.state(), plan.proxy, hexText(ports.chance.next())),
+      quotaLimits_(configCache_.state()),
       scheduler_(ports, rpc_, room_, store_, board_, configCache_.state(), gossip_, settings_.zone,
                  plan.dialect != nullptr ? passingPlan(plan.scheduler, settings_.bounds) : plan.scheduler),
       ownList_(ports, settings_.platform),
       list_(plan.list) {
   if (list_ == nullptr && settings_.platform.set()) list_ = &ownList_;
+  if (list_ != nullptr)
+    relay_ = std::make_unique<PlatformRelay>(ports, rpc_, gossip_, *list_, sigc::mem_fun(*this, &Node::wantsPlatform));
   if (plan.dialect == nullptr) return;
   PoolLoadTablePlan board;
   board.zone = settings_.zone;
@@ -66,8 +67,14 @@
   proxy_.begin();
   scheduler_.begin();
   room_.start(keepNodes());
-  if (list_ != nullptr) room_.start(hearPlatform());
+  begunUs_ = ports_.clock.monoUs();
+  if (relay_ != nullptr) {
+    relay_->heard.connect(sigc::mem_fun(*this, &Node::takePlatformMarks));
+    relay_->begin(room_);
+    room_.start(keepMarks());
+  }
   if (gateway_ != nullptr) room_.start(watchLatency());
+  if (gateway_ != nullptr) countQuotas();
   asked_ = ports_.httpIn.asked.connect(sigc::mem_fun(*this, &Node::onAsked));
 }
 
@@ -91,6 +98,7 @@
 
 void Node::onMet(const PeerRecord& record) {
   if (record.role == Role::kCore) core_.learnMember(record.wire);
+  if (record.role == Role::kStandby) core_.forgetMember(record.wire);
   if (record.role == Role::kStore) store_.learnMember(record.wire);
 }
 
@@ -123,51 +131,6 @@
   }
 }
 
-// Control not heard for a while, counted from the start of this process at the earliest.
-bool Node::controlSilent(Us begunUs) const {
-  return ports_.clock.monoUs() - std::max(begunUs, configCache_.freshUs()) > kSilentUs;
-}
-
-void Node::takePlatformList(const WorkerList& list, Us askedUs) {
-  absl::btree_set<Address> marks;
-  for (const ListedWorker& worker : list.workers)
-    if (worker.leaving) marks.insert(worker.address);
-  board_.setLeavingMarks(std::move(marks), askedUs);
-  if (sharing_ != nullptr) sharing_->onPlatformList(list.workers, askedUs);
-}
-
-// The list itself comes through the core. A leaving mark, and that a worker has turned cold, must be heard even while
-// the core cannot be: then each node asks the platform itself, and takes nothing but these, until control has told it
-// for a while (design.md 7.7). Asking is priced, and bounded for all nodes together.
-Task Node::hearPlatform() {
-  const Us begunUs = ports_.clock.monoUs();
-  Us silentUs = begunUs;  // when control was last found silent
-  bool marked = false;
-  std::uint64_t busy = 0;  // in a row
-  while (true) {
-    Us againUs = 100 * kMilliUs;
-    const Us nowUs = ports_.clock.monoUs();
-    if (controlSilent(begunUs) || (sharing_ != nullptr && sharing_->listOld())) {
-      silentUs = nowUs;
-      Job<WorkerListVerdict> fetching = list_->fetch();
-      WorkerListVerdict verdict = co_await fetching;
-      if (auto* list = std::get_if<WorkerList>(&verdict)) {
-        takePlatformList(*list, nowUs);
-        marked = true;
-      }
-      const bool turnedAway =
-          std::holds_alternative<ListTrouble>(verdict) && std::get<ListTrouble>(verdict) == ListTrouble::kBusy;
-      busy = turnedAway ? std::min<std::uint64_t>(busy + 1, 4) : 0;
-      againUs = static_cast<Us>((600 << busy) + ports_.chance.below(300 << busy)) * kMilliUs;
-    } else if (marked && nowUs - silentUs > kMarksKeptUs) {
-      board_.setLeavingMarks({}, -1);
-      marked = false;
-    }
-    Pause pause(ports_.timers, againUs);
-    co_await pause;
-  }
-}
-
 // By how much this process is late with what it set itself, and which answers were late.
 Task Node::watchLatency() {
   for (std::uint32_t tick = 1;; ++tick) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -7,11 +7,14 @@
 #include "config/rule.h"
 #include "config/settings.h"
 #include "node/lot_desk.h"
+#include "node/platform_relay.h"
 #include "node/worker_sharing.h"
 #include "proxy/gateway.h"
 #include "proxy/health_watch.h"
 #include "proxy/proxy.h"
 #include "proxy/warmth_probe.h"
+#include "quota/configured_limits.h"
+#include "quota/quota_client.h"
 
 namespace stonemount {
 
@@ -87,12 +90,16 @@
   void onMet(const PeerRecord& record);
   void onNews();
   void onWorkerGone(const Address& worker) { ports_.httpOut.closeKept(worker); }
+  std::vector<Address> knownCores() const;
+  void countQuotas();
+  void showQuotas(JsonOut& out) const;
   Task keepNodes();
   std::vector<Address> knownNodes() const;
-  Task hearPlatform();
+  Task keepMarks();
   Task watchLatency();
-  void takePlatformList(const WorkerList& list, Us askedUs);
-  bool controlSilent(Us begunUs) const;
+  void takePlatformMarks(const std::vector<ListedWorker>& marked, Us askedUs);
+  bool controlSilent() const;
+  bool wantsPlatform() const;
   void methodRefused(HttpReply& reply, const char* allowed);
 
   Ports& ports_;
@@ -109,12 +116,17 @@
   std::unique_ptr<PoolLoadTable> pools_;  // only where requests are passed through
   std::unique_ptr<WorkerSharing> sharing_;
   std::unique_ptr<WarmthProbe> warmthProbe_;
+  ConfiguredLimits quotaLimits_;
+  std::unique_ptr<QuotaClient> quotas_;
   std::unique_ptr<Gateway> gateway_;
   std::unique_ptr<LotService> lotService_;
   Scheduler scheduler_;
   RuleBook rules_;
   PlatformListSource ownList_;
   WorkerListSource* list_;
+  std::unique_ptr<PlatformRelay> relay_;  // only where there is a platform
+  Us begunUs_ = 0;
+  bool marked_ = false;  // leaving marks of the platform's are held
   sigc::connection asked_;
   bool draining_ = false;
 };
