Replication: two members without a vote get theirs together

Cause: the control chain is founded by the three cores that are seeds; two more join. A fourth voter alone would make its zone's loss the loss of the majority, so each of the two stays without a vote, for ever, and of three voters one may be lost where the tolerance says two. Change: promoteNonVoters also tries two together.

--- a/src/replication/reconfigurer.cc
+++ b/src/replication/reconfigurer.cc
@@ -120,6 +120,29 @@
   return wanted;
 }
 
+namespace {
+// Three in three zones: a fourth voter alone would make its zone's loss the loss of the majority, a fourth and a fifth
+// of different zones together do not, and bear one more loss.
+bool promoteTwo(View& wanted, const View& now) {
+  const auto waits = [&](const Seat& seat) {
+    return findSeat(wanted.chain, seat.address) != nullptr && findSeat(now.nonVoters, seat.address) != nullptr;
+  };
+  for (const Seat& one : wanted.nonVoters) {
+    for (const Seat& other : wanted.nonVoters) {
+      if (one.address == other.address || !waits(one) || !waits(other)) continue;
+      View with = wanted;
+      with.voters.insert(with.voters.end(), {one, other});
+      if (!outlivesZones(with.voters)) continue;
+      std::erase_if(with.nonVoters, SeatAt{one.address});
+      std::erase_if(with.nonVoters, SeatAt{other.address});
+      wanted = std::move(with);
+      return true;
+    }
+  }
+  return false;
+}
+}  // namespace
+
 // A member of the chain without a vote gets one as soon as the zones allow it. Else a chain whose voters became few,
 // since one that was to vote was lost at that moment, would go on with few, and stop at the next loss.
 bool Replica::promoteNonVoters(View& wanted) const {
@@ -134,7 +157,7 @@
     wanted = std::move(with);
     promoted = true;
   }
-  return promoted;
+  return promoteTwo(wanted, memory_.view) || promoted;
 }
 
 // Voters propose in turn, so that two seldom do so at once. Safety does not hang on it.
