--- a/src/config/tenants.cc
+++ b/src/config/tenants.cc
@@ -100,8 +100,12 @@
 CallerTenant tenantOfCaller(const TenantTable& tenants, bool openRoute, const HeaderMap& headers) {
   if (!tenants.keysNeeded()) return nullptr;
   const std::string key = bearerKey(headers);
-  const Tenant* holder = key.empty() ? nullptr : tenants.holderOf(key);
-  if (holder == nullptr && !openRoute) return KeyRefused{};
+  if (key.empty()) {
+    if (openRoute) return nullptr;
+    return KeyRefused{};
+  }
+  const Tenant* holder = tenants.holderOf(key);
+  if (holder == nullptr) return KeyRefused{};
   return holder;
 }
 
--- a/src/config/tenants.h
+++ b/src/config/tenants.h
@@ -57,7 +57,7 @@
 // The key of a request: what `Authorization: Bearer KEY` holds; empty: none, or another scheme.
 std::string bearerKey(const HeaderMap& headers);
 
-struct KeyRefused {};  // none, or nobody's
+struct KeyRefused {};  // a key that nobody holds, or none where one is needed
 // Who sent a request with these headers. nullptr: nobody known, and no key is needed.
 using CallerTenant = std::variant<const Tenant*, KeyRefused>;
 CallerTenant tenantOfCaller(const TenantTable& tenants, bool openRoute, const HeaderMap& headers);
--- a/src/node/lots.cc
+++ b/src/node/lots.cc
@@ -63,6 +63,8 @@
 }  // namespace
 
 void Node::frontLots(const HttpAsk& ask, const Parts& parts, ReplyPtr reply) {
+  const CallerTenant caller = tenantOfCaller(configCache_.state().tenantTable(), false, ask.headers);
+  if (std::holds_alternative<KeyRefused>(caller)) return sendVerdict(*reply, 401, "unknown_key", {{"ran", "no"}});
   if (parts.size() >= 2 && parts[1] == "events") {
     if (parts.size() == 4 && parts[3] == "lots") {
       if (ask.method != "POST") return methodRefused(*reply, "POST");
--- a/src/node/operators.cc
+++ b/src/node/operators.cc
@@ -119,13 +119,14 @@
     if (!news->pools.empty()) {
       out.key("pools").array();
       for (const Pool& pool : news->pools) writePool(out, pool);
-      if (news->keysNeeded) {
-        out.closeArray().key("tenants").array();
-        for (const Tenant& tenant : news->tenants) writeTenant(out, tenant);
-      }
       out.closeArray().key("limits");
       writeLimits(out, news->limits);
     }
+    if (news->keysNeeded) {
+      out.key("tenants").array();
+      for (const Tenant& tenant : news->tenants) writeTenant(out, tenant);
+      out.closeArray();
+    }
   }
   out.closeObject();
   reply->whole(200, {}, out.take() + "\n");
--- a/src/proxy/gateway.cc
+++ b/src/proxy/gateway.cc
@@ -47,7 +47,7 @@
     ++counts_.refused;
     return sendRefusal(*reply, 503, "stopping", againUs());
   }
-  if (relaying_ >= plan_.relayBound || held_ >= plan_.holdBound) {
+  if (relaying_ >= plan_.relayBound || held_ + admitting_ >= plan_.holdBound) {
     ++counts_.refused;
     return sendRefusal(*reply, 503, "full", againUs());
   }
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -49,7 +49,8 @@
   // By how much a timer of this process fired too late.
   void noteLoopDelay(Us lengthUs);
   void tellLateAnswers() { lateAnswers_.tell(); }
-  std::size_t holding() const { return held_; }
+  // Requests that wait for a worker, or for a token of their tenant.
+  std::size_t holding() const { return held_ + admitting_; }
   std::size_t relaying() const { return relaying_; }
 
  private:
@@ -84,6 +85,7 @@
   using Queue = std::map<QueuePlace, Caller*>;
   std::map<std::string, Queue> queues_;  // by pool
   std::size_t held_ = 0;
+  std::size_t admitting_ = 0;  // wait for a token of their tenant
   std::size_t relaying_ = 0;
   sigc::connection roomMade_;
   GatewayCounts counts_;
--- a/src/proxy/gateway_quota.cc
+++ b/src/proxy/gateway_quota.cc
@@ -15,7 +15,9 @@
   const Us leftUs = std::max<Us>(0, caller->limitAtUs - ports_.clock.monoUs());
   const Us waitUs = std::min({kMostWaitUs, targetUs > 0 ? targetUs / 5 : kMostWaitUs, leftUs / 3});
   Job<QuotaAnswer> admitting = quotas_->admit(caller->request.tenant, waitUs);
+  ++admitting_;
   QuotaAnswer answer = co_await admitting;
+  --admitting_;
   if (auto* token = std::get_if<QuotaToken>(&answer)) caller->quota.take(*quotas_, std::move(*token));
   if (caller->gone) {
     ++counts_.left;
--- a/src/replication/reconfigurer.cc
+++ b/src/replication/reconfigurer.cc
@@ -11,7 +11,10 @@
 constexpr Us kTurnUs = 350 * kMilliUs;
 constexpr Us kPromiseUs = 250 * kMilliUs;
 
-// From three voters to five in one view: of four, two in one zone, the loss of that zone would leave no majority.
+// More voters ask for more members in a chain that acknowledges.
+bool closes(const View& before, const View& after) { return acknowledges(before) && !acknowledges(after); }
+
+// As from three voters to five in one view: of four, two in one zone, the loss of that zone would leave no majority.
 bool promotePair(View& wanted) {
   for (const Seat& first : wanted.nonVoters) {
     for (const Seat& second : wanted.nonVoters) {
@@ -21,7 +24,7 @@
       View with = wanted;
       with.voters.push_back(first);
       with.voters.push_back(second);
-      if (!outlivesZones(with.voters)) continue;
+      if (!outlivesZones(with.voters) || closes(wanted, with)) continue;
       std::erase_if(with.nonVoters, SeatAt{first.address});
       std::erase_if(with.nonVoters, SeatAt{second.address});
       wanted = std::move(with);
@@ -150,7 +153,7 @@
     View with = wanted;
     std::erase_if(with.nonVoters, SeatAt{nonVoter.address});
     giveSeat(with, *placed);
-    if (with.voters.size() == wanted.voters.size()) continue;
+    if (with.voters.size() == wanted.voters.size() || closes(wanted, with)) continue;
     wanted = std::move(with);
     promoted = true;
   }
--- a/src/replication/relay.cc
+++ b/src/replication/relay.cc
@@ -139,8 +139,10 @@
   keepRecent(entry, lastRevision);
   if (release) {
     committed_ = end_;
-    rpc_.replyTo(entry.client, Submit::kKind, entry.exchange,
-                 pack(ChainReply{ChainOutcome::kDone, memory_.view.revision, known->second}));
+    // What was taken before the chain shrank is told by the next view that acknowledges, when it comes again.
+    if (acknowledges(memory_.view))
+      rpc_.replyTo(entry.client, Submit::kKind, entry.exchange,
+                   pack(ChainReply{ChainOutcome::kDone, memory_.view.revision, known->second}));
     wakeHeld();
   }
   applied.emit(entry, release);
