--- a/src/quota/quota_limit.h
+++ b/src/quota/quota_limit.h
@@ -5,12 +5,12 @@
 
 namespace stonemount {
 
-constexpr std::uint32_t kQuotaParts = 4;            // tenants are divided into so many parts by name
-constexpr std::int64_t kMicroTokens = 1000 * 1000;  // of a token; one token admits one request
-constexpr Us kStockValidUs = 4 * kSecondUs;         // a leader grants so long after it last proved that it leads
-constexpr Us kStockVoidUs = 2 * kStockValidUs;      // ledger time until a lost leader's stock is surely void
-constexpr Us kHeldValidUs = 5 * kSecondUs;          // a node drops tokens that it has not used for so long
-constexpr Us kOutWrittenOffUs = 30 * kSecondUs;     // until what a lost node or leader's nodes held is written off
+constexpr std::uint32_t kQuotaParts = 4;          // tenants are divided into so many parts by name
+constexpr std::int64_t kMicroTokens = 1'000'000;  // of a token; one token admits one request
+constexpr Us kStockValidUs = 4 * kSecondUs;       // a leader grants so long after it last proved that it leads
+constexpr Us kStockVoidUs = 2 * kStockValidUs;    // ledger time until a lost leader's stock is surely void
+constexpr Us kHeldValidUs = 5 * kSecondUs;        // a node drops tokens that it has not used for so long
+constexpr Us kOutWrittenOffUs = 30 * kSecondUs;   // until what a lost node or leader's nodes held is written off
 
 // 0 as a rate: no limit.
 struct QuotaLimit {
