Simulator: a fleet is ready once its nodes have heard control

It waited for ConfigCache::ready(), which meant any word of control and means a known configuration since; its operators push the first one only then. What is waited for is what it was.

--- a/src/simulator/fleet.cc
+++ b/src/simulator/fleet.cc
@@ -207,7 +207,8 @@
 
 bool Fleet::ready() {
   for (Part* part : standing(PartKind::kNode))
-    if (part->host->up() && (!part->node->configCache().ready() || part->node->board().sights().empty())) return false;
+    if (part->host->up() && (part->node->configCache().state().revision() == 0 || part->node->board().sights().empty()))
+      return false;
   bool certain = false;
   std::size_t cores = 0, stores = 0;
   for (Part* part : standing(PartKind::kCore)) cores += part->core && part->core->replica().active() ? 1 : 0;
--- a/src/simulator/fleet.h
+++ b/src/simulator/fleet.h
@@ -83,7 +83,7 @@
   ListedWorker listing(const Part& worker) const;
   void kill(Part& part, bool power);
   void run(Us lengthUs) { world_.runUntil(world_.nowUs() + lengthUs); }
-  bool ready();  // every node has configuration, both chains are whole, the cut is certain
+  bool ready();  // every node has heard control, both chains are whole, the cut is certain
   bool runUntilReady(Us limitUs);
   void startCallers();
   void stopCallers();
