--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -85,9 +85,7 @@
   }
   return std::nullopt;
 }
-}  // namespace
 
-namespace {
 // A store needs a folder. A core without one stands by: it is no founder, and the founders are whom it asks.
 Fault checkFolder(Settings& settings, SettingsFor role) {
   if (role == SettingsFor::kNode || !settings.data.empty()) return std::nullopt;
--- a/src/control/config_merge.cc
+++ b/src/control/config_merge.cc
@@ -186,9 +186,7 @@
 bool hasPrefix(const RouteChange& change) {
   return !change.after || !change.after->prefix.empty() || change.after->host.empty();
 }
-}  // namespace
 
-namespace {
 // Of what stands no two share a key, so a step that leaves the tenants as they are is not looked at. The flaw is told
 // by the name of the later tenant, never by the key.
 ConfigFlawFound findSharedKey(const ControlState& state, const ConfigStep& step) {
--- a/tests/burst_rig.h
+++ b/tests/burst_rig.h
@@ -129,12 +129,10 @@
     Job<ChainAnswer> job = rig_.client->read(kNamesQuery, 0, 5 * kSecondUs);
     const ChainAnswer answer = co_await job;
     reading_ = false;
-    if (!std::holds_alternative<Bytes>(answer)) co_return;
-    auto read = unpack<std::vector<Bytes>>(std::get<Bytes>(answer));
-    const std::vector<Bytes>& list = std::get<std::vector<Bytes>>(read);
-    const std::set<Bytes> seen(list.begin(), list.end());
+    const std::optional<std::set<Bytes>> seen = namesIn(answer);
+    if (!seen) co_return;
     readable_ = std::all_of(lots_.begin(), lots_.end(), [&seen](const Lot& lot) {
-      return lot.acknowledgedUs < 0 || seen.contains(lot.command.substr(0, kNameBytes));
+      return lot.acknowledgedUs < 0 || seen->contains(lot.command.substr(0, kNameBytes));
     });
   }
   bool readable() {
--- a/tests/chain_rig.h
+++ b/tests/chain_rig.h
@@ -173,6 +173,15 @@
   std::uint64_t written = 0, reads = 0, next = 0;
 };
 
+// What a question for the names was answered; none: it was not.
+inline std::optional<std::set<Bytes>> namesIn(const ChainAnswer& answer) {
+  auto* body = std::get_if<Bytes>(&answer);
+  if (body == nullptr) return std::nullopt;
+  auto read = unpack<std::vector<Bytes>>(*body);
+  const std::vector<Bytes>& list = std::get<std::vector<Bytes>>(read);
+  return std::set<Bytes>(list.begin(), list.end());
+}
+
 inline Task writeOne(Rig& rig, Bytes value) {
   Job<ChainAnswer> job = rig.client->submit(value, 3 * kSecondUs);
   const ChainAnswer answer = co_await job;
--- a/tests/few_copies_test.cc
+++ b/tests/few_copies_test.cc
@@ -140,13 +140,11 @@
     Job<ChainAnswer> job = rig_.client->read(kNamesQuery, 0, 3 * kSecondUs);
     const ChainAnswer answer = co_await job;
     reading_ = false;
-    if (!std::holds_alternative<Bytes>(answer)) co_return;
-    auto read = unpack<std::vector<Bytes>>(std::get<Bytes>(answer));
-    const std::vector<Bytes>& list = std::get<std::vector<Bytes>>(read);
-    const std::set<Bytes> seen(list.begin(), list.end());
+    const std::optional<std::set<Bytes>> seen = namesIn(answer);
+    if (!seen) co_return;
     read_ = true;
     missing_ = 0;
-    for (const Bytes& value : rig_.acked) missing_ += seen.contains(value.substr(0, kNameBytes)) ? 0 : 1;
+    for (const Bytes& value : rig_.acked) missing_ += seen->contains(value.substr(0, kNameBytes)) ? 0 : 1;
   }
   void judge() {
     expect(rig_.written > 10, absl::StrCat(rig_.written, " were acknowledged", name_));
--- a/tests/two_losses_test.cc
+++ b/tests/two_losses_test.cc
@@ -34,6 +34,8 @@
     rig_.world.runUntil(2 * kSecondUs);
     for (std::size_t newcomer = kFounders; newcomer < kMembers; ++newcomer) grow(newcomer);
     expect(rig_.wholeAndActive(), "the chain has five members" + name_);
+    const std::size_t voters = rig_.views.rbegin()->second.voters.size();
+    expect(voters == kMembers, absl::StrCat(voters, " of five vote", name_));
     for (std::size_t i = 0; i < kCommands; ++i) rig_.room.start(writeOne(rig_, hexText(++rig_.next)));
     rig_.world.runUntil(rig_.world.nowUs() + 3 * kSecondUs);
     expect(rig_.written == kCommands, "all commands are acknowledged" + name_);
