Node: times of lot items by stage, in the log and the metrics

A node now notes for each item: acceptance to grant, grant to first sent, at workers, and end to stored; as sums in the metrics and a log line a second (lot_items). No behaviour changes.

--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -120,6 +120,19 @@
   reply->whole(200, {{"content-type", "text/plain; version=0.0.4"}}, text);
 }
 
+// Of items of standing lots, by stage: how many, and the sum and longest of their times.
+void Node::showItemTimes(JsonOut& out) const {
+  static constexpr std::pair<ItemStage, const char*> kNames[] = {{ItemStage::kGrant, "itemGrant"},
+                                                                 {ItemStage::kHold, "itemHold"},
+                                                                 {ItemStage::kWorker, "itemWorker"},
+                                                                 {ItemStage::kDelivery, "itemDelivery"}};
+  for (const auto& [stage, name] : kNames) {
+    const ItemTimes::Sum& sum = scheduler_.itemTimes().total(stage);
+    out.field(absl::StrCat(name, "Count"), sum.count).field(absl::StrCat(name, "Us"), sum.totalUs);
+    out.field(absl::StrCat(name, "LongestUs"), sum.longestUs);
+  }
+}
+
 void Node::showMetrics(ReplyPtr reply) {
   const ProxyCounts& live = proxy_.counts();
   const SchedulerCounts& lots = scheduler_.counts();
@@ -137,6 +150,7 @@
     out.field("probesUnanswered", probes.unanswered);
   }
   if (gateway_ != nullptr) showPassed(out);
+  if (scheduler_.runner() != nullptr) showItemTimes(out);
   if (quotas_ != nullptr) showQuotas(out);
   out.field("frames", rpc_.sentFrames).field("frameBytes", rpc_.sentBytes).field("controlAsks", configCache_.asks);
   out.field("config", configCache_.state().configRevision());
--- a/src/node/lot_delivery.cc
+++ b/src/node/lot_delivery.cc
@@ -16,6 +16,7 @@
 void LotDelivery::seal(SealedRun run) {
   run.answer = storedText(run.answer);
   toSeal_.push_back(std::move(run));
+  sealedUs_.push_back(ports_.clock.monoUs());
   event_.notify();
 }
 
@@ -24,6 +25,14 @@
   event_.notify();
 }
 
+void LotDelivery::noteDelivered(std::size_t sealed) {
+  const Us nowUs = ports_.clock.monoUs();
+  for (std::size_t i = 0; i < sealed; ++i) {
+    times_.note(ItemStage::kDelivery, nowUs - sealedUs_.front());
+    sealedUs_.pop_front();
+  }
+}
+
 // A part at a time: all that gathered while the store was away may be more than one record holds.
 Task LotDelivery::deliver() {
   while (true) {
@@ -49,6 +58,7 @@
       ChainAnswer answer = co_await telling;
       auto* failure = std::get_if<ChainFailure>(&answer);
       if (failure == nullptr) {
+        noteDelivered(sealed);
         toSeal_.erase(toSeal_.begin(), toSeal_.begin() + static_cast<std::ptrdiff_t>(sealed));
         toDrop_.erase(toDrop_.begin(), toDrop_.begin() + static_cast<std::ptrdiff_t>(dropped));
         continue;
--- a/src/node/lot_runner.cc
+++ b/src/node/lot_runner.cc
@@ -148,6 +148,9 @@
   Trip trip(*this, run, run->takenUs + lengthUs);
   trip.firstLimitUs = std::clamp<Us>(lengthUs / 3, 2 * kSecondUs, 5 * kSecondUs);
   trip.gapLimitUs = std::clamp<Us>(lengthUs / 5, 1500 * kMilliUs, 3 * kSecondUs);
+  const Us grantedUs = ports_.clock.monoUs();
+  times_.note(ItemStage::kGrant, std::max<Us>(0, grantedUs - run->takenUs));
+  std::optional<Us> firstSentUs;
   while (true) {
     trip.wait(true);
     while (!trip.go && !run->over && !run->leaving) {
@@ -165,13 +168,20 @@
     trip.anyHere = trip.unusable = trip.silent = false;
     trip.heardUs = ports_.clock.monoUs();
     trip.atWorker = true;
+    if (!firstSentUs) {
+      firstSentUs = trip.heardUs;
+      times_.note(ItemStage::kHold, *firstSentUs - grantedUs);
+    }
     if (trip.last) ++counts_.resumed;
     ++counts_.tries;
     PassOrder order = orderOf(trip);
     Job<PassEnding> passing = passer_.passItem(std::move(order), trip);
     const PassEnding ending = co_await passing;
     trip.atWorker = false;
-    if (std::optional<ItemEnding> over = judge(trip, ending)) co_return std::move(*over);
+    if (std::optional<ItemEnding> over = judge(trip, ending)) {
+      times_.note(ItemStage::kWorker, ports_.clock.monoUs() - *firstSentUs);
+      co_return std::move(*over);
+    }
   }
 }
 
--- a/src/node/lot_runner.h
+++ b/src/node/lot_runner.h
@@ -2,6 +2,7 @@
 // answer broke off, the most urgent first (design.md 9.8).
 #pragma once
 
+#include "node/item_times.h"
 #include "node/lot_carrier.h"
 #include "proxy/attempt.h"
 
@@ -20,9 +21,9 @@
 
 class LotRunner : public ItemCarrier {
  public:
-  LotRunner(Ports& ports, TaskRoom& room, ItemPasser& passer, const ControlState& control, Address self,
-            LotRunnerPlan plan)
-      : ports_(ports), room_(room), passer_(passer), control_(control), self_(self), plan_(plan) {}
+  LotRunner(Ports& ports, TaskRoom& room, ItemPasser& passer, const ControlState& control, ItemTimes& times,
+            Address self, LotRunnerPlan plan)
+      : ports_(ports), room_(room), passer_(passer), control_(control), times_(times), self_(self), plan_(plan) {}
   void begin() { room_.start(pump()); }
   // The worker is chosen only as the item is sent: what the store charges is a place at this node.
   std::optional<CarrierPlace> reserve(const Route&, std::uint64_t) override {
@@ -47,6 +48,7 @@
   TaskRoom& room_;
   ItemPasser& passer_;
   const ControlState& control_;
+  ItemTimes& times_;
   Address self_;
   LotRunnerPlan plan_;
   Trips trips_;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -138,7 +138,9 @@
     Pause pause(ports_.timers, kLoopTickUs);
     co_await pause;
     gateway_->noteLoopDelay(std::max<Us>(0, ports_.clock.monoUs() - dueUs));
-    if (tick % kTellTicks == 0) gateway_->tellLateAnswers();
+    if (tick % kTellTicks != 0) continue;
+    gateway_->tellLateAnswers();
+    scheduler_.tellItemTimes();
   }
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -80,6 +80,7 @@
   Task doctor(ReplyPtr reply);
   void showMetrics(ReplyPtr reply);
   void showPassed(JsonOut& out) const;
+  void showItemTimes(JsonOut& out) const;
   void showLatency(ReplyPtr reply) const;
   void showHistograms(ReplyPtr reply) const;
 
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -40,7 +40,7 @@
       zone_(std::move(zone)),
       plan_(plan),
       sealer_(ports, board, control),
-      delivery_(ports, room, store, plan.gatherUs) {}
+      delivery_(ports, room, store, itemTimes_, plan.gatherUs) {}
 
 SchedulerPlan passingPlan(SchedulerPlan plan, const Bounds& bounds) {
   plan.licenceUs = 3500 * kMilliUs;  // a lost node's items are due soon; the grace after a doubt is no longer
@@ -52,7 +52,11 @@
 }
 
 void Scheduler::passThrough(ItemPasser& passer) {
-  runner_ = std::make_unique<LotRunner>(ports_, room_, passer, control_, rpc_.self(), plan_.runner);
+  runner_ = std::make_unique<LotRunner>(ports_, room_, passer, control_, itemTimes_, rpc_.self(), plan_.runner);
+}
+
+void Scheduler::tellItemTimes() {
+  itemTimes_.tell(passed_, counts_.notGranted - std::exchange(notGrantedTold_, counts_.notGranted));
 }
 
 void Scheduler::begin() {
--- a/src/node/scheduler.h
+++ b/src/node/scheduler.h
@@ -37,6 +37,8 @@
   bool idle() const { return running_.empty() && delivery_.idle(); }
   const SchedulerCounts& counts() const { return counts_; }
   const LotRunner* runner() const { return runner_.get(); }
+  const ItemTimes& itemTimes() const { return itemTimes_; }
+  void tellItemTimes();
 
   // Places for items of a lot that is about to be handed in here; they come back with startTaken.
   std::uint32_t reserveAtOnce(std::size_t items);
@@ -68,6 +70,7 @@
   SchedulerPlan plan_;
   Ring nodes_;
   LotSealer sealer_;
+  ItemTimes itemTimes_;
   std::unique_ptr<LotRunner> runner_;  // none: standing lots are left to other nodes
   LotDelivery delivery_;
   std::map<std::pair<std::string, std::uint32_t>, LotRunPtr> running_;
@@ -78,6 +81,7 @@
   std::uint64_t seenVersion_ = 0;
   bool draining_ = false;
   SchedulerCounts counts_;
+  std::uint64_t notGrantedTold_ = 0;
 };
 
 }  // namespace stonemount
--- a/tests/answer_once_rig.h
+++ b/tests/answer_once_rig.h
@@ -87,6 +87,7 @@
   TaskRoom room;
   PoolLoadTable board;
   Gateway gateway;
+  ItemTimes itemTimes;
   LotRunner items;
   std::vector<std::unique_ptr<RawWorker>> workers;
   std::vector<std::unique_ptr<RawCaller>> callers;
