--- a/tests/lots_rig.h
+++ b/tests/lots_rig.h
@@ -34,7 +34,8 @@
   Job<PassEnding> passItem(PassOrder order, PassSink& sink) override {
     const std::string item = order.exchange;
     ItemLog& log = log_.items[item];
-    if (oddsNotRun > 0 && ports_.chance.oneIn(oddsNotRun)) co_return PassNotRun{20 * kMilliUs};
+    if (running_ >= places || (oddsNotRun > 0 && ports_.chance.oneIn(oddsNotRun))) co_return PassNotRun{20 * kMilliUs};
+    const Place place(running_);
     ++log.sends;
     const bool asHanded = order.ask.method == "POST" && order.ask.target == "/bulk/" + item + "?a=b" &&
                           order.ask.headers["attempt-id"] == item && order.ask.headers["host"] == "h.example" &&
@@ -70,18 +71,29 @@
     ++log.wholes;
     co_return PassWhole{200};
   }
-  bool roomForLots(const std::string&) const override { return room; }
+  bool roomForLots(const std::string&) const override { return room && running_ < places; }
   static Bytes bodyOf(const std::string& item) {
     return Bytes("\0\xff\n", 3) + item + Bytes(spread(item) % 50, '\x80');
   }
   std::uint64_t oddsNotRun = 0, oddsFailed = 0, oddsBroken = 0, oddsDark = 0, oddsSkips = 0;
   Us eventUs = 40 * kMilliUs;
   bool room = true;
+  std::size_t places = 1000;  // items that this node may have at workers at once
   std::map<std::string, Us> lastSendUs;
 
  private:
+  class Place {
+   public:
+    explicit Place(std::size_t& running) : running_(running) { ++running_; }
+    Place(const Place&) = delete;
+    ~Place() { --running_; }
+
+   private:
+    std::size_t& running_;
+  };
   Ports& ports_;
   WorkLog& log_;
+  std::size_t running_ = 0;
 };
 
 class HeardReply : public HttpReply {
