Lots: nodes claim what they may run, and the store calls them in turn

Cause: what a node held was a constant. Whoever took a lot in was granted up to 96 items of it, but had 4 places at workers (its even share among 255 nodes). What is granted waits for no other node. The rest of the fleet saw the same 192 oldest items and asked for the same ones.

Change: a node is granted and claims no more than it may have at workers now, and one in four to follow them (LotRunner::room). A claim (ClaimRuns) names routes and numbers; the store chooses the items, those that can still be in time first, the first due first, so nodes that ask at once get different ones. The tail answers a node's question for work only when it calls it: nodes in turn by their places, as many as the waiting items need, four times as many after each quarter of a second in which they still wait. No list of lots goes to all nodes any more (nor the charged slots of all, which nobody read). A lease is not renewed before it is a renewal period old: most items are over by then.

--- a/src/node/doctor.cc
+++ b/src/node/doctor.cc
@@ -11,6 +11,7 @@
 namespace {
 constexpr Us kLagUs = 60 * kSecondUs;
 constexpr Us kSlowUs = 500 * kMilliUs;
+constexpr std::uint32_t kLotsLookedAt = 64;  // of each kind
 
 struct Finding {
   std::string code;
@@ -118,11 +119,13 @@
     findings.push_back({"D304", "the store chain does not answer", "see the findings about the store"});
   }
   const ControlState& control = configCache_.state();
-  WorkAsk work;
-  work.most = 64;
-  Job<ChainAnswer> askingWork = store_.read(pack(StoreQuery(work)), 0, 2 * kSecondUs);
-  ChainAnswer openWork = co_await askingWork;
-  if (std::holds_alternative<Bytes>(openWork) && configCache_.ready()) {
+  for (const bool standing : {false, true}) {
+    WorkAsk work;
+    work.most = kLotsLookedAt;
+    work.standing = standing;
+    Job<ChainAnswer> askingWork = store_.read(pack(StoreQuery(work)), 0, 2 * kSecondUs);
+    ChainAnswer openWork = co_await askingWork;
+    if (!std::holds_alternative<Bytes>(openWork) || !configCache_.ready()) continue;
     auto read = unpack<WorkVerdict>(std::get<Bytes>(openWork));
     if (auto* verdict = std::get_if<WorkVerdict>(&read)) lookAtLots(*verdict, control, findings);
   }
--- a/src/node/lot_carrier.h
+++ b/src/node/lot_carrier.h
@@ -43,9 +43,6 @@
 class ItemCarrier {
  public:
   virtual ~ItemCarrier() = default;
-  // A place for one more item. None: not now.
-  virtual std::optional<CarrierPlace> reserve(const Route& route, std::uint64_t prefix) = 0;
-  virtual void release(const CarrierPlace& place) = 0;  // the store did not grant it
   virtual bool mayRenew(const LotRun& run) const = 0;
   virtual Job<ItemEnding> carry(LotRunPtr run) = 0;
 };
--- /dev/null
+++ b/src/node/lot_claims.cc
@@ -0,0 +1,152 @@
+// How the scheduler comes by runs of standing lots: some are granted with a lot that is handed in here, the others it
+// claims when the store calls it (design.md 9.8).
+#include <algorithm>
+
+#include "node/scheduler.h"
+
+namespace stonemount {
+
+namespace {
+constexpr Us kHoldUs = 600 * kMilliUs;  // that the store may take to call
+constexpr Us kReadUs = 2 * kSecondUs;
+constexpr Us kClaimUs = 2 * kSecondUs;
+constexpr Us kAgainUs = 150 * kMilliUs;  // after a call that brought nothing; doubles with each in a row
+constexpr Us kMostAgainUs = 1200 * kMilliUs;
+constexpr Us kFullUs = 100 * kMilliUs;  // until its room is looked at again: it also grows with time alone
+}  // namespace
+
+void Scheduler::reserve(const std::string& route, std::size_t items) {
+  reserved_ += items;
+  reservedByRoute_[route] += items;
+}
+
+void Scheduler::unreserve(const std::string& route, std::size_t items) {
+  std::size_t& ofRoute = reservedByRoute_[route];
+  STONEMOUNT_INVARIANT(items <= reserved_ && items <= ofRoute);
+  reserved_ -= items;
+  ofRoute -= items;
+  if (ofRoute == 0) reservedByRoute_.erase(route);
+}
+
+// By route, what this node could run more.
+std::vector<RouteDemand> Scheduler::demands() const {
+  std::vector<RouteDemand> demands;
+  const std::size_t used = passed_ + reserved_;
+  const std::size_t most = runner_->plan().mostRunning;
+  if (draining_ || used >= most) return demands;
+  for (const auto& [name, route] : control_.routes()) {
+    if (!route.lots) continue;
+    auto reserved = reservedByRoute_.find(name);
+    const std::size_t asked = reserved == reservedByRoute_.end() ? 0 : reserved->second;
+    const std::size_t room = std::min(runner_->room(route), most - used);
+    if (room > asked) demands.push_back({name, route.completionUs, static_cast<std::uint32_t>(room - asked)});
+  }
+  return demands;
+}
+
+std::uint32_t Scheduler::reserveAtOnce(const std::string& route, std::size_t items) {
+  if (runner_ == nullptr) return 0;
+  for (const RouteDemand& demand : demands()) {
+    if (demand.route != route) continue;
+    const auto reserved = static_cast<std::uint32_t>(std::min<std::size_t>(items, demand.most));
+    reserve(route, reserved);
+    return reserved;
+  }
+  return 0;
+}
+
+void Scheduler::startTaken(std::uint32_t reserved, const SubmitLot& lot, const std::vector<GrantedRun>& granted,
+                           Us askedUs) {
+  if (reserved > 0) unreserve(lot.route, reserved);
+  for (const GrantedRun& one : granted) {
+    if (one.wish >= lot.items.size() || running_.contains({lot.name, one.wish})) continue;
+    auto run = std::make_shared<LotRun>();
+    run->name = {lot.name, one.wish, one.run};
+    run->item = lot.items[one.wish];
+    run->route = lot.route;
+    run->host = lot.host;
+    run->takenUs = run->heardUs = askedUs;
+    run->worker = rpc_.self();
+    start(std::move(run), *runner_);
+  }
+}
+
+Task Scheduler::followStanding() {
+  Us againUs = kAgainUs;
+  while (true) {
+    const std::vector<RouteDemand> wanted = demands();
+    if (wanted.empty()) {
+      EventWait hear(ports_.timers, placeEvent_, kFullUs);
+      co_await hear;
+      continue;
+    }
+    Job<std::uint32_t> calling = awaitCall(wanted);
+    const std::uint32_t most = co_await calling;
+    std::size_t claimed = 0;
+    if (most > 0) {
+      Job<std::size_t> claiming = claim(demands(), most);
+      claimed = co_await claiming;
+      againUs = claimed > 0 ? kAgainUs : std::min(2 * againUs, kMostAgainUs);
+    }
+    if (claimed > 0) continue;
+    Pause pause(ports_.timers, againUs);
+    co_await pause;
+  }
+}
+
+// How many runs the store calls this node to claim; 0: none in time.
+Job<std::uint32_t> Scheduler::awaitCall(const std::vector<RouteDemand>& demands) {
+  StandingWorkAsk ask;
+  ask.place = place_;
+  for (const RouteDemand& demand : demands) ask.routes.push_back(demand.route);
+  Job<ChainAnswer> asking = store_.read(pack(StoreQuery(std::move(ask))), kHoldUs, kReadUs);
+  ChainAnswer answer = co_await asking;
+  if (!std::holds_alternative<Bytes>(answer)) co_return 0;
+  auto read = unpack<StandingWorkVerdict>(std::get<Bytes>(answer));
+  auto* verdict = std::get_if<StandingWorkVerdict>(&read);
+  co_return verdict == nullptr ? 0 : verdict->most;
+}
+
+Job<std::size_t> Scheduler::claim(std::vector<RouteDemand> demands, std::uint32_t most) {
+  if (demands.empty()) co_return 0;
+  ClaimRuns command;
+  command.node = rpc_.self();
+  command.licenceUs = plan_.licenceUs;
+  command.slotCap = runner_->plan().mostRunning;
+  std::size_t left = runner_->plan().mostRunning - std::min<std::size_t>(passed_ + reserved_, command.slotCap);
+  for (RouteDemand& demand : demands) {
+    demand.most = static_cast<std::uint32_t>(std::min<std::size_t>({demand.most, most, left}));
+    left -= demand.most;
+    reserve(demand.route, demand.most);
+  }
+  command.demands = demands;
+  const Us askedUs = ports_.clock.monoUs();
+  Job<ChainAnswer> asking = store_.submit(pack(StoreCommand(std::move(command))), kClaimUs);
+  ChainAnswer answer = co_await asking;
+  for (const RouteDemand& demand : demands) unreserve(demand.route, demand.most);
+  if (!std::holds_alternative<Bytes>(answer)) co_return 0;
+  auto read = unpack<ClaimVerdict>(std::get<Bytes>(answer));
+  auto* verdict = std::get_if<ClaimVerdict>(&read);
+  if (verdict == nullptr) co_return 0;
+  const std::size_t claimed = verdict->claimed.size();
+  if (claimed == 0) ++counts_.notGranted;
+  startClaimed(std::move(verdict->claimed), demands, askedUs);
+  co_return claimed;
+}
+
+void Scheduler::startClaimed(std::vector<ClaimedRun> claimed, const std::vector<RouteDemand>& demands, Us askedUs) {
+  for (ClaimedRun& one : claimed) {
+    if (one.demand >= demands.size()) continue;
+    auto run = std::make_shared<LotRun>();
+    run->name = std::move(one.name);
+    run->item = std::move(one.item);
+    run->route = demands[one.demand].route;
+    run->host = std::move(one.host);
+    run->takenUs = askedUs - one.ageUs;
+    run->heardUs = askedUs;
+    run->worker = rpc_.self();
+    start(std::move(run), *runner_);
+  }
+}
+
+}  // namespace stonemount
--- a/src/node/lot_desk.cc
+++ b/src/node/lot_desk.cc
@@ -44,7 +44,7 @@
   command.keyUs = plan_.keyUs;
   command.node = rpc_.self();
   command.licenceUs = scheduler_.licenceUs();
-  command.atOnce = scheduler_.reserveAtOnce(command.items.size());
+  command.atOnce = scheduler_.reserveAtOnce(command.route, command.items.size());
   command.slotCap = scheduler_.mostPassed();
   const Us askedUs = ports_.clock.monoUs();
   bytesIn_ += bytes;
--- a/src/node/lot_leases.cc
+++ b/src/node/lot_leases.cc
@@ -1,47 +1,23 @@
-// What the scheduler does for runs that it has: begins those granted with their lot, renews, gives back.
+// What the scheduler does for runs that it has: renews, gives back.
 #include <algorithm>
 
 #include "node/scheduler.h"
 
 namespace stonemount {
 
-std::uint32_t Scheduler::reserveAtOnce(std::size_t items) {
-  if (runner_ == nullptr || draining_) return 0;
-  const std::size_t used = passed_ + reserved_;
-  const std::size_t most = runner_->plan().mostRunning;
-  const auto reserved = static_cast<std::uint32_t>(std::min(items, most > used ? most - used : 0));
-  reserved_ += reserved;
-  return reserved;
-}
-
-void Scheduler::startTaken(std::uint32_t reserved, const SubmitLot& lot, const std::vector<GrantedRun>& granted,
-                           Us askedUs) {
-  STONEMOUNT_INVARIANT(reserved <= reserved_);
-  reserved_ -= reserved;
-  for (const GrantedRun& one : granted) {
-    if (one.wish >= lot.items.size() || running_.contains({lot.name, one.wish})) continue;
-    auto run = std::make_shared<LotRun>();
-    run->name = {lot.name, one.wish, one.run};
-    run->item = lot.items[one.wish];
-    run->route = lot.route;
-    run->host = lot.host;
-    run->takenUs = run->heardUs = askedUs;
-    run->worker = rpc_.self();
-    start(std::move(run), *runner_);
-  }
-}
-
 // A task counts as renewed while its request is open at a worker that is still listed. What the store does
 // not want any more is told in its answer, and ended.
 Task Scheduler::renew() {
   while (true) {
     Pause pause(ports_.timers, plan_.renewUs);
     co_await pause;
+    const Us nowUs = ports_.clock.monoUs();
     RenewRuns command;
     command.node = rpc_.self();
     command.licenceUs = plan_.licenceUs;
     std::vector<LotRunPtr> runs;
     for (const auto& [key, run] : running_) {
+      if (nowUs - run->heardUs < plan_.renewUs) continue;  // most items are over before
       if (!(run->worker == rpc_.self() && runner_ != nullptr ? runner_->mayRenew(*run) : sealer_.mayRenew(*run)))
         continue;
       command.runs.push_back(run->name);
--- a/src/node/lot_runner.cc
+++ b/src/node/lot_runner.cc
@@ -11,7 +11,8 @@
 namespace {
 constexpr Us kPumpUs = 20 * kMilliUs;
 constexpr Us kWatchUs = 250 * kMilliUs;
-constexpr int kStartsAtOnce = 8;  // of one pool, until its room is looked at again
+constexpr std::size_t kStartsAtOnce = 8;    // of one pool, until its room is looked at again
+constexpr std::size_t kRunningForNext = 4;  // for so many at workers one more is held, to follow without a pause
 constexpr Us kAgainUs = 50 * kMilliUs;
 constexpr Us kMostAgainUs = kSecondUs;
 constexpr Us kDueUs = 12 * kSecondUs;  // where the route does not say
@@ -82,7 +83,7 @@
 // The most urgent first; those that are late only after those that are not.
 void LotRunner::startWaiting(bool late) {
   const Us nowUs = ports_.clock.monoUs();
-  absl::btree_map<std::string, int> places;
+  absl::btree_map<std::string, std::size_t> places;
   for (const auto& [place, trip] : trips_) {
     if (!trip->waits || trip->go || (place.first <= nowUs) != late || trip->notBeforeUs > nowUs) continue;
     if (nowUs - trip->run->heardUs > plan_.freshUs) continue;  // its lot may have been ended: first the store is asked
@@ -90,15 +91,36 @@
     if (route != control_.routes().end()) {  // else it is woken, and gives its run back
       const std::string& pool = poolFor(route->second, trip->run->item.id);
       auto room = places.find(pool);
-      if (room == places.end()) room = places.emplace(pool, passer_.roomForLots(pool) ? kStartsAtOnce : 0).first;
-      if (room->second <= 0 && !urgent(*trip, nowUs)) continue;
-      --room->second;
+      if (room == places.end()) room = places.emplace(pool, std::min(passer_.roomForLots(pool), kStartsAtOnce)).first;
+      if (room->second == 0 && !urgent(*trip, nowUs)) continue;
+      if (room->second > 0) --room->second;
     }
     trip->go = true;
     trip->run->knock.notify();
   }
 }
 
+// Of a route with several pools: what the fullest of them leaves, since each takes a fixed share of the items.
+std::size_t LotRunner::roomAtWorkers(const Route& route) const {
+  std::optional<std::size_t> least;
+  for (const PoolShare& share : route.shares) {
+    if (share.weight == 0) continue;
+    const std::size_t room = passer_.roomForLots(share.pool);
+    least = std::min(least.value_or(room), room);
+  }
+  return least ? *least : passer_.roomForLots(route.pool);
+}
+
+std::size_t LotRunner::room(const Route& route) const {
+  std::size_t atWorkers = 0, held = 0;
+  for (const auto& [place, trip] : trips_) {
+    if (trip->run->route != route.name) continue;
+    ++(trip->atWorker ? atWorkers : held);
+  }
+  const std::size_t most = roomAtWorkers(route) + atWorkers / kRunningForNext;
+  return most - std::min(most, held);
+}
+
 // A worker that went dark says nothing. Unlike a caller's answer an item may be taken up elsewhere.
 void LotRunner::endSilent() {
   const Us nowUs = ports_.clock.monoUs();
--- a/src/node/lot_runner.h
+++ b/src/node/lot_runner.h
@@ -22,16 +22,14 @@
 class LotRunner : public ItemCarrier {
  public:
   LotRunner(Ports& ports, TaskRoom& room, ItemPasser& passer, const ControlState& control, ItemTimes& times,
-            Address self, LotRunnerPlan plan)
-      : ports_(ports), room_(room), passer_(passer), control_(control), times_(times), self_(self), plan_(plan) {}
+            LotRunnerPlan plan)
+      : ports_(ports), room_(room), passer_(passer), control_(control), times_(times), plan_(plan) {}
   void begin() { room_.start(pump()); }
-  // The worker is chosen only as the item is sent: what the store charges is a place at this node.
-  std::optional<CarrierPlace> reserve(const Route&, std::uint64_t) override {
-    return CarrierPlace{self_, plan_.mostRunning};
-  }
-  void release(const CarrierPlace&) override {}
   bool mayRenew(const LotRun& run) const override { return !run.over; }
   Job<ItemEnding> carry(LotRunPtr run) override;
+  // How many more items of that route this node may take: what it may send now, and some to follow what it runs, less
+  // what it has not sent yet.
+  std::size_t room(const Route& route) const;
   const LotRunnerPlan& plan() const { return plan_; }
   const LotRunnerCounts& counts() const { return counts_; }
 
@@ -41,6 +39,7 @@
   Task pump();
   void startWaiting(bool late);
   void endSilent();
+  std::size_t roomAtWorkers(const Route& route) const;
   bool urgent(const Trip& trip, Us nowUs) const;
   std::optional<ItemEnding> judge(Trip& trip, const PassEnding& ending);
   PassOrder orderOf(const Trip& trip) const;
@@ -49,7 +48,6 @@
   ItemPasser& passer_;
   const ControlState& control_;
   ItemTimes& times_;
-  Address self_;
   LotRunnerPlan plan_;
   Trips trips_;
   std::uint64_t lastTrip_ = 0;
--- a/src/node/lot_sealer.h
+++ b/src/node/lot_sealer.h
@@ -11,8 +11,9 @@
  public:
   LotSealer(Ports& ports, WorkerLoadTable& board, const ControlState& control)
       : ports_(ports), board_(board), control_(control) {}
-  std::optional<CarrierPlace> reserve(const Route& route, std::uint64_t prefix) override;
-  void release(const CarrierPlace& place) override;
+  // A place for one more item. None: not now.
+  std::optional<CarrierPlace> reserve(const Route& route, std::uint64_t prefix);
+  void release(const CarrierPlace& place);  // the store did not grant it
   bool mayRenew(const LotRun& run) const override { return board_.listed(run.worker); }
   Job<ItemEnding> carry(LotRunPtr run) override;
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -42,6 +42,7 @@
   pools_ = std::make_unique<PoolLoadTable>(ports.clock, configCache_.state(), board);
   sharing_ = std::make_unique<WorkerSharing>(ports.clock, *pools_, settings_.bounds.listLagUs);
   configCache_.contact.connect(sigc::mem_fun(*sharing_, &WorkerSharing::onContact));
+  configCache_.contact.connect(sigc::mem_fun(*this, &Node::onContact));
   pools_->gone.connect(sigc::mem_fun(*this, &Node::onWorkerGone));
   warmthProbe_ = std::make_unique<WarmthProbe>(ports, room_, *pools_, configCache_.state(), *plan.dialect);
   gateway_ = std::make_unique<Gateway>(ports, room_, *pools_, configCache_.state(), *plan.dialect, plan.gateway);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -90,6 +90,7 @@
   void chainFailed(HttpReply& reply, const ChainFailure& failure, bool command);
   void onMet(const PeerRecord& record);
   void onNews();
+  void onContact(const ControlContact& contact) { scheduler_.setPlace(contact.place); }
   void onWorkerGone(const Address& worker) { ports_.httpOut.closeKept(worker); }
   std::vector<Address> knownCores() const;
   void countQuotas();
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -11,11 +11,6 @@
 constexpr Us kReadUs = 2 * kSecondUs;
 constexpr Us kGrantUs = 2 * kSecondUs;
 constexpr Us kAgainUs = 150 * kMilliUs;
-constexpr Us kFullUs = 500 * kMilliUs;
-constexpr Us kGatherUs = 60 * kMilliUs;
-constexpr Us kTurnUs = 250 * kMilliUs;  // an heir waits so long for each that comes before it
-constexpr std::size_t kHeirs = 4;
-constexpr std::uint32_t kBlock = 8;  // items of a standing lot that have one home
 constexpr std::uint32_t kLotsTold = 64;
 constexpr std::size_t kWishes = 32;
 }  // namespace
@@ -24,7 +19,6 @@
   GrantRuns command;
   std::vector<CarrierPlace> places;
   std::vector<const OpenLot*> lots;
-  std::size_t passed = 0;  // of them, in standing lots
   bool moreToDo = false;
 };
 
@@ -52,7 +46,7 @@
 }
 
 void Scheduler::passThrough(ItemPasser& passer) {
-  runner_ = std::make_unique<LotRunner>(ports_, room_, passer, control_, itemTimes_, rpc_.self(), plan_.runner);
+  runner_ = std::make_unique<LotRunner>(ports_, room_, passer, control_, itemTimes_, plan_.runner);
 }
 
 void Scheduler::tellItemTimes() {
@@ -63,7 +57,9 @@
   room_.start(follow());
   room_.start(renew());
   delivery_.begin();
-  if (runner_ != nullptr) runner_->begin();
+  if (runner_ == nullptr) return;
+  runner_->begin();
+  room_.start(followStanding());
 }
 
 void Scheduler::refreshRing() {
@@ -83,13 +79,6 @@
   return !heirs.empty() && heirs.front() == rpc_.self();
 }
 
-// A standing lot is in a hurry: whoever is not at home to a block of its items may take them too, but later.
-Us Scheduler::turnUs(const std::string& lot, std::uint32_t item) const {
-  const std::vector<Address> heirs = nodes_.heirs(spread(lot, 1 + item / kBlock), kHeirs);
-  const auto place = std::find(heirs.begin(), heirs.end(), rpc_.self());
-  return kTurnUs * (place - heirs.begin());
-}
-
 Task Scheduler::follow() {
   while (true) {
     WorkAsk wish;
@@ -111,36 +100,21 @@
         againUs = counts_.granted > before ? 5 * kMilliUs : 40 * kMilliUs;
       }
     }
-    // Whoever can take nothing need not ask until something ends here.
-    const bool full = runner_ != nullptr && passed_ + reserved_ >= runner_->plan().mostRunning;
-    EventWait hear(ports_.timers, workEvent_, full ? kFullUs : againUs);
+    EventWait hear(ports_.timers, workEvent_, againUs);
     co_await hear;
-    if (runner_ == nullptr || !moreToDo) continue;
-    Pause gathering(ports_.timers, kGatherUs);  // places that come free one after the other are asked for together
-    co_await gathering;
   }
 }
 
 // Gathers what of a lot may be taken now.
 void Scheduler::wishFor(const OpenLot& lot, Wishes& wishes) {
-  ItemCarrier* carrier = lot.standing ? static_cast<ItemCarrier*>(runner_.get()) : &sealer_;
-  if (carrier == nullptr || (!lot.standing && (control_.evacuated(zone_) || !atHome(lot.lot)))) return;
+  if (control_.evacuated(zone_) || !atHome(lot.lot)) return;
   auto route = control_.routes().find(lot.route);
   if (route == control_.routes().end()) return;  // it waits until the route is back (design.md 7.5)
-  const Us seenUs = lot.standing ? ports_.clock.monoUs() - firstSeen_.at(lot.lot) : 0;
   for (std::size_t i = 0; i < lot.waiting.size(); ++i) {
     if (running_.contains({lot.lot, lot.waiting[i]})) continue;
-    const bool full = lot.standing ? passed_ + reserved_ + wishes.passed >= runner_->plan().mostRunning
-                                   : running_.size() + wishes.places.size() >= plan_.mostRunning;
-    if (full || wishes.places.size() >= kWishes) {
-      wishes.moreToDo = true;
-      return;
-    }
-    if (lot.standing && seenUs < turnUs(lot.lot, lot.waiting[i])) {
-      wishes.moreToDo = true;
-      continue;
-    }
-    const std::optional<CarrierPlace> place = carrier->reserve(route->second, lot.standing ? 0 : lot.prefixes[i]);
+    const bool full = running_.size() + wishes.places.size() >= plan_.mostRunning;
+    const std::optional<CarrierPlace> place =
+        full || wishes.places.size() >= kWishes ? std::nullopt : sealer_.reserve(route->second, lot.prefixes[i]);
     if (!place) {
       wishes.moreToDo = true;
       return;
@@ -148,18 +122,11 @@
     wishes.command.wishes.push_back({lot.lot, lot.waiting[i], place->worker, place->slotCap});
     wishes.places.push_back(*place);
     wishes.lots.push_back(&lot);
-    wishes.passed += lot.standing ? 1 : 0;
   }
 }
 
 Job<bool> Scheduler::grant(WorkVerdict work) {
   refreshRing();
-  absl::flat_hash_map<std::string, Us> seen;
-  for (const OpenLot& lot : work.lots) {
-    auto before = firstSeen_.find(lot.lot);
-    seen.emplace(lot.lot, before != firstSeen_.end() ? before->second : ports_.clock.monoUs());
-  }
-  firstSeen_ = std::move(seen);
   if (draining_ || !work.certain) co_return false;
   Wishes wishes;
   wishes.command.node = rpc_.self();
@@ -167,10 +134,8 @@
   for (const OpenLot& lot : work.lots) wishFor(lot, wishes);
   if (wishes.places.empty()) co_return wishes.moreToDo;
   const Us askedUs = ports_.clock.monoUs();
-  reserved_ += static_cast<std::uint32_t>(wishes.passed);
   Job<ChainAnswer> asking = store_.submit(pack(StoreCommand(wishes.command)), kGrantUs);
   ChainAnswer answer = co_await asking;
-  reserved_ -= static_cast<std::uint32_t>(wishes.passed);
   StoreVerdict verdict;
   if (std::holds_alternative<Bytes>(answer)) {
     auto read = unpack<StoreVerdict>(std::get<Bytes>(answer));
@@ -184,17 +149,14 @@
     run->name = {lot.lot, wishes.command.wishes[granted.wish].item, granted.run};
     run->item = std::move(granted.item);
     run->route = lot.route;
-    run->host = lot.host;
-    run->takenUs = askedUs - lot.ageUs;
-    run->heardUs = askedUs;
+    run->takenUs = run->heardUs = askedUs;
     run->worker = wishes.places[granted.wish].worker;
-    start(std::move(run), lot.standing ? static_cast<ItemCarrier&>(*runner_) : sealer_);
+    start(std::move(run), sealer_);
   }
   for (std::size_t i = 0; i < started.size(); ++i) {
     if (started[i]) continue;
     ++counts_.notGranted;
-    ItemCarrier& carrier = wishes.lots[i]->standing ? static_cast<ItemCarrier&>(*runner_) : sealer_;
-    carrier.release(wishes.places[i]);
+    sealer_.release(wishes.places[i]);
     wishes.moreToDo = true;
   }
   co_return wishes.moreToDo;
@@ -227,6 +189,7 @@
   passed_ -= carrier == runner_.get() ? 1 : 0;
   running_.erase({run->name.lot, run->name.item});
   workEvent_.notify();
+  placeEvent_.notify();
 }
 
 }  // namespace stonemount
--- a/src/node/scheduler.h
+++ b/src/node/scheduler.h
@@ -40,8 +40,11 @@
   const ItemTimes& itemTimes() const { return itemTimes_; }
   void tellItemTimes();
 
+  // Of this node among all nodes: by it the store calls them in turn.
+  void setPlace(const FleetPlace& place) { place_ = place; }
+
   // Places for items of a lot that is about to be handed in here; they come back with startTaken.
-  std::uint32_t reserveAtOnce(std::size_t items);
+  std::uint32_t reserveAtOnce(const std::string& route, std::size_t items);
   std::uint32_t mostPassed() const { return runner_ == nullptr ? 0 : runner_->plan().mostRunning; }
   Us licenceUs() const { return plan_.licenceUs; }
   // What was granted with the lot, asked for at `askedUs`; its items as they were handed in.
@@ -49,6 +52,7 @@
 
  private:
   struct Wishes;
+  // Lots of events.
   Task follow();
   Job<bool> grant(WorkVerdict work);  // true: there is more that may soon be taken
   void wishFor(const OpenLot& lot, Wishes& wishes);
@@ -57,8 +61,15 @@
   Task renew();
   Task endDrain();
   bool atHome(const std::string& lot) const;
-  Us turnUs(const std::string& lot, std::uint32_t item) const;
   void refreshRing();
+  // lot_claims.cc: standing lots.
+  Task followStanding();
+  std::vector<RouteDemand> demands() const;
+  Job<std::uint32_t> awaitCall(const std::vector<RouteDemand>& demands);
+  Job<std::size_t> claim(std::vector<RouteDemand> demands, std::uint32_t most);
+  void startClaimed(std::vector<ClaimedRun> claimed, const std::vector<RouteDemand>& demands, Us askedUs);
+  void reserve(const std::string& route, std::size_t items);
+  void unreserve(const std::string& route, std::size_t items);
   Ports& ports_;
   RpcEndpoint& rpc_;
   TaskRoom& room_;
@@ -74,10 +85,12 @@
   std::unique_ptr<LotRunner> runner_;  // none: standing lots are left to other nodes
   LotDelivery delivery_;
   std::map<std::pair<std::string, std::uint32_t>, LotRunPtr> running_;
-  std::size_t passed_ = 0;  // of them, in standing lots
-  std::uint32_t reserved_ = 0;
-  absl::flat_hash_map<std::string, Us> firstSeen_;  // lots with waiting items, and since when it is known here
-  Event workEvent_;
+  std::size_t passed_ = 0;    // of them, in standing lots
+  std::size_t reserved_ = 0;  // for runs of standing lots that are being asked for
+  absl::btree_map<std::string, std::size_t> reservedByRoute_;
+  FleetPlace place_;
+  Event workEvent_;   // a run ended: for follow()
+  Event placeEvent_;  // likewise, for followStanding()
   std::uint64_t seenVersion_ = 0;
   bool draining_ = false;
   SchedulerCounts counts_;
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -58,7 +58,8 @@
   virtual ~ItemPasser() = default;
   // One worker, one try: chooses a worker, sends, reads to the end. Never two workers in one call.
   virtual Job<PassEnding> passItem(PassOrder order, PassSink& sink) = 0;
-  virtual bool roomForLots(const std::string& pool) const = 0;
+  // How many more items of lots may go to workers of that pool now.
+  virtual std::size_t roomForLots(const std::string& pool) const = 0;
 };
 
 // One try at a worker that was chosen and charged for; gives it back to the board when it ends.
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -37,7 +37,7 @@
   ~Gateway() override;
   void enter(LiveRequest request, ReplyPtr reply);
   Job<PassEnding> passItem(PassOrder order, PassSink& sink) override;
-  bool roomForLots(const std::string& pool) const override { return held_ == 0 && board_.roomForLots(pool); }
+  std::size_t roomForLots(const std::string& pool) const override { return held_ == 0 ? board_.roomForLots(pool) : 0; }
   // From now on requests of tenants are admitted by it.
   void setQuotas(QuotaGate& quotas) { quotas_ = &quotas; }
   void drain() { draining_ = true; }
--- a/src/proxy/pool_load_table.cc
+++ b/src/proxy/pool_load_table.cc
@@ -128,11 +128,16 @@
   return false;
 }
 
-bool PoolLoadTable::roomForLots(const std::string& pool) const {
+std::size_t PoolLoadTable::roomForLots(const std::string& name) const {
   PoolRequest wish;
-  wish.pool = pool;
+  wish.pool = name;
   wish.lot = true;
-  return choose(wish).has_value();
+  if (!choose(wish)) return 0;
+  const std::vector<Address>& pool = pools_.at(name);
+  const std::uint64_t lots = lotsAt(pool);
+  const std::uint64_t most = mostLots(name, pool);
+  // Beyond its share where workers tell nothing: as far as idle ones are found.
+  return most > lots ? most - lots : kLeastLots;
 }
 
 void PoolLoadTable::take(const Address& address, bool lot) {
--- a/src/proxy/pool_load_table.h
+++ b/src/proxy/pool_load_table.h
@@ -72,7 +72,8 @@
   void toldWarmth(const Address& worker, const std::string& life, Us askedUs, Us coldLeftUs);
   // Is there any worker that may get anything, now or when room is made?
   bool serves(const std::string& pool) const;
-  bool roomForLots(const std::string& pool) const;
+  // How many more requests of lots this node may send there now.
+  std::size_t roomForLots(const std::string& pool) const;
   const absl::btree_map<Address, PoolWorker>& workers() const { return workers_; }
   const std::string& lifeOf(const Address& worker) const { return workers_.at(worker).listed.life; }
   sigc::signal<void()> roomMade;
--- a/src/store/answers.cc
+++ b/src/store/answers.cc
@@ -6,7 +6,12 @@
 namespace {
 constexpr std::size_t kWaitingTold = 32;
 constexpr std::size_t kPrefixBytes = 64;
-constexpr std::size_t kStandingTold = 192;  // of all standing lots, the oldest first
+constexpr std::uint64_t kItemsForNode = 4;  // that one node is called for
+constexpr std::uint64_t kLeastCalled = 3;   // nodes
+// Where items go on waiting, four times as many nodes are called after each.
+constexpr Us kWidenUs = 250 * kMilliUs;
+constexpr std::uint64_t kWidenBits = 2;
+constexpr Us kMostWidenings = 8;
 constexpr std::size_t kPageBytes = 1 << 20;
 }  // namespace
 
@@ -17,6 +22,7 @@
   if (auto* work = std::get_if<WorkAsk>(query)) return tell(*work, mustAnswer);
   if (auto* lot = std::get_if<LotAsk>(query)) return tell(*lot, mustAnswer);
   if (auto* events = std::get_if<EventsAsk>(query)) return tell(*events);
+  if (auto* standing = std::get_if<StandingWorkAsk>(query)) return tell(*standing, mustAnswer);
   return tell(std::get<ClockAsk>(*query));
 }
 
@@ -25,24 +31,20 @@
   WorkVerdict verdict;
   verdict.version = state_.workVersion;
   verdict.certain = state_.cut.certain;
-  verdict.charged = state_.charged;
-  std::size_t standingTold = 0;
+  if (ask.standing) {
+    tellStanding(ask.most, verdict);
+    return pack(verdict);
+  }
   for (const auto& [createdUs, name] : state_.openLots) {
     const KeptLot& lot = state_.lots.at(name);
-    if (lot.standing() && standingTold >= kStandingTold) continue;
+    if (lot.standing()) continue;  // listed by an earlier version
     OpenLot open;
     open.lot = name;
     open.route = lot.route;
-    open.standing = lot.standing();
-    open.host = lot.host;
-    open.ageUs = std::max<Us>(0, state_.cut.cutUs - createdUs);
     for (const std::uint32_t place : lot.waiting) {
-      if (lot.standing() ? standingTold >= kStandingTold : open.waiting.size() >= kWaitingTold) break;
+      if (open.waiting.size() >= kWaitingTold) break;
       open.waiting.push_back(place);
-      if (lot.standing())
-        ++standingTold;
-      else
-        open.prefixes.push_back(spread(lot.items[place].given.body.substr(0, kPrefixBytes)));
+      open.prefixes.push_back(spread(lot.items[place].given.body.substr(0, kPrefixBytes)));
     }
     verdict.lots.push_back(std::move(open));
     if (verdict.lots.size() >= ask.most) break;
@@ -50,6 +52,43 @@
   return pack(verdict);
 }
 
+void StoreMachine::tellStanding(std::uint32_t most, WorkVerdict& verdict) const {
+  for (const auto& [route, queue] : index_.standingQueues()) {
+    for (const auto& [createdUs, name] : queue.lots) {
+      if (verdict.lots.size() >= most) return;
+      verdict.lots.push_back({name, route, {}, {}});
+    }
+  }
+}
+
+// Nodes are called in turn, by their places: those whose turn came with the items that still wait. The longer any
+// wait, the more are called, since some that are called may be full or gone.
+std::uint32_t StoreMachine::mostToClaim(const StandingWorkAsk& ask) const {
+  if (!state_.cut.certain) return 0;
+  std::uint64_t most = 0;
+  for (const std::string& route : ask.routes) {
+    const StandingQueue* queue = index_.standingQueue(route);
+    if (queue == nullptr) continue;
+    const std::uint64_t places = std::max<std::uint64_t>(1, ask.place.places);
+    const Us waitedUs = std::max<Us>(0, state_.cut.cutUs - queue->busySinceUs);
+    const auto widened = static_cast<std::uint64_t>(std::min<Us>(waitedUs / kWidenUs, kMostWidenings));
+    std::uint64_t called = std::max<std::uint64_t>(kLeastCalled, (queue->items + kItemsForNode - 1) / kItemsForNode);
+    called <<= kWidenBits * widened;
+    const std::uint64_t last = queue->arrivals / kItemsForNode % places;
+    const std::uint64_t turn = (last + places - ask.place.place % places) % places;
+    if (ask.place.known() && turn >= called) continue;
+    most += std::max<std::uint64_t>(kItemsForNode, queue->items / places);
+  }
+  return static_cast<std::uint32_t>(std::min<std::uint64_t>(most, UINT32_MAX));
+}
+
+QueryVerdict StoreMachine::tell(const StandingWorkAsk& ask, bool mustAnswer) const {
+  StandingWorkVerdict verdict;
+  verdict.most = mostToClaim(ask);
+  if (verdict.most == 0 && !mustAnswer) return Hold{};
+  return pack(verdict);
+}
+
 // Those that are final, in the order in which they became so.
 void StoreMachine::tellListed(const KeptLot& lot, const LotAsk& ask, LotVerdict& verdict) const {
   std::size_t bytes = 0;
--- a/src/store/commands.h
+++ b/src/store/commands.h
@@ -120,9 +120,26 @@
   std::uint64_t epoch = 0;
   STONEMOUNT_PACK(epoch)
 };
+// Up to so many items of standing lots of one route.
+struct RouteDemand {
+  std::string route;
+  Us completionUs = 0;  // an item is late that long after the acceptance of its lot; 0: never
+  std::uint32_t most = 0;
+  STONEMOUNT_PACK(route, completionUs, most)
+};
+// Runs for a node that has places free. The store chooses the items, so nodes that ask at one moment get different
+// ones.
+struct ClaimRuns {
+  Address node;  // its places are charged
+  Us licenceUs = 0;
+  std::uint32_t slotCap = 1;
+  std::vector<RouteDemand> demands;
+  bool certainHere = false;  // stamped
+  STONEMOUNT_PACK(node, licenceUs, slotCap, demands, certainHere)
+};
 // New kinds go to the end: a log names them by their place.
 using StoreCommand = std::variant<CreateEvent, CloseEvent, SubmitLot, EndLot, GrantRuns, RenewRuns, SealRuns, DropRuns,
-                                  Sweep, LockWish, CutProposal, DoubtCut, SubmitLotWithin>;
+                                  Sweep, LockWish, CutProposal, DoubtCut, SubmitLotWithin, ClaimRuns>;
 
 // As the head stamps it: with the time since the cut's last sample, which the cut does not hold yet. What
 // is promised for a time lasts from now, not from that sample (design.md 8.1).
@@ -160,5 +177,18 @@
   std::vector<std::uint32_t> over;  // of the renewed: those that are no longer wanted
   STONEMOUNT_PACK(outcome, name, epoch, granted, over)
 };
+struct ClaimedRun {
+  RunName name;
+  std::uint32_t demand = 0;  // which of the demands
+  std::string host;
+  Us ageUs = 0;  // since its lot was taken
+  LotItem item;
+  STONEMOUNT_PACK(name, demand, host, ageUs, item)
+};
+struct ClaimVerdict {
+  StoreOutcome outcome = StoreOutcome::kDone;
+  std::vector<ClaimedRun> claimed;
+  STONEMOUNT_PACK(outcome, claimed)
+};
 
 }  // namespace stonemount
--- a/src/store/lot_index.cc
+++ b/src/store/lot_index.cc
@@ -16,7 +16,7 @@
 void StoreIndex::rebuild(const StoreState& state, Us retentionUs) {
   *this = StoreIndex();
   for (const auto& [name, lot] : state.lots) {
-    note(lot, lot.keepUs > 0 ? lot.keepUs : retentionUs);
+    note(lot, lot.keepUs > 0 ? lot.keepUs : retentionUs, state.cut.cutUs);
     for (std::uint32_t place = 0; place < lot.items.size(); ++place) noteFinal(lot, place);
   }
   for (const auto& [key, tombstone] : state.tombstones) noteTombstone(key, tombstone.keepUntilUs);
@@ -34,12 +34,31 @@
   return found == queuedTokens_.end() ? 0 : found->second;
 }
 
+const StandingQueue* StoreIndex::standingQueue(const std::string& route) const {
+  auto found = standing_.find(route);
+  return found == standing_.end() || found->second.items == 0 ? nullptr : &found->second;
+}
+
+void StoreIndex::noteWaiting(const KeptLot& lot, Share& share, Us nowUs) {
+  const std::uint64_t waiting = lot.standing() && !lot.ended ? lot.waiting.size() : 0;
+  if (waiting == share.waiting) return;
+  StandingQueue& queue = standing_[lot.route];
+  if (queue.items == 0) queue.busySinceUs = nowUs;
+  if (waiting > share.waiting) queue.arrivals += waiting - share.waiting;
+  queue.items = queue.items - share.waiting + waiting;
+  share.waiting = waiting;
+  if (waiting > 0)
+    queue.lots.insert({lot.createdUs, lot.name});
+  else
+    queue.lots.erase({lot.createdUs, lot.name});
+}
+
 void StoreIndex::noteDone(const KeptLot& lot, std::uint32_t place) {
   Share& share = shares_[lot.name];
   if (!lot.ended) setTokens(share, share.tokens - lot.items[place].given.tokens);
 }
 
-void StoreIndex::note(const KeptLot& lot, Us keepUs) {
+void StoreIndex::note(const KeptLot& lot, Us keepUs, Us nowUs) {
   const bool fresh = !shares_.contains(lot.name);
   Share& share = shares_[lot.name];
   if (fresh) {
@@ -49,6 +68,7 @@
     setTokens(share, tokens);
   }
   if (lot.ended) setTokens(share, 0);
+  noteWaiting(lot, share, nowUs);
   open_ -= share.open;
   sealed_ -= share.sealed;
   bytes_ -= share.bytes;
--- a/src/store/lot_index.h
+++ b/src/store/lot_index.h
@@ -6,19 +6,30 @@
 
 namespace stonemount {
 
+// Items of standing lots of one route that wait for a run.
+struct StandingQueue {
+  std::uint64_t items = 0;
+  std::set<std::pair<Us, std::string>> lots;  // with any, by when they were taken
+  std::uint64_t arrivals = 0;                 // items that ever came to wait
+  Us busySinceUs = 0;                         // when it was last empty
+};
+
 class StoreIndex {
  public:
   using Key = std::pair<std::string, std::string>;
   using ItemName = std::pair<std::string, std::uint32_t>;
   void rebuild(const StoreState& state, Us retentionUs);
   // After any change of a lot; the same again changes nothing.
-  void note(const KeptLot& lot, Us keepUs);
+  void note(const KeptLot& lot, Us keepUs, Us nowUs);
   void forget(const std::string& lot);
   void noteFinal(const KeptLot& lot, std::uint32_t place);
   // An item became final: its tokens wait no more.
   void noteDone(const KeptLot& lot, std::uint32_t place);
   std::uint64_t queuedTokens(const std::string& route) const;
   const std::map<std::string, std::uint64_t>& queuedTokens() const { return queuedTokens_; }  // by route
+  // Of the route: none where nothing waits on it.
+  const StandingQueue* standingQueue(const std::string& route) const;
+  const std::map<std::string, StandingQueue>& standingQueues() const { return standing_; }  // by route
   void noteTombstone(const Key& key, Us keepUntilUs) { tombstones_.insert({keepUntilUs, key}); }
   void noteLimit(Us limitUs) { leastLimitUs_ = std::min(leastLimitUs_, limitUs); }
   void resetLimit() { leastLimitUs_ = kNever; }
@@ -36,15 +47,18 @@
   static constexpr Us kNever = INT64_MAX;
   struct Share;
   void setTokens(Share& share, std::uint64_t tokens);
+  void noteWaiting(const KeptLot& lot, Share& share, Us nowUs);
   struct Share {  // of one lot
     std::uint64_t open = 0, sealed = 0, bytes = 0;
     std::string route;
-    std::uint64_t tokens = 0;  // of items that wait
+    std::uint64_t tokens = 0;   // of items that wait
+    std::uint64_t waiting = 0;  // items of a standing lot, for a run
     Us resultsUs = kNever, retentionUs = kNever;
   };
   absl::flat_hash_map<std::string, Share> shares_;
   std::uint64_t open_ = 0, sealed_ = 0, bytes_ = 0;
   std::map<std::string, std::uint64_t> queuedTokens_;
+  std::map<std::string, StandingQueue> standing_;    // by route
   std::set<std::pair<Us, std::string>> results_;     // by when they go
   std::set<std::pair<Us, std::string>> retentions_;  // by when items that are not final may be given up
   std::set<std::pair<Us, ItemName>> bodies_;         // of final items, by when they go
--- a/src/store/lots.cc
+++ b/src/store/lots.cc
@@ -96,7 +96,7 @@
   if (lot.retentionUs > 0) termNoted.emit({Term::kRetention, lot.name, lot.retentionUs, false});
   KeptLot& kept = state_.lots.emplace(lot.name, std::move(lot)).first->second;
   grantAtOnce(kept, command, verdict);
-  if (!kept.waiting.empty()) ++state_.workVersion;
+  if (!kept.standing() && !kept.waiting.empty()) ++state_.workVersion;
   noteTerminal(kept);
   return verdict;
 }
@@ -125,7 +125,7 @@
   KeptLot& lot = found->second;
   if (std::exchange(lot.ended, true))
     verdict.outcome = StoreOutcome::kAgain;
-  else if (!lot.standing() || !lot.waiting.empty())
+  else if (!lot.standing())
     ++state_.workVersion;
   // Nothing of a standing lot is owed after its end but what is listed.
   for (KeptItem& item : lot.items)
@@ -135,11 +135,11 @@
 }
 
 void StoreMachine::noteWaiting(const KeptLot& lot) {
-  if (lot.ended || lot.waiting.empty())
+  if (lot.standing() || lot.ended || lot.waiting.empty())
     state_.openLots.erase({lot.createdUs, lot.name});
   else
     state_.openLots.insert({lot.createdUs, lot.name});
-  index_.note(lot, keepOf(lot));
+  index_.note(lot, keepOf(lot), fromUs_);
 }
 
 // Called after every change of a lot.
--- a/src/store/queries.h
+++ b/src/store/queries.h
@@ -1,14 +1,16 @@
 // What the store chain's tail is asked, and what it answers (design.md 7.3).
 #pragma once
 
+#include "runtime/fleet_place.h"
 #include "store/commands.h"
 
 namespace stonemount {
 
-struct WorkAsk {  // answered when the list of open work has moved on
+struct WorkAsk {  // of lots of events; answered when the list of open work has moved on
   std::uint64_t since = 0;
   std::uint32_t most = 0;
-  STONEMOUNT_PACK(since, most)
+  bool standing = false;  // names the standing lots with items that wait, rather than lots of events
+  STONEMOUNT_PACK(since, most, standing)
 };
 struct LotAsk {
   std::string lot;
@@ -30,24 +32,32 @@
   std::uint8_t unused = 0;
   STONEMOUNT_PACK(unused)
 };
-using StoreQuery = std::variant<WorkAsk, LotAsk, EventsAsk, ClockAsk>;
+// By a node with places free; answered when it is called to claim runs of standing lots of these routes: as many nodes
+// are called as the items that wait need, each time others.
+struct StandingWorkAsk {
+  std::vector<std::string> routes;
+  FleetPlace place;  // not known: called whenever any waits
+  STONEMOUNT_PACK(routes, place)
+};
+// New kinds go to the end.
+using StoreQuery = std::variant<WorkAsk, LotAsk, EventsAsk, ClockAsk, StandingWorkAsk>;
 
 struct OpenLot {
   std::string lot;
   std::string route;
   std::vector<std::uint32_t> waiting;
-  std::vector<std::uint64_t> prefixes;  // of the waiting items' bodies; none of a standing lot
-  bool standing = false;
-  std::string host;
-  Us ageUs = 0;  // since it was taken, in cut time
-  STONEMOUNT_PACK(lot, route, waiting, prefixes, standing, host, ageUs)
+  std::vector<std::uint64_t> prefixes;  // of the waiting items' bodies
+  STONEMOUNT_PACK(lot, route, waiting, prefixes)
 };
 struct WorkVerdict {
   std::uint64_t version = 0;
   bool certain = false;
   std::vector<OpenLot> lots;
-  std::map<Address, std::uint32_t> charged;  // slots by worker
-  STONEMOUNT_PACK(version, certain, lots, charged)
+  STONEMOUNT_PACK(version, certain, lots)
+};
+struct StandingWorkVerdict {
+  std::uint32_t most = 0;  // runs that the node is called to claim; 0: none now
+  STONEMOUNT_PACK(most)
 };
 enum class ItemState : std::uint8_t { kWaiting, kRunning, kSealed, kRefused };
 struct ItemSight {
--- a/src/store/store_machine.cc
+++ b/src/store/store_machine.cc
@@ -32,6 +32,9 @@
   if (auto* grant = std::get_if<GrantRuns>(command)) {
     if (!certain(live)) return StampRefused{pack(StoreVerdict{StoreOutcome::kUncertain})};
     grant->certainHere = live;
+  } else if (auto* claim = std::get_if<ClaimRuns>(command)) {
+    if (!certain(live)) return StampRefused{pack(ClaimVerdict{StoreOutcome::kUncertain})};
+    claim->certainHere = live;
   } else if (auto* seal = std::get_if<SealRuns>(command)) {
     seal->certainHere = live;
   } else if (auto* drop = std::get_if<DropRuns>(command)) {
@@ -62,36 +65,8 @@
   auto read = unpack<StoreEntry>(bytes);
   auto* entry = std::get_if<StoreEntry>(&read);
   if (entry == nullptr) return pack(StoreVerdict{StoreOutcome::kUnreadable});
-  StoreCommand* command = &entry->command;
   fromUs_ = state_.cut.cutUs + std::max<Us>(0, entry->agoUs);
-  StoreVerdict verdict;
-  if (auto* create = std::get_if<CreateEvent>(command))
-    verdict = run(*create);
-  else if (auto* close = std::get_if<CloseEvent>(command))
-    verdict = run(*close);
-  else if (auto* submit = std::get_if<SubmitLot>(command))
-    verdict = run(*submit);
-  else if (auto* within = std::get_if<SubmitLotWithin>(command))
-    verdict = run(*within);
-  else if (auto* end = std::get_if<EndLot>(command))
-    verdict = run(*end);
-  else if (auto* grant = std::get_if<GrantRuns>(command))
-    verdict = run(*grant);
-  else if (auto* renew = std::get_if<RenewRuns>(command))
-    verdict = run(*renew);
-  else if (auto* seal = std::get_if<SealRuns>(command))
-    verdict = run(*seal);
-  else if (auto* drop = std::get_if<DropRuns>(command))
-    verdict = run(*drop);
-  else if (auto* sweep = std::get_if<Sweep>(command))
-    verdict = run(*sweep);
-  else if (auto* lock = std::get_if<LockWish>(command))
-    verdict = run(*lock);
-  else if (auto* proposal = std::get_if<CutProposal>(command))
-    verdict = run(*proposal);
-  else
-    verdict = run(std::get<DoubtCut>(*command));
-  return pack(verdict);
+  return std::visit([this](const auto& command) { return pack(run(command)); }, entry->command);
 }
 
 // Nothing here could expire, so the cut may start at wall time (design.md 8.4).
--- a/src/store/store_machine.h
+++ b/src/store/store_machine.h
@@ -51,6 +51,7 @@
   StoreVerdict run(const SubmitLotWithin& command);
   StoreVerdict run(const EndLot& command);
   StoreVerdict run(const GrantRuns& command);
+  ClaimVerdict run(const ClaimRuns& command);
   StoreVerdict run(const RenewRuns& command);
   StoreVerdict run(const SealRuns& command);
   StoreVerdict run(const DropRuns& command);
@@ -81,8 +82,14 @@
   void collect();
   void collectLots();
   Us keepOf(const KeptLot& lot) const { return lot.keepUs > 0 ? lot.keepUs : plan_.retentionUs; }
+  // The lot whose items come next for that demand, of those that are late or of the others.
+  KeptLot* nextLot(const RouteDemand& demand, bool late);
+  void claim(const ClaimRuns& command, bool late, std::vector<std::uint32_t>& left, ClaimVerdict& verdict);
   KeptItem* findItem(const RunName& run, KeptLot*& lot);
   QueryVerdict tell(const WorkAsk& ask, bool mustAnswer) const;
+  QueryVerdict tell(const StandingWorkAsk& ask, bool mustAnswer) const;
+  void tellStanding(std::uint32_t most, WorkVerdict& verdict) const;
+  std::uint32_t mostToClaim(const StandingWorkAsk& ask) const;
   QueryVerdict tell(const LotAsk& ask, bool mustAnswer) const;
   void tellListed(const KeptLot& lot, const LotAsk& ask, LotVerdict& verdict) const;
   QueryVerdict tell(const EventsAsk& ask) const;
--- a/tests/answer_once_rig.cc
+++ b/tests/answer_once_rig.cc
@@ -131,7 +131,7 @@
     : chance(seed),
       board(loop, control, boardPlan()),
       gateway(ports, room, board, control, dialect, gatewayPlan()),
-      items(ports, room, gateway, control, itemTimes, wire.self(), itemPlan()) {
+      items(ports, room, gateway, control, itemTimes, itemPlan()) {
   board.gone.connect(sigc::mem_fun(*this, &AnswerRig::onGone));
   in.asked.connect(sigc::mem_fun(*this, &AnswerRig::onAsked));
   control.bump();
--- a/tests/lots_rig.h
+++ b/tests/lots_rig.h
@@ -71,7 +71,9 @@
     ++log.wholes;
     co_return PassWhole{200};
   }
-  bool roomForLots(const std::string&) const override { return room && running_ < places; }
+  std::size_t roomForLots(const std::string&) const override {
+    return room && running_ < places ? places - running_ : 0;
+  }
   static Bytes bodyOf(const std::string& item) {
     return Bytes("\0\xff\n", 3) + item + Bytes(spread(item) % 50, '\x80');
   }
@@ -165,11 +167,11 @@
     control.putRoute(route);
     for (Part& part : fleet.parts()) fleet.start(part);
     fleet.runUntilReady(30 * kSecondUs);
+    this->nodes.resize(nodes);
     for (std::uint32_t i = 0; i < nodes; ++i) {
       const std::uint32_t ip = (127u << 24) | (1u << 16) | (300 + i);
       hosts.push_back(&fleet.world().addHost(
           absl::StrCat("edge-", i), fleet.shape().zones[i % fleet.shape().zones.size()], {ip, 7000}, {ip, 8000}));
-      this->nodes.emplace_back();
       start(i);
     }
     fleet.run(3 * kSecondUs);
@@ -184,6 +186,7 @@
     GossipPlan plan;
     for (Part* part : fleet.of(PartKind::kStore)) plan.seeds.push_back(part->host->wire());
     nodes[i] = std::make_unique<LotNode>(*hosts[i], plan, control, log);
+    nodes[i]->scheduler.setPlace({static_cast<std::uint32_t>(i), static_cast<std::uint32_t>(nodes.size())});
   }
   void kill(std::size_t i) {
     nodes[i].reset();
