Store: claims tested against a reference; each node is called for its share, rounded up

claim_runs_test: 1,000 random histories: a claim brings the first due of those that wait, those in time before those that are late, within the demand, the node's places and certainty; a member that loaded the state chooses the same; as many nodes are called as items need, and all of them soon where nobody claims. It failed at 9 nodes and 40 items (36 called for): what a small fleet is called for was rounded down, so the rest waited for a second call.

--- a/src/store/answers.cc
+++ b/src/store/answers.cc
@@ -77,7 +77,7 @@
     const std::uint64_t last = queue->arrivals / kItemsForNode % places;
     const std::uint64_t turn = (last + places - ask.place.place % places) % places;
     if (ask.place.known() && turn >= called) continue;
-    most += std::max<std::uint64_t>(kItemsForNode, queue->items / places);
+    most += std::max(kItemsForNode, (queue->items + places - 1) / places);
   }
   return static_cast<std::uint32_t>(std::min<std::uint64_t>(most, UINT32_MAX));
 }
