--- a/src/store/answers.cc
+++ b/src/store/answers.cc
@@ -6,12 +6,6 @@
 namespace {
 constexpr std::size_t kWaitingTold = 32;
 constexpr std::size_t kPrefixBytes = 64;
-constexpr std::uint64_t kItemsForNode = 4;  // that one node is called for
-constexpr std::uint64_t kLeastCalled = 3;   // nodes
-// Where items go on waiting, four times as many nodes are called after each.
-constexpr Us kWidenUs = 250 * kMilliUs;
-constexpr std::uint64_t kWidenBits = 2;
-constexpr Us kMostWidenings = 8;
 constexpr std::size_t kPageBytes = 1 << 20;
 }  // namespace
 
@@ -61,34 +55,6 @@
   }
 }
 
-// Nodes are called in turn, by their places: those whose turn came with the items that still wait. The longer any
-// wait, the more are called, since some that are called may be full or gone.
-std::uint32_t StoreMachine::mostToClaim(const StandingWorkAsk& ask) const {
-  if (!state_.cut.certain) return 0;
-  std::uint64_t most = 0;
-  for (const std::string& route : ask.routes) {
-    const StandingQueue* queue = index_.standingQueue(route);
-    if (queue == nullptr) continue;
-    const std::uint64_t places = std::max<std::uint64_t>(1, ask.place.places);
-    const Us waitedUs = std::max<Us>(0, state_.cut.cutUs - queue->busySinceUs);
-    const auto widened = static_cast<std::uint64_t>(std::min<Us>(waitedUs / kWidenUs, kMostWidenings));
-    std::uint64_t called = std::max<std::uint64_t>(kLeastCalled, (queue->items + kItemsForNode - 1) / kItemsForNode);
-    called <<= kWidenBits * widened;
-    const std::uint64_t last = queue->arrivals / kItemsForNode % places;
-    const std::uint64_t turn = (last + places - ask.place.place % places) % places;
-    if (ask.place.known() && turn >= called) continue;
-    most += std::max(kItemsForNode, (queue->items + places - 1) / places);
-  }
-  return static_cast<std::uint32_t>(std::min<std::uint64_t>(most, UINT32_MAX));
-}
-
-QueryVerdict StoreMachine::tell(const StandingWorkAsk& ask, bool mustAnswer) const {
-  StandingWorkVerdict verdict;
-  verdict.most = mostToClaim(ask);
-  if (verdict.most == 0 && !mustAnswer) return Hold{};
-  return pack(verdict);
-}
-
 // Those that are final, in the order in which they became so.
 void StoreMachine::tellListed(const KeptLot& lot, const LotAsk& ask, LotVerdict& verdict) const {
   std::size_t bytes = 0;
--- a/src/store/runs.cc
+++ b/src/store/runs.cc
@@ -52,64 +52,6 @@
   return verdict;
 }
 
-KeptLot* StoreMachine::nextLot(const RouteDemand& demand, bool late) {
-  const StandingQueue* queue = index_.standingQueue(demand.route);
-  if (queue == nullptr) return nullptr;
-  const bool neverLate = demand.completionUs <= 0;
-  if (late && neverLate) return nullptr;
-  auto next = queue->lots.begin();
-  if (!neverLate) {
-    const auto inTime = queue->lots.lower_bound({fromUs_ - demand.completionUs + 1, std::string()});
-    if (late && next == inTime) return nullptr;
-    if (!late) next = inTime;
-  }
-  return next == queue->lots.end() ? nullptr : &state_.lots.at(next->second);
-}
-
-// Of one kind, the first due first, over all demands.
-void StoreMachine::claim(const ClaimRuns& command, bool late, std::vector<std::uint32_t>& left, ClaimVerdict& verdict) {
-  while (true) {
-    KeptLot* chosenLot = nullptr;
-    std::size_t chosenDemand = 0;
-    Us chosenDueUs = 0;
-    for (std::size_t i = 0; i < command.demands.size(); ++i) {
-      KeptLot* lot = left[i] > 0 ? nextLot(command.demands[i], late) : nullptr;
-      if (lot == nullptr) continue;
-      const Us dueUs = lot->createdUs + command.demands[i].completionUs;
-      if (chosenLot != nullptr && dueUs >= chosenDueUs) continue;
-      chosenLot = lot;
-      chosenDemand = i;
-      chosenDueUs = dueUs;
-    }
-    if (chosenLot == nullptr) return;
-    auto charged = state_.charged.find(command.node);
-    if (charged != state_.charged.end() && charged->second >= command.slotCap) return;
-    const std::uint32_t place = *chosenLot->waiting.begin();
-    startRun(*chosenLot, place, command.node, command.licenceUs, command.node);
-    --left[chosenDemand];
-    const KeptItem& item = chosenLot->items[place];
-    verdict.claimed.push_back({{chosenLot->name, place, item.run},
-                               static_cast<std::uint32_t>(chosenDemand),
-                               chosenLot->host,
-                               fromUs_ - chosenLot->createdUs,
-                               item.given});
-  }
-}
-
-// What can still be in time goes before what is late: else, once a burst has made some late, all that follows is.
-ClaimVerdict StoreMachine::run(const ClaimRuns& command) {
-  ClaimVerdict verdict;
-  if (!certain(command.certainHere)) {
-    verdict.outcome = StoreOutcome::kUncertain;
-    return verdict;
-  }
-  std::vector<std::uint32_t> left;
-  for (const RouteDemand& demand : command.demands) left.push_back(demand.most);
-  claim(command, false, left, verdict);
-  claim(command, true, left, verdict);
-  return verdict;
-}
-
 void StoreMachine::startRun(KeptLot& lot, std::uint32_t place, const Address& node, Us licenceUs,
                             const Address& worker) {
   KeptItem& item = lot.items[place];
