Chain client: a refresh ends with the command's time, and a try still follows where it can

Change: the question for the view is bounded by what is left of the command's time; only one that was asked in full makes a silent member forgotten.

--- a/src/replication/client.cc
+++ b/src/replication/client.cc
@@ -15,8 +15,8 @@
 
 class ViewPoll : public Poll {
  public:
-  ViewPoll(RpcEndpoint& rpc, const absl::btree_set<Address>& members, bool wantsHead)
-      : Poll(rpc, ViewAsk::kKind, pack(ViewAsk{}), kViewUs),
+  ViewPoll(RpcEndpoint& rpc, const absl::btree_set<Address>& members, bool wantsHead, Us limitUs = kViewUs)
+      : Poll(rpc, ViewAsk::kKind, pack(ViewAsk{}), limitUs),
         silent(members),
         members_(members.begin(), members.end()),
         wantsHead_(wantsHead) {
@@ -70,15 +70,17 @@
 ChainClient::ChainClient(Ports& ports, RpcEndpoint& rpc, std::vector<Address> members)
     : ports_(ports), rpc_(rpc), members_(members.begin(), members.end()), clientId_(ports.chance.next()) {}
 
-Job<Done> ChainClient::refresh() {
+Job<Done> ChainClient::refresh(Us limitUs) {
   if (!refreshing_) {
     refreshing_ = true;
-    ViewPoll poll(rpc_, members_, false);
+    const Us pollUs = std::min(limitUs, kViewUs);
+    ViewPoll poll(rpc_, members_, false, pollUs);
     co_await poll;
     refreshing_ = false;
     takeView(poll.newest);
     // Where machines come and go, those without a seat that say nothing would keep every poll waiting.
-    if (!poll.enough() && poll.silent.size() < members_.size() && view_.revision != 0)
+    const bool askedInFull = pollUs == kViewUs;
+    if (askedInFull && !poll.enough() && poll.silent.size() < members_.size() && view_.revision != 0)
       for (const Address& gone : poll.silent) members_.erase(gone);
     keepSeats();
   } else {
@@ -180,10 +182,9 @@
     if (full && !unsure && whenFull == WhenFull::kTellAtOnce) break;
     // What is surely not taken stays so: no further try is begun that has no time to be answered.
     const Us nextUs = ports_.clock.monoUs() + kAgainUs;
-    const Us refreshUs = full ? 0 : kViewUs;  // at the most, before that try
-    if (unsure ? nextUs + refreshUs >= untilUs : nextUs + (full ? kLeastTryUs : 0) >= sureUntilUs) break;
+    if (unsure ? nextUs >= untilUs : nextUs + (full ? kLeastTryUs : 0) >= sureUntilUs) break;
     if (!full) {  // a head that says so is the head: its view need not be asked for
-      Job<Done> refreshing = refresh();
+      Job<Done> refreshing = refresh(untilUs - nextUs);
       co_await refreshing;
     }
     // Only one that may have been taken is asked for again: it was most likely not, and has much to carry.
@@ -210,8 +211,9 @@
       tailSilent_ = answered == nullptr;
       if (answered != nullptr && answered->outcome == ChainOutcome::kDone) co_return std::move(answered->body);
     }
-    if (ports_.clock.monoUs() + kViewUs + kAgainUs >= untilUs) break;
-    Job<Done> refreshing = refresh();
+    const Us nextUs = ports_.clock.monoUs() + kAgainUs;
+    if (nextUs >= untilUs) break;
+    Job<Done> refreshing = refresh(untilUs - nextUs);
     co_await refreshing;
     Pause pause(ports_.timers, kAgainUs);
     co_await pause;
--- a/src/replication/client.h
+++ b/src/replication/client.h
@@ -37,7 +37,8 @@
   const View& view() const { return view_; }
   void learnMember(const Address& member) { members_.insert(member); }
   void forgetMember(const Address& member);  // it is no replica; it stays known only while it has a seat
-  Job<Done> refresh();
+  // Asks the members for the newest view, for `limitUs` at the most.
+  Job<Done> refresh(Us limitUs = kSecondUs);
   // Looks for the newest view, and whether its head and most voters can be heard. False: a command sent now would be
   // sent in vain.
   Job<bool> findHead();
