--- a/src/node/lot_claims.cc
+++ b/src/node/lot_claims.cc
@@ -28,14 +28,27 @@
   if (ofRoute == 0) reservedByRoute_.erase(route);
 }
 
+// A configuration may have thousands of routes, few of them for lots.
+void Scheduler::noteLotRoutes() {
+  const std::pair<Revision, std::size_t> asOf(control_.revision(), control_.routes().size());
+  if (asOf == lotRoutesAsOf_) return;
+  lotRoutesAsOf_ = asOf;
+  lotRoutes_.clear();
+  for (const auto& [name, route] : control_.routes())
+    if (route.lots) lotRoutes_.push_back(name);
+}
+
 // By route, what this node could run more.
-std::vector<RouteDemand> Scheduler::demands() const {
+std::vector<RouteDemand> Scheduler::demands() {
   std::vector<RouteDemand> demands;
   const std::size_t used = passed_ + reserved_;
   const std::size_t most = runner_->plan().mostRunning;
   if (draining_ || used >= most) return demands;
-  for (const auto& [name, route] : control_.routes()) {
-    if (!route.lots) continue;
+  noteLotRoutes();
+  for (const std::string& name : lotRoutes_) {
+    auto found = control_.routes().find(name);
+    if (found == control_.routes().end()) continue;
+    const Route& route = found->second;
     auto reserved = reservedByRoute_.find(name);
     const std::size_t asked = reserved == reservedByRoute_.end() ? 0 : reserved->second;
     const std::size_t room = std::min(runner_->room(route), most - used);
--- a/src/node/scheduler.h
+++ b/src/node/scheduler.h
@@ -64,7 +64,8 @@
   void refreshRing();
   // lot_claims.cc: standing lots.
   Task followStanding();
-  std::vector<RouteDemand> demands() const;
+  void noteLotRoutes();
+  std::vector<RouteDemand> demands();
   Job<std::uint32_t> awaitCall(const std::vector<RouteDemand>& demands);
   Job<std::size_t> claim(std::vector<RouteDemand> demands, std::uint32_t most);
   void startClaimed(std::vector<ClaimedRun> claimed, const std::vector<RouteDemand>& demands, Us askedUs);
@@ -89,8 +90,10 @@
   std::size_t reserved_ = 0;  // for runs of standing lots that are being asked for
   absl::btree_map<std::string, std::size_t> reservedByRoute_;
   FleetPlace place_;
-  Event workEvent_;   // a run ended: for follow()
-  Event placeEvent_;  // likewise, for followStanding()
+  std::vector<std::string> lotRoutes_;                    // by name
+  std::pair<Revision, std::size_t> lotRoutesAsOf_{0, 0};  // of control, and of how many routes in all
+  Event workEvent_;                                       // a run ended: for follow()
+  Event placeEvent_;                                      // likewise, for followStanding()
   std::uint64_t seenVersion_ = 0;
   bool draining_ = false;
   SchedulerCounts counts_;
