--- a/tests/transport_lanes_test.cc
+++ b/tests/transport_lanes_test.cc
@@ -49,7 +49,7 @@
 
 int main() {
   Loop loop;
-  auto port = static_cast<std::uint16_t>(20000 + getpid() % 20000);
+  auto port = static_cast<std::uint16_t>(20000 + getpid() % 12000);
   std::unique_ptr<TcpTransport> sender = listening(loop, port);
   std::unique_ptr<TcpTransport> receiver = listening(loop, port);
   expect(sender != nullptr && receiver != nullptr, "two transports listen");
