--- a/src/node/lot_claims.cc
+++ b/src/node/lot_claims.cc
@@ -73,14 +73,7 @@
   if (reserved > 0) unreserve(lot.route, reserved);
   for (const GrantedRun& one : granted) {
     if (one.wish >= lot.items.size() || running_.contains({lot.name, one.wish})) continue;
-    auto run = std::make_shared<LotRun>();
-    run->name = {lot.name, one.wish, one.run};
-    run->item = lot.items[one.wish];
-    run->route = lot.route;
-    run->host = lot.host;
-    run->takenUs = run->heardUs = askedUs;
-    run->worker = rpc_.self();
-    start(std::move(run), *runner_);
+    startStanding({{lot.name, one.wish, one.run}, 0, lot.host, 0, lot.items[one.wish]}, lot.route, askedUs);
   }
 }
 
@@ -149,17 +142,20 @@
 
 void Scheduler::startClaimed(std::vector<ClaimedRun> claimed, const std::vector<RouteDemand>& demands, Us askedUs) {
   for (ClaimedRun& one : claimed) {
-    if (one.demand >= demands.size()) continue;
-    auto run = std::make_shared<LotRun>();
-    run->name = std::move(one.name);
-    run->item = std::move(one.item);
-    run->route = demands[one.demand].route;
-    run->host = std::move(one.host);
-    run->takenUs = askedUs - one.ageUs;
-    run->heardUs = askedUs;
-    run->worker = rpc_.self();
-    start(std::move(run), *runner_);
+    if (one.demand < demands.size()) startStanding(std::move(one), demands[one.demand].route, askedUs);
   }
 }
 
+void Scheduler::startStanding(ClaimedRun granted, const std::string& route, Us askedUs) {
+  auto run = std::make_shared<LotRun>();
+  run->name = std::move(granted.name);
+  run->item = std::move(granted.item);
+  run->route = route;
+  run->host = std::move(granted.host);
+  run->takenUs = askedUs - granted.ageUs;
+  run->heardUs = askedUs;
+  run->worker = rpc_.self();
+  start(std::move(run), *runner_);
+}
+
 }  // namespace stonemount
--- a/src/node/scheduler.h
+++ b/src/node/scheduler.h
@@ -69,6 +69,7 @@
   Job<std::uint32_t> awaitCall(const std::vector<RouteDemand>& demands);
   Job<std::size_t> claim(std::vector<RouteDemand> demands, std::uint32_t most);
   void startClaimed(std::vector<ClaimedRun> claimed, const std::vector<RouteDemand>& demands, Us askedUs);
+  void startStanding(ClaimedRun granted, const std::string& route, Us askedUs);
   void reserve(const std::string& route, std::size_t items);
   void unreserve(const std::string& route, std::size_t items);
   Ports& ports_;
