--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,4 @@
 number=$(basename "$here")
 program=build-review/case-$number
 [ -x target/stonemount ] && [ -x "$program" ] || { echo "build first: deploy/system.toml, review/build.sh"; exit 2; }
-exec timeout -k 5 118 "$program" "$here/record.txt"
+exec timeout -k 5 112 "$program" "$here/record.txt"
--- a/review/rig/fleet.h
+++ b/review/rig/fleet.h
@@ -10,7 +10,21 @@
 // The project's processes. Three zones with a control machine, an edge machine and a store machine each.
 class Fleet {
  public:
+  // Before any other thread: they all leave the signals that end the case to one that waits for them.
   Fleet() {
+    current_ = this;
+    std::atexit([] { current_->stop(); });
+    sigset_t ends = endings();
+    pthread_sigmask(SIG_BLOCK, &ends, nullptr);
+    prctl(PR_SET_PDEATHSIG, SIGTERM);  // whoever started the case was killed
+    std::thread([this, ends] {
+      int number = 0;
+      sigwait(&ends, &number);
+      record.line(text("ended from outside, signal %d", number));
+      mutex_.lock();  // for good: nothing is started any more
+      stop();
+      _exit(2);
+    }).detach();
     char folder[] = "/tmp/review-XXXXXX";
     if (mkdtemp(folder) == nullptr) exit(2);
     dir = folder;
@@ -90,11 +104,14 @@
   }
   // With the command of the deploy file: target/stonemount ROLE, at the repository's root.
   void launch(const std::string& name) {
+    std::lock_guard<std::recursive_mutex> lock(mutex_);
     writeSettings(name);
     Process& process = processes.at(name);
     const std::string config = "STONEMOUNT_CONFIG=" + dir + "/" + name + ".json", log = dir + "/" + name + ".log";
     process.pid = fork();
     if (process.pid != 0) return;
+    sigset_t ends = endings();
+    sigprocmask(SIG_UNBLOCK, &ends, nullptr);
     prctl(PR_SET_PDEATHSIG, SIGKILL);  // however this program ends
     const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     const int in = ::open("/dev/null", O_RDONLY);
@@ -124,6 +141,7 @@
     launch(name);
   }
   void stop() {
+    std::lock_guard<std::recursive_mutex> lock(mutex_);
     for (auto& [name, process] : processes) {
       if (process.pid <= 0) continue;
       kill(process.pid, SIGCONT);
@@ -160,6 +178,16 @@
     }
     return false;
   }
+
+ private:
+  static sigset_t endings() {
+    sigset_t ends;
+    sigemptyset(&ends);
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&ends, number);
+    return ends;
+  }
+  inline static Fleet* current_ = nullptr;
+  std::recursive_mutex mutex_;
 };
 
 }  // namespace rig
