--- a/src/node/doctor.cc
+++ b/src/node/doctor.cc
@@ -92,10 +92,11 @@
     findings.push_back({"D303", absl::StrCat(clock.pendingSlots, " freed slots are still charged"),
                         "they are released with the next certain cut"});
 }
-// An accepted lot is not given up because its route went away: it waits, and someone must know.
+// A lot of an event is not given up because its route went away: it waits, and someone must know. A standing lot is,
+// after a while.
 void lookAtLots(const WorkVerdict& work, const ControlState& control, Findings& findings) {
   for (const OpenLot& lot : work.lots)
-    if (!control.routes().contains(lot.route))
+    if (!control.routes().contains(lot.route) && lotRouteAt(control, lot.route) == nullptr)
       findings.push_back({"D506", lot.lot + " waits for route " + lot.route + ", which is not configured",
                           "put the route back, or end the lot"});
 }
--- a/src/node/lot_carrier.h
+++ b/src/node/lot_carrier.h
@@ -12,8 +12,8 @@
 struct LotRun {
   RunName name;
   LotItem item;
-  std::string route;  // by name: it may change while the item waits
-  std::string host;
+  std::string route;     // by name; of an item that is passed through none: its host and target lead to it
+  std::string host;      // as the caller's `Host` header named it
   Us takenUs = 0;        // monotonic, as near as is known: when its lot was taken
   Us heardUs = 0;        // monotonic, when the question was asked by which the store last wanted this run
   Address worker;        // whose slot it takes
--- a/src/node/lot_claims.cc
+++ b/src/node/lot_claims.cc
@@ -15,27 +15,17 @@
 constexpr Us kFullUs = 100 * kMilliUs;  // until its room is looked at again: it also grows with time alone
 }  // namespace
 
-void Scheduler::reserve(const std::string& route, std::size_t items) {
+void Scheduler::reserve(const std::string& scope, std::size_t items) {
   reserved_ += items;
-  reservedByRoute_[route] += items;
+  reservedByScope_[scope] += items;
 }
 
-void Scheduler::unreserve(const std::string& route, std::size_t items) {
-  std::size_t& ofRoute = reservedByRoute_[route];
+void Scheduler::unreserve(const std::string& scope, std::size_t items) {
+  std::size_t& ofRoute = reservedByScope_[scope];
   STONEMOUNT_INVARIANT(items <= reserved_ && items <= ofRoute);
   reserved_ -= items;
   ofRoute -= items;
-  if (ofRoute == 0) reservedByRoute_.erase(route);
-}
-
-// A configuration may have thousands of routes, few of them for lots.
-void Scheduler::noteLotRoutes() {
-  const std::pair<Revision, std::size_t> asOf(control_.revision(), control_.routes().size());
-  if (asOf == lotRoutesAsOf_) return;
-  lotRoutesAsOf_ = asOf;
-  lotRoutes_.clear();
-  for (const auto& [name, route] : control_.routes())
-    if (route.lots) lotRoutes_.push_back(name);
+  if (ofRoute == 0) reservedByScope_.erase(scope);
 }
 
 // By route, what this node could run more.
@@ -44,36 +34,50 @@
   const std::size_t used = passed_ + reserved_;
   const std::size_t most = runner_->plan().mostRunning;
   if (draining_ || used >= most) return demands;
-  noteLotRoutes();
-  for (const std::string& name : lotRoutes_) {
+  lotRoutes_.refresh();
+  for (const std::string& name : lotRoutes_.names()) {
     auto found = control_.routes().find(name);
     if (found == control_.routes().end()) continue;
     const Route& route = found->second;
-    auto reserved = reservedByRoute_.find(name);
-    const std::size_t asked = reserved == reservedByRoute_.end() ? 0 : reserved->second;
+    std::string scope = scopeOf(route);
+    auto reserved = reservedByScope_.find(scope);
+    const std::size_t asked = reserved == reservedByScope_.end() ? 0 : reserved->second;
     const std::size_t room = std::min(runner_->room(route), most - used);
-    if (room > asked) demands.push_back({name, route.completionUs, static_cast<std::uint32_t>(room - asked)});
+    if (room > asked)
+      demands.push_back({std::move(scope), route.completionUs, static_cast<std::uint32_t>(room - asked)});
   }
+  addNested(demands);
   return demands;
 }
 
-std::uint32_t Scheduler::reserveAtOnce(const std::string& route, std::size_t items) {
-  if (runner_ == nullptr) return 0;
+// What lies below a demand and belongs to another route is asked for with nothing, so that it is left out.
+void Scheduler::addNested(std::vector<RouteDemand>& demands) const {
+  absl::btree_set<std::string> nested;
+  for (const RouteDemand& demand : demands)
+    for (std::string& scope : lotRoutes_.nestedBelow(demand.route)) nested.insert(std::move(scope));
+  for (const RouteDemand& demand : demands) nested.erase(demand.route);
+  for (const std::string& scope : nested) demands.push_back({scope, 0, 0});
+}
+
+ReservedPlaces Scheduler::reserveAtOnce(const Route& route, std::size_t items) {
+  ReservedPlaces reserved;
+  if (runner_ == nullptr) return reserved;
+  reserved.scope = scopeOf(route);
   for (const RouteDemand& demand : demands()) {
-    if (demand.route != route) continue;
-    const auto reserved = static_cast<std::uint32_t>(std::min<std::size_t>(items, demand.most));
-    reserve(route, reserved);
-    return reserved;
+    if (demand.route != reserved.scope) continue;
+    reserved.items = static_cast<std::uint32_t>(std::min<std::size_t>(items, demand.most));
+    reserve(reserved.scope, reserved.items);
+    break;
   }
-  return 0;
+  return reserved;
 }
 
-void Scheduler::startTaken(std::uint32_t reserved, const SubmitLot& lot, const std::vector<GrantedRun>& granted,
+void Scheduler::startTaken(const ReservedPlaces& reserved, const SubmitLot& lot, const std::vector<GrantedRun>& granted,
                            Us askedUs) {
-  if (reserved > 0) unreserve(lot.route, reserved);
+  if (reserved.items > 0) unreserve(reserved.scope, reserved.items);
   for (const GrantedRun& one : granted) {
     if (one.wish >= lot.items.size() || running_.contains({lot.name, one.wish})) continue;
-    startStanding({{lot.name, one.wish, one.run}, 0, lot.host, 0, lot.items[one.wish]}, lot.route, askedUs);
+    startStanding({{lot.name, one.wish, one.run}, 0, lot.host, 0, lot.items[one.wish]}, askedUs);
   }
 }
 
@@ -104,7 +108,7 @@
 Job<std::uint32_t> Scheduler::awaitCall(const std::vector<RouteDemand>& demands) {
   StandingWorkAsk ask;
   ask.place = place_;
-  for (const RouteDemand& demand : demands) ask.routes.push_back(demand.route);
+  ask.demands = demands;
   Job<ChainAnswer> asking = store_.read(pack(StoreQuery(std::move(ask))), kHoldUs, kReadUs);
   ChainAnswer answer = co_await asking;
   if (!std::holds_alternative<Bytes>(answer)) co_return 0;
@@ -136,21 +140,14 @@
   if (verdict == nullptr) co_return 0;
   const std::size_t claimed = verdict->claimed.size();
   if (claimed == 0) ++counts_.notGranted;
-  startClaimed(std::move(verdict->claimed), demands, askedUs);
+  for (ClaimedRun& one : verdict->claimed) startStanding(std::move(one), askedUs);
   co_return claimed;
 }
 
-void Scheduler::startClaimed(std::vector<ClaimedRun> claimed, const std::vector<RouteDemand>& demands, Us askedUs) {
-  for (ClaimedRun& one : claimed) {
-    if (one.demand < demands.size()) startStanding(std::move(one), demands[one.demand].route, askedUs);
-  }
-}
-
-void Scheduler::startStanding(ClaimedRun granted, const std::string& route, Us askedUs) {
+void Scheduler::startStanding(ClaimedRun granted, Us askedUs) {
   auto run = std::make_shared<LotRun>();
   run->name = std::move(granted.name);
   run->item = std::move(granted.item);
-  run->route = route;
   run->host = std::move(granted.host);
   run->takenUs = askedUs - granted.ageUs;
   run->heardUs = askedUs;
--- a/src/node/lot_desk.cc
+++ b/src/node/lot_desk.cc
@@ -28,29 +28,28 @@
 
 Job<LotSubmitted> LotService::submit(StandingLot lot) {
   const OpenCall open(calls_);
-  auto route = control_.routes().find(lot.route);
+  const Route* route = lotRouteFor(control_, lot.host, lot.path);
   const std::size_t bytes = bytesOf(lot.items);
-  if (route == control_.routes().end() || (bytesIn_ > 0 && bytesIn_ + bytes > plan_.bytesAtOnce))
-    co_return LotRefused{kFullAgainUs};
+  if (route == nullptr || (bytesIn_ > 0 && bytesIn_ + bytes > plan_.bytesAtOnce)) co_return LotRefused{kFullAgainUs};
   SubmitLot command;
   command.name = std::move(lot.name);
-  command.route = std::move(lot.route);
+  command.route = locationOf(lot.host, lot.path);
   command.host = std::move(lot.host);
   command.items = std::move(lot.items);
   command.digest = spread(pack(command.items), spread(command.host));
-  command.attempts = route->second.attempts;
-  command.retentionUs = route->second.retentionUs;
+  command.attempts = route->attempts;
+  command.retentionUs = route->retentionUs;
   command.keepUs = plan_.keepUs;
   command.keyUs = plan_.keyUs;
   command.node = rpc_.self();
   command.licenceUs = scheduler_.licenceUs();
-  command.atOnce = scheduler_.reserveAtOnce(command.route, command.items.size());
+  const ReservedPlaces reserved = scheduler_.reserveAtOnce(*route, command.items.size());
+  command.atOnce = reserved.items;
   command.slotCap = scheduler_.mostPassed();
   const Us askedUs = ports_.clock.monoUs();
   bytesIn_ += bytes;
-  const std::uint64_t mostQueuedTokens = route->second.mostQueuedTokens;
-  Bytes packed = mostQueuedTokens > 0 ? pack(StoreCommand(SubmitLotWithin{command, mostQueuedTokens}))
-                                      : pack(StoreCommand(command));
+  Bytes packed =
+      route->mostQueuedTokens > 0 ? pack(StoreCommand(boundedBy(*route, command))) : pack(StoreCommand(command));
   Job<ChainAnswer> sending = store_.submit(std::move(packed), plan_.submitUs, 0, WhenFull::kTellAtOnce);
   ChainAnswer answer = co_await sending;
   bytesIn_ -= bytes;
@@ -60,7 +59,7 @@
     auto read = unpack<StoreVerdict>(*told);
     if (auto* known = std::get_if<StoreVerdict>(&read)) verdict = std::move(*known);
   }
-  scheduler_.startTaken(command.atOnce, command, verdict.granted, askedUs);
+  scheduler_.startTaken(reserved, command, verdict.granted, askedUs);
   if (auto* failure = std::get_if<ChainFailure>(&answer)) {
     // The client says these only where every try was answered, and none was taken (design.md 6.8).
     if (failure->trouble == ChainError::kTooLong) co_return LotTooLong{};
@@ -74,6 +73,12 @@
   co_return LotUnsure{};
 }
 
+SubmitLotWithin LotService::boundedBy(const Route& route, const SubmitLot& lot) {
+  lotRoutes_.refresh();
+  const std::string scope = scopeOf(route);
+  return {lot, route.mostQueuedTokens, scope, lotRoutes_.nestedBelow(scope)};
+}
+
 // A page's state in the outcome, what else was told in `verdict`.
 Job<LotRead> LotService::ask(LotAsk wish, Us holdUs, LotVerdict& verdict) {
   const OpenCall open(calls_);
--- a/src/node/lot_desk.h
+++ b/src/node/lot_desk.h
@@ -7,9 +7,9 @@
 namespace stonemount {
 
 struct StandingLot {
-  std::string name;   // given by the caller; the same name with the same items is the same lot
-  std::string route;  // by name
-  std::string host;
+  std::string name;  // given by the caller; the same name with the same items is the same lot
+  std::string host;  // as the caller's `Host` header named it
+  std::string path;  // that it was handed in at
   std::vector<LotItem> items;
 };
 struct LotServicePlan {
@@ -60,7 +60,13 @@
  public:
   LotService(Ports& ports, RpcEndpoint& rpc, ChainClient& store, Scheduler& scheduler, const ControlState& control,
              LotServicePlan plan)
-      : ports_(ports), rpc_(rpc), store_(store), scheduler_(scheduler), control_(control), plan_(plan) {}
+      : ports_(ports),
+        rpc_(rpc),
+        store_(store),
+        scheduler_(scheduler),
+        control_(control),
+        plan_(plan),
+        lotRoutes_(control) {}
   Job<LotSubmitted> submit(StandingLot lot);
   // Results from a position on, at least one if there is one, then as far as `mostBytes` reach; held for
   // `holdUs` until there is one.
@@ -71,6 +77,7 @@
   bool idle() const { return calls_ == 0; }
 
  private:
+  SubmitLotWithin boundedBy(const Route& route, const SubmitLot& lot);
   Job<LotRead> ask(LotAsk wish, Us holdUs, LotVerdict& verdict);
   Ports& ports_;
   RpcEndpoint& rpc_;
@@ -78,6 +85,7 @@
   Scheduler& scheduler_;
   const ControlState& control_;
   LotServicePlan plan_;
+  LotRoutes lotRoutes_;
   class OpenCall;
   std::size_t bytesIn_ = 0;
   std::size_t calls_ = 0;  // not answered yet
--- a/src/node/lot_runner.cc
+++ b/src/node/lot_runner.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "config/lot_routes.h"
 #include "proxy/pool_choice.h"
 
 namespace stonemount {
@@ -16,6 +17,7 @@
 constexpr Us kAgainUs = 50 * kMilliUs;
 constexpr Us kMostAgainUs = kSecondUs;
 constexpr Us kDueUs = 12 * kSecondUs;  // where the route does not say
+constexpr Us kUnroutedUs = kSecondUs;  // that an item is held in which no route leads to workers
 }  // namespace
 
 // One item on its way: what of its text is here, and where it stands.
@@ -65,6 +67,7 @@
   bool unusable = false, silent = false;
   bool waits = false, go = false, atWorker = false;
   Us heardUs = 0, notBeforeUs = 0;
+  Us unroutedSinceUs = 0;               // 0: it has a route
   Us firstLimitUs = 0, gapLimitUs = 0;  // of silence
   std::uint32_t tries = 0;
   bool began = false;
@@ -74,6 +77,8 @@
   std::pair<Us, std::uint64_t> place_;
 };
 
+const Route* LotRunner::routeOf(const LotRun& run) const { return lotRouteFor(control_, run.host, run.item.target); }
+
 // Soon due, but not yet too late: it no longer yields to live calls.
 bool LotRunner::urgent(const Trip& trip, Us nowUs) const {
   const Us lengthUs = trip.dueUs() - trip.run->takenUs;
@@ -87,13 +92,16 @@
   for (const auto& [place, trip] : trips_) {
     if (!trip->waits || trip->go || (place.first <= nowUs) != late || trip->notBeforeUs > nowUs) continue;
     if (nowUs - trip->run->heardUs > plan_.freshUs) continue;  // its lot may have been ended: first the store is asked
-    auto route = control_.routes().find(trip->run->route);
-    if (route != control_.routes().end()) {  // else it is woken, and gives its run back
-      const std::string& pool = poolFor(route->second, trip->run->item.id);
+    if (const Route* route = routeOf(*trip->run)) {
+      trip->unroutedSinceUs = 0;
+      const std::string& pool = poolFor(*route, trip->run->item.id);
       auto room = places.find(pool);
       if (room == places.end()) room = places.emplace(pool, std::min(passer_.roomForLots(pool), kStartsAtOnce)).first;
       if (room->second == 0 && !urgent(*trip, nowUs)) continue;
       if (room->second > 0) --room->second;
+    } else {  // held for a little, else one whose lot has a route would be claimed again at once
+      if (trip->unroutedSinceUs == 0) trip->unroutedSinceUs = nowUs;
+      if (nowUs - trip->unroutedSinceUs < kUnroutedUs) continue;
     }
     trip->go = true;
     trip->run->knock.notify();
@@ -114,7 +122,7 @@
 std::size_t LotRunner::room(const Route& route) const {
   std::size_t atWorkers = 0, held = 0;
   for (const auto& [place, trip] : trips_) {
-    if (trip->run->route != route.name) continue;
+    if (routeOf(*trip->run) != &route) continue;
     ++(trip->atWorker ? atWorkers : held);
   }
   const std::size_t most = roomAtWorkers(route) + atWorkers / kRunningForNext;
@@ -143,7 +151,7 @@
   }
 }
 
-PassOrder LotRunner::orderOf(const Trip& trip) const {
+PassOrder LotRunner::orderOf(const Trip& trip, const Route& route) const {
   const Us nowUs = ports_.clock.monoUs();
   const LotItem& item = trip.run->item;
   PassOrder order;
@@ -151,11 +159,11 @@
   order.pool = trip.pool;
   order.ask.method = "POST";
   order.ask.target = item.target;
-  order.ask.path = item.target.substr(0, item.target.find('?'));
+  order.ask.path = std::string(pathOf(item.target));
   for (const auto& [name, value] : item.headers) order.ask.headers[name] = value;
   order.ask.headers["host"] = trip.run->host;
   order.ask.body = item.body;
-  order.spot = item.spot;
+  order.spot = route.affinity ? item.spot : 0;
   order.lastEvent = trip.last;
   order.lot = true;
   order.urgent = urgent(trip, nowUs);
@@ -164,9 +172,8 @@
 }
 
 Job<ItemEnding> LotRunner::carry(LotRunPtr run) {
-  auto known = control_.routes().find(run->route);
-  const Us lengthUs =
-      known != control_.routes().end() && known->second.completionUs > 0 ? known->second.completionUs : kDueUs;
+  const Route* known = routeOf(*run);
+  const Us lengthUs = known != nullptr && known->completionUs > 0 ? known->completionUs : kDueUs;
   Trip trip(*this, run, run->takenUs + lengthUs);
   trip.firstLimitUs = std::clamp<Us>(lengthUs / 3, 2 * kSecondUs, 5 * kSecondUs);
   trip.gapLimitUs = std::clamp<Us>(lengthUs / 5, 1500 * kMilliUs, 3 * kSecondUs);
@@ -181,10 +188,10 @@
     }
     trip.wait(false);
     trip.go = false;
-    auto route = control_.routes().find(run->route);
-    const bool mayRun = !run->over && !run->leaving && route != control_.routes().end();
+    const Route* route = routeOf(*run);
+    const bool mayRun = !run->over && !run->leaving && route != nullptr;
     if (!mayRun || trip.tries >= plan_.mostTries) co_return ItemGivenBack{trip.began, false};
-    const std::string& pool = poolFor(route->second, run->item.id);
+    const std::string& pool = poolFor(*route, run->item.id);
     if (trip.last && pool != trip.pool) trip.startAnew();  // other workers than those that began the text
     trip.pool = pool;
     trip.anyHere = trip.unusable = trip.silent = false;
@@ -196,7 +203,7 @@
     }
     if (trip.last) ++counts_.resumed;
     ++counts_.tries;
-    PassOrder order = orderOf(trip);
+    PassOrder order = orderOf(trip, *route);
     Job<PassEnding> passing = passer_.passItem(std::move(order), trip);
     const PassEnding ending = co_await passing;
     trip.atWorker = false;
--- a/src/node/lot_runner.h
+++ b/src/node/lot_runner.h
@@ -40,9 +40,11 @@
   void startWaiting(bool late);
   void endSilent();
   std::size_t roomAtWorkers(const Route& route) const;
+  // To which the item goes by the configuration in force; none: nullptr.
+  const Route* routeOf(const LotRun& run) const;
   bool urgent(const Trip& trip, Us nowUs) const;
   std::optional<ItemEnding> judge(Trip& trip, const PassEnding& ending);
-  PassOrder orderOf(const Trip& trip) const;
+  PassOrder orderOf(const Trip& trip, const Route& route) const;
   Ports& ports_;
   TaskRoom& room_;
   ItemPasser& passer_;
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -34,7 +34,8 @@
       zone_(std::move(zone)),
       plan_(plan),
       sealer_(ports, board, control),
-      delivery_(ports, room, store, itemTimes_, plan.gatherUs) {}
+      delivery_(ports, room, store, itemTimes_, plan.gatherUs),
+      lotRoutes_(control) {}
 
 SchedulerPlan passingPlan(SchedulerPlan plan, const Bounds& bounds) {
   plan.licenceUs = 3500 * kMilliUs;  // a lost node's items are due soon; the grace after a doubt is no longer
--- a/src/node/scheduler.h
+++ b/src/node/scheduler.h
@@ -2,6 +2,7 @@
 // store what became of them (design.md 9.5, 9.8).
 #pragma once
 
+#include "config/lot_routes.h"
 #include "config/settings.h"
 #include "gossip/gossip.h"
 #include "hash_ring/hash_ring.h"
@@ -21,6 +22,11 @@
 };
 // For a node that passes items through, within what its deployment promises.
 SchedulerPlan passingPlan(SchedulerPlan plan, const Bounds& bounds);
+// Places that are held for items of one lot while it is handed in.
+struct ReservedPlaces {
+  std::string scope;  // of the lot's route as it was then
+  std::uint32_t items = 0;
+};
 struct SchedulerCounts {
   std::uint64_t granted = 0, sealed = 0, dropped = 0, refused = 0, notGranted = 0, over = 0;
 };
@@ -44,11 +50,12 @@
   void setPlace(const FleetPlace& place) { place_ = place; }
 
   // Places for items of a lot that is about to be handed in here; they come back with startTaken.
-  std::uint32_t reserveAtOnce(const std::string& route, std::size_t items);
+  ReservedPlaces reserveAtOnce(const Route& route, std::size_t items);
   std::uint32_t mostPassed() const { return runner_ == nullptr ? 0 : runner_->plan().mostRunning; }
   Us licenceUs() const { return plan_.licenceUs; }
   // What was granted with the lot, asked for at `askedUs`; its items as they were handed in.
-  void startTaken(std::uint32_t reserved, const SubmitLot& lot, const std::vector<GrantedRun>& granted, Us askedUs);
+  void startTaken(const ReservedPlaces& reserved, const SubmitLot& lot, const std::vector<GrantedRun>& granted,
+                  Us askedUs);
 
  private:
   struct Wishes;
@@ -64,14 +71,13 @@
   void refreshRing();
   // lot_claims.cc: standing lots.
   Task followStanding();
-  void noteLotRoutes();
   std::vector<RouteDemand> demands();
+  void addNested(std::vector<RouteDemand>& demands) const;
   Job<std::uint32_t> awaitCall(const std::vector<RouteDemand>& demands);
   Job<std::size_t> claim(std::vector<RouteDemand> demands, std::uint32_t most);
-  void startClaimed(std::vector<ClaimedRun> claimed, const std::vector<RouteDemand>& demands, Us askedUs);
-  void startStanding(ClaimedRun granted, const std::string& route, Us askedUs);
-  void reserve(const std::string& route, std::size_t items);
-  void unreserve(const std::string& route, std::size_t items);
+  void startStanding(ClaimedRun granted, Us askedUs);
+  void reserve(const std::string& scope, std::size_t items);
+  void unreserve(const std::string& scope, std::size_t items);
   Ports& ports_;
   RpcEndpoint& rpc_;
   TaskRoom& room_;
@@ -89,12 +95,11 @@
   std::map<std::pair<std::string, std::uint32_t>, LotRunPtr> running_;
   std::size_t passed_ = 0;    // of them, in standing lots
   std::size_t reserved_ = 0;  // for runs of standing lots that are being asked for
-  absl::btree_map<std::string, std::size_t> reservedByRoute_;
+  absl::btree_map<std::string, std::size_t> reservedByScope_;
   FleetPlace place_;
-  std::vector<std::string> lotRoutes_;                    // by name
-  std::pair<Revision, std::size_t> lotRoutesAsOf_{0, 0};  // of control, and of how many routes in all
-  Event workEvent_;                                       // a run ended: for follow()
-  Event placeEvent_;                                      // likewise, for followStanding()
+  LotRoutes lotRoutes_;
+  Event workEvent_;   // a run ended: for follow()
+  Event placeEvent_;  // likewise, for followStanding()
   std::uint64_t seenVersion_ = 0;
   bool draining_ = false;
   SchedulerCounts counts_;
--- a/src/store/answers.cc
+++ b/src/store/answers.cc
@@ -47,10 +47,10 @@
 }
 
 void StoreMachine::tellStanding(std::uint32_t most, WorkVerdict& verdict) const {
-  for (const auto& [route, queue] : index_.standingQueues()) {
+  for (const auto& [location, queue] : index_.standingQueues()) {
     for (const auto& [createdUs, name] : queue.lots) {
       if (verdict.lots.size() >= most) return;
-      verdict.lots.push_back({name, route, {}, {}});
+      verdict.lots.push_back({name, location, {}, {}});
     }
   }
 }
--- a/src/store/commands.h
+++ b/src/store/commands.h
@@ -38,7 +38,7 @@
 struct SubmitLot {
   std::string event;
   std::string key;
-  std::string route;
+  std::string route;  // as the caller named it: by name; of a standing lot its location (config/location.h)
   std::uint64_t digest = 0;
   std::vector<LotItem> items;
   Us wallUs = 0;  // stamped
@@ -63,7 +63,13 @@
 struct SubmitLotWithin {
   SubmitLot lot;
   std::uint64_t mostQueuedTokens = 0;  // as the node that takes it in knows its route
-  STONEMOUNT_PACK(lot, mostQueuedTokens)
+  std::string scope;                   // of that route: host and path prefix; empty: the lot's location alone
+  std::vector<std::string> nested;     // scopes of other routes below it
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(lot, mostQueuedTokens);
+    packTrailing(archive, scope, nested);
+  }
 };
 struct EndLot {
   std::string lot;
@@ -120,9 +126,10 @@
   std::uint64_t epoch = 0;
   STONEMOUNT_PACK(epoch)
 };
-// Up to so many items of standing lots of one route.
+// Up to so many items of the standing lots of one route: of those whose location it begins, unless a longer one of the
+// same demands does.
 struct RouteDemand {
-  std::string route;
+  std::string route;    // its scope: host and path prefix
   Us completionUs = 0;  // an item is late that long after the acceptance of its lot; 0: never
   std::uint32_t most = 0;
   STONEMOUNT_PACK(route, completionUs, most)
--- a/src/store/lot_index.cc
+++ b/src/store/lot_index.cc
@@ -23,34 +23,48 @@
 }
 
 void StoreIndex::setTokens(Share& share, std::uint64_t tokens) {
-  std::uint64_t& queued = queuedTokens_[share.route];
+  std::uint64_t& queued = queuedTokens_[share.location];
   queued = queued - share.tokens + tokens;
-  if (queued == 0) queuedTokens_.erase(share.route);
+  if (queued == 0) queuedTokens_.erase(share.location);
   share.tokens = tokens;
 }
 
-std::uint64_t StoreIndex::queuedTokens(const std::string& route) const {
-  auto found = queuedTokens_.find(route);
+std::uint64_t StoreIndex::queuedTokens(const std::string& location) const {
+  auto found = queuedTokens_.find(location);
   return found == queuedTokens_.end() ? 0 : found->second;
 }
 
-const StandingQueue* StoreIndex::standingQueue(const std::string& route) const {
-  auto found = standing_.find(route);
-  return found == standing_.end() || found->second.items == 0 ? nullptr : &found->second;
+std::uint64_t StoreIndex::queuedTokensWithin(const std::string& scope, const std::vector<std::string>& nested) const {
+  constexpr std::size_t kInScope = 0, kNested = 1;
+  PrefixTable table;
+  for (const std::string& other : nested) table.put(other, kNested);
+  table.put(scope, kInScope);
+  std::uint64_t tokens = 0;
+  for (auto at = queuedTokens_.lower_bound(scope); at != queuedTokens_.end(); ++at) {
+    if (at->first.compare(0, scope.size(), scope) != 0) break;
+    if (table.find(at->first) == kInScope) tokens += at->second;
+  }
+  return tokens;
+}
+
+const StandingQueue* StoreIndex::standingQueue(const std::string& location) const {
+  auto found = standing_.find(location);
+  return found == standing_.end() ? nullptr : &found->second;
 }
 
 void StoreIndex::noteWaiting(const KeptLot& lot, Share& share, Us nowUs) {
   const std::uint64_t waiting = lot.standing() && !lot.ended ? lot.waiting.size() : 0;
   if (waiting == share.waiting) return;
-  StandingQueue& queue = standing_[lot.route];
+  StandingQueue& queue = standing_[share.location];
   if (queue.items == 0) queue.busySinceUs = nowUs;
-  if (waiting > share.waiting) queue.arrivals += waiting - share.waiting;
+  if (waiting > share.waiting) arrivals_ += waiting - share.waiting;
   queue.items = queue.items - share.waiting + waiting;
   share.waiting = waiting;
   if (waiting > 0)
     queue.lots.insert({lot.createdUs, lot.name});
   else
     queue.lots.erase({lot.createdUs, lot.name});
+  if (queue.items == 0) standing_.erase(share.location);
 }
 
 void StoreIndex::noteDone(const KeptLot& lot, std::uint32_t place) {
@@ -64,7 +78,7 @@
   if (fresh) {
     std::uint64_t tokens = 0;
     for (const KeptItem& item : lot.items) tokens += item.final() ? 0 : item.given.tokens;
-    share.route = lot.route;
+    share.location = lot.route;
     setTokens(share, tokens);
   }
   if (lot.ended) setTokens(share, 0);
--- a/src/store/lot_index.h
+++ b/src/store/lot_index.h
@@ -2,15 +2,15 @@
 // ends, and how much is still owed. Never saved; made anew from a state that was loaded (design.md 7.3).
 #pragma once
 
+#include "config/location.h"
 #include "store/store_state.h"
 
 namespace stonemount {
 
-// Items of standing lots of one route that wait for a run.
+// Items that wait for a run, of standing lots that were handed in at one location.
 struct StandingQueue {
   std::uint64_t items = 0;
   std::set<std::pair<Us, std::string>> lots;  // with any, by when they were taken
-  std::uint64_t arrivals = 0;                 // items that ever came to wait
   Us busySinceUs = 0;                         // when it was last empty
 };
 
@@ -25,11 +25,15 @@
   void noteFinal(const KeptLot& lot, std::uint32_t place);
   // An item became final: its tokens wait no more.
   void noteDone(const KeptLot& lot, std::uint32_t place);
-  std::uint64_t queuedTokens(const std::string& route) const;
-  const std::map<std::string, std::uint64_t>& queuedTokens() const { return queuedTokens_; }  // by route
-  // Of the route: none where nothing waits on it.
-  const StandingQueue* standingQueue(const std::string& route) const;
-  const std::map<std::string, StandingQueue>& standingQueues() const { return standing_; }  // by route
+  // Of lots that were handed in exactly there.
+  std::uint64_t queuedTokens(const std::string& location) const;
+  // Of lots whose location that scope begins, but none of the others.
+  std::uint64_t queuedTokensWithin(const std::string& scope, const std::vector<std::string>& nested) const;
+  const std::map<std::string, std::uint64_t>& queuedTokens() const { return queuedTokens_; }  // by location
+  // At the location: none where nothing waits there.
+  const StandingQueue* standingQueue(const std::string& location) const;
+  const std::map<std::string, StandingQueue>& standingQueues() const { return standing_; }  // by location
+  std::uint64_t standingArrivals() const { return arrivals_; }  // items of standing lots that ever came to wait
   void noteTombstone(const Key& key, Us keepUntilUs) { tombstones_.insert({keepUntilUs, key}); }
   void noteLimit(Us limitUs) { leastLimitUs_ = std::min(leastLimitUs_, limitUs); }
   void resetLimit() { leastLimitUs_ = kNever; }
@@ -50,7 +54,7 @@
   void noteWaiting(const KeptLot& lot, Share& share, Us nowUs);
   struct Share {  // of one lot
     std::uint64_t open = 0, sealed = 0, bytes = 0;
-    std::string route;
+    std::string location;       // of a lot of an event: the name of its route
     std::uint64_t tokens = 0;   // of items that wait
     std::uint64_t waiting = 0;  // items of a standing lot, for a run
     Us resultsUs = kNever, retentionUs = kNever;
@@ -58,7 +62,8 @@
   absl::flat_hash_map<std::string, Share> shares_;
   std::uint64_t open_ = 0, sealed_ = 0, bytes_ = 0;
   std::map<std::string, std::uint64_t> queuedTokens_;
-  std::map<std::string, StandingQueue> standing_;    // by route
+  std::map<std::string, StandingQueue> standing_;  // by location; those where something waits
+  std::uint64_t arrivals_ = 0;
   std::set<std::pair<Us, std::string>> results_;     // by when they go
   std::set<std::pair<Us, std::string>> retentions_;  // by when items that are not final may be given up
   std::set<std::pair<Us, ItemName>> bodies_;         // of final items, by when they go
--- a/src/store/lots.cc
+++ b/src/store/lots.cc
@@ -38,7 +38,8 @@
 // Counted here, where all lots are decided in one order, and nowhere else: so the bound holds whichever nodes take lots
 // in, and whatever they know of each other.
 StoreVerdict StoreMachine::run(const SubmitLotWithin& command) {
-  const std::uint64_t waiting = index_.queuedTokens(command.lot.route);
+  const std::uint64_t waiting = command.scope.empty() ? index_.queuedTokens(command.lot.route)
+                                                      : index_.queuedTokensWithin(command.scope, command.nested);
   const bool fits = command.mostQueuedTokens == 0 || waiting + tokensOf(command.lot) <= command.mostQueuedTokens;
   if (std::optional<StoreVerdict> known = findKnown(command.lot)) return *known;
   if (fits) return takeNew(command.lot);
--- a/src/store/queries.h
+++ b/src/store/queries.h
@@ -32,12 +32,12 @@
   std::uint8_t unused = 0;
   STONEMOUNT_PACK(unused)
 };
-// By a node with places free; answered when it is called to claim runs of standing lots of these routes: as many nodes
-// are called as the items that wait need, each time others.
+// By a node with places free; answered when it is called to claim runs of standing lots for these demands: as many
+// nodes are called as the items that wait need, each time others.
 struct StandingWorkAsk {
-  std::vector<std::string> routes;
+  std::vector<RouteDemand> demands;
   FleetPlace place;  // not known: called whenever any waits
-  STONEMOUNT_PACK(routes, place)
+  STONEMOUNT_PACK(demands, place)
 };
 // New kinds go to the end.
 using StoreQuery = std::variant<WorkAsk, LotAsk, EventsAsk, ClockAsk, StandingWorkAsk>;
--- a/src/store/store_machine.h
+++ b/src/store/store_machine.h
@@ -82,9 +82,18 @@
   void collect();
   void collectLots();
   Us keepOf(const KeptLot& lot) const { return lot.keepUs > 0 ? lot.keepUs : plan_.retentionUs; }
+  // Locations where items wait, for each demand.
+  using LocationsOfDemands = std::vector<std::vector<std::string>>;
+  LocationsOfDemands locationsOf(const std::vector<RouteDemand>& demands) const;
+  struct WaitingForDemand {
+    std::uint64_t items = 0;
+    Us sinceUs = 0;  // the cut; some have waited at least since then
+  };
+  std::vector<WaitingForDemand> waitingFor(const std::vector<RouteDemand>& demands) const;
   // The lot whose items come next for that demand, of those that are late or of the others.
-  KeptLot* nextLot(const RouteDemand& demand, bool late);
-  void claim(const ClaimRuns& command, bool late, std::vector<std::uint32_t>& left, ClaimVerdict& verdict);
+  KeptLot* nextLot(const std::vector<std::string>& locations, Us completionUs, bool late);
+  void claim(const ClaimRuns& command, const LocationsOfDemands& locations, bool late, std::vector<std::uint32_t>& left,
+             ClaimVerdict& verdict);
   KeptItem* findItem(const RunName& run, KeptLot*& lot);
   QueryVerdict tell(const WorkAsk& ask, bool mustAnswer) const;
   QueryVerdict tell(const StandingWorkAsk& ask, bool mustAnswer) const;
--- a/src/store/store_state.h
+++ b/src/store/store_state.h
@@ -20,7 +20,9 @@
   STONEMOUNT_PACK(given, state, run, spent, failed, node, worker, limitUs, finalUs, answer)
 };
 struct KeptLot {
-  std::string name, event, key, route, host;
+  std::string name, event, key;
+  std::string route;  // as in SubmitLot
+  std::string host;
   std::uint64_t digest = 0;
   bool ended = false;
   std::vector<KeptItem> items;
--- a/tests/answer_once_rig.cc
+++ b/tests/answer_once_rig.cc
@@ -135,7 +135,11 @@
   board.gone.connect(sigc::mem_fun(*this, &AnswerRig::onGone));
   in.asked.connect(sigc::mem_fun(*this, &AnswerRig::onAsked));
   control.bump();
-  control.putRoute(routeOf("items", RouteKind::kStream, true));
+  Route lots = routeOf("items", RouteKind::kStream, true);
+  lots.host = "h.example";
+  lots.prefix = "/s/";
+  lots.lots = true;
+  control.putRoute(lots);
   for (std::size_t i = 0; i < kWorkers; ++i) {
     workers.push_back(std::make_unique<RawWorker>(chance, runs));
     list(*workers.back());
@@ -171,7 +175,6 @@
     run->item.headers = {{platform::kAttempt, trip.id}};
     run->item.target = "/s/item";
     run->item.body = "body of " + trip.id;
-    run->route = "items";
     run->host = "h.example";
     run->takenUs = run->heardUs = loop.monoUs();
     Job<ItemEnding> carrying = items.carry(run);
--- a/tests/claim_runs_test.cc
+++ b/tests/claim_runs_test.cc
@@ -19,7 +19,19 @@
   RC_ASSERT(std::holds_alternative<Verdict>(read));
   return std::get<Verdict>(read);
 }
-std::string routeOf(std::uint64_t number) { return "route-" + std::to_string(number); }
+// One route lies below the other; lots lie at either and below.
+constexpr const char* kScopes[] = {"h/a/", "h/a/b/"};
+constexpr const char* kLocations[] = {"h/a/", "h/a/x/y/", "h/a/b/", "h/a/b/c/"};
+std::string scopeOf(std::uint64_t number) { return kScopes[number]; }
+// The longest scope that begins it is the one whose demand it is.
+bool isFor(const std::vector<RouteDemand>& demands, const RouteDemand& demand, const std::string& location) {
+  const RouteDemand* longest = nullptr;
+  for (const RouteDemand& one : demands)
+    if (location.compare(0, one.route.size(), one.route) == 0 &&
+        (longest == nullptr || one.route.size() > longest->route.size()))
+      longest = &one;
+  return longest != nullptr && longest->route == demand.route;
+}
 
 class ClaimPlay {
  public:
@@ -34,12 +46,12 @@
   }
   void submit() {
     SubmitLot lot = lotNamed("lot-" + std::to_string(++lots_));
-    lot.route = routeOf(chance_.below(2));
+    lot.route = kLocations[chance_.below(std::size(kLocations))];
     lot.retentionUs = 0;
     apply(machine_, lot);
   }
   std::uint32_t most(std::uint32_t place, std::uint32_t places) {
-    StandingWorkAsk ask{{routeOf(0), routeOf(1)}, {place, places}};
+    StandingWorkAsk ask{{{scopeOf(0), 0, 1}, {scopeOf(1), 0, 1}}, {place, places}};
     auto read = unpack<StandingWorkVerdict>(std::get<Bytes>(machine_.answer(pack(StoreQuery(ask)), true)));
     return std::get<StandingWorkVerdict>(read).most;
   }
@@ -50,10 +62,10 @@
   }
   // Late, and when it is due, of any lot that may give an item to that demand.
   using Rank = std::tuple<bool, Us>;
-  std::optional<Rank> firstOf(const RouteDemand& demand) const {
+  std::optional<Rank> firstOf(const std::vector<RouteDemand>& demands, const RouteDemand& demand) const {
     std::optional<Rank> first;
     for (const auto& [name, lot] : machine_.state().lots) {
-      if (lot.route != demand.route || lot.ended || lot.waiting.empty()) continue;
+      if (!isFor(demands, demand, lot.route) || lot.ended || lot.waiting.empty()) continue;
       const Us dueUs = lot.createdUs + demand.completionUs;
       const Rank rank{dueUs <= machine_.state().cut.cutUs, dueUs};
       if (!first || rank < *first) first = rank;
@@ -69,13 +81,13 @@
     command.certainHere = !chance_.oneIn(8);
     for (std::uint64_t i = 0; i < 2; ++i)
       if (!chance_.oneIn(4))
-        command.demands.push_back({routeOf(i), kDueUs[i], static_cast<std::uint32_t>(chance_.below(5))});
+        command.demands.push_back({scopeOf(i), kDueUs[i], static_cast<std::uint32_t>(chance_.below(5))});
     const std::uint64_t before = waiting();
     std::optional<Rank> first;
     std::uint32_t wanted = 0;
     for (const RouteDemand& demand : command.demands) {
       if (demand.most == 0) continue;
-      const std::optional<Rank> rank = firstOf(demand);
+      const std::optional<Rank> rank = firstOf(command.demands, demand);
       if (rank) wanted += demand.most;
       if (rank && (!first || *rank < *first)) first = rank;
     }
@@ -105,7 +117,7 @@
   void sameElsewhere() {
     StoreMachine other(chance_, StorePlan());
     RC_ASSERT(other.load(machine_.save()));
-    ClaimRuns command{{9, 9}, kSecondUs, 100, {{routeOf(0), kDueUs[0], 7}, {routeOf(1), kDueUs[1], 7}}, true};
+    ClaimRuns command{{9, 9}, kSecondUs, 100, {{scopeOf(0), kDueUs[0], 7}, {scopeOf(1), kDueUs[1], 7}}, true};
     StoreMachine same(chance_, StorePlan());
     RC_ASSERT(same.load(other.save()));
     RC_ASSERT(other.apply(pack(StoreEntry{0, command})) == same.apply(pack(StoreEntry{0, command})));
@@ -121,7 +133,7 @@
       RC_ASSERT(one.demand < command.demands.size());
       const RouteDemand& demand = command.demands[one.demand];
       const KeptLot& lot = machine_.state().lots.at(one.name.lot);
-      RC_ASSERT(lot.route == demand.route && !lot.ended);
+      RC_ASSERT(isFor(command.demands, demand, lot.route) && !lot.ended);
       RC_ASSERT(++taken[one.demand] <= demand.most);
       RC_ASSERT(lot.items[one.name.item].state == ItemState::kRunning);
       RC_ASSERT(lot.items[one.name.item].node == command.node);
--- a/tests/lots_rig.h
+++ b/tests/lots_rig.h
@@ -20,6 +20,8 @@
 struct WorkLog {
   std::map<std::string, ItemLog> items;
   std::vector<std::string> wrong;
+  std::set<std::string> pools = {"models"};         // that items may be sent to
+  std::function<void(const PassOrder&)> sent = {};  // told of each item that is sent
 };
 
 inline std::string eventText(const std::string& item, std::uint64_t number) {
@@ -39,7 +41,9 @@
     ++log.sends;
     const bool asHanded = order.ask.method == "POST" && order.ask.target == "/bulk/" + item + "?a=b" &&
                           order.ask.headers["attempt-id"] == item && order.ask.headers["host"] == "h.example" &&
-                          order.ask.headers["model"] == "m" && order.ask.body == bodyOf(item) && order.pool == "models";
+                          order.ask.headers["model"] == "m" && order.ask.body == bodyOf(item) &&
+                          log_.pools.contains(order.pool);
+    if (log_.sent) log_.sent(order);
     if (!asHanded) log_.wrong.push_back(item + " was sent otherwise than handed in");
     lastSendUs[item] = ports_.clock.monoUs();
     if (item.find("poison") != std::string::npos) {
--- a/tests/queued_tokens_test.cc
+++ b/tests/queued_tokens_test.cc
@@ -11,10 +11,13 @@
 
 namespace {
 constexpr Address kNode{1, 2};
-constexpr const char* kRoutes[] = {"bulk", "other"};
+// One route lies below the other; lots lie at either and below.
+constexpr const char* kScopes[] = {"h/a/", "h/a/b/"};
+constexpr const char* kLocations[] = {"h/a/", "h/a/x/y/", "h/a/b/", "h/a/b/c/"};
+std::size_t scopeAt(const std::string& location) { return location.compare(0, 6, kScopes[1]) == 0 ? 1 : 0; }
 
 struct PlainLot {
-  std::string route;
+  std::string location;
   std::vector<std::uint64_t> tokens;  // of each item; 0: it waits no more
   bool ended = false;
 };
@@ -34,17 +37,27 @@
         machine->state().cut.epoch, 7, ++round, elapsedUs, 0, elapsedUs, 0, {10 * kSecondUs, 10 * kSecondUs}, 2});
     apply(Sweep{true, 0});
   }
-  std::uint64_t waiting(const std::string& route) const {
+  template <class Counts>
+  std::uint64_t waiting(const Counts& counts) const {
     std::uint64_t sum = 0;
     for (const auto& [name, lot] : lots)
-      for (const std::uint64_t tokens : lot.tokens) sum += lot.route == route && !lot.ended ? tokens : 0;
+      for (const std::uint64_t tokens : lot.tokens) sum += counts(lot.location) && !lot.ended ? tokens : 0;
     return sum;
   }
+  std::uint64_t waitingWithin(std::size_t scope) const {
+    return waiting([scope](const std::string& location) { return scopeAt(location) == scope; });
+  }
+  std::uint64_t waitingAt(const std::string& location) const {
+    return waiting([&location](const std::string& other) { return other == location; });
+  }
   // Many nodes hand lots in; their limits may differ for a moment after a change.
   void submit() {
     SubmitLotWithin command;
     command.lot = lotNamed("lot-" + std::to_string(chance.below(30)));
-    command.lot.route = kRoutes[spread(command.lot.name) % 2];
+    command.lot.route = kLocations[spread(command.lot.name) % std::size(kLocations)];
+    const std::size_t scope = scopeAt(command.lot.route);
+    command.scope = kScopes[scope];
+    if (scope == 0) command.nested = {kScopes[1]};
     std::uint64_t tokens = 0;
     for (LotItem& item : command.lot.items) {
       item.tokens = 1 + static_cast<std::uint32_t>(spread(item.id) % 50);
@@ -54,7 +67,7 @@
     const StoreState& state = machine->state();
     const bool known = state.lots.contains(command.lot.name) || state.tombstones.contains({"", command.lot.name});
     if (!known) lots.erase(command.lot.name);  // long gone, and its name forgotten
-    const std::uint64_t before = waiting(command.lot.route);
+    const std::uint64_t before = waitingWithin(scope);
     const bool fits = command.mostQueuedTokens == 0 || before + tokens <= command.mostQueuedTokens;
     const StoreVerdict verdict = apply(command);
     if (known) return RC_ASSERT(verdict.outcome == StoreOutcome::kAgain);
@@ -62,7 +75,7 @@
     RC_ASSERT(state.lots.contains(command.lot.name) == fits);  // never half taken
     if (!fits) return;
     PlainLot& lot = lots[command.lot.name];
-    lot.route = command.lot.route;
+    lot.location = command.lot.route;
     for (const LotItem& item : command.lot.items) lot.tokens.push_back(item.tokens);
   }
   void runOne() {
@@ -119,7 +132,7 @@
     else if (deed == 38)
       limits[chance.below(2)] = chance.oneIn(6) ? 0 : chance.below(1500);
     for (auto& [name, lot] : lots) note(name);
-    for (const char* route : kRoutes) RC_ASSERT(machine->queuedTokens(route) == waiting(route));
+    for (const char* location : kLocations) RC_ASSERT(machine->queuedTokens(location) == waitingAt(location));
   }
   Chance chance;
   std::unique_ptr<StoreMachine> machine;
