--- a/src/control/core.cc
+++ b/src/control/core.cc
@@ -18,6 +18,7 @@
       store_(ports, rpc_, {}),
       election_(ports, rpc_, room_, plan.election),
       sampler_(ports, rpc_, room_, election_, store_, replica_, plan.gauge),
+      lotRouteWatch_(ports, room_, store_, machine_.state()),
       rebuilder_(rpc_, gossip_, core_, machine_),
       ownList_(ports, settings_.platform),
       workerDiscovery_(core_, machine_, plan.list != nullptr ? plan.list : &ownList_),
@@ -49,6 +50,7 @@
   election_.begin(duties);
   replica_.begin();
   sampler_.begin();
+  lotRouteWatch_.begin([this] { return election_.holds(Sampler::kDuty); });
   membershipManager_.begin();
   quotaLeader_.begin();
   room_.start(list());
--- a/src/control/core.h
+++ b/src/control/core.h
@@ -4,6 +4,7 @@
 #include "config/platform_list.h"
 #include "config/settings.h"
 #include "control/control_machine.h"
+#include "control/lot_route_watch.h"
 #include "control/operator_service.h"
 #include "control/worker_discovery.h"
 #include "gossip/gossip.h"
@@ -60,6 +61,7 @@
   ChainClient store_;
   Election election_;
   Sampler sampler_;
+  LotRouteWatch lotRouteWatch_;
   Rebuilder rebuilder_;
   PlatformListSource ownList_;
   WorkerDiscovery workerDiscovery_;
--- a/src/simulator/checker_store.cc
+++ b/src/simulator/checker_store.cc
@@ -8,7 +8,7 @@
 namespace {
 constexpr std::size_t kMostFaults = 20;
 const char* termText(Term term) {
-  constexpr const char* kTexts[] = {"licence", "close", "quota window", "results", "key", "retention"};
+  constexpr const char* kTexts[] = {"licence", "close", "quota window", "results", "key", "retention", "route's end"};
   return kTexts[static_cast<std::size_t>(term)];
 }
 }  // namespace
--- a/src/store/answers.cc
+++ b/src/store/answers.cc
@@ -17,6 +17,7 @@
   if (auto* lot = std::get_if<LotAsk>(query)) return tell(*lot, mustAnswer);
   if (auto* events = std::get_if<EventsAsk>(query)) return tell(*events);
   if (auto* standing = std::get_if<StandingWorkAsk>(query)) return tell(*standing, mustAnswer);
+  if (auto* unrouted = std::get_if<UnroutedAsk>(query)) return tell(*unrouted);
   return tell(std::get<ClockAsk>(*query));
 }
 
--- a/src/store/commands.h
+++ b/src/store/commands.h
@@ -144,9 +144,16 @@
   bool certainHere = false;  // stamped
   STONEMOUNT_PACK(node, licenceUs, slotCap, demands, certainHere)
 };
+// All locations of items that wait and to which no route for lots leads now. What has been without one for long enough
+// is given up.
+struct ReportUnrouted {
+  std::vector<std::string> locations;
+  bool certainHere = false;  // stamped
+  STONEMOUNT_PACK(locations, certainHere)
+};
 // New kinds go to the end: a log names them by their place.
 using StoreCommand = std::variant<CreateEvent, CloseEvent, SubmitLot, EndLot, GrantRuns, RenewRuns, SealRuns, DropRuns,
-                                  Sweep, LockWish, CutProposal, DoubtCut, SubmitLotWithin, ClaimRuns>;
+                                  Sweep, LockWish, CutProposal, DoubtCut, SubmitLotWithin, ClaimRuns, ReportUnrouted>;
 
 // As the head stamps it: with the time since the cut's last sample, which the cut does not hold yet. What
 // is promised for a time lasts from now, not from that sample (design.md 8.1).
--- a/src/store/store_machine.cc
+++ b/src/store/store_machine.cc
@@ -42,6 +42,8 @@
   } else if (auto* sweep = std::get_if<Sweep>(command)) {
     sweep->certainHere = live;
     sweep->wallUs = sessions_.wallNowUs(state_.cut.session, sight);
+  } else if (auto* unrouted = std::get_if<ReportUnrouted>(command)) {
+    unrouted->certainHere = live;
   } else if (auto* event = std::get_if<CreateEvent>(command)) {
     event->wallUs = sessions_.wallNowUs(state_.cut.session, sight);
   } else if (auto* lot = std::get_if<SubmitLot>(command)) {
--- a/src/store/store_machine.h
+++ b/src/store/store_machine.h
@@ -11,11 +11,14 @@
   Us retentionUs = 7LL * 24 * 3600 * kSecondUs;  // of a finished lot's results and bodies
   Us keyLifetimeUs = 30LL * 24 * 3600 * kSecondUs;
   std::uint32_t mostRuns = 30;  // that a worker began and did not finish; then the item is given up
+  // Waiting items of standing lots that no route leads to are given up after it. Long enough for a route that is taken
+  // away and put back under another name.
+  Us routeEndUs = 6 * kSecondUs;
   SafeTimePlan gauge;
 };
 
 // Everything that lasts for a time: when the time is promised, and when it is held to be over.
-enum class Term : std::uint8_t { kLicence, kClose, kQuota, kResults, kKey, kRetention };
+enum class Term : std::uint8_t { kLicence, kClose, kQuota, kResults, kKey, kRetention, kRouteEnd };
 struct TermNote {
   Term term = Term::kLicence;
   std::string name;
@@ -52,6 +55,7 @@
   StoreVerdict run(const EndLot& command);
   StoreVerdict run(const GrantRuns& command);
   ClaimVerdict run(const ClaimRuns& command);
+  StoreVerdict run(const ReportUnrouted& command);
   StoreVerdict run(const RenewRuns& command);
   StoreVerdict run(const SealRuns& command);
   StoreVerdict run(const DropRuns& command);
@@ -82,6 +86,10 @@
   void collect();
   void collectLots();
   Us keepOf(const KeptLot& lot) const { return lot.keepUs > 0 ? lot.keepUs : plan_.retentionUs; }
+  // unrouted.cc
+  void giveUpUnrouted();
+  bool unroutedForLong(const std::string& location) const;
+  QueryVerdict tell(const UnroutedAsk& ask) const;
   // Locations where items wait, for each demand.
   using LocationsOfDemands = std::vector<std::vector<std::string>>;
   LocationsOfDemands locationsOf(const std::vector<RouteDemand>& demands) const;
--- a/src/store/store_state.h
+++ b/src/store/store_state.h
@@ -70,8 +70,13 @@
   std::uint64_t lastLot = 0;
   std::uint64_t workVersion = 1;
   std::uint64_t pausedExpiries = 0, lateExpiries = 0, expired = 0;
-  STONEMOUNT_PACK(cut, events, lots, lotByKey, tombstones, charged, pendingSlots, runningItems, openLots, lastLot,
-                  workVersion, pausedExpiries, lateExpiries, expired)
+  std::map<std::string, Us> unroutedSince;  // the cut when that location was first reported to have no route
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(cut, events, lots, lotByKey, tombstones, charged, pendingSlots, runningItems, openLots, lastLot,
+            workVersion, pausedExpiries, lateExpiries, expired);
+    packTrailing(archive, unroutedSince);
+  }
 };
 
 }  // namespace stonemount
--- a/tests/lot_routes_test.cc
+++ b/tests/lot_routes_test.cc
@@ -2,6 +2,7 @@
 // Guards against taking a route's name for the place that a lot was handed in at (incident 32): its items waited for a
 // name that had gone (LOST), or ran at a service to which no configuration sent them (ROUTE).
 // LOT_ROUTE_SEEDS=FIRST,COUNT for others.
+#include "control/lot_route_watch.h"
 #include "given_seeds.h"
 #include "lots_reading.h"
 
@@ -9,6 +10,7 @@
 
 namespace {
 constexpr int kItems = 120;
+constexpr Us kRouteEndUs = 6 * kSecondUs;
 
 Route lotRoute(const std::string& name, const std::string& prefix, const std::string& pool) {
   Route route;
@@ -138,12 +140,67 @@
   LotsRig::expect(play.rig.log.items.empty(), "nothing of it runs");
 }
 
+// A lot under way whose route goes away, with a watch that tells the store.
+class EndingRoute : public ChangingRoutes {
+ public:
+  explicit EndingRoute(std::uint64_t seed)
+      : ChangingRoutes(seed),
+        watch_(rig.nodes[0]->ports, rig.nodes[0]->room, rig.nodes[0]->store, rig.control),
+        items_(itemsOfLot()) {
+    rig.control.bumpConfig();
+    watch_.begin([] { return true; });
+    LotsRig::expect(rig.submit(0, "a", items_)->status == 202, "a lot is taken");
+    rig.fleet.run(static_cast<Us>(200 + chance().below(600)) * kMilliUs);
+  }
+  void takeAway() { change({lotRoute("r-side", "/side/", "others")}); }
+  void putBack() { change({lotRoute("r-again", "/bulk/", "models"), lotRoute("r-side", "/side/", "others")}); }
+  void expectListed(std::size_t complete, std::size_t abandoned, const std::string& when) {
+    const std::vector<Result> results = read(items_.size());
+    LotsRig::expect(countOf(results, "complete") >= complete && countOf(results, "abandoned") == abandoned,
+                    absl::StrCat(what(), ", ", when, ": ", countOf(results, "complete"), " complete, ",
+                                 countOf(results, "abandoned"), " abandoned"));
+  }
+  std::size_t items() const { return items_.size(); }
+
+ private:
+  LotRouteWatch watch_;
+  std::vector<std::string> items_;
+};
+
+// LOST and MIXED: where the route is gone for good, what waits is given up, and not before it has been gone for long.
+void goneForGood(std::uint64_t seed) {
+  EndingRoute play(seed);
+  play.takeAway();
+  play.rig.fleet.run(kRouteEndUs - kSecondUs);
+  play.expectListed(1, 0, "gone for less than the time");
+  play.rig.fleet.run(5 * kSecondUs);
+  const std::vector<Result> results = play.read(play.items());
+  LotsRig::expect(results.size() == play.items() && countOf(results, "abandoned") > 0,
+                  absl::StrCat(play.what(), ": some stay in between, ", results.size(), " of ", play.items()));
+}
+
+// Back in time, and again: nothing is given up.
+void goneAndBack(std::uint64_t seed) {
+  EndingRoute play(seed);
+  for (int i = 0; i < 2; ++i) {
+    play.takeAway();
+    play.rig.fleet.run(kRouteEndUs - 2 * kSecondUs);
+    play.putBack();
+    play.rig.fleet.run(1500 * kMilliUs);
+  }
+  play.rig.fleet.run(15 * kSecondUs);
+  play.expectListed(play.items(), 0, "back in time");
+}
 }  // namespace
 
 int main() {
   itemsElsewhere();
   const Seeds seeds = givenSeeds("LOT_ROUTE_SEEDS", {1, 12});
-  for (std::uint64_t seed = seeds.first; seed < seeds.end(); ++seed) anyChanges(seed);
+  for (std::uint64_t seed = seeds.first; seed < seeds.end(); ++seed) {
+    anyChanges(seed);
+    goneForGood(seed);
+    goneAndBack(seed);
+  }
   std::printf("%d checks passed, %d failed\n", LotsRig::passed, LotsRig::failed);
   return LotsRig::failed == 0 ? 0 : 1;
 }
