--- a/src/node/lot_desk.cc
+++ b/src/node/lot_desk.cc
@@ -16,6 +16,10 @@
 }
 }  // namespace
 
+std::uint64_t lotDigest(const std::string& host, const std::vector<LotItem>& itemsAsSent) {
+  return spread(pack(itemsAsSent), spread(host));
+}
+
 class LotService::OpenCall {
  public:
   explicit OpenCall(std::size_t& calls) : calls_(calls) { ++calls_; }
@@ -36,7 +40,7 @@
   command.route = locationOf(lot.host, lot.path);
   command.host = std::move(lot.host);
   command.items = std::move(lot.items);
-  command.digest = spread(pack(command.items), spread(command.host));
+  command.digest = lot.digest;
   command.attempts = route->attempts;
   command.retentionUs = route->retentionUs;
   command.keepUs = plan_.keepUs;
--- a/src/node/lot_desk.h
+++ b/src/node/lot_desk.h
@@ -11,7 +11,11 @@
   std::string host;  // as the caller's `Host` header named it
   std::string path;  // that it was handed in at
   std::vector<LotItem> items;
+  std::uint64_t digest = 0;  // by which it is known again
 };
+// Of what the caller sent, before anything is added that follows from the configuration: that may be another when the
+// same lot comes again.
+std::uint64_t lotDigest(const std::string& host, const std::vector<LotItem>& itemsAsSent);
 struct LotServicePlan {
   Us submitUs = 2500 * kMilliUs;
   Us readUs = 1200 * kMilliUs;         // beside the time for which a read is held
--- a/src/store/commands.h
+++ b/src/store/commands.h
@@ -11,7 +11,7 @@
   // Of items that are passed through as they came (design.md 9.8).
   std::string target;                          // path and query, byte for byte
   std::map<std::string, std::string> headers;  // lower-case names
-  std::uint64_t spot = 0;                      // of its shared prompt; 0: none
+  std::uint64_t spot = 0;                      // of its shared prompt, where the route has affinity; 0: none
   std::uint32_t tokens = 0;
   STONEMOUNT_PACK(id, body, target, headers, spot, tokens)
 };
@@ -38,8 +38,8 @@
 struct SubmitLot {
   std::string event;
   std::string key;
-  std::string route;  // as the caller named it: by name; of a standing lot its location (config/location.h)
-  std::uint64_t digest = 0;
+  std::string route;         // as the caller named it: by name; of a standing lot its location (config/location.h)
+  std::uint64_t digest = 0;  // of what the caller sent
   std::vector<LotItem> items;
   Us wallUs = 0;  // stamped
   // A standing lot belongs to no event (`event` and `key` empty) and is named by its caller.
--- a/tests/platform_lot_text_test.cc
+++ b/tests/platform_lot_text_test.cc
@@ -14,7 +14,7 @@
   return absl::StrCat(R"({"Id":")", id, R"(","Path":")", path, R"(","Headers":{)", headers, R"(},"Body":")", body,
                       R"(","Tokens":940})");
 }
-bool taken(const Bytes& body) { return std::holds_alternative<std::vector<LotItem>>(readEntries(body, true)); }
+bool taken(const Bytes& body) { return std::holds_alternative<std::vector<LotItem>>(readEntries(body)); }
 Bytes lot(const std::string& entries) { return absl::StrCat(R"({"Entries":[)", entries, "]}"); }
 
 void whatWillNotDo() {
@@ -40,9 +40,8 @@
 }
 
 void bytesComeThrough(const std::string& bytes) {
-  const auto read = readEntries(lot(entry("a", "/p/1?x=%20", R"("Model":"m","Content-Length":"7","Connection":"close")",
-                                          absl::Base64Escape(bytes))),
-                                true);
+  const auto read = readEntries(lot(
+      entry("a", "/p/1?x=%20", R"("Model":"m","Content-Length":"7","Connection":"close")", absl::Base64Escape(bytes))));
   const auto& items = std::get<std::vector<LotItem>>(read);
   RC_ASSERT(items.size() == 1 && items[0].body == bytes && items[0].target == "/p/1?x=%20" && items[0].tokens == 940);
   RC_ASSERT((items[0].headers == std::map<std::string, std::string>{{"attempt-id", "a"}, {"model", "m"}}));
