--- a/src/config/lot_routes.cc
+++ b/src/config/lot_routes.cc
@@ -15,9 +15,9 @@
   return lotRouteFor(control, location.substr(0, slash), location.substr(slash));
 }
 
-bool LotRoutes::refresh() {
+void LotRoutes::refresh() {
   const std::pair<Revision, std::size_t> asOf(control_.revision(), control_.routes().size());
-  if (asOf == asOf_) return false;
+  if (asOf == asOf_) return;
   asOf_ = asOf;
   names_.clear();
   scopes_.clear();
@@ -27,7 +27,6 @@
     scopes_.push_back(scopeOf(route));
   }
   findNested();
-  return true;
 }
 
 void LotRoutes::findNested() {
--- a/src/config/lot_routes.h
+++ b/src/config/lot_routes.h
@@ -18,10 +18,9 @@
 class LotRoutes {
  public:
   explicit LotRoutes(const ControlState& control) : control_(control) {}
-  // To be called before the others; true: they have changed.
-  bool refresh();
+  // To be called before the others.
+  void refresh();
   const std::vector<std::string>& names() const { return names_; }
-  const std::vector<std::string>& scopes() const { return scopes_; }
   // Scopes of other routes that lie below one of these: what begins with them is not for the shorter one.
   const std::vector<std::string>& nestedOthers() const { return nestedOthers_; }
   // Scopes below that of another route for lots, of either kind.
--- a/src/control/lot_route_watch.cc
+++ b/src/control/lot_route_watch.cc
@@ -2,8 +2,6 @@
 
 #include <absl/strings/str_cat.h>
 
-#include "store/queries.h"
-
 namespace stonemount {
 
 namespace {
@@ -27,21 +25,45 @@
   }
 }
 
-// The store is told only where something has no route, or had none before.
-Job<Done> LotRouteWatch::look() {
+LotRoutesAsk LotRouteWatch::currentRoutes() {
   lotRoutes_.refresh();
-  Bytes query = pack(StoreQuery(UnroutedAsk{lotRoutes_.scopes(), lotRoutes_.nestedOthers()}));
-  Job<ChainAnswer> asking = store_.read(std::move(query), 0, kStoreUs);
+  LotRoutesAsk routes;
+  routes.nestedOthers = lotRoutes_.nestedOthers();
+  for (const std::string& name : lotRoutes_.names()) {
+    auto found = control_.routes().find(name);
+    if (found == control_.routes().end()) continue;
+    const Route& route = found->second;
+    routes.routes.push_back({scopeOf(route), route.retentionUs, route.attempts});
+  }
+  return routes;
+}
+
+// The store is told only where something has no route, or had none before, or where a route allows more than before.
+Job<Done> LotRouteWatch::look() {
+  const LotRoutesAsk routes = currentRoutes();
+  Job<ChainAnswer> asking = store_.read(pack(StoreQuery(routes)), 0, kStoreUs);
   ChainAnswer answer = co_await asking;
   if (!std::holds_alternative<Bytes>(answer)) co_return Done{};
-  auto read = unpack<UnroutedVerdict>(std::get<Bytes>(answer));
-  auto* verdict = std::get_if<UnroutedVerdict>(&read);
-  if (verdict == nullptr || (verdict->locations.empty() && !verdict->reported)) co_return Done{};
-  logEvent("lots_without_route", {{"locations", absl::StrCat(verdict->locations.size())},
+  auto read = unpack<LotRoutesVerdict>(std::get<Bytes>(answer));
+  auto* verdict = std::get_if<LotRoutesVerdict>(&read);
+  if (verdict == nullptr) co_return Done{};
+  if (verdict->termsGrew) {
+    Job<Done> raising = tell(RaiseLotTerms{routes.routes, routes.nestedOthers});
+    co_await raising;
+  }
+  if (verdict->unrouted.empty() && !verdict->reportedBefore) co_return Done{};
+  logEvent("lots_without_route", {{"locations", absl::StrCat(verdict->unrouted.size())},
                                   {"config", absl::StrCat(control_.configRevision())}});
-  Job<ChainAnswer> reporting = store_.submit(pack(StoreCommand(ReportUnrouted{verdict->locations, false})), kStoreUs);
+  Job<Done> reporting = tell(ReportUnrouted{verdict->unrouted, false});
   co_await reporting;
   co_return Done{};
 }
 
+// What does not reach the store is worked out anew at the next look.
+Job<Done> LotRouteWatch::tell(StoreCommand command) {
+  Job<ChainAnswer> telling = store_.submit(pack(command), kStoreUs);
+  co_await telling;
+  co_return Done{};
+}
+
 }  // namespace stonemount
--- a/src/control/lot_route_watch.h
+++ b/src/control/lot_route_watch.h
@@ -1,9 +1,11 @@
-// Tells the store which accepted items no route leads to any more: it knows no configuration itself. One core does,
-// with the duty of the sampler; the store decides by its cut how long that has to last (design.md 7.5).
+// Tells the store what the configuration in force means for lots under way: it knows none itself. That is, which items
+// no route leads to any more, and what routes allow now. One core does, with the duty of the sampler; the store decides
+// by its cut how long a route has to be gone (design.md 7.5).
 #pragma once
 
 #include "config/lot_routes.h"
 #include "replication/client.h"
+#include "store/queries.h"
 
 namespace stonemount {
 
@@ -17,6 +19,8 @@
  private:
   Task watch();
   Job<Done> look();
+  LotRoutesAsk currentRoutes();
+  Job<Done> tell(StoreCommand command);
   Ports& ports_;
   TaskRoom& room_;
   ChainClient& store_;
--- a/src/store/answers.cc
+++ b/src/store/answers.cc
@@ -17,7 +17,7 @@
   if (auto* lot = std::get_if<LotAsk>(query)) return tell(*lot, mustAnswer);
   if (auto* events = std::get_if<EventsAsk>(query)) return tell(*events);
   if (auto* standing = std::get_if<StandingWorkAsk>(query)) return tell(*standing, mustAnswer);
-  if (auto* unrouted = std::get_if<UnroutedAsk>(query)) return tell(*unrouted);
+  if (auto* routes = std::get_if<LotRoutesAsk>(query)) return tell(*routes);
   return tell(std::get<ClockAsk>(*query));
 }
 
--- a/src/store/commands.h
+++ b/src/store/commands.h
@@ -151,9 +151,23 @@
   bool certainHere = false;  // stamped
   STONEMOUNT_PACK(locations, certainHere)
 };
+// What a route for lots allows its lots; 0: it does not say.
+struct LotTerms {
+  std::string scope;  // host and path prefix
+  Us retentionUs = 0;
+  std::uint32_t attempts = 0;
+  STONEMOUNT_PACK(scope, retentionUs, attempts)
+};
+// Lots under way get what their routes allow now, where that is more than was promised as they were handed in.
+struct RaiseLotTerms {
+  std::vector<LotTerms> routes;
+  std::vector<std::string> nestedOthers;  // scopes of routes that take no lots, below one of those
+  STONEMOUNT_PACK(routes, nestedOthers)
+};
 // New kinds go to the end: a log names them by their place.
-using StoreCommand = std::variant<CreateEvent, CloseEvent, SubmitLot, EndLot, GrantRuns, RenewRuns, SealRuns, DropRuns,
-                                  Sweep, LockWish, CutProposal, DoubtCut, SubmitLotWithin, ClaimRuns, ReportUnrouted>;
+using StoreCommand =
+    std::variant<CreateEvent, CloseEvent, SubmitLot, EndLot, GrantRuns, RenewRuns, SealRuns, DropRuns, Sweep, LockWish,
+                 CutProposal, DoubtCut, SubmitLotWithin, ClaimRuns, ReportUnrouted, RaiseLotTerms>;
 
 // As the head stamps it: with the time since the cut's last sample, which the cut does not hold yet. What
 // is promised for a time lasts from now, not from that sample (design.md 8.1).
--- a/src/store/lot_route_changes.cc
+++ b/src/store/lot_route_changes.cc
@@ -1,12 +1,31 @@
-// Items of standing lots whose route has ended: no route for lots leads to their lot's location, or to their own. They
-// are given up once that has lasted (design.md 7.5).
+// What changes of the configuration mean for standing lots under way (design.md 7.5). Items whose route has ended, that
+// is, no route for lots leads to their lot's location or to their own, are given up once that has lasted. Lots whose
+// route allows more than was promised as they were handed in get that.
 #include "store/store_machine.h"
 
 namespace stonemount {
 
 namespace {
-// What the routes of a prefix table do with lots.
-constexpr std::size_t kTakesLots = 0, kTakesNone = 1;
+// The routes for lots by their place in `routes`; the others by a number above all places.
+PrefixTable tableOf(const std::vector<LotTerms>& routes, const std::vector<std::string>& nestedOthers) {
+  PrefixTable table;
+  for (const std::string& scope : nestedOthers) table.put(scope, routes.size());
+  for (std::size_t i = 0; i < routes.size(); ++i) table.put(routes[i].scope, i);
+  return table;
+}
+
+const LotTerms* termsFor(const PrefixTable& table, const std::vector<LotTerms>& routes, const std::string& location) {
+  const std::optional<std::size_t> route = table.find(location);
+  return route && *route < routes.size() ? &routes[*route] : nullptr;
+}
+
+bool allowsLonger(const LotTerms& terms, const KeptLot& lot) {
+  return lot.retentionUs > 0 && terms.retentionUs > lot.retentionUs;
+}
+bool allowsMoreAttempts(const LotTerms& terms, const KeptLot& lot) {
+  return lot.attempts > 0 && terms.attempts > lot.attempts;
+}
+bool underWay(const KeptLot& lot) { return lot.standing() && !lot.ended && !lot.finished(); }
 
 // Calls `visit(lot, place)` for each item of a standing lot that waits for a run.
 template <class State, class Visit>
@@ -26,24 +45,47 @@
 }
 }  // namespace
 
-QueryVerdict StoreMachine::tell(const UnroutedAsk& ask) const {
-  PrefixTable routes;
-  for (const std::string& scope : ask.nestedOthers) routes.put(scope, kTakesNone);
-  for (const std::string& scope : ask.lotScopes) routes.put(scope, kTakesLots);
+std::vector<std::string> StoreMachine::unroutedLocations(const LotRoutesAsk& ask) const {
+  const PrefixTable table = tableOf(ask.routes, ask.nestedOthers);
   std::set<std::string> unrouted;
-  const auto note = [&routes, &unrouted](const std::string& location) {
-    if (routes.find(location) != kTakesLots) unrouted.insert(location);
+  const auto note = [&ask, &table, &unrouted](const std::string& location) {
+    if (termsFor(table, ask.routes, location) == nullptr) unrouted.insert(location);
   };
   forEachWaiting(state_, index_, [&note](const KeptLot& lot, std::uint32_t place) {
     if (place == *lot.waiting.begin()) note(lot.route);
     note(locationOfItem(lot, place));
   });
-  UnroutedVerdict verdict;
-  verdict.locations.assign(unrouted.begin(), unrouted.end());
-  verdict.reported = !state_.unroutedSince.empty();
+  return {unrouted.begin(), unrouted.end()};
+}
+
+QueryVerdict StoreMachine::tell(const LotRoutesAsk& ask) const {
+  LotRoutesVerdict verdict;
+  verdict.unrouted = unroutedLocations(ask);
+  verdict.reportedBefore = !state_.unroutedSince.empty();
+  const PrefixTable table = tableOf(ask.routes, ask.nestedOthers);
+  for (const auto& [name, lot] : state_.lots) {
+    if (!underWay(lot)) continue;
+    const LotTerms* terms = termsFor(table, ask.routes, lot.route);
+    if (terms != nullptr && (allowsLonger(*terms, lot) || allowsMoreAttempts(*terms, lot))) verdict.termsGrew = true;
+  }
   return pack(verdict);
 }
 
+// A promise that was given with the 202 is never cut short: what is less now changes nothing.
+StoreVerdict StoreMachine::run(const RaiseLotTerms& command) {
+  const PrefixTable table = tableOf(command.routes, command.nestedOthers);
+  for (auto& [name, lot] : state_.lots) {
+    const LotTerms* terms = underWay(lot) ? termsFor(table, command.routes, lot.route) : nullptr;
+    if (terms == nullptr) continue;
+    if (allowsMoreAttempts(*terms, lot)) lot.attempts = terms->attempts;
+    if (!allowsLonger(*terms, lot)) continue;
+    lot.retentionUs = terms->retentionUs;
+    termNoted.emit({Term::kRetention, lot.name, lot.createdUs + lot.retentionUs - fromUs_, false});
+    noteWaiting(lot);
+  }
+  return {};
+}
+
 // What was reported before and is not now has a route again, or nothing waits there.
 StoreVerdict StoreMachine::run(const ReportUnrouted& command) {
   std::map<std::string, Us> since;
--- a/src/store/queries.h
+++ b/src/store/queries.h
@@ -39,14 +39,15 @@
   FleetPlace place;  // not known: called whenever any waits
   STONEMOUNT_PACK(demands, place)
 };
-// Which locations of waiting items of standing lots have no route, by the configuration of whoever asks.
-struct UnroutedAsk {
-  std::vector<std::string> lotScopes;     // of routes that take lots: host and path prefix
-  std::vector<std::string> nestedOthers;  // of routes that take none, below one of those
-  STONEMOUNT_PACK(lotScopes, nestedOthers)
+// Which locations of waiting items of standing lots have no route, and whether any lot was promised less than its route
+// allows, by the configuration of whoever asks.
+struct LotRoutesAsk {
+  std::vector<LotTerms> routes;           // that take lots
+  std::vector<std::string> nestedOthers;  // scopes of routes that take none, below one of those
+  STONEMOUNT_PACK(routes, nestedOthers)
 };
 // New kinds go to the end.
-using StoreQuery = std::variant<WorkAsk, LotAsk, EventsAsk, ClockAsk, StandingWorkAsk, UnroutedAsk>;
+using StoreQuery = std::variant<WorkAsk, LotAsk, EventsAsk, ClockAsk, StandingWorkAsk, LotRoutesAsk>;
 
 struct OpenLot {
   std::string lot;
@@ -65,10 +66,11 @@
   std::uint32_t most = 0;  // runs that the node is called to claim; 0: none now
   STONEMOUNT_PACK(most)
 };
-struct UnroutedVerdict {
-  std::vector<std::string> locations;
-  bool reported = false;  // some were reported before
-  STONEMOUNT_PACK(locations, reported)
+struct LotRoutesVerdict {
+  std::vector<std::string> unrouted;  // locations
+  bool reportedBefore = false;        // some were
+  bool termsGrew = false;
+  STONEMOUNT_PACK(unrouted, reportedBefore, termsGrew)
 };
 enum class ItemState : std::uint8_t { kWaiting, kRunning, kSealed, kRefused };
 struct ItemSight {
--- a/src/store/store_machine.h
+++ b/src/store/store_machine.h
@@ -56,6 +56,7 @@
   StoreVerdict run(const GrantRuns& command);
   ClaimVerdict run(const ClaimRuns& command);
   StoreVerdict run(const ReportUnrouted& command);
+  StoreVerdict run(const RaiseLotTerms& command);
   StoreVerdict run(const RenewRuns& command);
   StoreVerdict run(const SealRuns& command);
   StoreVerdict run(const DropRuns& command);
@@ -86,10 +87,11 @@
   void collect();
   void collectLots();
   Us keepOf(const KeptLot& lot) const { return lot.keepUs > 0 ? lot.keepUs : plan_.retentionUs; }
-  // unrouted.cc
+  // lot_route_changes.cc
   void giveUpUnrouted();
   bool unroutedForLong(const std::string& location) const;
-  QueryVerdict tell(const UnroutedAsk& ask) const;
+  std::vector<std::string> unroutedLocations(const LotRoutesAsk& ask) const;
+  QueryVerdict tell(const LotRoutesAsk& ask) const;
   // Locations where items wait, for each demand.
   using LocationsOfDemands = std::vector<std::vector<std::string>>;
   LocationsOfDemands locationsOf(const std::vector<RouteDemand>& demands) const;
--- a/tests/lot_routes_test.cc
+++ b/tests/lot_routes_test.cc
@@ -191,6 +191,33 @@
   play.rig.fleet.run(15 * kSecondUs);
   play.expectListed(play.items(), 0, "back in time");
 }
+// MIXED: what a route allows now holds for lots under way where it is more; what is less cuts no promise short.
+void changedTerms(std::uint64_t seed) {
+  EndingRoute play(seed);
+  for (auto& node : play.rig.nodes) node->workers.places = 0;
+  Route route = lotRoute("r-first", "/bulk/", "models");
+  route.retentionUs = 4 * kSecondUs;
+  route.attempts = 2;
+  play.change({route});
+  const std::vector<std::string> items = {"b-0", "b-1fails"};
+  LotsRig::expect(play.rig.submit(0, "b", items)->status == 202, "a lot of short terms is taken");
+  route.retentionUs = 90 * kSecondUs;
+  route.attempts = 4;
+  play.change({route});
+  play.rig.fleet.run(2 * kSecondUs);
+  route.retentionUs = kSecondUs;
+  route.attempts = 1;
+  play.change({route});
+  play.rig.fleet.run(6 * kSecondUs);
+  play.expectListed(0, 0, "kept as long as was ever allowed");
+  for (auto& node : play.rig.nodes) node->workers.places = 12;
+  play.rig.fleet.run(20 * kSecondUs);
+  play.expectListed(play.items(), 0, "done after the shorter time");
+  std::vector<Result> results;
+  LotsRig::expect(readAll(play.rig, 1, "b", results, items.size()) && countOf(results, "complete") == 1 &&
+                      countOf(results, "abandoned") == 1 && play.rig.log.items["b-1fails"].failures == 4,
+                  absl::StrCat(play.what(), ": given up after ", play.rig.log.items["b-1fails"].failures, " failures"));
+}
 }  // namespace
 
 int main() {
@@ -200,6 +227,7 @@
     anyChanges(seed);
     goneForGood(seed);
     goneAndBack(seed);
+    changedTerms(seed);
   }
   std::printf("%d checks passed, %d failed\n", LotsRig::passed, LotsRig::failed);
   return LotsRig::failed == 0 ? 0 : 1;
--- a/tests/unrouted_test.cc
+++ b/tests/unrouted_test.cc
@@ -66,15 +66,19 @@
       }
     return locations;
   }
+  LotRoutesAsk askOfRoutes() const {
+    LotRoutesAsk ask{{}, nestedOthers_};
+    for (const std::string& scope : lotScopes_) ask.routes.push_back({scope, 0, 0});
+    return ask;
+  }
   void report() {
-    auto read = unpack<UnroutedVerdict>(
-        std::get<Bytes>(machine_->answer(pack(StoreQuery(UnroutedAsk{lotScopes_, nestedOthers_})), true)));
-    const UnroutedVerdict verdict = std::get<UnroutedVerdict>(read);
+    auto read = unpack<LotRoutesVerdict>(std::get<Bytes>(machine_->answer(pack(StoreQuery(askOfRoutes())), true)));
+    const LotRoutesVerdict verdict = std::get<LotRoutesVerdict>(read);
     std::vector<std::string> plain;
     for (const std::string& location : waitingLocations())
       if (!routed(location)) plain.push_back(location);
-    RC_ASSERT(verdict.locations == plain);
-    RC_ASSERT(verdict.reported == !since_.empty());
+    RC_ASSERT(verdict.unrouted == plain);
+    RC_ASSERT(verdict.reportedBefore == !since_.empty());
     const Us cutUs = machine_->state().cut.cutUs;
     std::map<std::string, Us> since;
     for (const std::string& location : plain) since[location] = since_.contains(location) ? since_.at(location) : cutUs;
@@ -85,7 +89,7 @@
       return since_.contains(location) && since_.at(location) + StorePlan().routeEndUs <= cutUs;
     };
     const std::map<std::string, KeptLot> before = machine_->state().lots;
-    apply(ReportUnrouted{verdict.locations, certainHere});
+    apply(ReportUnrouted{verdict.unrouted, certainHere});
     for (const auto& [name, lot] : before)
       for (std::uint32_t place = 0; place < lot.items.size(); ++place) {
         const bool waits = lot.waiting.contains(place) && !lot.ended;
