--- a/src/replication/catch_up_source.cc
+++ b/src/replication/catch_up_source.cc
@@ -5,11 +5,18 @@
 
 namespace stonemount {
 
-// A snapshot is good as long as the log that follows it is kept; and it must hold all that was acknowledged before
-// this view.
+namespace {
+constexpr std::size_t kFreshLogBytes = 1 << 20;
+constexpr std::size_t kFreshShare = 4;  // of the snapshot, that the log behind it may be long
+}  // namespace
+
+// A snapshot is good as long as the log that follows it is kept, and is not long against it: who copies has to follow
+// that log besides. And it must hold all that was acknowledged before this view.
 bool Replica::snapshotServes() const {
   const bool follows = snapshot_.end == end_ || recent_.reachesBackTo(snapshot_.end);
-  return snapshotToken_ != 0 && follows && snapshot_.revision == memory_.view.revision;
+  const std::size_t logBytes = recent_.bytesAfter(snapshot_.end);
+  const bool fresh = logBytes < std::max(kFreshLogBytes, snapshotStream_.size() / kFreshShare);
+  return snapshotToken_ != 0 && follows && fresh && snapshot_.revision == memory_.view.revision;
 }
 
 // While a checkpoint is being written, its image serves joiners too: a second copy of the whole state beside it is
--- a/src/replication/relay.cc
+++ b/src/replication/relay.cc
@@ -154,9 +154,10 @@
   const bool neededByOthers = state_ == ReplicaState::kSealed || (active() && !tail());
   const std::uint64_t needed = neededByOthers ? committed_ : end_;
   if (snapshotToken_ != 0)
-    recent_.trimBehind(snapshot_.end, kSnapshotKeeps, plan_.keptEntries, plan_.keptBytes, needed);
-  else
-    recent_.trim(plan_.keptEntries, plan_.keptBytes, needed);
+    return recent_.trimBehind(snapshot_.end, kSnapshotKeeps, plan_.keptEntries, plan_.keptBytes, needed);
+  // Whoever is to fill an empty seat may have copied from another member: it needs as much of the log here.
+  const std::size_t times = seatEmpty(memory_.view) ? kSnapshotKeeps : 1;
+  recent_.trim(plan_.keptEntries * times, plan_.keptBytes * times, needed);
 }
 
 // Its log parted from ours, or it lacks more than we keep: a new view will have it caughtUp.
--- a/src/replication/view.h
+++ b/src/replication/view.h
@@ -59,6 +59,8 @@
   }
   return !voters.empty();
 }
+// Is a member not in the chain?
+inline bool seatEmpty(const View& view) { return view.chain.size() < view.voters.size() + view.nonVoters.size(); }
 // A vote, unless it would make some zone's loss the loss of the majority; then a nonVoter's seat.
 inline void giveSeat(View& wanted, const Seat& seat) {
   std::vector<Seat> with = wanted.voters;
