The window of copies forgets the shortest delay where the path may be another

After a near tail a far one (regions) would have had 16 KiB under way for good. Change: the shortest delay is forgotten after a pause, and the window begins anew with another source. congestion_window_test has a short path and then a long one: 24 checks pass; without the change "it grows on a path without a queue" fails on the long one.

--- a/src/replication/catch_up.cc
+++ b/src/replication/catch_up.cc
@@ -39,6 +39,7 @@
 }
 
 Task Replica::followTail() {
+  Address lastSource;
   while (state_ != ReplicaState::kBroken) {
     const bool follows = state_ == ReplicaState::kOutside && wanted();
     if (!follows) caughtUp_ &= state_ != ReplicaState::kOutside;
@@ -54,6 +55,7 @@
       continue;
     if (memory_.view.chain.empty()) continue;
     const Address source = memory_.view.chain.back().address;
+    if (source != std::exchange(lastSource, source)) catchUpWindow_ = CongestionWindow(kCatchUpWindow);  // another path
     fetching_ = true;
     Job<bool> following = fetchLog(source, 0);
     bool near = co_await following;
--- a/src/replication/congestion_window.cc
+++ b/src/replication/congestion_window.cc
@@ -11,7 +11,10 @@
 void CongestionWindow::set(std::size_t bytes) { bytes_ = std::clamp(bytes, limits_.leastBytes, limits_.mostBytes); }
 
 void CongestionWindow::delivered(std::size_t bytes, Us sentUs, Us nowUs) {
-  if (nowUs - deliveredUs_ > kIdleUs) set(std::min(bytes_, limits_.initialBytes));
+  if (nowUs - deliveredUs_ > kIdleUs) {
+    set(std::min(bytes_, limits_.initialBytes));
+    baseUs_ = -1;
+  }
   deliveredUs_ = nowUs;
   const Us delayUs = std::max<Us>(nowUs - sentUs, 1);
   shortestUs_ = shortestUs_ < 0 ? delayUs : std::min(shortestUs_, delayUs);
--- a/tests/congestion_window_test.cc
+++ b/tests/congestion_window_test.cc
@@ -124,6 +124,26 @@
     window.delivered(kPacketBytes, nowUs - 100, nowUs);
   expect(window.bytes() == kLimits.initialBytes, "unused room is no reason to grow");
 }
+
+// A window that yields allows the same queue on a long path as on a short one, also after it has seen a shorter one.
+void yieldsOnAnyPath() {
+  constexpr CongestionWindow::Limits kYielding{16 << 10, 32 << 10, 256 << 10, 25 * kMilliUs, true};
+  CongestionWindow window(kYielding);
+  Us nowUs = kSecondUs;
+  for (const Us baseUs : {2 * kMilliUs, 80 * kMilliUs}) {
+    nowUs += 10 * kSecondUs;
+    for (int i = 0; i < 200; ++i, nowUs += 10 * kMilliUs) {
+      window.limited();
+      window.delivered(kPacketBytes, nowUs - baseUs, nowUs);
+    }
+    expect(window.bytes() == kYielding.mostBytes, "it grows on a path without a queue");
+    for (int i = 0; i < 200; ++i, nowUs += 10 * kMilliUs) {
+      window.limited();
+      window.delivered(kPacketBytes, nowUs - baseUs - 100 * kMilliUs, nowUs);
+    }
+    expect(window.bytes() == kYielding.leastBytes, "it shrinks where others fill the path");
+  }
+}
 }  // namespace
 
 int main() {
@@ -132,5 +152,6 @@
   ignoresSingleDelays();
   keepsItsBounds();
   growsOnlyWhenLimited();
+  yieldsOnAnyPath();
   return expectationsVerdict();
 }
